--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,21 @@
+//! The operator's side: the command line's parts and the embedded cell.
+//!
+//! # Example
+//!
+//! ```
+//! use cli::{Cell, CellConfig};
+//!
+//! let mut cell = Cell::new(&CellConfig::default());
+//! cell.run_until(std::time::Duration::from_secs(3));
+//! assert!(cell.broken_promises().is_empty());
+//! ```
+
+mod cell;
+mod files;
+mod try_run;
+
+pub use crate::{
+    cell::{Cell, CellConfig},
+    files::{FilesError, collect},
+    try_run::{TryOptions, TryReport, try_files, unit_line},
+};
--- /dev/null
+++ b/crates/fakes/src/worker.rs
@@ -0,0 +1,293 @@
+//! A stand-in for a worker, which starts whatever it is given and records what it ran.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{Attempt, Epoch, Size, TaskId, Time, Usage, WorkerId};
+use store::{Command, TaskPhase, TaskStart, TaskView, WorkerCall, WorkerReport};
+
+use crate::rng::stable_hash;
+
+/// How long tasks run and whether they fail, as a stand-in for the programs themselves.
+#[derive(Clone, Copy, Debug)]
+pub struct RunPlan {
+    /// The shortest run. 1 s by default.
+    pub min: Duration,
+    /// The longest run. 20 s by default.
+    pub max: Duration,
+    /// Whether everything that is started fails at once.
+    pub always_fails: bool,
+}
+
+impl Default for RunPlan {
+    fn default() -> Self {
+        Self {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(20),
+            always_fails: false,
+        }
+    }
+}
+
+/// One attempt that a worker really ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where it ran.
+    pub worker: WorkerId,
+    /// When it began.
+    pub began: Time,
+    /// When it ended; `None` while it runs.
+    pub ended: Option<Time>,
+    /// How far it came.
+    pub phase: TaskPhase,
+}
+
+#[derive(Clone, Debug)]
+struct Attempted {
+    view: TaskView,
+    ends: Time,
+    fails: bool,
+    run: Option<usize>,
+}
+
+/// A worker in memory. Its clock is the time that its callers pass in.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    id: WorkerId,
+    size: Size,
+    plan: RunPlan,
+    endpoint: String,
+    highest_epoch: Epoch,
+    tasks: BTreeMap<(TaskId, Attempt), Attempted>,
+    runs: Vec<Run>,
+    used: Size,
+    peak: Size,
+}
+
+impl FakeWorker {
+    /// A worker that runs nothing.
+    #[must_use]
+    pub fn new(id: WorkerId, size: Size, plan: RunPlan) -> Self {
+        Self {
+            id,
+            size,
+            plan,
+            endpoint: String::new(),
+            highest_epoch: Epoch::default(),
+            tasks: BTreeMap::new(),
+            runs: Vec::new(),
+            used: Size::ZERO,
+            peak: Size::ZERO,
+        }
+    }
+
+    /// Sets where the replicas on this worker take requests.
+    pub fn set_endpoint(&mut self, endpoint: String) {
+        self.endpoint = endpoint;
+    }
+
+    /// Makes everything that is started from now on fail, or not.
+    pub fn set_always_fails(&mut self, always_fails: bool) {
+        self.plan.always_fails = always_fails;
+    }
+
+    /// The worker's id.
+    #[must_use]
+    pub const fn id(&self) -> WorkerId {
+        self.id
+    }
+
+    /// All that the worker holds.
+    #[must_use]
+    pub const fn size(&self) -> Size {
+        self.size
+    }
+
+    /// The most that was in use at a time, in each dimension.
+    #[must_use]
+    pub const fn peak(&self) -> Size {
+        self.peak
+    }
+
+    /// What the worker ran.
+    #[must_use]
+    pub fn runs(&self) -> &[Run] {
+        &self.runs
+    }
+
+    /// Whether a replica of the service runs here.
+    #[must_use]
+    pub fn serves(&self, service: &str) -> bool {
+        self.tasks.values().any(|attempted| {
+            attempted.view.phase == TaskPhase::Running
+                && attempted.view.task.unit.as_str() == service
+        })
+    }
+
+    /// Ends what has run out of time or lease.
+    pub fn advance(&mut self, now: Time) {
+        let due: Vec<_> = self
+            .tasks
+            .iter()
+            .filter(|(_, a)| a.view.phase == TaskPhase::Running)
+            .filter(|(_, a)| now >= a.ends.min(a.view.lease_until))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            let attempted = &self.tasks[&key];
+            let at = attempted.ends.min(attempted.view.lease_until);
+            let phase = if attempted.view.lease_until < attempted.ends {
+                TaskPhase::LeaseLapsed
+            } else if attempted.fails {
+                TaskPhase::Failed
+            } else {
+                TaskPhase::Succeeded
+            };
+            self.end(at, &key, phase);
+        }
+    }
+
+    /// Loses all tasks, as a restart of the VM does.
+    pub fn restart(&mut self, now: Time) {
+        self.advance(now);
+        let running: Vec<_> = self
+            .tasks
+            .iter()
+            .filter(|(_, a)| a.view.phase == TaskPhase::Running)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in running {
+            self.end(now, &key, TaskPhase::Stopped);
+        }
+        self.tasks.clear();
+    }
+
+    /// Does the commands of a call and reports.
+    pub fn call(&mut self, now: Time, call: &WorkerCall) -> WorkerReport {
+        self.advance(now);
+        self.highest_epoch = self.highest_epoch.max(call.epoch);
+        for command in &call.commands {
+            self.command(now, call.epoch, command);
+        }
+        WorkerReport {
+            worker: self.id,
+            clock: now,
+            highest_epoch: self.highest_epoch,
+            tasks: self.tasks.values().map(|a| a.view.clone()).collect(),
+        }
+    }
+
+    fn command(&mut self, now: Time, epoch: Epoch, command: &Command) {
+        match command {
+            Command::Start(start) => self.start(now, epoch, start),
+            Command::Renew { tasks, lease_until } => {
+                for key in tasks {
+                    if let Some(attempted) = self.tasks.get_mut(key) {
+                        let lease = &mut attempted.view.lease_until;
+                        *lease = (*lease).max(*lease_until);
+                    }
+                }
+            }
+            Command::Checkpoint { task, attempt } => {
+                self.end(now, &(task.clone(), *attempt), TaskPhase::Checkpointed);
+            }
+            Command::Stop { task, attempt } => {
+                self.end(now, &(task.clone(), *attempt), TaskPhase::Stopped);
+            }
+            Command::Throttle {
+                task,
+                attempt,
+                milli_processors,
+            } => {
+                if let Some(attempted) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                    let used = &mut attempted.view.usage.milli_processors;
+                    *used = (*used).min(*milli_processors);
+                }
+            }
+            Command::Forget { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                let ended = |a: &Attempted| a.view.phase != TaskPhase::Running;
+                if self.tasks.get(&key).is_some_and(ended) {
+                    self.tasks.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: Time, epoch: Epoch, start: &TaskStart) {
+        let key = (start.task.clone(), start.attempt);
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let late = now > start.start_by;
+        let name = format!("{}#{}", start.task, start.attempt);
+        let width = self.plan.max.saturating_sub(self.plan.min).as_millis();
+        let offset = stable_hash(name.as_bytes()) % u64::try_from(width.max(1)).unwrap_or(1);
+        let run_time = self.plan.min + Duration::from_millis(offset);
+        let failing = self.plan.always_fails || start.command.iter().any(|arg| arg == "fail");
+        let serving = !start.service.is_empty();
+        let attempted = Attempted {
+            view: TaskView {
+                task: start.task.clone(),
+                attempt: start.attempt,
+                epoch,
+                phase: if late {
+                    TaskPhase::NotStarted
+                } else {
+                    TaskPhase::Running
+                },
+                size: start.size,
+                usage: Usage {
+                    milli_processors: start.size.milli_processors,
+                    memory_mb: start.size.memory_mb,
+                },
+                endpoint: if serving {
+                    self.endpoint.clone()
+                } else {
+                    String::new()
+                },
+                lease_until: start.lease_until,
+            },
+            ends: if failing {
+                now
+            } else if serving {
+                Time::MAX
+            } else {
+                now + run_time
+            },
+            fails: failing,
+            run: (!late).then_some(self.runs.len()),
+        };
+        self.tasks.insert(key, attempted);
+        if !late {
+            self.used += start.size;
+            self.peak = self.peak.max(self.used);
+            self.runs.push(Run {
+                task: start.task.clone(),
+                attempt: start.attempt,
+                worker: self.id,
+                began: now,
+                ended: None,
+                phase: TaskPhase::Running,
+            });
+        }
+    }
+
+    fn end(&mut self, at: Time, key: &(TaskId, Attempt), phase: TaskPhase) {
+        let Some(attempted) = self.tasks.get_mut(key) else {
+            return;
+        };
+        if attempted.view.phase != TaskPhase::Running {
+            return;
+        }
+        attempted.view.phase = phase;
+        self.used -= attempted.view.size;
+        if let Some(run) = attempted.run.and_then(|i| self.runs.get_mut(i)) {
+            run.ended = Some(at);
+            run.phase = phase;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,32 @@
+//! Who schedules a failure domain: the domain lease as a pure state machine.
+//!
+//! A [`LeaseMachine`] takes an [`Input`] and the present time, and returns [`Output`]s for its owner
+//! to carry out. It does no I/O and reads no clock.
+//!
+//! # Example
+//!
+//! ```
+//! use lease::{Holder, Input, LeaseConfig, LeaseMachine, Output, RowState};
+//! use model::{Incarnation, NodeId, Time};
+//!
+//! let me = Holder {
+//!     node: NodeId(1),
+//!     incarnation: Incarnation(7),
+//!     address: "127.0.0.1:7101".into(),
+//! };
+//! let mut machine = LeaseMachine::new(LeaseConfig::default(), me);
+//! let mut out = Vec::new();
+//! machine.step(Time::ZERO, Input::Tick, &mut out);
+//! assert!(matches!(out[0], Output::ReadRow { .. }));
+//!
+//! // The table has no row yet: the machine claims it.
+//! let Output::ReadRow { call } = out.remove(0) else { unreachable!() };
+//! machine.step(Time::from_ms(5), Input::RowRead { call, state: RowState::Absent }, &mut out);
+//! assert!(matches!(out[0], Output::WriteRow { .. }));
+//! ```
+
+mod machine;
+
+pub use crate::machine::{
+    Holder, Input, LeaseConfig, LeaseMachine, LeaseMsg, LeaseRow, Output, RowState, WriteResult,
+};
--- /dev/null
+++ b/crates/model/src/id.rs
@@ -0,0 +1,223 @@
+//! Identifiers of machines, places and units of work.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name of a failure domain or region, in bytes.
+const LABEL_MAX_BYTES: usize = 23;
+
+/// A short name that is copied by value, used for failure domains and regions.
+///
+/// It is at most 23 bytes of ASCII letters, digits, `-` and `_`, and is never empty.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Label {
+    bytes: [u8; LABEL_MAX_BYTES],
+    len: u8,
+}
+
+/// A name that is no valid [`Label`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a name of 1 to 23 ASCII letters, digits, `-` or `_`")]
+pub struct LabelError(pub String);
+
+impl Label {
+    /// Makes a label of a name.
+    ///
+    /// # Errors
+    ///
+    /// The name is empty, too long, or has a character that a label can't hold.
+    pub fn new(name: &str) -> Result<Self, LabelError> {
+        let valid = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+        if name.is_empty() || name.len() > LABEL_MAX_BYTES || !name.bytes().all(valid) {
+            return Err(LabelError(name.to_owned()));
+        }
+        let mut bytes = [0; LABEL_MAX_BYTES];
+        bytes[..name.len()].copy_from_slice(name.as_bytes());
+        let len = u8::try_from(name.len()).unwrap_or(0);
+        Ok(Self { bytes, len })
+    }
+
+    /// The name as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        str::from_utf8(&self.bytes[..usize::from(self.len)]).unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Label {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl fmt::Debug for Label {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl TryFrom<String> for Label {
+    type Error = LabelError;
+
+    fn try_from(name: String) -> Result<Self, LabelError> {
+        Self::new(&name)
+    }
+}
+
+impl From<Label> for String {
+    fn from(label: Label) -> Self {
+        label.as_str().to_owned()
+    }
+}
+
+macro_rules! label_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub Label);
+
+        impl FromStr for $name {
+            type Err = LabelError;
+
+            fn from_str(name: &str) -> Result<Self, LabelError> {
+                Label::new(name).map(Self)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+label_id! {
+    /// A failure domain: VMs that fail, or are cut off, together.
+    DomainId
+}
+label_id! {
+    /// A region: one or more failure domains with short links between them.
+    RegionId
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($prefix, "{}"), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            /// Reads the number with or without its prefix letter.
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.strip_prefix($prefix).unwrap_or(text).parse().map(Self)
+            }
+        }
+    };
+}
+
+number_id! {
+    /// A node: one `lacewingrouter` process on an entry VM.
+    NodeId, u32, "n"
+}
+number_id! {
+    /// A worker VM, on which tasks run.
+    WorkerId, u32, "w"
+}
+number_id! {
+    /// A rack of workers. Its number is unique within the cluster.
+    RackId, u32, "r"
+}
+number_id! {
+    /// A number drawn anew at each start of a node, greater than that of its earlier starts.
+    Incarnation, u64, "i"
+}
+number_id! {
+    /// The attempt of a task, counted from 1. Attempt 0 stands for "none yet".
+    Attempt, u32, "a"
+}
+
+/// The epoch of a domain's scheduler. A higher epoch supersedes a lower one.
+///
+/// The table part is raised by a takeover through the platform's table, the local part by a takeover
+/// inside a failure domain that is cut off from the platform.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Epoch {
+    /// Raised by each takeover that the table has recorded.
+    pub table: u64,
+    /// Raised by each takeover while the table is unreachable; 0 otherwise.
+    pub local: u32,
+}
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "e{}.{}", self.table, self.local)
+    }
+}
+
+/// The id of a submitted unit of work. It comes from the submitter, so that a resend is recognised.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UnitId(pub Arc<str>);
+
+impl UnitId {
+    /// Makes an id of a name.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self(Arc::from(name))
+    }
+
+    /// The id as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for UnitId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+/// One task of a unit of work: a replica of a service, or a part of a batch or job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The unit that the task belongs to.
+    pub unit: UnitId,
+    /// The task's number within its unit, from 0.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// The task `index` of `unit`.
+    #[must_use]
+    pub fn new(unit: &UnitId, index: u32) -> Self {
+        Self {
+            unit: unit.clone(),
+            index,
+        }
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.unit, self.index)
+    }
+}
--- /dev/null
+++ b/crates/model/src/size.rs
@@ -0,0 +1,121 @@
+//! What tasks need and workers hold.
+
+use std::{
+    fmt,
+    ops::{Add, AddAssign, Sub, SubAssign},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of processors, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Size {
+    /// Thousandths of a processor.
+    pub milli_processors: u64,
+    /// Memory in units of 2^20 bytes.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Size {
+    /// Nothing at all.
+    pub const ZERO: Self = Self::new(0, 0, 0);
+
+    /// An amount of thousandths of a processor, MB of memory, and accelerators.
+    #[must_use]
+    pub const fn new(milli_processors: u64, memory_mb: u64, accelerators: u32) -> Self {
+        Self {
+            milli_processors,
+            memory_mb,
+            accelerators,
+        }
+    }
+
+    /// Whether this amount is no greater than `room` in every dimension.
+    #[must_use]
+    pub const fn fits(&self, room: &Self) -> bool {
+        self.milli_processors <= room.milli_processors
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// The greater amount in each dimension.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            milli_processors: self.milli_processors.max(other.milli_processors),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// This amount `n` times.
+    #[must_use]
+    pub const fn times(self, n: u32) -> Self {
+        Self {
+            milli_processors: self.milli_processors.saturating_mul(n as u64),
+            memory_mb: self.memory_mb.saturating_mul(n as u64),
+            accelerators: self.accelerators.saturating_mul(n),
+        }
+    }
+}
+
+impl Add for Size {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            milli_processors: self.milli_processors.saturating_add(other.milli_processors),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+/// Subtraction stops at zero in each dimension.
+impl Sub for Size {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            milli_processors: self.milli_processors.saturating_sub(other.milli_processors),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl SubAssign for Size {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{:03} processors, {} MB, {} accelerators",
+            self.milli_processors / 1_000,
+            self.milli_processors % 1_000,
+            self.memory_mb,
+            self.accelerators
+        )
+    }
+}
+
+/// What a task was seen to use, as reported by its worker with a lag.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Thousandths of a processor, averaged over the report interval.
+    pub milli_processors: u64,
+    /// Highest memory in the report interval, in units of 2^20 bytes.
+    pub memory_mb: u64,
+}
--- /dev/null
+++ b/crates/model/src/verdict.rs
@@ -0,0 +1,35 @@
+//! What is known about whether a request has run.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request, start or write may have run. Every answer and every error carries one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// It truly has not run and never will under this request.
+    NotRun,
+    /// It is not known whether it has run.
+    MayHaveRun,
+    /// It has run to its end.
+    Ran,
+}
+
+impl Verdict {
+    /// The verdict as it stands in the `Lacewing-Verdict` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/calls.rs
@@ -0,0 +1,162 @@
+//! What a node's calls to the platform are for, and its changes on their way to the table.
+
+use std::collections::BTreeMap;
+
+use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
+use store::{
+    Check, CommitChange, CommitConfig, CommitOutput, Full, GroupCommit, Settlement, StoreError,
+    TableReq, TableResp, WorkerCall, Write,
+};
+
+use super::event::{Action, CallId, OperatorId};
+
+/// What a call to the table is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    LeaseRead(u64),
+    LeaseWrite(u64),
+    Commit,
+    ConfigHead,
+    ConfigEntries,
+    StateScan,
+    InboxScan,
+    InboxUnit(UnitId, (String, u64)),
+    Operator(OperatorId),
+    Worker { worker: WorkerId, sent: Time },
+}
+
+/// Who wants to know what became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Owner {
+    /// Nobody: the change is made again if it matters.
+    Nobody,
+    State(UnitId),
+    Operator(OperatorId),
+}
+
+/// The calls under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Calls {
+    last: u64,
+    pending: BTreeMap<CallId, Purpose>,
+}
+
+impl Calls {
+    pub(crate) fn table(&mut self, purpose: Purpose, req: TableReq, out: &mut Vec<Action>) {
+        let call = self.add(purpose);
+        out.push(Action::Table(call, req));
+    }
+
+    pub(crate) fn worker(&mut self, now: Time, req: WorkerCall, out: &mut Vec<Action>) {
+        let worker = req.worker;
+        let call = self.add(Purpose::Worker { worker, sent: now });
+        out.push(Action::Worker(call, req));
+    }
+
+    /// The purpose of a call that is answered; `None` if it was answered before.
+    pub(crate) fn answered(&mut self, call: CallId) -> Option<Purpose> {
+        self.pending.remove(&call)
+    }
+
+    fn add(&mut self, purpose: Purpose) -> CallId {
+        self.last += 1;
+        let call = CallId(self.last);
+        self.pending.insert(call, purpose);
+        call
+    }
+}
+
+/// The node's group commit, with the owners of its changes.
+#[derive(Clone, Debug)]
+pub(crate) struct Commits {
+    group: GroupCommit,
+    owners: BTreeMap<u64, Owner>,
+    last_tag: u64,
+}
+
+impl Commits {
+    pub(crate) fn new(cfg: CommitConfig, node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            group: GroupCommit::new(cfg, node, incarnation),
+            owners: BTreeMap::new(),
+            last_tag: 0,
+        }
+    }
+
+    pub(crate) fn unsettled(&self) -> usize {
+        self.group.unsettled()
+    }
+
+    pub(crate) fn transactions(&self) -> u64 {
+        self.group.transactions()
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        owner: Owner,
+        checks: Vec<Check>,
+        writes: Vec<Write>,
+    ) -> Result<(), Full> {
+        let tag = self.last_tag + 1;
+        self.group.push(CommitChange {
+            tag,
+            checks,
+            writes,
+        })?;
+        self.last_tag = tag;
+        self.owners.insert(tag, owner);
+        Ok(())
+    }
+
+    pub(crate) fn poll(&mut self, now: Time, calls: &mut Calls, out: &mut Vec<Action>) {
+        let mut outputs = Vec::new();
+        self.group.poll(now, &mut outputs);
+        self.carry_out(outputs, calls, out);
+    }
+
+    /// Takes the result of a commit's call, and returns what is settled by it.
+    pub(crate) fn reply(
+        &mut self,
+        now: Time,
+        result: Result<TableResp, StoreError>,
+        calls: &mut Calls,
+        out: &mut Vec<Action>,
+    ) -> Vec<(Owner, Settlement)> {
+        let mut outputs = Vec::new();
+        self.group.reply(now, result, &mut outputs);
+        self.carry_out(outputs, calls, out)
+    }
+
+    fn carry_out(
+        &mut self,
+        outputs: Vec<CommitOutput>,
+        calls: &mut Calls,
+        out: &mut Vec<Action>,
+    ) -> Vec<(Owner, Settlement)> {
+        let mut settled = Vec::new();
+        for output in outputs {
+            match output {
+                CommitOutput::Call(req) => calls.table(Purpose::Commit, req, out),
+                CommitOutput::Settled(tag, settlement) => {
+                    let owner = self.owners.remove(&tag).unwrap_or(Owner::Nobody);
+                    settled.push((owner, settlement));
+                }
+            }
+        }
+        settled
+    }
+}
+
+/// What a part of a node needs to act: the time, its calls and commits, and the list of actions.
+pub(crate) struct Cx<'a> {
+    pub(crate) now: Time,
+    pub(crate) calls: &'a mut Calls,
+    pub(crate) commits: &'a mut Commits,
+    pub(crate) out: &'a mut Vec<Action>,
+}
+
+impl Cx<'_> {
+    pub(crate) fn table(&mut self, purpose: Purpose, req: TableReq) {
+        self.calls.table(purpose, req, self.out);
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/dump.rs
@@ -0,0 +1,77 @@
+//! A node's state as an operator sees it.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::scheduler::Scheduler;
+use crate::api::TaskPhase;
+
+/// A node's state. Secrets are not in it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// The node.
+    pub node: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its region.
+    pub region: String,
+    /// Milliseconds since its start.
+    pub uptime_ms: u64,
+    /// Whether callers and operators may be sent to it.
+    pub ready: bool,
+    /// The version of the configuration in force.
+    pub config_version: u64,
+    /// Changes on their way to the table.
+    pub unsettled_changes: usize,
+    /// Transactions sent since the start.
+    pub transactions: u64,
+    /// The scheduler of its domain, if it is that.
+    pub scheduler: Option<SchedulerDump>,
+}
+
+/// The state of a domain's scheduler.
+#[derive(Clone, Debug, Serialize)]
+pub struct SchedulerDump {
+    /// The epoch under which it acts.
+    pub epoch: String,
+    /// Whether it has rebuilt its state after the takeover.
+    pub recovered: bool,
+    /// Its workers, and whether each answers.
+    pub workers: BTreeMap<String, bool>,
+    /// How many tasks it knows in each phase.
+    pub tasks: BTreeMap<&'static str, usize>,
+    /// The replicas that take new requests.
+    pub backends: Vec<String>,
+}
+
+impl Scheduler {
+    pub(crate) fn dump(&self) -> SchedulerDump {
+        let mut tasks = BTreeMap::new();
+        for task in self.jobs().values().flat_map(|job| &job.row.tasks) {
+            *tasks.entry(phase_name(task.phase)).or_default() += 1;
+        }
+        let worker = |worker: &super::workers::Worker| (worker.spec.id.to_string(), worker.known);
+        let backends = self.backends().into_iter();
+        SchedulerDump {
+            epoch: self.epoch().to_string(),
+            recovered: self.is_recovered(),
+            workers: self.workers().map(worker).collect(),
+            tasks,
+            backends: backends
+                .map(|backend| format!("{} on {}", backend.service, backend.worker))
+                .collect(),
+        }
+    }
+}
+
+/// A phase as operators read it.
+const fn phase_name(phase: TaskPhase) -> &'static str {
+    match phase {
+        TaskPhase::Waiting => "waiting",
+        TaskPhase::Running { .. } => "running",
+        TaskPhase::Succeeded => "succeeded",
+        TaskPhase::Failed => "failed",
+        TaskPhase::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/settings.rs
@@ -0,0 +1,92 @@
+//! Settings of a node's decisions.
+
+use std::time::Duration;
+
+use lease::LeaseConfig;
+use model::{DomainId, Incarnation, NodeId, RegionId};
+use place::PlaceConfig;
+use route::RouteConfig;
+use store::CommitConfig;
+
+/// Who a node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// The node.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Its region.
+    pub region: RegionId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where its peers reach it.
+    pub peer_address: String,
+}
+
+/// Settings of the scheduler of a failure domain.
+#[derive(Clone, Debug)]
+pub struct SchedulerConfig {
+    /// How long a task may run without a renewal. 20 s by default.
+    pub task_lease: Duration,
+    /// The interval at which each worker is read and its leases are renewed. 6 s by default.
+    pub worker_interval: Duration,
+    /// How long a start command is good for. 2 s by default.
+    pub start_window: Duration,
+    /// The longest time that a call to a worker takes before it is given up. 4 s by default.
+    pub call_timeout: Duration,
+    /// Added to each term for clocks that run at different speeds. 600 ms by default.
+    pub drift_margin: Duration,
+    /// The interval at which the inbox is read. 1 s by default.
+    pub inbox_interval: Duration,
+    /// The interval at which the VM list is read. 5 s by default.
+    pub vms_interval: Duration,
+    /// The wait before a worker that gave no answer is called again. 1 s by default.
+    pub worker_retry: Duration,
+}
+
+impl Default for SchedulerConfig {
+    fn default() -> Self {
+        Self {
+            task_lease: Duration::from_secs(20),
+            worker_interval: Duration::from_secs(6),
+            start_window: Duration::from_secs(2),
+            call_timeout: Duration::from_secs(4),
+            drift_margin: Duration::from_millis(600),
+            inbox_interval: Duration::from_secs(1),
+            vms_interval: Duration::from_secs(5),
+            worker_retry: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug, Default)]
+pub struct NodeConfig {
+    /// The domain lease.
+    pub lease: LeaseConfig,
+    /// Placement.
+    pub place: PlaceConfig,
+    /// Group commit.
+    pub commit: CommitConfig,
+    /// Routing.
+    pub route: RouteConfig,
+    /// The domain's scheduler.
+    pub scheduler: SchedulerConfig,
+    /// How configuration is read.
+    pub config: ConfigSyncConfig,
+}
+
+/// Settings of how configuration is read.
+#[derive(Clone, Debug)]
+pub struct ConfigSyncConfig {
+    /// The interval at which the head is read. 1 s by default.
+    pub poll_interval: Duration,
+}
+
+impl Default for ConfigSyncConfig {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/daemon/http.rs
@@ -0,0 +1,201 @@
+//! The faces towards callers and operators.
+
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
+
+use model::Verdict;
+use serde::{Serialize, de::DeserializeOwned};
+use stakker::sync::Channel;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use super::{actor::Incoming, proxy::Proxy, token};
+use crate::{
+    api::{OperatorReq, OperatorResp},
+    settings::Settings,
+};
+
+/// How many requests are handled at a time.
+const THREADS: usize = 64;
+/// The largest body of an operator's call, in bytes.
+const OPERATOR_BODY_MAX_BYTES: u64 = 8 << 20;
+/// The longest wait for the node's decisions on an operator's call.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(28);
+/// The longest wait for an answer about the node itself.
+const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The HTTP server of a node.
+pub(super) struct Faces {
+    address: SocketAddr,
+}
+
+/// What a handler needs.
+pub(super) struct Shared {
+    pub(super) channel: Channel<Incoming>,
+    pub(super) proxy: Proxy,
+    operator_token: String,
+}
+
+impl Faces {
+    pub(super) fn start(settings: &Settings, channel: &Channel<Incoming>) -> io::Result<Self> {
+        let server = Server::http(settings.listen).map_err(io::Error::other)?;
+        let address = server
+            .server_addr()
+            .to_ip()
+            .ok_or_else(|| io::Error::other("not an IP address"))?;
+        let server = Arc::new(server);
+        let shared = Arc::new(Shared {
+            channel: channel.clone(),
+            proxy: Proxy::default(),
+            operator_token: settings.operator_token.clone(),
+        });
+        for _ in 0..THREADS {
+            let server = Arc::clone(&server);
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || {
+                while let Ok(req) = server.recv() {
+                    handle(&shared, req);
+                }
+            });
+        }
+        Ok(Self { address })
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+fn handle(shared: &Shared, req: Request) {
+    let url = req.url().to_owned();
+    let method = req.method().clone();
+    if let Some(rest) = url.strip_prefix("/s/") {
+        shared.proxy.handle(shared, rest, req);
+        return;
+    }
+    match (&method, url.as_str()) {
+        (Method::Get, "/healthz") => text(req, 200, "alive\n"),
+        (Method::Get, "/readyz") => ready(shared, req),
+        (Method::Get, "/v1/dump") => {
+            if let Some(req) = authorised(shared, req) {
+                dump(shared, req);
+            }
+        }
+        (Method::Post, "/v1/operator") => {
+            if let Some(req) = authorised(shared, req) {
+                operator(shared, req);
+            }
+        }
+        _ => text(req, 404, "no such path\n"),
+    }
+}
+
+/// The request, if it has the operators' token; otherwise it is refused.
+fn authorised(shared: &Shared, req: Request) -> Option<Request> {
+    let given = header(&req, "authorization").unwrap_or_default();
+    let given = given.strip_prefix("Bearer ").unwrap_or_default();
+    if token::equal(given, &shared.operator_token) {
+        return Some(req);
+    }
+    log::warn!("http: an operator's call without the right token was refused");
+    text(req, 401, "the operators' token is missing or wrong\n");
+    None
+}
+
+fn ready(shared: &Shared, req: Request) {
+    match ask(shared, Incoming::Ready) {
+        Some(true) => text(req, 200, "ready\n"),
+        _ => text(req, 503, "not ready\n"),
+    }
+}
+
+fn dump(shared: &Shared, req: Request) {
+    match ask(shared, Incoming::Dump) {
+        Some(dump) => json(req, &dump),
+        None => text(req, 500, "the node gave no answer\n"),
+    }
+}
+
+fn ask<T>(shared: &Shared, message: impl FnOnce(mpsc::Sender<T>) -> Incoming) -> Option<T> {
+    let (reply, rx) = mpsc::channel();
+    if !shared.channel.send(message(reply)) {
+        return None;
+    }
+    rx.recv_timeout(STATE_TIMEOUT).ok()
+}
+
+fn operator(shared: &Shared, mut req: Request) {
+    let call: OperatorReq = match body(&mut req) {
+        Ok(call) => call,
+        Err(e) => return text(req, 400, &format!("not an operator's call: {e}\n")),
+    };
+    let (reply, rx) = mpsc::channel();
+    let sent = shared.channel.send(Incoming::Operator { req: call, reply });
+    let resp = if sent {
+        rx.recv_timeout(OPERATOR_TIMEOUT).unwrap_or_else(|_| {
+            let message = "no decision in time; look at `lacewing status`".to_owned();
+            OperatorResp::Failed {
+                verdict: Verdict::MayHaveRun,
+                message,
+            }
+        })
+    } else {
+        OperatorResp::Failed {
+            verdict: Verdict::NotRun,
+            message: "the node shuts down; try another node".to_owned(),
+        }
+    };
+    json(req, &resp);
+}
+
+fn body<T: DeserializeOwned>(req: &mut Request) -> Result<T, String> {
+    let mut bytes = Vec::new();
+    let mut limited = req.as_reader().take(OPERATOR_BODY_MAX_BYTES + 1);
+    limited.read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    if bytes.len() as u64 > OPERATOR_BODY_MAX_BYTES {
+        return Err(format!("larger than {OPERATOR_BODY_MAX_BYTES} bytes"));
+    }
+    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
+}
+
+/// The value of a request's header.
+pub(super) fn header(req: &Request, name: &str) -> Option<String> {
+    let found = req
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))?;
+    Some(found.value.as_str().to_owned())
+}
+
+/// A header of an answer.
+///
+/// # Panics
+///
+/// The name or the value is no valid text of a header; all callers give valid ones.
+pub(super) fn answer_header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("the header's text is valid")
+}
+
+fn json(req: Request, value: &impl Serialize) {
+    match serde_json::to_string(value) {
+        Ok(body) => {
+            let header = answer_header("content-type", "application/json");
+            respond(req, Response::from_string(body).with_header(header));
+        }
+        Err(e) => text(req, 500, &format!("{e}\n")),
+    }
+}
+
+pub(super) fn text(req: Request, status: u16, body: &str) {
+    respond(req, Response::from_string(body).with_status_code(status));
+}
+
+pub(super) fn respond<R: Read>(req: Request, response: Response<R>) {
+    if let Err(e) = req.respond(response) {
+        log::debug!("http: the answer was not taken: {e}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/daemon/mod.rs
@@ -0,0 +1,90 @@
+//! The actors and threads that join a node's decisions to the world.
+
+mod actor;
+mod http;
+mod platform;
+mod proxy;
+mod token;
+
+use std::{
+    io, process, thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use model::Incarnation;
+use stakker::{Stakker, actor, call, fwd_to, ret_shutdown, sync::Channel};
+use store::HttpPlatformConfig;
+
+use self::{actor::NodeActor, http::Faces, platform::Pool};
+use crate::{Identity, NodeConfig, settings::Settings};
+
+/// The longest sleep of the main thread.
+const SLEEP_MAX: Duration = Duration::from_secs(1);
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be listened on.
+pub fn run(settings: &Settings) -> io::Result<()> {
+    let mut stakker = Stakker::new(Instant::now());
+    let main = thread::current();
+    stakker.set_poll_waker(move || main.unpark());
+
+    let me = Identity {
+        node: settings.node,
+        incarnation: incarnation(),
+        region: settings.region,
+        domain: settings.domain,
+        peer_address: settings.peer_listen.to_string(),
+    };
+    let node = actor!(
+        &mut stakker,
+        NodeActor::init(NodeConfig::default(), me),
+        ret_shutdown!(&mut stakker)
+    );
+    let fwd = fwd_to!([node], receive() as (actor::Incoming));
+    let (channel, guard) = Channel::new(&mut stakker, fwd);
+    let platform = HttpPlatformConfig {
+        url: settings.platform.clone(),
+        ..HttpPlatformConfig::default()
+    };
+    let pool = Pool::start(platform, settings.domain, &channel);
+    let faces = Faces::start(settings, &channel)?;
+    watch_signals(&channel)?;
+    log::info!("node: {} listens on {}", settings.node, faces.address());
+    call!([node], connect(pool, guard));
+
+    let mut pending = stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), SLEEP_MAX, pending);
+        thread::park_timeout(wait);
+        stakker.poll_wake();
+        pending = stakker.run(Instant::now(), false);
+    }
+    log::info!("node: stopped");
+    Ok(())
+}
+
+/// Later starts draw greater numbers, unless the VM's clock is set back between them. The number only
+/// tells a node's starts apart; nothing waits for a time because of it.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.map_or(0, |since| since.as_millis());
+    let low = u64::from(process::id() & 0xffff);
+    Incarnation((u64::try_from(ms).unwrap_or(0) << 16) | low)
+}
+
+fn watch_signals(channel: &Channel<actor::Incoming>) -> io::Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM])?;
+    let channel = channel.clone();
+    thread::spawn(move || {
+        for _ in signals.forever() {
+            if !channel.send(actor::Incoming::Event(crate::Event::Shutdown)) {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,34 @@
+//! The `lacewingrouter` daemon: a node's decisions and the actors that join them to the world.
+//!
+//! # Example
+//!
+//! ```
+//! use model::{Incarnation, NodeId, Time};
+//! use node::{Action, Event, Identity, Node, NodeConfig};
+//!
+//! let me = Identity {
+//!     node: NodeId(1),
+//!     incarnation: Incarnation(1),
+//!     region: "r1".parse().unwrap(),
+//!     domain: "d1".parse().unwrap(),
+//!     peer_address: "127.0.0.1:7101".into(),
+//! };
+//! let mut node = Node::new(NodeConfig::default(), me);
+//! let mut out = Vec::new();
+//! node.handle(Time::ZERO, Event::Tick, &mut out);
+//! assert!(matches!(out[0], Action::Table(..)));
+//! ```
+
+pub mod api;
+mod core;
+mod daemon;
+mod settings;
+
+pub use crate::{
+    core::{
+        Action, CallId, ConfigSyncConfig, Dump, Event, Identity, Node, NodeConfig, OperatorId,
+        SchedulerConfig, SchedulerDump,
+    },
+    daemon::run as run_daemon,
+    settings::{CommandLine, Settings, SettingsError, parse as parse_settings, parse_with},
+};
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,33 @@
+//! `lacewingrouter`: the daemon on each entry VM.
+
+use std::{env, process::ExitCode};
+
+use node::{CommandLine, parse_settings, run_daemon};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let words: Vec<String> = env::args().skip(1).collect();
+    match parse_settings(&words) {
+        Ok(CommandLine::Text(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(CommandLine::Run(settings)) => match run_daemon(&settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("lacewingrouter: {e}");
+                ExitCode::from(EXIT_FAILED)
+            }
+        },
+        Err(e) => {
+            for fault in &e.faults {
+                eprintln!("lacewingrouter: {fault}");
+            }
+            eprintln!("Try `lacewingrouter --help`.");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/error.rs
@@ -0,0 +1,17 @@
+//! Why work can't be placed.
+
+use model::Size;
+
+/// A unit that can never run as things stand.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unplaceable {
+    /// No worker of the domain holds one of its tasks.
+    #[error("no worker holds a task of {0}")]
+    TooLarge(Size),
+    /// Its team is not known.
+    #[error("the team `{0}` is not known")]
+    NoTeam(String),
+    /// It needs more at a time than its team's quota.
+    #[error("it needs {0} at a time, more than the quota of its team")]
+    OverQuota(Size),
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,44 @@
+//! Placement of unlike work on the workers of one failure domain.
+//!
+//! A [`Placer`] is told of workers, teams, units and what becomes of tasks; [`Placer::decide`] then
+//! says which tasks start where. It does no I/O and reads no clock.
+//!
+//! # Example
+//!
+//! ```
+//! use model::{Class, Kind, RackId, Repeat, Size, Team, Time, Unit, UnitId, WorkerId};
+//! use place::{Decision, PlaceConfig, Placer, Waiting, WorkerSpec};
+//!
+//! let mut placer = Placer::new(PlaceConfig::default());
+//! placer.set_team(&Team { name: "t".into(), quota: Size::new(64_000, 64_000, 0) });
+//! let spec = WorkerSpec { id: WorkerId(1), rack: RackId(1), size: Size::new(16_000, 65_536, 0) };
+//! placer.add_worker(spec);
+//! placer.open_worker(Time::ZERO, WorkerId(1));
+//! let unit = Unit {
+//!     name: "rebuild".into(),
+//!     team: "t".into(),
+//!     command: vec!["rebuild".into()],
+//!     size: Size::new(4_000, 8_192, 0),
+//!     class: Class::Bulk,
+//!     repeat: Repeat::Safe,
+//!     attempts: 3,
+//!     run_time: std::time::Duration::from_secs(60),
+//!     kind: Kind::Batch { tasks: 2 },
+//! };
+//! let waiting = [0, 1].map(|index| Waiting { index, failures: 0 });
+//! let id = UnitId::new("rebuild");
+//! placer.add_unit(&id, &unit);
+//! placer.enqueue(Time::ZERO, &id, &waiting).unwrap();
+//! let mut out = Vec::new();
+//! placer.decide(Time::ZERO, &mut out);
+//! assert!(matches!(out[0], Decision::Start { worker: WorkerId(1), .. }));
+//! assert_eq!(out.len(), 2);
+//! ```
+
+mod error;
+mod placer;
+
+pub use crate::{
+    error::Unplaceable,
+    placer::{Decision, Next, PlaceConfig, Placer, TaskEnd, Waiting, WorkerSpec},
+};
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,180 @@
+//! The HTTP adapter of the ports: JSON over `ureq`.
+
+use std::time::Duration;
+
+use model::DomainId;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    ObjectReq, ObjectResp, Objects, StoreError, Table, TableReq, TableResp, VmInfo, VmList,
+    WorkerCall, WorkerReport, Workers,
+};
+
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: u64 = 64 << 20;
+
+/// Settings of [`HttpPlatform`].
+#[derive(Clone, Debug)]
+pub struct HttpPlatformConfig {
+    /// The platform's address, such as `http://10.0.0.1:7000`, without a slash at its end.
+    pub url: String,
+    /// The longest wait for a connection. 1 s by default.
+    pub connect_timeout: Duration,
+    /// The longest wait for a whole answer. 4 s by default.
+    pub call_timeout: Duration,
+}
+
+impl Default for HttpPlatformConfig {
+    fn default() -> Self {
+        Self {
+            url: String::new(),
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(4),
+        }
+    }
+}
+
+/// The platform over HTTP. Clones share their idle connections.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    agent: ureq::Agent,
+    url: String,
+}
+
+impl HttpPlatform {
+    /// Makes an adapter. Nothing is connected before the first call.
+    #[must_use]
+    pub fn new(cfg: HttpPlatformConfig) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .timeout_connect(Some(cfg.connect_timeout))
+            .timeout_global(Some(cfg.call_timeout))
+            .http_status_as_error(false)
+            .build()
+            .new_agent();
+        Self {
+            agent,
+            url: cfg.url,
+        }
+    }
+
+    fn post<T: DeserializeOwned>(&self, path: &str, req: &impl Serialize) -> Result<T, StoreError> {
+        let body = serde_json::to_vec(req).map_err(|e| StoreError::Refused(e.to_string()))?;
+        let url = format!("{}{path}", self.url);
+        let resp = self
+            .agent
+            .post(&url)
+            .header("content-type", "application/json")
+            .send(&body[..])
+            .map_err(|e| call_error(&e))?;
+        read_answer(resp)
+    }
+}
+
+/// Only failures to connect are sure to have done nothing.
+fn call_error(e: &ureq::Error) -> StoreError {
+    match e {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+            StoreError::Unreachable(e.to_string())
+        }
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            StoreError::Unreachable(e.to_string())
+        }
+        _ => StoreError::Lost(e.to_string()),
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(
+    mut resp: ureq::http::Response<ureq::Body>,
+) -> Result<T, StoreError> {
+    let status = resp.status().as_u16();
+    let body = resp
+        .body_mut()
+        .with_config()
+        .limit(ANSWER_MAX_BYTES)
+        .read_to_vec()
+        .map_err(|e| StoreError::Lost(e.to_string()))?;
+    match status {
+        200 => serde_json::from_slice(&body).map_err(|e| StoreError::Lost(e.to_string())),
+        503 => Err(StoreError::Unreachable("the service is down".to_owned())),
+        400..500 => Err(StoreError::Refused(
+            String::from_utf8_lossy(&body).into_owned(),
+        )),
+        _ => Err(StoreError::Lost(format!("status {status}"))),
+    }
+}
+
+impl Table for HttpPlatform {
+    fn table(&mut self, req: &TableReq) -> Result<TableResp, StoreError> {
+        self.post("/table", req)
+    }
+}
+
+impl Objects for HttpPlatform {
+    fn object(&mut self, req: &ObjectReq) -> Result<ObjectResp, StoreError> {
+        self.post("/objects", req)
+    }
+}
+
+impl VmList for HttpPlatform {
+    fn vms(&mut self, domain: DomainId) -> Result<Vec<VmInfo>, StoreError> {
+        let url = format!("{}/vms/{domain}", self.url);
+        let resp = self.agent.get(&url).call().map_err(|e| call_error(&e))?;
+        read_answer(resp)
+    }
+}
+
+impl Workers for HttpPlatform {
+    fn worker(&mut self, call: &WorkerCall) -> Result<WorkerReport, StoreError> {
+        self.post(&format!("/workers/{}", call.worker.0), call)
+    }
+}
+
+/// Bytes as base64 text in readable formats, as they are in compact ones.
+pub(crate) mod base64_bytes {
+    use base64::{Engine, engine::general_purpose::STANDARD};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+    pub(crate) fn serialize<S: Serializer>(bytes: &[u8], s: S) -> Result<S::Ok, S::Error> {
+        if s.is_human_readable() {
+            s.serialize_str(&STANDARD.encode(bytes))
+        } else {
+            bytes.serialize(s)
+        }
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<u8>, D::Error> {
+        if d.is_human_readable() {
+            let text = String::deserialize(d)?;
+            STANDARD.decode(text).map_err(D::Error::custom)
+        } else {
+            Vec::deserialize(d)
+        }
+    }
+}
+
+/// The same for bytes that may be absent.
+pub(crate) mod base64_option {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    #[derive(Serialize, Deserialize)]
+    struct Bytes(#[serde(with = "super::base64_bytes")] Vec<u8>);
+
+    #[expect(
+        clippy::ref_option,
+        reason = "serde's `with` passes a reference to the field"
+    )]
+    pub(crate) fn serialize<S: Serializer>(
+        bytes: &Option<Vec<u8>>,
+        s: S,
+    ) -> Result<S::Ok, S::Error> {
+        bytes.clone().map(Bytes).serialize(s)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        d: D,
+    ) -> Result<Option<Vec<u8>>, D::Error> {
+        Ok(Option::<Bytes>::deserialize(d)?.map(|bytes| bytes.0))
+    }
+}
--- /dev/null
+++ b/crates/store/src/object.rs
@@ -0,0 +1,35 @@
+//! The platform's object store, for values that are too large for a row.
+
+use serde::{Deserialize, Serialize};
+
+/// A call to the object store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ObjectReq {
+    /// Reads an object.
+    Get {
+        /// The object's key.
+        key: String,
+    },
+    /// Writes an object, replacing what was there.
+    Put {
+        /// The object's key.
+        key: String,
+        /// The object's content.
+        #[serde(with = "crate::http::base64_bytes")]
+        value: Vec<u8>,
+    },
+    /// Deletes an object, if it is there.
+    Delete {
+        /// The object's key.
+        key: String,
+    },
+}
+
+/// The object store's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ObjectResp {
+    /// The object of an [`ObjectReq::Get`], if there is one.
+    Object(#[serde(with = "crate::http::base64_option")] Option<Vec<u8>>),
+    /// The write or deletion was made.
+    Done,
+}
