Members, heartbeats, views and requests passed on between nodes

Cause: only a domain's scheduler could serve callers, and nodes did not know of each other. Change: rows of members, heartbeats within a domain, summaries between domains to one node in turn, views with backend servers and shares answering heartbeats (their term counts from the heartbeat's sending), forwards over the links, drain by message, members in the dump. Conclusion: traffic grows with a domain's size and the number of domains, not with the fleet's square.

--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -215,7 +215,7 @@
                 self.answers.insert(id, resp);
             }
             Action::Object(..)
-            | Action::Peer(..)
+            | Action::Peer { .. }
             | Action::Dispatch { .. }
             | Action::Forward { .. }
             | Action::Refuse { .. }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -18,6 +18,7 @@
     Commit,
     ConfigHead,
     ConfigEntries,
+    Members,
     StateScan,
     InboxScan,
     InboxUnit(UnitId, (String, u64)),
--- a/crates/node/src/core/dump.rs
+++ b/crates/node/src/core/dump.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use model::Size;
 use serde::Serialize;
 
 use super::scheduler::Scheduler;
@@ -26,10 +27,27 @@
     pub unsettled_changes: usize,
     /// Transactions sent since the start.
     pub transactions: u64,
+    /// The other nodes.
+    pub members: BTreeMap<String, MemberDump>,
+    /// What the workers of its domain have free.
+    pub free: Size,
+    /// What other failure domains have free, where they were heard of late.
+    pub free_elsewhere: BTreeMap<String, Size>,
     /// The scheduler of its domain, if it is that.
     pub scheduler: Option<SchedulerDump>,
 }
 
+/// Another node.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberDump {
+    /// Its failure domain.
+    pub domain: String,
+    /// The version of the configuration that it was last heard to have in force.
+    pub config_version: u64,
+    /// Milliseconds since it was last heard of, by this node or another.
+    pub heard_ms_ago: Option<u64>,
+}
+
 /// The state of a domain's scheduler.
 #[derive(Clone, Debug, Serialize)]
 pub struct SchedulerDump {
--- a/crates/node/src/core/entry.rs
+++ b/crates/node/src/core/entry.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use config::Config;
-use model::{Kind, Time};
-use peer::DomainView;
+use model::{Kind, NodeId, Time};
+use peer::{GrantView, ViewContent};
 use route::{
-    Backend, Grant, Offer, Outcome, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
+    Backend, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
 };
 
 use super::event::Action;
@@ -16,6 +16,8 @@
 pub(crate) struct Entry {
     router: Router,
     services: Vec<String>,
+    grants: Vec<GrantView>,
+    addresses: BTreeMap<NodeId, String>,
 }
 
 impl Entry {
@@ -23,6 +25,8 @@
         Self {
             router: Router::new(cfg),
             services: Vec::new(),
+            grants: Vec::new(),
+            addresses: BTreeMap::new(),
         }
     }
 
@@ -46,19 +50,12 @@
         }
     }
 
-    /// Takes what the domain's scheduler lets this node serve. `sent` is when the heartbeat was sent
-    /// that the view answers: the scheduler counts the grants' term from later than that.
-    pub(crate) fn set_view(&mut self, sent: Time, view: &DomainView) {
-        for grant in &view.grants {
-            let share = Grant {
-                slots: grant.slots,
-                connections: grant.connections,
-                until: sent + view.term,
-            };
-            self.router.set_grant(grant.worker, share);
-        }
+    /// Takes the content of a view, whose grants hold up to `until`.
+    pub(crate) fn set_view(&mut self, until: Time, content: &ViewContent) {
+        self.grants.clone_from(&content.grants);
+        self.renew_grants(until);
         let mut backends: BTreeMap<&str, Vec<Backend>> = BTreeMap::new();
-        for backend in &view.backends {
+        for backend in &content.backends {
             let list = backends.entry(&backend.service).or_default();
             list.push(Backend {
                 worker: backend.worker,
@@ -71,10 +68,38 @@
         }
     }
 
+    /// Lets the present grants hold up to `until`.
+    pub(crate) fn renew_grants(&mut self, until: Time) {
+        for grant in &self.grants {
+            let share = Grant {
+                slots: grant.slots,
+                connections: grant.connections,
+                until,
+            };
+            self.router.set_grant(grant.worker, share);
+        }
+    }
+
+    /// Takes the nodes of other domains that can serve.
+    pub(crate) fn set_remotes(&mut self, remotes: impl Fn(&str) -> Vec<Remote>) {
+        for service in &self.services {
+            self.router.set_remotes(service, remotes(service));
+        }
+    }
+
+    /// Takes where other nodes are reached.
+    pub(crate) fn set_addresses(&mut self, addresses: BTreeMap<NodeId, String>) {
+        self.addresses = addresses;
+    }
+
+    fn address(&self, node: NodeId) -> String {
+        self.addresses.get(&node).cloned().unwrap_or_default()
+    }
+
     pub(crate) fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.offer(now, offer, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 
     pub(crate) fn finished(
@@ -86,17 +111,17 @@
     ) {
         let mut actions = Vec::new();
         self.router.finished(now, req, outcome, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 
     pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.tick(now, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 }
 
-fn carry_out(actions: Vec<RouteAction>, out: &mut Vec<Action>) {
+fn carry_out(actions: Vec<RouteAction>, address: impl Fn(NodeId) -> String, out: &mut Vec<Action>) {
     for action in actions {
         out.push(match action {
             RouteAction::Dispatch {
@@ -110,7 +135,15 @@
                 endpoint,
                 timeout,
             },
-            RouteAction::Forward { req, node, timeout } => Action::Forward { req, node, timeout },
+            RouteAction::Forward { req, node, timeout } => {
+                let address = address(node);
+                Action::Forward {
+                    req,
+                    node,
+                    address,
+                    timeout,
+                }
+            }
             RouteAction::Refuse {
                 req,
                 verdict,
--- a/crates/node/src/core/event.rs
+++ b/crates/node/src/core/event.rs
@@ -36,6 +36,8 @@
     Operator(OperatorId, OperatorReq),
     /// A message from another node.
     Peer(NodeId, PeerMsg),
+    /// A message was not acknowledged by the node it was sent to: it may or may not have arrived.
+    PeerFailed(NodeId, PeerMsg),
     /// A caller's request.
     Request {
         /// The request.
@@ -67,7 +69,16 @@
     /// Answer an operator.
     Operator(OperatorId, OperatorResp),
     /// Send a message to another node.
-    Peer(NodeId, PeerMsg),
+    Peer {
+        /// The other node.
+        to: NodeId,
+        /// Where it is reached.
+        address: String,
+        /// Whether the message goes on a fresh connection, whose failure tells that nothing answers.
+        fresh: bool,
+        /// The message.
+        msg: PeerMsg,
+    },
     /// Send a request to a backend server.
     Dispatch {
         /// The request.
@@ -85,6 +96,8 @@
         req: ReqId,
         /// The other node.
         node: NodeId,
+        /// Where it is reached.
+        address: String,
         /// How long it may take.
         timeout: Duration,
     },
--- /dev/null
+++ b/crates/node/src/core/members.rs
@@ -0,0 +1,417 @@
+//! The nodes as this one knows them: rows of the table, heartbeats within the failure domain, and
+//! summaries between domains.
+//!
+//! Within a domain each node sends a heartbeat to each other one. Between domains each node sends a
+//! summary of its own domain to one node of each other domain, taken in turn: the traffic of a node
+//! grows with the size of its domain and the number of domains, not with the square of the fleet.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, Time};
+use peer::{DomainSummary, Heartbeat, NodeSummary, PeerMsg, ViewVersion};
+use route::Remote;
+use serde::{Deserialize, Serialize};
+use store::{Row, TableReq, Write, decode, encode};
+
+use super::{
+    calls::{Cx, Owner, Purpose},
+    event::Action,
+    poll::Poll,
+    rows::last_part,
+    settings::{Identity, MembersConfig},
+};
+
+pub(crate) const MEMBER_PREFIX: &str = "member/";
+/// The most rows that are read at a time; the target has 80 nodes.
+const ROWS_PER_READ: u32 = 1_000;
+/// How many heartbeats are remembered to know when they were sent.
+const SENT_MAX: usize = 16;
+
+/// The row `member/<node>`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberRow {
+    pub(crate) domain: DomainId,
+    pub(crate) region: RegionId,
+    pub(crate) address: String,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Another node.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) row: MemberRow,
+    pub(crate) first_seen: Time,
+    pub(crate) last_heard: Option<Time>,
+    pub(crate) config_version: u64,
+    pub(crate) scheduler: Option<Epoch>,
+    pub(crate) view: ViewVersion,
+    pub(crate) leaving: bool,
+}
+
+/// Another failure domain.
+#[derive(Clone, Debug)]
+struct Domain {
+    summary: DomainSummary,
+    heard: Time,
+    nodes: BTreeMap<NodeId, NodeVersion>,
+}
+
+/// What a summary told of a node.
+#[derive(Clone, Copy, Debug)]
+struct NodeVersion {
+    config_version: u64,
+    /// When somebody of its domain last heard of it, on this node's clock.
+    heard: Time,
+}
+
+/// What a node tells others of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SelfState {
+    pub(crate) config_version: u64,
+    pub(crate) scheduler: Option<Epoch>,
+    pub(crate) view: ViewVersion,
+    pub(crate) leaving: bool,
+    pub(crate) free: Size,
+}
+
+/// The other nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct Members {
+    cfg: MembersConfig,
+    me: Identity,
+    known: BTreeMap<NodeId, Member>,
+    domains: BTreeMap<DomainId, Domain>,
+    rows: Poll,
+    registered: bool,
+    seq: u64,
+    /// When the latest heartbeats were sent.
+    sent: BTreeMap<u64, Time>,
+    next_heartbeat: Time,
+    next_summary: Time,
+    turn: usize,
+}
+
+impl Members {
+    pub(crate) fn new(cfg: MembersConfig, me: Identity) -> Self {
+        Self {
+            cfg,
+            me,
+            known: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            rows: Poll::default(),
+            registered: false,
+            seq: 0,
+            sent: BTreeMap::new(),
+            next_heartbeat: Time::ZERO,
+            next_summary: Time::ZERO,
+            turn: 0,
+        }
+    }
+
+    /// All other nodes that are known.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (NodeId, &Member)> {
+        self.known.iter().map(|(node, member)| (*node, member))
+    }
+
+    /// The other nodes of this node's domain that were heard of late.
+    pub(crate) fn live_in_domain(&self, now: Time) -> impl Iterator<Item = (NodeId, &Member)> {
+        let live = move |member: &Member| self.is_live(now, member);
+        self.in_domain().filter(move |(_, member)| live(member))
+    }
+
+    /// The other nodes of this node's domain.
+    pub(crate) fn in_domain(&self) -> impl Iterator<Item = (NodeId, &Member)> {
+        self.all()
+            .filter(|(_, member)| member.row.domain == self.me.domain)
+    }
+
+    fn is_live(&self, now: Time, member: &Member) -> bool {
+        member
+            .last_heard
+            .is_some_and(|heard| now.since(heard) < self.cfg.live_for)
+    }
+
+    /// When a heartbeat was sent, if that was not long ago.
+    pub(crate) fn heartbeat_sent(&self, seq: u64) -> Option<Time> {
+        self.sent.get(&seq).copied()
+    }
+
+    /// The newest version of the configuration that any node was heard to have.
+    pub(crate) fn newest_config(&self) -> u64 {
+        let members = self.known.values().map(|member| member.config_version);
+        members.max().unwrap_or(0)
+    }
+
+    /// The failure domains that have nodes, this node's own included.
+    pub(crate) fn domains(&self) -> Vec<DomainId> {
+        let mut domains: Vec<DomainId> = self.known.values().map(|m| m.row.domain).collect();
+        domains.push(self.me.domain);
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
+    /// What other failure domains have free, where they were heard of late.
+    pub(crate) fn free_elsewhere(&self, now: Time) -> impl Iterator<Item = (DomainId, Size)> {
+        let late = self.cfg.live_for * 2;
+        let heard = self
+            .domains
+            .iter()
+            .filter(move |(_, d)| now.since(d.heard) < late);
+        heard.map(|(id, domain)| (*id, domain.summary.free))
+    }
+
+    /// The version that each known node has in force, and how long ago that was heard.
+    pub(crate) fn config_versions(
+        &self,
+        now: Time,
+    ) -> BTreeMap<NodeId, (DomainId, u64, Option<Duration>)> {
+        let mut versions = BTreeMap::new();
+        for (node, member) in &self.known {
+            let mut heard = member.last_heard;
+            let mut version = member.config_version;
+            let domain = self.domains.get(&member.row.domain);
+            if let Some(told) = domain.and_then(|domain| domain.nodes.get(node)) {
+                heard = heard.max(Some(told.heard));
+                version = version.max(told.config_version);
+            }
+            let age = heard.map(|heard| now.since(heard));
+            versions.insert(*node, (member.row.domain, version, age));
+        }
+        versions
+    }
+
+    /// The nodes of other domains to which a service's requests can be passed.
+    pub(crate) fn remotes(&self, now: Time, service: &str) -> Vec<Remote> {
+        let late = self.cfg.live_for * 2;
+        let mut remotes = Vec::new();
+        for (id, domain) in &self.domains {
+            let serves = domain.summary.services.iter().any(|name| name == service);
+            if !serves || now.since(domain.heard) >= late {
+                continue;
+            }
+            let same_region = domain.summary.region == self.me.region;
+            for (node, told) in &domain.nodes {
+                let known = self.known.get(node).is_some_and(|m| m.row.domain == *id);
+                if known && now.since(told.heard) < late {
+                    let node = *node;
+                    remotes.push(Remote { node, same_region });
+                }
+            }
+        }
+        remotes
+    }
+
+    /// Does all that is due.
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>, state: SelfState, services: &[String]) {
+        self.register(cx);
+        if self.rows.begin(cx.now, self.cfg.rows_interval) {
+            let req = TableReq::Scan {
+                prefix: MEMBER_PREFIX.to_owned(),
+                after: String::new(),
+                limit: ROWS_PER_READ,
+            };
+            cx.table(Purpose::Members, req);
+        }
+        if cx.now >= self.next_heartbeat {
+            self.next_heartbeat = cx.now + self.cfg.heartbeat_interval;
+            self.send_heartbeats(cx, state);
+        }
+        if cx.now >= self.next_summary {
+            self.next_summary = cx.now + self.cfg.summary_interval;
+            self.send_summaries(cx, state, services);
+        }
+    }
+
+    /// Writes this node's row.
+    fn register(&mut self, cx: &mut Cx<'_>) {
+        if self.registered {
+            return;
+        }
+        let row = MemberRow {
+            domain: self.me.domain,
+            region: self.me.region,
+            address: self.me.peer_address.clone(),
+            incarnation: self.me.incarnation,
+        };
+        let write = Write {
+            key: member_key(self.me.node),
+            value: Some(encode(&row)),
+        };
+        let pushed = cx.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+        self.registered = pushed.is_ok();
+    }
+
+    /// Takes the members' rows.
+    pub(crate) fn rows_read(&mut self, now: Time, rows: Option<&[Row]>) {
+        self.rows.end();
+        let Some(rows) = rows else {
+            return;
+        };
+        let mut listed: BTreeMap<NodeId, MemberRow> = BTreeMap::new();
+        for row in rows {
+            let node = last_part(&row.key).parse();
+            if let (Ok(node), Ok(member)) = (node, decode::<MemberRow>(&row.value)) {
+                listed.insert(node, member);
+            }
+        }
+        // A row that was deleted while this node was cut off is written again.
+        let mine = listed.remove(&self.me.node);
+        self.registered = mine.is_some_and(|row| row.incarnation >= self.me.incarnation);
+        self.known.retain(|node, _| listed.contains_key(node));
+        for (node, row) in listed {
+            self.member_listed(now, node, row);
+        }
+    }
+
+    fn member_listed(&mut self, now: Time, node: NodeId, row: MemberRow) {
+        let fresh = Member {
+            row,
+            first_seen: now,
+            last_heard: None,
+            config_version: 0,
+            scheduler: None,
+            view: ViewVersion::default(),
+            leaving: false,
+        };
+        let member = self.known.entry(node).or_insert_with(|| fresh.clone());
+        if member.row != fresh.row {
+            *member = fresh;
+        }
+    }
+
+    fn send_heartbeats(&mut self, cx: &mut Cx<'_>, state: SelfState) {
+        self.seq += 1;
+        self.sent.insert(self.seq, cx.now);
+        while self.sent.len() > SENT_MAX {
+            self.sent.pop_first();
+        }
+        let heartbeat = Heartbeat {
+            incarnation: self.me.incarnation,
+            seq: self.seq,
+            config_version: state.config_version,
+            scheduler: state.scheduler,
+            view: state.view,
+            leaving: state.leaving,
+            demand: Vec::new(),
+        };
+        for (to, member) in self.in_domain() {
+            send(cx, to, member, PeerMsg::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    fn send_summaries(&mut self, cx: &mut Cx<'_>, state: SelfState, services: &[String]) {
+        self.turn += 1;
+        let summary = DomainSummary {
+            domain: self.me.domain,
+            region: self.me.region,
+            config_version: state.config_version,
+            nodes: self.own_nodes(cx.now, state),
+            free: state.free,
+            services: services.to_vec(),
+            leaving: state.leaving,
+        };
+        for domain in self.domains() {
+            if domain == self.me.domain {
+                continue;
+            }
+            let nodes: Vec<(NodeId, &Member)> =
+                self.all().filter(|(_, m)| m.row.domain == domain).collect();
+            // Nodes of one domain begin at different places, so that each node of the other domain
+            // is told by somebody in each round.
+            let turn = self.turn + self.me.node.0 as usize;
+            if let Some((to, member)) = nodes.get(turn % nodes.len().max(1)) {
+                send(cx, *to, member, PeerMsg::Summary(summary.clone()));
+            }
+        }
+    }
+
+    fn own_nodes(&self, now: Time, state: SelfState) -> Vec<NodeSummary> {
+        let me = NodeSummary {
+            node: self.me.node,
+            config_version: state.config_version,
+            age: Duration::ZERO,
+        };
+        let others = self.live_in_domain(now).filter(|(_, m)| !m.leaving);
+        let others = others.map(|(node, member)| NodeSummary {
+            node,
+            config_version: member.config_version,
+            age: member
+                .last_heard
+                .map_or(Duration::MAX, |heard| now.since(heard)),
+        });
+        let me = (!state.leaving).then_some(me);
+        me.into_iter().chain(others).collect()
+    }
+
+    /// Takes a heartbeat. Returns whether its sender is known.
+    pub(crate) fn heard(&mut self, now: Time, from: NodeId, heartbeat: &Heartbeat) -> bool {
+        let Some(member) = self.known.get_mut(&from) else {
+            self.rows.soon();
+            return false;
+        };
+        member.last_heard = Some(now);
+        member.config_version = heartbeat.config_version;
+        member.scheduler = heartbeat.scheduler;
+        member.view = heartbeat.view;
+        member.leaving = heartbeat.leaving;
+        true
+    }
+
+    /// Takes another domain's summary.
+    pub(crate) fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary) {
+        if summary.domain == self.me.domain {
+            return;
+        }
+        if let Some(member) = self.known.get_mut(&from) {
+            member.last_heard = Some(now);
+            member.config_version = member.config_version.max(summary.config_version);
+            member.leaving = summary.leaving;
+        }
+        let domain = self
+            .domains
+            .entry(summary.domain)
+            .or_insert_with(|| Domain {
+                summary: summary.clone(),
+                heard: now,
+                nodes: BTreeMap::new(),
+            });
+        domain.heard = now;
+        for told in &summary.nodes {
+            let version = NodeVersion {
+                config_version: told.config_version,
+                heard: before(now, told.age),
+            };
+            domain.nodes.insert(told.node, version);
+        }
+        domain.summary = summary;
+    }
+
+    /// The nodes of this domain whose rows nobody needs any more.
+    pub(crate) fn forgotten(&self, now: Time) -> Vec<NodeId> {
+        let silent = |member: &Member| {
+            let since = member.last_heard.unwrap_or(member.first_seen);
+            now.since(since) >= self.cfg.forget_after
+        };
+        let gone = self.in_domain().filter(|(_, member)| silent(member));
+        gone.map(|(node, _)| node).collect()
+    }
+}
+
+pub(crate) fn member_key(node: NodeId) -> String {
+    format!("{MEMBER_PREFIX}{node}")
+}
+
+/// The point `age` before `now`.
+fn before(now: Time, age: Duration) -> Time {
+    Time::ZERO + now.since(Time::ZERO).saturating_sub(age)
+}
+
+fn send(cx: &mut Cx<'_>, to: NodeId, member: &Member, msg: PeerMsg) {
+    cx.out.push(Action::Peer {
+        to,
+        address: member.row.address.clone(),
+        fresh: false,
+        msg,
+    });
+}
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -8,18 +8,20 @@
 mod entry;
 mod event;
 mod jobs;
+mod members;
 mod operators;
 mod poll;
 mod rows;
 mod scheduler;
 mod settings;
+mod views;
 mod workers;
 
-use std::time::Duration;
+use std::collections::BTreeMap;
 
 use lease::{Holder, Input, LeaseMachine, LeaseRow, Output, RowState, WriteResult};
-use model::Time;
-use peer::{DomainView, GrantView, PeerMsg};
+use model::{NodeId, Time};
+use peer::{DomainView, Heartbeat, PeerMsg};
 use route::Offer;
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
@@ -27,23 +29,18 @@
     calls::{Calls, Commits, Cx, Owner, Purpose},
     config_sync::ConfigSync,
     entry::Entry,
-    operators::{MEMBER_PREFIX, MemberRow, Operators},
+    members::{Members, SelfState, member_key},
+    operators::Operators,
     rows::lease_key,
     scheduler::Scheduler,
+    views::{OwnView, Views},
 };
 pub use self::{
-    dump::{Dump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump},
     event::{Action, CallId, Event, OperatorId},
-    settings::{ConfigSyncConfig, Identity, NodeConfig, SchedulerConfig},
+    settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
 
-/// How many requests a backend server takes at a time.
-const SLOTS_PER_WORKER: u32 = 8;
-/// How many connections a backend server takes at a time.
-const CONNECTIONS_PER_WORKER: u32 = 64;
-/// How often the domain's nodes are told what they may serve.
-const VIEW_INTERVAL: Duration = Duration::from_secs(1);
-
 /// One node.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -56,8 +53,12 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
-    next_view: Time,
-    registered: bool,
+    members: Members,
+    views: Option<Views>,
+    view: OwnView,
+    next_own_view: Time,
+    next_remotes: Time,
+    next_forget: Time,
     leaving: bool,
 }
 
@@ -78,8 +79,12 @@
             entry: Entry::new(cfg.route.clone()),
             operators: Operators::default(),
             scheduler: None,
-            next_view: Time::ZERO,
-            registered: false,
+            members: Members::new(cfg.members.clone(), me.clone()),
+            views: None,
+            view: OwnView::default(),
+            next_own_view: Time::ZERO,
+            next_remotes: Time::ZERO,
+            next_forget: Time::ZERO,
             leaving: false,
             cfg,
             me,
@@ -89,7 +94,8 @@
     /// Whether callers and operators may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.config.is_known() && !self.leaving
+        let newest = self.members.newest_config();
+        self.config.is_known() && self.config.config().version() >= newest && !self.leaving
     }
 
     /// The node's state as an operator sees it.
@@ -104,10 +110,31 @@
             config_version: self.config.config().version(),
             unsettled_changes: self.commits.unsettled(),
             transactions: self.commits.transactions(),
+            members: self.member_dumps(now),
+            free: self.view.free(),
+            free_elsewhere: self
+                .members
+                .free_elsewhere(now)
+                .map(|(domain, free)| (domain.to_string(), free))
+                .collect(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
 
+    fn member_dumps(&self, now: Time) -> BTreeMap<String, MemberDump> {
+        let versions = self.members.config_versions(now).into_iter();
+        let dumps = versions.map(|(node, (domain, version, age))| {
+            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let dump = MemberDump {
+                domain: domain.to_string(),
+                config_version: version,
+                heard_ms_ago: age_ms,
+            };
+            (node.to_string(), dump)
+        });
+        dumps.collect()
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -129,9 +156,7 @@
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.call(&mut cx, id, req);
             }
-            Event::Peer(from, PeerMsg::Lease(msg)) => {
-                self.lease_step(now, Input::Peer { from, msg }, out);
-            }
+            Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request {
                 req,
                 service,
@@ -147,7 +172,7 @@
                 self.entry.offer(now, &offer, out);
             }
             Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
-            Event::Object(..) | Event::Peer(..) => {}
+            Event::Object(..) | Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         self.commits.poll(now, &mut self.calls, out);
@@ -162,6 +187,8 @@
         };
         let parts = Parts {
             config: &mut self.config,
+            members: &mut self.members,
+            view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
         };
@@ -170,17 +197,20 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.lease_step(now, Input::Tick, out);
-        self.register();
         let valid_until = self.lease.valid_until(now);
+        let state = self.self_state();
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
+        parts.members.tick(&mut cx, state, parts.view.services());
         if parts.operators.waits_for_config() {
             parts.config.poll_soon();
         }
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
             scheduler.tick(&mut cx, valid_until);
         }
-        self.share_view(now);
+        self.forget_members(now);
+        self.refresh_views(now, out);
+        self.refresh_remotes(now);
         self.entry.tick(now, out);
         if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
@@ -195,45 +225,148 @@
         }
     }
 
-    /// Lets this node serve the domain's backend servers while it is their scheduler.
-    fn share_view(&mut self, now: Time) {
-        let Some(scheduler) = self.scheduler.as_ref().filter(|_| now >= self.next_view) else {
+    fn self_state(&self) -> SelfState {
+        let scheduler = self.scheduler.as_ref();
+        SelfState {
+            config_version: self.config.config().version(),
+            scheduler: scheduler.map(Scheduler::epoch),
+            view: self.view.version(),
+            leaving: self.leaving,
+            free: scheduler.map_or(self.view.free(), Scheduler::free),
+        }
+    }
+
+    /// While this node schedules the domain: deletes the rows of its nodes that are long gone.
+    fn forget_members(&mut self, now: Time) {
+        if self.scheduler.is_none() || now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + self.cfg.members.forget_after;
+        for node in self.members.forgotten(now) {
+            log::info!("members: {node} is forgotten");
+            let write = Write {
+                key: member_key(node),
+                value: None,
+            };
+            // A full queue only delays it.
+            let _ = self.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+        }
+    }
+
+    /// While this node schedules the domain: computes what its nodes may serve, and tells them of a
+    /// change at once.
+    fn refresh_views(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(scheduler) = &self.scheduler else {
+            self.views = None;
             return;
         };
-        self.next_view = now + VIEW_INTERVAL;
-        let backends = scheduler.backends();
-        let grants = backends.iter().map(|backend| GrantView {
-            worker: backend.worker,
-            slots: SLOTS_PER_WORKER,
-            connections: CONNECTIONS_PER_WORKER,
-        });
-        let view = DomainView {
-            epoch: scheduler.epoch(),
-            answers: 0,
-            term: self.cfg.lease.term,
-            grants: grants.collect(),
-            backends,
-        };
-        self.entry.set_view(now, &view);
+        let epoch = scheduler.epoch();
+        let current = self.views.take().filter(|views| views.epoch() == epoch);
+        let views = self
+            .views
+            .insert(current.unwrap_or_else(|| Views::new(epoch)));
+        let mut nodes: Vec<NodeId> = self.members.in_domain().map(|(node, _)| node).collect();
+        nodes.push(self.me.node);
+        let changed = views.refresh(scheduler, &nodes);
+        let due = now >= self.next_own_view;
+        if !(changed || due) {
+            return;
+        }
+        self.next_own_view = now + self.cfg.members.heartbeat_interval;
+        if changed {
+            let others: Vec<NodeId> = self.members.live_in_domain(now).map(|(n, _)| n).collect();
+            for node in others {
+                self.send_view(node, out);
+            }
+        }
+        self.take_own_view(now);
     }
 
-    /// Writes this node's row among the members.
-    fn register(&mut self) {
-        if self.registered {
+    /// Takes the view of this node's own scheduler, which needs no message.
+    fn take_own_view(&mut self, now: Time) {
+        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
+        };
+        views.heard(self.me.node, 0);
+        let has = self.view.version();
+        let term = self.cfg.lease.term;
+        if let Some(view) = views.view(self.me.node, has, term, scheduler.free()) {
+            self.take_view(now, &view);
         }
-        let row = MemberRow {
-            domain: self.me.domain,
-            address: self.me.peer_address.clone(),
+    }
+
+    fn send_view(&self, to: NodeId, out: &mut Vec<Action>) {
+        let (Some(views), Some(scheduler)) = (&self.views, &self.scheduler) else {
+            return;
         };
-        let write = Write {
-            key: format!("{MEMBER_PREFIX}{}", self.me.node),
-            value: Some(encode(&row)),
+        let member = self.members.in_domain().find(|(node, _)| *node == to);
+        let Some((_, member)) = member else {
+            return;
         };
-        self.registered = self
-            .commits
-            .push(Owner::Nobody, Vec::new(), vec![write])
-            .is_ok();
+        let term = self.cfg.lease.term;
+        if let Some(view) = views.view(to, member.view, term, scheduler.free()) {
+            out.push(Action::Peer {
+                to,
+                address: member.row.address.clone(),
+                fresh: false,
+                msg: PeerMsg::View(view),
+            });
+        }
+    }
+
+    /// Takes a view that answers a heartbeat sent at `sent`.
+    fn take_view(&mut self, sent: Time, view: &DomainView) {
+        if !self.view.take(view) {
+            return;
+        }
+        let until = OwnView::until(sent, view);
+        match &view.content {
+            Some(content) => self.entry.set_view(until, content),
+            None => self.entry.renew_grants(until),
+        }
+    }
+
+    fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
+        match msg {
+            PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
+            PeerMsg::Summary(summary) => self.members.summary(now, from, summary),
+            PeerMsg::View(view) => {
+                if let Some(sent) = self.members.heartbeat_sent(view.answers) {
+                    self.take_view(sent, &view);
+                }
+            }
+            PeerMsg::Lease(msg) => self.lease_step(now, Input::Peer { from, msg }, out),
+            PeerMsg::InboxNews => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.read_inbox_soon();
+                }
+            }
+            PeerMsg::Drain => self.shutdown(now, out),
+            PeerMsg::ConfigWanted { .. } | PeerMsg::ConfigEntries(_) => {}
+        }
+    }
+
+    fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
+        if !self.members.heard(now, from, msg) {
+            return;
+        }
+        if let Some(views) = &mut self.views {
+            views.heard(from, msg.seq);
+            self.send_view(from, out);
+        }
+    }
+
+    /// Tells the router which nodes of other domains can serve.
+    fn refresh_remotes(&mut self, now: Time) {
+        if now < self.next_remotes {
+            return;
+        }
+        self.next_remotes = now + self.cfg.members.summary_interval;
+        let members = &self.members;
+        self.entry
+            .set_remotes(|service| members.remotes(now, service));
+        let addresses = members.all().map(|(node, m)| (node, m.row.address.clone()));
+        self.entry.set_addresses(addresses.collect());
     }
 
     fn table_answered(
@@ -271,6 +404,13 @@
                     self.config_changed();
                 }
             }
+            Purpose::Members => {
+                let rows = match &result {
+                    Ok(TableResp::Rows(rows)) => Some(&rows[..]),
+                    _ => None,
+                };
+                self.members.rows_read(now, rows);
+            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, parts.config, id, result);
@@ -361,7 +501,21 @@
                 let purpose = Purpose::LeaseWrite(call);
                 self.calls.table(purpose, TableReq::Commit(txn), out);
             }
-            Output::Broadcast(_) => {}
+            Output::Broadcast(msg) => {
+                let others: Vec<(NodeId, String)> = self
+                    .members
+                    .in_domain()
+                    .map(|(node, member)| (node, member.row.address.clone()))
+                    .collect();
+                for (to, address) in others {
+                    out.push(Action::Peer {
+                        to,
+                        address,
+                        fresh: true,
+                        msg: PeerMsg::Lease(msg.clone()),
+                    });
+                }
+            }
             Output::Activated(epoch) => {
                 log::info!(
                     "lease: {} schedules {} under {epoch}",
@@ -395,6 +549,8 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
+    members: &'a mut Members,
+    view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
 }
--- a/crates/node/src/core/operators.rs
+++ b/crates/node/src/core/operators.rs
@@ -4,13 +4,13 @@
 
 use config::{Change, Entry};
 use model::{Catalog, DomainId, Kind, SourceFile, Unit, UnitId, Verdict};
-use serde::{Deserialize, Serialize};
 use store::{Row, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use super::{
     calls::{Cx, Owner, Purpose},
     config_sync::ConfigSync,
     event::{Action, OperatorId},
+    members::{MEMBER_PREFIX, MemberRow},
     rows::{
         DONE_PREFIX, STATE_PREFIX, StateRow, UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key,
     },
@@ -22,15 +22,6 @@
 /// How often a change is tried again after a change of other items came first.
 const RACES_MAX: u32 = 20;
 
-pub(crate) const MEMBER_PREFIX: &str = "member/";
-
-/// The row `member/<node>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct MemberRow {
-    pub(crate) domain: DomainId,
-    pub(crate) address: String,
-}
-
 #[derive(Clone, Debug)]
 struct Publication {
     author: String,
--- a/crates/node/src/core/scheduler.rs
+++ b/crates/node/src/core/scheduler.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// What the domain's workers have free.
+    pub(crate) fn free(&self) -> Size {
+        self.placer.free()
+    }
+
     /// The replicas that take new requests.
     pub(crate) fn backends(&self) -> Vec<BackendView> {
         let open = self.workers.values().filter(|w| w.known && !w.leaving);
--- a/crates/node/src/core/settings.rs
+++ b/crates/node/src/core/settings.rs
@@ -74,6 +74,8 @@
     pub scheduler: SchedulerConfig,
     /// How configuration is read.
     pub config: ConfigSyncConfig,
+    /// How nodes know of each other.
+    pub members: MembersConfig,
 }
 
 /// Settings of how configuration is read.
@@ -90,3 +92,31 @@
         }
     }
 }
+
+/// Settings of how nodes know of each other.
+#[derive(Clone, Debug)]
+pub struct MembersConfig {
+    /// The interval of heartbeats within a failure domain. 1 s by default.
+    pub heartbeat_interval: Duration,
+    /// The interval of summaries to each other failure domain. 2 s by default.
+    pub summary_interval: Duration,
+    /// The interval at which the members' rows are read. 10 s by default.
+    pub rows_interval: Duration,
+    /// A node that was not heard for this long counts as not live. 5 s by default.
+    pub live_for: Duration,
+    /// The row of a node of the own domain that was not heard for this long is deleted by the domain's
+    /// scheduler. 300 s by default.
+    pub forget_after: Duration,
+}
+
+impl Default for MembersConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat_interval: Duration::from_secs(1),
+            summary_interval: Duration::from_secs(2),
+            rows_interval: Duration::from_secs(10),
+            live_for: Duration::from_secs(5),
+            forget_after: Duration::from_secs(300),
+        }
+    }
+}
--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -6,7 +6,8 @@
     time::{Duration, Instant},
 };
 
-use model::{Time, Verdict};
+use model::{NodeId, Time, Verdict};
+use peer::{Links, PeerMsg};
 use route::{Outcome, ReqId};
 use stakker::{CX, after, stop, sync::ChannelGuard};
 
@@ -28,6 +29,12 @@
         endpoint: String,
         timeout: Duration,
     },
+    /// Pass it to another node.
+    Forward {
+        req: ReqId,
+        node: NodeId,
+        address: String,
+    },
     /// Answer the caller at once.
     Refuse {
         verdict: Verdict,
@@ -65,6 +72,7 @@
     node: Node,
     start: Instant,
     pool: Option<Pool>,
+    links: Option<Links>,
     /// Keeps the channel from other threads open.
     channel: Option<ChannelGuard>,
     operators: BTreeMap<OperatorId, Sender<OperatorResp>>,
@@ -82,6 +90,7 @@
             node: Node::new(cfg, me),
             start: cx.now(),
             pool: None,
+            links: None,
             channel: None,
             operators: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -89,8 +98,9 @@
         })
     }
 
-    pub(super) fn connect(&mut self, cx: CX![], pool: Pool, guard: ChannelGuard) {
+    pub(super) fn connect(&mut self, cx: CX![], pool: Pool, links: Links, guard: ChannelGuard) {
         self.pool = Some(pool);
+        self.links = Some(links);
         self.channel = Some(guard);
         self.tick(cx);
     }
@@ -178,7 +188,18 @@
                 };
                 self.answer(req, answer);
             }
-            Action::Peer(..) | Action::Forward { .. } => {}
+            Action::Peer {
+                to,
+                address,
+                fresh,
+                msg,
+            } => self.send_peer(to, &address, fresh, msg),
+            Action::Forward {
+                req, node, address, ..
+            } => {
+                let answer = RouteAnswer::Forward { req, node, address };
+                self.answer(req, answer);
+            }
             Action::Exit => stop!(cx),
         }
     }
@@ -189,6 +210,18 @@
         }
     }
 
+    fn send_peer(&self, to: NodeId, address: &str, fresh: bool, msg: PeerMsg) {
+        let (Some(links), Ok(address)) = (&self.links, address.parse()) else {
+            log::warn!("node: {to} has no address that can be used: {address}");
+            return;
+        };
+        if fresh {
+            links.send_fresh(to, address, msg);
+        } else {
+            links.send(to, address, msg);
+        }
+    }
+
     fn answer(&mut self, req: ReqId, answer: RouteAnswer) {
         if let Some(reply) = self.requests.remove(&req) {
             // The caller may have gone away.
--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -9,6 +9,7 @@
 };
 
 use model::Verdict;
+use peer::Links;
 use serde::{Serialize, de::DeserializeOwned};
 use stakker::sync::Channel;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -37,11 +38,16 @@
 pub(super) struct Shared {
     pub(super) channel: Channel<Incoming>,
     pub(super) proxy: Proxy,
+    pub(super) links: Links,
     operator_token: String,
 }
 
 impl Faces {
-    pub(super) fn start(settings: &Settings, channel: &Channel<Incoming>) -> io::Result<Self> {
+    pub(super) fn start(
+        settings: &Settings,
+        channel: &Channel<Incoming>,
+        links: &Links,
+    ) -> io::Result<Self> {
         let server = Server::http(settings.listen).map_err(io::Error::other)?;
         let address = server
             .server_addr()
@@ -51,6 +57,7 @@
         let shared = Arc::new(Shared {
             channel: channel.clone(),
             proxy: Proxy::default(),
+            links: links.clone(),
             operator_token: settings.operator_token.clone(),
         });
         for _ in 0..THREADS {
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -1,7 +1,9 @@
 //! The actors and threads that join a node's decisions to the world.
 
 mod actor;
+mod forward;
 mod http;
+mod links;
 mod platform;
 mod proxy;
 mod token;
@@ -12,10 +14,11 @@
 };
 
 use model::Incarnation;
+use peer::{Links, LinksConfig};
 use stakker::{Stakker, actor, call, fwd_to, ret_shutdown, sync::Channel};
 use store::HttpPlatformConfig;
 
-use self::{actor::NodeActor, http::Faces, platform::Pool};
+use self::{actor::NodeActor, http::Faces, links::Inbox, platform::Pool};
 use crate::{Identity, NodeConfig, settings::Settings};
 
 /// The longest sleep of the main thread.
@@ -50,10 +53,16 @@
         ..HttpPlatformConfig::default()
     };
     let pool = Pool::start(platform, settings.domain, &channel);
-    let faces = Faces::start(settings, &channel)?;
+    let links_config = LinksConfig {
+        node: settings.node,
+        token: settings.peer_token.clone(),
+        ..LinksConfig::default()
+    };
+    let links = Links::start(links_config, settings.peer_listen, Inbox::new(&channel))?;
+    let faces = Faces::start(settings, &channel, &links)?;
     watch_signals(&channel)?;
     log::info!("node: {} listens on {}", settings.node, faces.address());
-    call!([node], connect(pool, guard));
+    call!([node], connect(pool, links, guard));
 
     let mut pending = stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
--- a/crates/node/src/daemon/proxy.rs
+++ b/crates/node/src/daemon/proxy.rs
@@ -2,12 +2,14 @@
 
 use std::{sync::mpsc, time::Duration};
 
-use model::Verdict;
+use model::{NodeId, Verdict};
 use route::Outcome;
-use tiny_http::{Request, Response, StatusCode};
+use tiny_http::{Header, Request, Response, StatusCode};
+use ureq::http;
 
 use super::{
     actor::{Incoming, RouteAnswer},
+    forward::drop_link_headers,
     http::{Shared, answer_header, header, respond},
 };
 
@@ -62,6 +64,14 @@
                 reason,
                 retry_after,
             }) => refuse(req, verdict, reason, retry_after),
+            Some(RouteAnswer::Forward {
+                req: id,
+                node,
+                address,
+            }) => {
+                let outcome = forward(shared, req, node, &address);
+                shared.channel.send(Incoming::Finished(id, outcome));
+            }
             None => refuse(req, Verdict::MayHaveRun, "the node gave no answer", None),
         }
     }
@@ -104,6 +114,46 @@
     }
 }
 
+/// Passes a request to another node, and its answer back.
+fn forward(shared: &Shared, mut req: Request, node: NodeId, address: &str) -> Outcome {
+    let Ok(address) = address.parse() else {
+        refuse(req, Verdict::NotRun, "the other node has no address", None);
+        return Outcome::NotSent;
+    };
+    let mut head = http::Request::builder()
+        .method(req.method().as_str())
+        .uri(req.url());
+    for header in req.headers() {
+        head = head.header(header.field.as_str().as_str(), header.value.as_str());
+    }
+    let Ok(mut head) = head.body(()) else {
+        refuse(req, Verdict::NotRun, "a header is not valid", None);
+        return Outcome::NotSent;
+    };
+    drop_link_headers(head.headers_mut());
+    let body = req.as_reader();
+    match shared.links.forward(node, address, head.map(|()| body)) {
+        Ok(resp) => {
+            let (parts, body) = resp.into_parts();
+            let headers = parts
+                .headers
+                .iter()
+                .filter_map(|(name, value)| {
+                    Header::from_bytes(name.as_str(), value.as_bytes()).ok()
+                })
+                .collect();
+            let status = StatusCode(parts.status.as_u16());
+            respond(req, Response::new(status, headers, body, None, None));
+            Outcome::Answered
+        }
+        Err(e) => {
+            log::debug!("http: {node}: {e}");
+            refuse(req, e.verdict(), "the other node's answer was lost", None);
+            Outcome::CutShort
+        }
+    }
+}
+
 fn refuse(req: Request, verdict: Verdict, reason: &str, retry_after: Option<Duration>) {
     let status = match verdict {
         Verdict::NotRun => 503,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,8 +26,8 @@
 
 pub use crate::{
     core::{
-        Action, CallId, ConfigSyncConfig, Dump, Event, Identity, Node, NodeConfig, OperatorId,
-        SchedulerConfig, SchedulerDump,
+        Action, CallId, ConfigSyncConfig, Dump, Event, Identity, MemberDump, MembersConfig, Node,
+        NodeConfig, OperatorId, SchedulerConfig, SchedulerDump,
     },
     daemon::run as run_daemon,
     settings::{CommandLine, Settings, SettingsError, parse as parse_settings, parse_with},
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -45,8 +45,8 @@
     error::LinkError,
     links::{Links, LinksConfig, Sink},
     message::{
-        BackendView, DomainSummary, DomainView, GrantView, Heartbeat, PeerMsg, ViewContent,
-        ViewVersion,
+        BackendView, DomainSummary, DomainView, GrantView, Heartbeat, NodeSummary, PeerMsg,
+        ViewContent, ViewVersion,
     },
     server::ForwardedRequest,
 };
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -126,8 +126,8 @@
         let _ = self.commands.send(Command::Send { target, fresh, msg });
     }
 
-    /// Passes a caller's request on to another node, and waits for the head of the answer. The request's
-    /// body is read on a thread of its own, so that an early answer is not held up.
+    /// Passes a caller's request on to another node, and waits for the head of the answer. An answer
+    /// that comes before the request's body was read whole ends the reading.
     ///
     /// # Errors
     ///
@@ -136,7 +136,7 @@
         &self,
         node: NodeId,
         address: SocketAddr,
-        req: Request<impl Read + Send>,
+        req: Request<impl Read>,
     ) -> Result<Response<BodyReader>, LinkError> {
         let (parts, body) = req.into_parts();
         let (tx, rx) = mpsc::channel(1);
@@ -149,12 +149,11 @@
         if self.commands.send(command).is_err() {
             return Err(LinkError::Unreachable("the links are closed".to_owned()));
         }
-        thread::scope(|scope| {
-            scope.spawn(move || body::pump(body, &tx));
-            answer
-                .blocking_recv()
-                .unwrap_or_else(|_| Err(LinkError::Lost("the links are closed".to_owned())))
-        })
+        body::pump(body, &tx);
+        drop(tx);
+        answer
+            .blocking_recv()
+            .unwrap_or_else(|_| Err(LinkError::Lost("the links are closed".to_owned())))
     }
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,7 @@
 
 use config::Entry;
 use lease::LeaseMsg;
-use model::{DomainId, Epoch, Incarnation, RegionId, Size, WorkerId};
+use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, WorkerId};
 use serde::{Deserialize, Serialize};
 
 /// A message from one node to another.
@@ -27,6 +27,8 @@
     ConfigEntries(Vec<Entry>),
     /// The domain's inbox in the table has news.
     InboxNews,
+    /// An operator asks the receiver to shut down gracefully.
+    Drain,
 }
 
 /// The version of a domain's view: the scheduler's epoch, and a count of changes under it.
@@ -66,6 +68,8 @@
     pub region: RegionId,
     /// The version of the configuration that the sender has in force.
     pub config_version: u64,
+    /// The domain's nodes as the sender knows them.
+    pub nodes: Vec<NodeSummary>,
     /// What the domain's workers have free.
     pub free: Size,
     /// The services with backend servers there.
@@ -74,6 +78,17 @@
     pub leaving: bool,
 }
 
+/// What a node of another failure domain is told of one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeSummary {
+    /// The node.
+    pub node: NodeId,
+    /// The version of the configuration that it has in force.
+    pub config_version: u64,
+    /// How long ago the sender heard of it.
+    pub age: Duration,
+}
+
 /// A replica that takes requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendView {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -300,6 +300,13 @@
         }
     }
 
+    /// What the open workers have free together.
+    #[must_use]
+    pub fn free(&self) -> Size {
+        let open = self.workers.values().filter(|worker| worker.open);
+        open.fold(Size::ZERO, |sum, worker| sum + (worker.size - worker.used))
+    }
+
     /// Decides what starts now.
     pub fn decide(&mut self, _now: Time, out: &mut Vec<Decision>) {
         for class in Class::URGENT_FIRST {
