lease: the messages and ports of the whole protocol

Cause: the machine knew the table only; the design has the members confirm each claim and renewal. Change: Ask, Answer and HandedOver messages with a question's number, Input::Members, PeerFailed and EpochSeen, Output::Send in place of Broadcast. The behaviour is still that of the table alone; the node feeds an empty list of members and reports every question as failed until it is joined to connections.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -25,8 +25,16 @@
 //! assert!(matches!(out[0], Output::WriteRow { .. }));
 //! ```
 
+mod config;
+mod io;
 mod machine;
+mod message;
+mod row;
 
-pub use crate::machine::{
-    Holder, Input, LeaseConfig, LeaseMachine, LeaseMsg, LeaseRow, Output, RowState, WriteResult,
+pub use crate::{
+    config::LeaseConfig,
+    io::{Input, Output},
+    machine::LeaseMachine,
+    message::{LeaseMsg, Purpose, Question, Reply},
+    row::{Holder, LeaseRow, RowState, WriteResult},
 };
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -1,147 +1,12 @@
 //! The domain lease.
 
-use std::time::Duration;
+use std::collections::BTreeMap;
 
-use model::{Epoch, Incarnation, NodeId, Time};
-use serde::{Deserialize, Serialize};
+use model::{Epoch, NodeId, Time};
 
-/// Settings of the domain lease.
-#[derive(Clone, Debug)]
-pub struct LeaseConfig {
-    /// How long a renewal is good for. 6 s by default.
-    pub term: Duration,
-    /// The interval of renewals. 2 s by default.
-    pub renew_every: Duration,
-    /// What a candidate waits beyond the term, for clocks that run at different speeds. 600 ms by
-    /// default.
-    pub drift_margin: Duration,
-    /// The interval at which a candidate reads the row. 1 s by default.
-    pub read_every: Duration,
-}
+use crate::{Holder, Input, LeaseConfig, LeaseMsg, LeaseRow, Output, RowState, WriteResult};
 
-impl Default for LeaseConfig {
-    fn default() -> Self {
-        Self {
-            term: Duration::from_secs(6),
-            renew_every: Duration::from_secs(2),
-            drift_margin: Duration::from_millis(600),
-            read_every: Duration::from_secs(1),
-        }
-    }
-}
-
-/// A node that holds, or may hold, the lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holder {
-    /// The node.
-    pub node: NodeId,
-    /// The node's start.
-    pub incarnation: Incarnation,
-    /// Where its peers reach it.
-    pub address: String,
-}
-
-/// The row `lease/<domain>`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Who holds the lease; `None` after a hand-over.
-    pub holder: Option<Holder>,
-    /// The holder's epoch.
-    pub epoch: Epoch,
-    /// Raised by each renewal.
-    pub renewals: u64,
-}
-
-/// The outcome of reading the row.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RowState {
-    /// There is no row.
-    Absent,
-    /// The row and its version in the table.
-    Present(u64, LeaseRow),
-    /// The table could not be read.
-    Unreachable,
-}
-
-/// The outcome of writing the row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WriteResult {
-    /// The row was written and has this version.
-    Written(u64),
-    /// The row had another version.
-    Conflict,
-    /// The table was not reached: nothing was written.
-    NotWritten,
-    /// No answer came: the row may have been written.
-    Unknown,
-}
-
-/// A message between the nodes of a domain.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LeaseMsg {
-    /// The holder has stopped and given up the lease of this epoch.
-    HandedOver {
-        /// The epoch given up.
-        epoch: Epoch,
-    },
-}
-
-/// What happens to the machine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Input {
-    /// Time has passed.
-    Tick,
-    /// The answer to [`Output::ReadRow`].
-    RowRead {
-        /// The call that it answers.
-        call: u64,
-        /// What was read.
-        state: RowState,
-    },
-    /// The answer to [`Output::WriteRow`].
-    RowWritten {
-        /// The call that it answers.
-        call: u64,
-        /// What became of the write.
-        result: WriteResult,
-    },
-    /// A message from another node of the domain.
-    Peer {
-        /// The sender.
-        from: NodeId,
-        /// The message.
-        msg: LeaseMsg,
-    },
-    /// The node shuts down: the lease is given up.
-    HandOver,
-}
-
-/// What the machine wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Read the row.
-    ReadRow {
-        /// Comes back with the answer.
-        call: u64,
-    },
-    /// Write the row, if it still has the expected version.
-    WriteRow {
-        /// Comes back with the answer.
-        call: u64,
-        /// The version that the row must have; `None` where there must be no row.
-        expected: Option<u64>,
-        /// The row's new content.
-        row: LeaseRow,
-    },
-    /// Send a message to every other node of the domain.
-    Broadcast(LeaseMsg),
-    /// This node schedules the domain from now on.
-    Activated(Epoch),
-    /// This node schedules the domain no longer.
-    Stopped(Epoch),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Held {
     epoch: Epoch,
     version: u64,
@@ -149,7 +14,7 @@
     valid_until: Time,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Seen {
     version: u64,
     epoch: Epoch,
@@ -157,7 +22,7 @@
     free: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct PendingWrite {
     call: u64,
     sent: Time,
@@ -167,10 +32,11 @@
 }
 
 /// The lease of one domain as one node sees it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseMachine {
     cfg: LeaseConfig,
     me: Holder,
+    members: BTreeMap<NodeId, String>,
     held: Option<Held>,
     seen: Option<Seen>,
     reading: Option<(u64, Time)>,
@@ -188,6 +54,7 @@
         Self {
             cfg,
             me,
+            members: BTreeMap::new(),
             held: None,
             seen: None,
             reading: None,
@@ -223,6 +90,8 @@
             Input::RowRead { call, state } => self.row_read(now, call, state, out),
             Input::RowWritten { call, result } => self.row_written(now, call, result, out),
             Input::Peer { msg, .. } => self.peer(&msg),
+            Input::Members(members) => self.set_members(members),
+            Input::PeerFailed { .. } | Input::EpochSeen(_) => {}
             Input::HandOver => self.hand_over(now, out),
         }
     }
@@ -358,6 +227,7 @@
     fn peer(&mut self, msg: &LeaseMsg) {
         match msg {
             LeaseMsg::HandedOver { .. } => self.next_read = Time::ZERO,
+            LeaseMsg::Ask { .. } | LeaseMsg::Answer { .. } => {}
         }
     }
 
@@ -366,12 +236,19 @@
         if let Some(held) = self.held.take() {
             out.push(Output::Stopped(held.epoch));
             self.write(now, Some(held.version), held.epoch, held.renewals + 1, out);
-            out.push(Output::Broadcast(LeaseMsg::HandedOver {
-                epoch: held.epoch,
-            }));
+            for (to, address) in &self.members {
+                let (to, address) = (*to, address.clone());
+                let msg = LeaseMsg::HandedOver { epoch: held.epoch };
+                out.push(Output::Send { to, address, msg });
+            }
         }
     }
 
+    fn set_members(&mut self, members: Vec<Holder>) {
+        let others = members.into_iter().filter(|m| m.node != self.me.node);
+        self.members = others.map(|m| (m.node, m.address)).collect();
+    }
+
     fn call(&mut self) -> u64 {
         self.next_call += 1;
         self.next_call
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -169,6 +169,9 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.registered {
+            self.lease_step(now, Input::Members(Vec::new()), out);
+        }
         self.lease_step(now, Input::Tick, out);
         self.register();
         let valid_until = self.lease.valid_until(now);
@@ -361,7 +364,12 @@
                 let purpose = Purpose::LeaseWrite(call);
                 self.calls.table(purpose, TableReq::Commit(txn), out);
             }
-            Output::Broadcast(_) => {}
+            Output::Send { to, msg, .. } => {
+                // Not joined to the nodes' connections yet: nobody answers.
+                if let Some(question) = msg.asks() {
+                    self.lease_step(now, Input::PeerFailed { to, question }, out);
+                }
+            }
             Output::Activated(epoch) => {
                 log::info!(
                     "lease: {} schedules {} under {epoch}",
