--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -8,7 +8,17 @@
 use crate::{ApplyError, ChangeError};
 
 /// What a recall is about.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub enum RecallTarget {
     /// A batch or job, by name.
     Batch(String),
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -10,7 +10,17 @@
 /// A short name that is copied by value, used for failure domains and regions.
 ///
 /// It is at most 23 bytes of ASCII letters, digits, `-` and `_`, and is never empty.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(try_from = "String", into = "String")]
 pub struct Label {
     bytes: [u8; LABEL_MAX_BYTES],
@@ -156,7 +166,17 @@
 /// The table part is raised by a takeover through the platform's table, the local part by a takeover
 /// inside a failure domain that is cut off from the platform.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Epoch {
     /// Raised by each takeover that the table has recorded.
@@ -172,7 +192,17 @@
 }
 
 /// The id of a submitted unit of work. It comes from the submitter, so that a resend is recognised.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(transparent)]
 pub struct UnitId(pub Arc<str>);
 
@@ -197,7 +227,17 @@
 }
 
 /// One task of a unit of work: a replica of a service, or a part of a batch or job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct TaskId {
     /// The unit that the task belongs to.
     pub unit: UnitId,
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use lease::Holder;
 use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, Time};
 use peer::{DomainSummary, Heartbeat, NodeSummary, PeerMsg, ViewVersion};
 use route::Remote;
@@ -83,6 +84,8 @@
     domains: BTreeMap<DomainId, Domain>,
     rows: Poll,
     registered: bool,
+    /// Whether this node's own row was read at least once.
+    registered_once: bool,
     seq: u64,
     /// When the latest heartbeats were sent.
     sent: BTreeMap<u64, Time>,
@@ -100,6 +103,7 @@
             domains: BTreeMap::new(),
             rows: Poll::default(),
             registered: false,
+            registered_once: false,
             seq: 0,
             sent: BTreeMap::new(),
             next_heartbeat: Time::ZERO,
@@ -131,6 +135,22 @@
             .is_some_and(|heard| now.since(heard) < self.cfg.live_for)
     }
 
+    /// The other nodes of this node's domain as the lease knows them; `None` before this node's own row
+    /// was seen in the table. A node that registers first and reads then is known to one that starts at
+    /// the same time, or knows it.
+    pub(crate) fn holders(&self) -> Option<Vec<Holder>> {
+        self.registered_once.then(|| {
+            let members = self.in_domain();
+            members
+                .map(|(node, member)| Holder {
+                    node,
+                    incarnation: member.row.incarnation,
+                    address: member.row.address.clone(),
+                })
+                .collect()
+        })
+    }
+
     /// When a heartbeat was sent, if that was not long ago.
     pub(crate) fn heartbeat_sent(&self, seq: u64) -> Option<Time> {
         self.sent.get(&seq).copied()
@@ -258,6 +278,10 @@
         // A row that was deleted while this node was cut off is written again.
         let mine = listed.remove(&self.me.node);
         self.registered = mine.is_some_and(|row| row.incarnation >= self.me.incarnation);
+        if !self.registered_once {
+            self.rows.soon();
+        }
+        self.registered_once |= self.registered;
         self.known.retain(|node, _| listed.contains_key(node));
         for (node, row) in listed {
             self.member_listed(now, node, row);
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -19,8 +19,10 @@
 
 use std::collections::BTreeMap;
 
-use lease::{Holder, Input, LeaseMachine, LeaseRow, Output, RowState, WriteResult};
-use model::{NodeId, Time};
+use lease::{
+    Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
+};
+use model::{Epoch, NodeId, Time};
 use peer::{DomainView, Heartbeat, PeerMsg};
 use route::Offer;
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
@@ -54,6 +56,8 @@
     operators: Operators,
     scheduler: Option<Scheduler>,
     members: Members,
+    /// The lease's questions to other nodes that are not answered, and when each was sent.
+    questions: BTreeMap<(NodeId, Question), Time>,
     views: Option<Views>,
     view: OwnView,
     next_own_view: Time,
@@ -79,6 +83,7 @@
             entry: Entry::new(cfg.route.clone()),
             operators: Operators::default(),
             scheduler: None,
+            questions: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
             views: None,
             view: OwnView::default(),
@@ -172,6 +177,11 @@
                 self.entry.offer(now, &offer, out);
             }
             Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
+            Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
+                if let Some(question) = msg.asks() {
+                    self.question_failed(now, to, question, out);
+                }
+            }
             Event::Object(..) | Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
@@ -196,6 +206,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.fail_unanswered(now, out);
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
         let state = self.self_state();
@@ -220,8 +231,7 @@
             .as_ref()
             .is_some_and(Scheduler::is_superseded)
         {
-            log::warn!("node: stops scheduling {}", self.me.domain);
-            self.scheduler = None;
+            self.superseded(now, out);
         }
     }
 
@@ -335,7 +345,12 @@
                     self.take_view(sent, &view);
                 }
             }
-            PeerMsg::Lease(msg) => self.lease_step(now, Input::Peer { from, msg }, out),
+            PeerMsg::Lease(msg) => {
+                if let LeaseMsg::Answer { question, .. } = &msg {
+                    self.questions.remove(&(from, *question));
+                }
+                self.lease_step(now, Input::Peer { from, msg }, out);
+            }
             PeerMsg::InboxNews => {
                 if let Some(scheduler) = &mut self.scheduler {
                     scheduler.read_inbox_soon();
@@ -346,6 +361,49 @@
         }
     }
 
+    /// Another scheduler has acted: this one stops at once.
+    fn superseded(&mut self, now: Time, out: &mut Vec<Action>) {
+        log::warn!("node: stops scheduling {}", self.me.domain);
+        let seen = self
+            .scheduler
+            .take()
+            .and_then(|scheduler| scheduler.superseded_by());
+        if let Some(epoch) = seen {
+            self.lease_step(now, Input::EpochSeen(epoch), out);
+        }
+        // A row that this node's own earlier transaction wrote after all: the lease still holds, and
+        // the state is rebuilt from the table.
+        if let Some(epoch) = self.lease.active(now) {
+            self.start_scheduler(now, epoch);
+        }
+    }
+
+    /// Reports the questions that were not answered in time.
+    fn fail_unanswered(&mut self, now: Time, out: &mut Vec<Action>) {
+        let timeout = self.cfg.lease.ask_timeout;
+        let late: Vec<(NodeId, Question)> = self
+            .questions
+            .iter()
+            .filter(|(_, sent)| now.since(**sent) >= timeout)
+            .map(|(key, _)| *key)
+            .collect();
+        for (to, question) in late {
+            self.question_failed(now, to, question, out);
+        }
+    }
+
+    fn question_failed(
+        &mut self,
+        now: Time,
+        to: NodeId,
+        question: Question,
+        out: &mut Vec<Action>,
+    ) {
+        if self.questions.remove(&(to, question)).is_some() {
+            self.lease_step(now, Input::PeerFailed { to, question }, out);
+        }
+    }
+
     fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
         if !self.members.heard(now, from, msg) {
             return;
@@ -410,6 +468,9 @@
                     _ => None,
                 };
                 self.members.rows_read(now, rows);
+                if let Some(members) = self.members.holders() {
+                    self.lease_step(now, Input::Members(members), out);
+                }
             }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
@@ -501,20 +562,16 @@
                 let purpose = Purpose::LeaseWrite(call);
                 self.calls.table(purpose, TableReq::Commit(txn), out);
             }
-            Output::Broadcast(msg) => {
-                let others: Vec<(NodeId, String)> = self
-                    .members
-                    .in_domain()
-                    .map(|(node, member)| (node, member.row.address.clone()))
-                    .collect();
-                for (to, address) in others {
-                    out.push(Action::Peer {
-                        to,
-                        address,
-                        fresh: true,
-                        msg: PeerMsg::Lease(msg.clone()),
-                    });
+            Output::Send { to, address, msg } => {
+                if let Some(question) = msg.asks() {
+                    self.questions.insert((to, question), now);
                 }
+                out.push(Action::Peer {
+                    to,
+                    address,
+                    fresh: true,
+                    msg: PeerMsg::Lease(msg),
+                });
             }
             Output::Activated(epoch) => {
                 log::info!(
@@ -522,11 +579,7 @@
                     self.me.node,
                     self.me.domain
                 );
-                let cfg = self.cfg.scheduler.clone();
-                let place = self.cfg.place.clone();
-                let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-                scheduler.set_teams(self.config.config().teams().values());
-                self.scheduler = Some(scheduler);
+                self.start_scheduler(now, epoch);
             }
             Output::Stopped(epoch) => {
                 log::info!(
@@ -539,6 +592,14 @@
         }
     }
 
+    fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
+        let cfg = self.cfg.scheduler.clone();
+        let place = self.cfg.place.clone();
+        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
+        scheduler.set_teams(self.config.config().teams().values());
+        self.scheduler = Some(scheduler);
+    }
+
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
--- a/crates/node/src/core/scheduler.rs
+++ b/crates/node/src/core/scheduler.rs
@@ -53,10 +53,13 @@
     recovery: Recovery,
     /// When an attempt under an earlier scheduler surely holds no lease any more.
     old_leases_until: Time,
+    /// An earlier scheduler's starts that are still on their way arrive before this, so a list that is
+    /// read later shows all that it started.
+    reads_from: Time,
     vms_read: bool,
     vms_poll: Poll,
     inbox_poll: Poll,
-    superseded: bool,
+    superseded: Option<Epoch>,
     /// Attempts whose end is to be committed before their worker drops them, by unit.
     ended: BTreeMap<UnitId, Vec<(WorkerId, TaskId, model::Attempt)>>,
 }
@@ -69,6 +72,7 @@
         domain: DomainId,
         epoch: Epoch,
     ) -> Self {
+        let reads_from = now + cfg.start_window + cfg.drift_margin;
         let old_leases_until = now + cfg.task_lease + cfg.call_timeout + cfg.drift_margin;
         Self {
             cfg,
@@ -82,17 +86,23 @@
                 reading: false,
             },
             old_leases_until,
+            reads_from,
             vms_read: false,
             vms_poll: Poll::default(),
             inbox_poll: Poll::default(),
-            superseded: false,
+            superseded: None,
             ended: BTreeMap::new(),
         }
     }
 
     /// Whether a higher epoch has been seen at a worker: this scheduler must stop at once.
     pub(crate) const fn is_superseded(&self) -> bool {
-        self.superseded
+        self.superseded.is_some()
+    }
+
+    /// The epoch that was seen, if it is higher than this scheduler's own.
+    pub(crate) fn superseded_by(&self) -> Option<Epoch> {
+        self.superseded.filter(|epoch| *epoch > self.epoch)
     }
 
     pub(crate) const fn epoch(&self) -> Epoch {
@@ -480,6 +490,9 @@
     // Workers
 
     fn call_workers(&mut self, cx: &mut Cx<'_>, valid_until: Time) {
+        if cx.now < self.reads_from {
+            return;
+        }
         for worker in self.workers.values_mut() {
             if let Some(call) = worker.next_call(cx.now, self.epoch, valid_until, &self.cfg) {
                 cx.calls.worker(cx.now, call, cx.out);
@@ -510,7 +523,7 @@
                 "scheduler: {id} has been commanded under {}",
                 report.highest_epoch
             );
-            self.superseded = true;
+            self.superseded = Some(report.highest_epoch);
             return;
         }
         worker.reported(now, sent, &report);
@@ -701,7 +714,7 @@
             }
             Settlement::Conflict { key } => {
                 log::warn!("scheduler: {key} was written by another scheduler");
-                self.superseded = true;
+                self.superseded = Some(self.epoch);
             }
             Settlement::Refused { reason } => {
                 log::error!("scheduler: the state of {id} was refused: {reason}");
--- a/crates/node/src/core/settings.rs
+++ b/crates/node/src/core/settings.rs
@@ -30,7 +30,7 @@
     pub task_lease: Duration,
     /// The interval at which each worker is read and its leases are renewed. 6 s by default.
     pub worker_interval: Duration,
-    /// How long a start command is good for. 2 s by default.
+    /// How long a start command is good for. 1 s by default.
     pub start_window: Duration,
     /// The longest time that a call to a worker takes before it is given up. 4 s by default.
     pub call_timeout: Duration,
@@ -49,7 +49,7 @@
         Self {
             task_lease: Duration::from_secs(20),
             worker_interval: Duration::from_secs(6),
-            start_window: Duration::from_secs(2),
+            start_window: Duration::from_secs(1),
             call_timeout: Duration::from_secs(4),
             drift_margin: Duration::from_millis(600),
             inbox_interval: Duration::from_secs(1),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -32,7 +32,18 @@
 }
 
 /// The version of a domain's view: the scheduler's epoch, and a count of changes under it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
+)]
 pub struct ViewVersion {
     /// The scheduler's epoch.
     pub epoch: Epoch,
