api: types of operators' calls for recalls, dry runs and versions in force

Cause: the operator's command line has to be built against the calls while their effects are still in work. Change: OperatorReq gains recall, lift, recalls, in-force, drain and evacuate, and a Submitter whose id recognises a resend; the node refuses the new calls as not run until they are built. RecallTarget has a written form. The cli's few lines only keep the workspace compiling.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,7 @@
 
 use cli::{TryOptions, collect, try_files};
 use model::Verdict;
-use node::api::{OperatorReq, OperatorResp};
+use node::api::{OperatorReq, OperatorResp, Submitter};
 
 use crate::{
     args::{Args, Command, Parsed},
@@ -46,7 +46,8 @@
         }
         Command::Cancel { name } => {
             let name = name.clone();
-            call(args, &OperatorReq::Cancel { name })
+            let by = submitter();
+            call(args, &OperatorReq::Cancel { by, name })
         }
         Command::Dump => match Client::new(args).dump() {
             Ok(text) => {
@@ -103,13 +104,21 @@
         Err(e) => return failed(&e.to_string(), EXIT_USAGE),
     };
     let req = OperatorReq::Publish {
-        author: env::var("USER").unwrap_or_else(|_| "operator".to_owned()),
+        by: submitter(),
         base: None,
         files,
+        dry_run: false,
     };
     call(args, &req)
 }
 
+fn submitter() -> Submitter {
+    Submitter {
+        id: String::new(),
+        author: env::var("USER").unwrap_or_else(|_| "operator".to_owned()),
+    }
+}
+
 fn call(args: &Args, req: &OperatorReq) -> ExitCode {
     match Client::new(args).operator(req) {
         Ok(OperatorResp::Done { message, .. }) => {
@@ -122,6 +131,14 @@
             }
             ExitCode::SUCCESS
         }
+        Ok(
+            resp @ (OperatorResp::Changes { .. }
+            | OperatorResp::Recalls(_)
+            | OperatorResp::InForce { .. }),
+        ) => {
+            println!("{resp:?}");
+            ExitCode::SUCCESS
+        }
         Ok(OperatorResp::Failed { verdict, message }) => failed(&message, exit_code(verdict)),
         Err(e) => failed(&e.to_string(), exit_code(e.verdict())),
     }
--- a/crates/cli/src/try_run.rs
+++ b/crates/cli/src/try_run.rs
@@ -4,7 +4,7 @@
 
 use fakes::{FaultLevel, PlatformSpec};
 use model::{NodeId, Time};
-use node::api::{FileText, OperatorReq, OperatorResp, TaskPhase, UnitStatus};
+use node::api::{FileText, OperatorReq, OperatorResp, Submitter, TaskPhase, UnitStatus};
 
 use crate::{Cell, CellConfig};
 
@@ -60,9 +60,13 @@
     });
     cell.run_until(PUBLISH_AT);
     let req = OperatorReq::Publish {
-        author: "try".to_owned(),
+        by: Submitter {
+            id: "try".to_owned(),
+            author: "try".to_owned(),
+        },
         base: None,
         files,
+        dry_run: false,
     };
     let published = cell.operator(NodeId(1), req);
     let mut text = String::new();
@@ -74,7 +78,7 @@
             line(&mut text, &format!("not published: {message}"));
             return TryReport { text, ok: false };
         }
-        Some(OperatorResp::Status(_)) | None => {
+        Some(_) | None => {
             line(&mut text, "not published: no answer");
             return TryReport { text, ok: false };
         }
--- /dev/null
+++ b/crates/config/src/diff.rs
@@ -0,0 +1,134 @@
+//! What a change changes, key by key, as operators read it.
+
+use model::{Kind, RequestPolicy, Team, Unit};
+use serde::{Deserialize, Serialize};
+
+use crate::RecallTarget;
+
+/// What becomes of an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ItemFate {
+    /// It is new.
+    Added,
+    /// It is there and changes.
+    Changed,
+    /// It is removed.
+    Removed,
+}
+
+/// A key of an item and its values before and after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyChange {
+    /// The key as in the operator file, such as `size.processors`.
+    pub key: String,
+    /// The value before; `None` where there was none.
+    pub before: Option<String>,
+    /// The value after; `None` where there is none.
+    pub after: Option<String>,
+}
+
+/// What a change does to one item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemChange {
+    /// The item, such as `unit/dealer-lookup`.
+    pub item: String,
+    /// What becomes of it.
+    pub fate: ItemFate,
+    /// The keys that change, in the order of operator files.
+    pub keys: Vec<KeyChange>,
+}
+
+/// The keys and values of an item, in the order of operator files.
+type Fields = Vec<(&'static str, String)>;
+
+/// What replacing `before` by `after` does to an item; `None` if nothing.
+pub(crate) fn item_change(item: &str, before: &Fields, after: &Fields) -> Option<ItemChange> {
+    let mut keys: Vec<KeyChange> = Vec::new();
+    for (key, value) in before {
+        let new = value_of(after, key);
+        if new != Some(value) {
+            keys.push(KeyChange {
+                key: (*key).to_owned(),
+                before: Some(value.clone()),
+                after: new.cloned(),
+            });
+        }
+    }
+    for (key, value) in after {
+        if value_of(before, key).is_none() {
+            keys.push(KeyChange {
+                key: (*key).to_owned(),
+                before: None,
+                after: Some(value.clone()),
+            });
+        }
+    }
+    let fate = match (before.is_empty(), after.is_empty()) {
+        (true, false) => ItemFate::Added,
+        (false, true) => ItemFate::Removed,
+        _ => ItemFate::Changed,
+    };
+    let item = item.to_owned();
+    (!keys.is_empty()).then_some(ItemChange { item, fate, keys })
+}
+
+fn value_of<'a>(fields: &'a Fields, key: &str) -> Option<&'a String> {
+    let found = fields.iter().find(|(other, _)| *other == key);
+    found.map(|(_, value)| value)
+}
+
+/// The keys and values of a team; none where there is no team.
+pub(crate) fn team_fields(team: Option<&Team>) -> Fields {
+    team.map_or_else(Fields::new, |team| vec![("quota", team.quota.to_string())])
+}
+
+/// The key and value of a recall.
+pub(crate) fn recall_fields(target: &RecallTarget) -> Fields {
+    vec![("recalled", target.to_string())]
+}
+
+/// The keys and values of a unit of work; none where there is no unit.
+pub(crate) fn unit_fields(unit: Option<&Unit>) -> Fields {
+    let Some(unit) = unit else {
+        return Fields::new();
+    };
+    let mut fields = vec![
+        ("kind", kind_name(&unit.kind).to_owned()),
+        ("team", unit.team.clone()),
+        ("command", unit.command.join(" ")),
+        ("size", unit.size.to_string()),
+        ("class", unit.class.to_string()),
+    ];
+    match &unit.kind {
+        Kind::Service {
+            replicas,
+            spread,
+            requests,
+        } => {
+            fields.push(("replicas", replicas.to_string()));
+            fields.push(("spread", format!("{spread:?}")));
+            fields.push(("requests", requests_text(requests)));
+        }
+        Kind::Batch { tasks } | Kind::Gang { tasks } => {
+            fields.push(("tasks", tasks.to_string()));
+            fields.push(("repeat", format!("{:?}", unit.repeat)));
+            fields.push(("run_time_s", unit.run_time.as_secs().to_string()));
+            fields.push(("attempts", unit.attempts.to_string()));
+        }
+    }
+    fields
+}
+
+const fn kind_name(kind: &Kind) -> &'static str {
+    match kind {
+        Kind::Service { .. } => "service",
+        Kind::Batch { .. } => "batch",
+        Kind::Gang { .. } => "job",
+    }
+}
+
+fn requests_text(requests: &RequestPolicy) -> String {
+    let deadline = requests.deadline.as_millis();
+    format!("{:?}, deadline {deadline} ms", requests.repeat)
+}
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,5 +1,10 @@
 //! Refusals of changes.
 
+/// A text that names nothing that can be recalled.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not `batch/NAME`, `worker/ID` or `setting/SERVICE@VERSION`")]
+pub struct TargetError(pub String);
+
 /// A change that is refused.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ChangeError {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,10 +13,14 @@
 //! assert_eq!(config.version(), 1);
 //! ```
 
+mod diff;
 mod error;
 mod state;
+mod target;
 
 pub use crate::{
-    error::{ApplyError, ChangeError},
-    state::{Change, Config, Entry, RecallTarget},
+    diff::{ItemChange, ItemFate, KeyChange},
+    error::{ApplyError, ChangeError, TargetError},
+    state::{Change, Config, Entry},
+    target::RecallTarget,
 };
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -2,26 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use model::{Team, Unit, WorkerId};
+use model::{Team, Unit};
 use serde::{Deserialize, Serialize};
 
-use crate::{ApplyError, ChangeError};
-
-/// What a recall is about.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum RecallTarget {
-    /// A batch or job, by name.
-    Batch(String),
-    /// A worker VM.
-    Worker(WorkerId),
-    /// A service's setting, by the version that published it.
-    Setting {
-        /// The service.
-        service: String,
-        /// The version that published the setting.
-        version: u64,
-    },
-}
+use crate::{
+    ApplyError, ChangeError, ItemChange, RecallTarget,
+    diff::{item_change, recall_fields, team_fields, unit_fields},
+};
 
 /// One change of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,6 +90,33 @@
         &self.recalls
     }
 
+    /// What changes would change, item by item. Changes of nothing are left out.
+    #[must_use]
+    pub fn diff(&self, changes: &[Change]) -> Vec<ItemChange> {
+        changes.iter().filter_map(|c| self.diff_one(c)).collect()
+    }
+
+    fn diff_one(&self, change: &Change) -> Option<ItemChange> {
+        let item = change.item();
+        let (before, after) = match change {
+            Change::SetTeam(team) => {
+                let before = self.teams.get(&team.name);
+                (team_fields(before), team_fields(Some(team)))
+            }
+            Change::SetUnit(unit) => {
+                let before = self.units.get(&unit.name);
+                (unit_fields(before), unit_fields(Some(unit)))
+            }
+            Change::RemoveUnit(name) => {
+                let before = self.units.get(name);
+                (unit_fields(before), unit_fields(None))
+            }
+            Change::Recall(target) => (Vec::new(), recall_fields(target)),
+            Change::Lift(target) => (recall_fields(target), Vec::new()),
+        };
+        item_change(&item, &before, &after)
+    }
+
     /// The entry that makes changes which were drawn up against the version `base`.
     ///
     /// # Errors
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,6 +1,7 @@
 //! What operators ask of a node, and its answers. They travel as JSON over HTTP.
 
-use model::{Attempt, Verdict, WorkerId};
+pub use config::{ItemChange, RecallTarget};
+use model::{Attempt, DomainId, NodeId, Verdict, WorkerId};
 use serde::{Deserialize, Serialize};
 
 /// One operator file as it is sent to a node.
@@ -12,6 +13,18 @@
     pub text: String,
 }
 
+/// Who calls, and the id by which a resend of the same call is recognised.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submitter {
+    /// Chosen by the submitter, and the same in each resend of one call. Without one (empty), a
+    /// resend counts as another call.
+    #[serde(default)]
+    pub id: String,
+    /// Who calls.
+    #[serde(default)]
+    pub author: String,
+}
+
 /// A call by an operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -19,11 +32,15 @@
     /// Puts operator files in force and submits their batches and jobs.
     Publish {
         /// Who publishes.
-        author: String,
+        #[serde(default)]
+        by: Submitter,
         /// The version of the configuration that the change is based on; `None` for the newest.
         base: Option<u64>,
         /// The files.
         files: Vec<FileText>,
+        /// Whether to answer with [`OperatorResp::Changes`] only, and change nothing.
+        #[serde(default)]
+        dry_run: bool,
     },
     /// Asks what became of units of work.
     Status {
@@ -32,9 +49,51 @@
     },
     /// Cancels a unit of work.
     Cancel {
+        /// Who cancels.
+        #[serde(default)]
+        by: Submitter,
         /// The unit's name.
         name: String,
     },
+    /// Puts recalls in force, all in one version.
+    Recall {
+        /// Who recalls.
+        #[serde(default)]
+        by: Submitter,
+        /// What is recalled.
+        targets: Vec<RecallTarget>,
+    },
+    /// Lifts recalls, all in one version. Only what is named is lifted.
+    Lift {
+        /// Who lifts.
+        #[serde(default)]
+        by: Submitter,
+        /// What is no longer recalled.
+        targets: Vec<RecallTarget>,
+    },
+    /// Asks which recalls are in force. Answered by [`OperatorResp::Recalls`].
+    Recalls,
+    /// Asks which nodes have a version in force. Answered by [`OperatorResp::InForce`].
+    InForce {
+        /// The version.
+        version: u64,
+    },
+    /// Shuts a node down without cutting off a request.
+    Drain {
+        /// The node.
+        node: NodeId,
+    },
+    /// Moves the work of a failure domain to the others and places nothing new there.
+    Evacuate {
+        /// Who evacuates.
+        #[serde(default)]
+        by: Submitter,
+        /// The failure domain.
+        domain: DomainId,
+        /// Whether the domain takes work again instead.
+        #[serde(default)]
+        undo: bool,
+    },
 }
 
 /// The answer to an operator.
@@ -50,6 +109,22 @@
     },
     /// The state of units of work.
     Status(Vec<UnitStatus>),
+    /// What a publication would change.
+    Changes {
+        /// The newest version known to the node, to be named as the base of the publication.
+        version: u64,
+        /// The items that would change.
+        changes: Vec<ItemChange>,
+    },
+    /// The recalls in force.
+    Recalls(Vec<RecallView>),
+    /// Which nodes have a version in force.
+    InForce {
+        /// The version asked for.
+        version: u64,
+        /// All known nodes.
+        members: Vec<MemberVersion>,
+    },
     /// It was not done, or may not have been.
     Failed {
         /// Whether it may have been done.
@@ -59,6 +134,32 @@
     },
 }
 
+/// A recall in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecallView {
+    /// What is recalled.
+    pub target: RecallTarget,
+    /// Who has recalled it.
+    pub author: String,
+    /// The version that put the recall in force.
+    pub version: u64,
+}
+
+/// The version of the configuration that a node has in force, as another node knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberVersion {
+    /// The node.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The version that it had when last heard; `None` if it was never heard.
+    pub version: Option<u64>,
+    /// Milliseconds since it was last heard; `None` if it was never heard.
+    pub age_ms: Option<u64>,
+    /// Whether it has at least the version asked for.
+    pub in_force: bool,
+}
+
 /// The state of one unit of work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnitStatus {
--- a/crates/node/src/core/operators.rs
+++ b/crates/node/src/core/operators.rs
@@ -70,15 +70,14 @@
     pub(crate) fn call(&mut self, cx: &mut Cx<'_>, id: OperatorId, req: OperatorReq) {
         match req {
             OperatorReq::Publish {
-                author,
-                base,
-                files,
-            } => self.publish(cx, id, author, base, &files),
+                by, base, files, ..
+            } => self.publish(cx, id, by.author, base, &files),
             OperatorReq::Status { name } => self.list(cx, id, name),
-            OperatorReq::Cancel { name } => {
+            OperatorReq::Cancel { by, name } => {
                 let changes = vec![Change::RemoveUnit(name)];
-                self.read_members(cx, id, String::new(), None, changes);
+                self.read_members(cx, id, by.author, None, changes);
             }
+            _ => refuse(cx, id, Verdict::NotRun, "not built yet".to_owned()),
         }
     }
 
