Shares of backend servers: a book that grants them for a term

Cause: the scheduler gave itself all 8 slots of each server and no other node could serve. Change: GrantBook grants each node's share for a term, moves shares by demand once the node says that it has applied the smaller one, and after a takeover lets nodes keep what they report until the earlier scheduler's grants have lapsed. A share counts as held for the longest request on top of its term, since a request that was dispatched in the last moment may still run. Conclusion: the sum holds whichever messages are lost; moving a share takes two heartbeats.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,8 +28,10 @@
 //! assert!(matches!(out[0], RouteAction::Dispatch { req: ReqId(1), .. }));
 //! ```
 
+mod grants;
 mod router;
 
+pub use crate::grants::{GrantBook, GrantConfig, NodeShares, Share, ShareReport};
 pub use crate::router::{
     Backend, ClaimResult, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router,
     ServicePolicy,
