--- a/crates/fakes/examples/platform.rs
+++ b/crates/fakes/examples/platform.rs
@@ -2,7 +2,7 @@
 
 use std::{env, process::ExitCode, thread, time::Duration};
 
-use fakes::{FakePlatform, PlatformSpec, serve};
+use fakes::{FakePlatform, PlatformSpec, RunPlan, serve};
 use getopts::{Matches, Options};
 
 fn main() -> ExitCode {
@@ -10,6 +10,14 @@
     opts.optopt("", "listen", "where to listen (127.0.0.1:0)", "ADDR");
     opts.optopt("", "domains", "how many failure domains (3)", "N");
     opts.optopt("", "workers", "how many workers (12)", "N");
+    opts.optopt("", "regions", "how many regions (3)", "N");
+    opts.optopt("", "vm-lag-ms", "how far the VM list lags (2000)", "MS");
+    opts.optopt(
+        "",
+        "task-ms",
+        "how long tasks run at the most (20000)",
+        "MS",
+    );
     opts.optflag("h", "help", "print this help");
     let args: Vec<String> = env::args().skip(1).collect();
     let run = opts
@@ -31,9 +39,17 @@
         return Ok(());
     }
     let defaults = PlatformSpec::default();
+    let task_max = millis(matches, "task-ms", defaults.plan.max)?;
     let spec = PlatformSpec {
         domains: number(matches, "domains", defaults.domains)?,
         workers: number(matches, "workers", defaults.workers)?,
+        regions: number(matches, "regions", defaults.regions)?,
+        vm_lag: millis(matches, "vm-lag-ms", defaults.vm_lag)?,
+        plan: RunPlan {
+            min: task_max.min(defaults.plan.min),
+            max: task_max,
+            ..defaults.plan
+        },
         ..defaults
     };
     let listen = matches
@@ -46,6 +62,12 @@
     }
 }
 
+fn millis(matches: &Matches, name: &str, default: Duration) -> Result<Duration, String> {
+    let default = u32::try_from(default.as_millis()).unwrap_or(u32::MAX);
+    let ms = number(matches, name, default)?;
+    Ok(Duration::from_millis(ms.into()))
+}
+
 fn number(matches: &Matches, name: &str, default: u32) -> Result<u32, String> {
     match matches.opt_str(name) {
         None => Ok(default),
--- /dev/null
+++ b/crates/fakes/src/http/backend.rs
@@ -0,0 +1,125 @@
+//! The replicas of services: `/backend/<worker>/<service>/<path>` echoes what it is sent.
+
+use std::{thread, time::Duration};
+
+use model::WorkerId;
+use serde::Serialize;
+use store::StoreError;
+use tiny_http::Request;
+
+use super::{Shared, to_json};
+use crate::{Open, Served};
+
+/// How long a request runs.
+const SERVICE_TIME: Duration = Duration::from_millis(5);
+/// How long a request without a slot waits before it asks again.
+const SLOT_WAIT: Duration = Duration::from_millis(2);
+/// The largest body that is read, in bytes.
+const BODY_MAX_BYTES: usize = 1 << 20;
+
+/// What a replica answers.
+#[derive(Serialize)]
+struct Echo<'a> {
+    worker: String,
+    service: &'a str,
+    method: String,
+    path: String,
+    id: &'a str,
+    key: Option<&'a str>,
+    body: &'a str,
+}
+
+/// Runs a request on a replica. Waits without holding the platform's lock.
+pub(super) fn backend(
+    shared: &Shared,
+    path: &[&str],
+    req: &mut Request,
+) -> Result<String, StoreError> {
+    let [worker, service, rest @ ..] = path else {
+        return Err(unreachable("no such backend server"));
+    };
+    let worker: WorkerId = worker
+        .parse()
+        .map_err(|_| unreachable("no such backend server"))?;
+    let body = read_body(req)?;
+    let id = header(req, "x-request-id").unwrap_or_default();
+    let key = header(req, "idempotency-key");
+    let open = begin(shared, worker, service, &id, key.as_deref())?;
+    thread::sleep(SERVICE_TIME);
+    let now = shared.now();
+    let mut platform = shared.platform();
+    platform.backends.end(now, open);
+    platform.backends.disconnect(worker);
+    drop(platform);
+    to_json(&Echo {
+        worker: worker.to_string(),
+        service,
+        method: req.method().to_string(),
+        path: format!("/{}", rest.join("/")),
+        id: &id,
+        key: key.as_deref(),
+        body: &body,
+    })
+}
+
+/// Waits for a slot and begins. Nothing was run if there is an error.
+fn begin(
+    shared: &Shared,
+    worker: WorkerId,
+    service: &str,
+    id: &str,
+    key: Option<&str>,
+) -> Result<Open, StoreError> {
+    if !shared.platform().backends.connect(worker) {
+        return Err(unreachable("no connection is free"));
+    }
+    loop {
+        let now = shared.now();
+        let mut platform = shared.platform();
+        platform.advance(now);
+        let is_there = platform
+            .worker_mut(worker)
+            .is_some_and(|fake| !fake.is_dead() && fake.serves(service));
+        if !is_there {
+            platform.backends.disconnect(worker);
+            return Err(unreachable("no replica runs here"));
+        }
+        let served = Served {
+            worker,
+            service: service.to_owned(),
+            id: id.to_owned(),
+            key: key.map(str::to_owned),
+            began: now,
+            ended: None,
+        };
+        if let Some(open) = platform.backends.begin(served) {
+            return Ok(open);
+        }
+        drop(platform);
+        thread::sleep(SLOT_WAIT);
+    }
+}
+
+fn read_body(req: &mut Request) -> Result<String, StoreError> {
+    if req.body_length().is_some_and(|len| len > BODY_MAX_BYTES) {
+        return Err(StoreError::Refused("the body is too large".to_owned()));
+    }
+    let mut body = String::new();
+    req.as_reader()
+        .read_to_string(&mut body)
+        .map_err(|e| StoreError::Refused(e.to_string()))?;
+    Ok(body)
+}
+
+fn header(req: &Request, name: &str) -> Option<String> {
+    let is_named = |header: &&tiny_http::Header| {
+        let field = header.field.as_str().as_str();
+        field.eq_ignore_ascii_case(name)
+    };
+    let found = req.headers().iter().find(is_named)?;
+    Some(found.value.as_str().to_owned())
+}
+
+fn unreachable(reason: &str) -> StoreError {
+    StoreError::Unreachable(reason.to_owned())
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,18 +14,24 @@
 //! assert_eq!(platform.vms(Time::ZERO, "d1".parse().unwrap()).len(), 2);
 //! ```
 
+mod backend;
 mod fault;
 mod http;
+mod plan;
 mod platform;
 mod rng;
 mod table;
+mod vm_list;
 mod worker;
 
 pub use crate::{
+    backend::{Backends, CONNECTIONS, Open, SLOTS, Served},
     fault::{Fate, FaultLevel, Faults},
     http::{Server, serve},
+    plan::RunPlan,
     platform::{At, FakePlatform, PlatformSpec},
     rng::Rng,
     table::{FakeObjects, FakeTable},
-    worker::{FakeWorker, Run, RunPlan},
+    vm_list::FakeVmList,
+    worker::{FakeWorker, Run},
 };
--- /dev/null
+++ b/crates/fakes/src/plan.rs
@@ -0,0 +1,100 @@
+//! How long the programs run that tasks stand for, what they use, and whether they fail.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use model::{Size, Usage};
+use store::TaskStart;
+
+use crate::rng::stable_hash;
+
+/// How long tasks run and whether they fail, as a stand-in for the programs themselves.
+#[derive(Clone, Debug)]
+pub struct RunPlan {
+    /// The shortest run of a program whose declaration is not known. 1 s by default.
+    pub min: Duration,
+    /// The longest run of a program whose declaration is not known. 20 s by default.
+    pub max: Duration,
+    /// The declared run time of units, by name.
+    pub declared: BTreeMap<String, Duration>,
+    /// How far off declared run times are: true ones lie between one `wrong_by`-th and `wrong_by`
+    /// times the declared one. 1, that is exact, by default.
+    pub wrong_by: u32,
+    /// The least that a task uses, in percent of what it declares. 100 by default.
+    pub usage_min_percent: u64,
+    /// The most that a task uses, in percent of what it declares. 100 by default.
+    pub usage_max_percent: u64,
+    /// How long a usage report lags behind the truth. 5 s by default.
+    pub usage_lag: Duration,
+    /// Whether everything that is started fails at once.
+    pub always_fails: bool,
+    /// What the hidden properties of tasks depend on. 1 by default.
+    pub seed: u64,
+}
+
+impl Default for RunPlan {
+    fn default() -> Self {
+        Self {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(20),
+            declared: BTreeMap::new(),
+            wrong_by: 1,
+            usage_min_percent: 100,
+            usage_max_percent: 100,
+            usage_lag: Duration::from_secs(5),
+            always_fails: false,
+            seed: 1,
+        }
+    }
+}
+
+impl RunPlan {
+    /// How long an attempt runs.
+    pub(crate) fn run_time(&self, start: &TaskStart) -> Duration {
+        let unit = start.task.unit.as_str();
+        let name = unit.split_once('.').map_or(unit, |(name, _)| name);
+        match self.declared.get(name) {
+            Some(declared) => self.true_run_time(*declared, start),
+            None => self.min + scaled(self.max.saturating_sub(self.min), self.draw(start, "time")),
+        }
+    }
+
+    fn true_run_time(&self, declared: Duration, start: &TaskStart) -> Duration {
+        let wrong_by = self.wrong_by.max(1);
+        let shortest = declared / wrong_by;
+        let width = (declared * wrong_by).saturating_sub(shortest);
+        shortest + scaled(width, self.draw(start, "time"))
+    }
+
+    /// What an attempt uses.
+    pub(crate) fn usage(&self, start: &TaskStart) -> Usage {
+        let width = self
+            .usage_max_percent
+            .saturating_sub(self.usage_min_percent);
+        let percent = self.usage_min_percent + width * self.draw(start, "usage") / 1_000;
+        let Size {
+            milli_processors,
+            memory_mb,
+            ..
+        } = start.size;
+        Usage {
+            milli_processors: milli_processors * percent / 100,
+            memory_mb: memory_mb * percent / 100,
+        }
+    }
+
+    /// Whether an attempt fails.
+    pub(crate) fn fails(&self, start: &TaskStart) -> bool {
+        self.always_fails || start.command.iter().any(|arg| arg == "fail")
+    }
+
+    /// A number below 1,000 that depends on the seed, the attempt and what it is drawn for.
+    fn draw(&self, start: &TaskStart, what: &str) -> u64 {
+        let (task, attempt, seed) = (&start.task, start.attempt, self.seed);
+        stable_hash(format!("{task}#{attempt}#{seed}#{what}").as_bytes()) % 1_000
+    }
+}
+
+fn scaled(span: Duration, per_mille: u64) -> Duration {
+    let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(ms.saturating_mul(per_mille) / 1_000)
+}
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -1,6 +1,6 @@
 //! The whole platform in memory.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use model::{DomainId, RackId, RegionId, Size, Time, WorkerId};
 use store::{
@@ -8,7 +8,7 @@
     VmState, WorkerCall, WorkerReport, Workers,
 };
 
-use crate::{FakeObjects, FakeTable, FakeWorker, RunPlan};
+use crate::{Backends, FakeObjects, FakeTable, FakeVmList, FakeWorker, RunPlan};
 
 /// How many workers stand in a rack.
 const WORKERS_PER_RACK: u32 = 8;
@@ -26,6 +26,8 @@
     pub worker_size: Size,
     /// How long tasks run.
     pub plan: RunPlan,
+    /// How long the VM list takes to show a change. 2 s by default.
+    pub vm_lag: Duration,
 }
 
 impl Default for PlatformSpec {
@@ -36,6 +38,7 @@
             workers: 12,
             worker_size: Size::new(32_000, 131_072, 0),
             plan: RunPlan::default(),
+            vm_lag: Duration::from_secs(2),
         }
     }
 }
@@ -47,8 +50,11 @@
     pub table: FakeTable,
     /// The object store.
     pub objects: FakeObjects,
+    /// The list of VMs.
+    pub vm_list: FakeVmList,
+    /// The backend servers.
+    pub backends: Backends,
     workers: BTreeMap<WorkerId, FakeWorker>,
-    vms: Vec<VmInfo>,
 }
 
 impl FakePlatform {
@@ -60,7 +66,7 @@
     #[must_use]
     pub fn new(spec: &PlatformSpec) -> Self {
         let mut workers = BTreeMap::new();
-        let mut vms = Vec::new();
+        let mut vm_list = FakeVmList::new(spec.vm_lag);
         let domains = spec.domains.max(1);
         let regions = spec.regions.clamp(1, domains);
         for i in 0..spec.workers {
@@ -69,8 +75,10 @@
             let worker = WorkerId(i + 1);
             let rack = RackId(domain * 1_000 + nth / WORKERS_PER_RACK);
             let size = spec.worker_size;
-            workers.insert(worker, FakeWorker::new(worker, size, spec.plan));
-            vms.push(VmInfo {
+            let mut fake = FakeWorker::new(worker, size, spec.plan.clone());
+            fake.set_endpoint(format!("http://{worker}"));
+            workers.insert(worker, fake);
+            vm_list.add(VmInfo {
                 region: region_name(domain % regions),
                 domain: domain_name(domain),
                 state: VmState::Live,
@@ -80,16 +88,16 @@
         Self {
             table: FakeTable::default(),
             objects: FakeObjects::default(),
+            vm_list,
+            backends: Backends::default(),
             workers,
-            vms,
         }
     }
 
-    /// The list of a domain's VMs.
+    /// The list of a domain's VMs as it is shown now.
     #[must_use]
-    pub fn vms(&self, _now: Time, domain: DomainId) -> Vec<VmInfo> {
-        let here = self.vms.iter().filter(|vm| vm.domain == domain);
-        here.cloned().collect()
+    pub fn vms(&self, now: Time, domain: DomainId) -> Vec<VmInfo> {
+        self.vm_list.shown(now, domain)
     }
 
     /// The workers.
@@ -108,15 +116,6 @@
         self.workers.get_mut(&id)
     }
 
-    /// Marks a worker as leaving.
-    pub fn set_leaving(&mut self, id: WorkerId) {
-        for vm in &mut self.vms {
-            if matches!(vm.role, VmRole::Worker { worker, .. } if worker == id) {
-                vm.state = VmState::Leaving;
-            }
-        }
-    }
-
     /// Ends everything that is due.
     pub fn advance(&mut self, now: Time) {
         for worker in self.workers.values_mut() {
@@ -128,7 +127,7 @@
     ///
     /// # Errors
     ///
-    /// There is no such worker.
+    /// There is no such worker, or its VM has died.
     pub fn call_worker(
         &mut self,
         now: Time,
@@ -137,6 +136,7 @@
         let worker = self
             .workers
             .get_mut(&call.worker)
+            .filter(|worker| !worker.is_dead())
             .ok_or_else(|| StoreError::Unreachable(format!("no worker {}", call.worker)))?;
         Ok(worker.call(now, call))
     }
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -1,32 +1,11 @@
 //! A stand-in for a worker, which starts whatever it is given and records what it ran.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use model::{Attempt, Epoch, Size, TaskId, Time, Usage, WorkerId};
 use store::{Command, TaskPhase, TaskStart, TaskView, WorkerCall, WorkerReport};
 
-use crate::rng::stable_hash;
-
-/// How long tasks run and whether they fail, as a stand-in for the programs themselves.
-#[derive(Clone, Copy, Debug)]
-pub struct RunPlan {
-    /// The shortest run. 1 s by default.
-    pub min: Duration,
-    /// The longest run. 20 s by default.
-    pub max: Duration,
-    /// Whether everything that is started fails at once.
-    pub always_fails: bool,
-}
-
-impl Default for RunPlan {
-    fn default() -> Self {
-        Self {
-            min: Duration::from_secs(1),
-            max: Duration::from_secs(20),
-            always_fails: false,
-        }
-    }
-}
+use crate::RunPlan;
 
 /// One attempt that a worker really ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,8 +27,11 @@
 #[derive(Clone, Debug)]
 struct Attempted {
     view: TaskView,
+    began: Time,
     ends: Time,
     fails: bool,
+    usage: Usage,
+    service: String,
     run: Option<usize>,
 }
 
@@ -65,6 +47,8 @@
     runs: Vec<Run>,
     used: Size,
     peak: Size,
+    dead: bool,
+    paused_until: Time,
 }
 
 impl FakeWorker {
@@ -81,6 +65,8 @@
             runs: Vec::new(),
             used: Size::ZERO,
             peak: Size::ZERO,
+            dead: false,
+            paused_until: Time::ZERO,
         }
     }
 
@@ -94,6 +80,35 @@
         self.plan.always_fails = always_fails;
     }
 
+    /// Whether the worker's VM has died.
+    #[must_use]
+    pub const fn is_dead(&self) -> bool {
+        self.dead
+    }
+
+    /// When the worker's VM goes on after its last pause.
+    #[must_use]
+    pub const fn paused_until(&self) -> Time {
+        self.paused_until
+    }
+
+    /// Lets the worker's VM stand still.
+    pub fn pause(&mut self, until: Time) {
+        self.paused_until = until;
+    }
+
+    /// Ends the worker's VM with all that it runs.
+    pub fn die(&mut self, now: Time) {
+        self.lose_tasks(now);
+        self.dead = true;
+    }
+
+    /// Brings a dead worker's VM back. It knows nothing of its earlier tasks.
+    pub fn come_back(&mut self) {
+        self.dead = false;
+        self.highest_epoch = Epoch::default();
+    }
+
     /// The worker's id.
     #[must_use]
     pub const fn id(&self) -> WorkerId {
@@ -122,8 +137,7 @@
     #[must_use]
     pub fn serves(&self, service: &str) -> bool {
         self.tasks.values().any(|attempted| {
-            attempted.view.phase == TaskPhase::Running
-                && attempted.view.task.unit.as_str() == service
+            attempted.view.phase == TaskPhase::Running && attempted.service == service
         })
     }
 
@@ -150,8 +164,7 @@
         }
     }
 
-    /// Loses all tasks, as a restart of the VM does.
-    pub fn restart(&mut self, now: Time) {
+    fn lose_tasks(&mut self, now: Time) {
         self.advance(now);
         let running: Vec<_> = self
             .tasks
@@ -176,10 +189,22 @@
             worker: self.id,
             clock: now,
             highest_epoch: self.highest_epoch,
-            tasks: self.tasks.values().map(|a| a.view.clone()).collect(),
+            tasks: self.views(now),
         }
     }
 
+    /// The task list. Usage is shown only once an attempt has run for as long as reports lag.
+    fn views(&self, now: Time) -> Vec<TaskView> {
+        let view = |attempted: &Attempted| {
+            let mut view = attempted.view.clone();
+            if now.since(attempted.began) >= self.plan.usage_lag {
+                view.usage = attempted.usage;
+            }
+            view
+        };
+        self.tasks.values().map(view).collect()
+    }
+
     fn command(&mut self, now: Time, epoch: Epoch, command: &Command) {
         match command {
             Command::Start(start) => self.start(now, epoch, start),
@@ -203,7 +228,7 @@
                 milli_processors,
             } => {
                 if let Some(attempted) = self.tasks.get_mut(&(task.clone(), *attempt)) {
-                    let used = &mut attempted.view.usage.milli_processors;
+                    let used = &mut attempted.usage.milli_processors;
                     *used = (*used).min(*milli_processors);
                 }
             }
@@ -223,11 +248,7 @@
             return;
         }
         let late = now > start.start_by;
-        let name = format!("{}#{}", start.task, start.attempt);
-        let width = self.plan.max.saturating_sub(self.plan.min).as_millis();
-        let offset = stable_hash(name.as_bytes()) % u64::try_from(width.max(1)).unwrap_or(1);
-        let run_time = self.plan.min + Duration::from_millis(offset);
-        let failing = self.plan.always_fails || start.command.iter().any(|arg| arg == "fail");
+        let failing = self.plan.fails(start);
         let serving = !start.service.is_empty();
         let attempted = Attempted {
             view: TaskView {
@@ -240,25 +261,25 @@
                     TaskPhase::Running
                 },
                 size: start.size,
-                usage: Usage {
-                    milli_processors: start.size.milli_processors,
-                    memory_mb: start.size.memory_mb,
-                },
+                usage: Usage::default(),
                 endpoint: if serving {
-                    self.endpoint.clone()
+                    format!("{}/{}", self.endpoint, start.service)
                 } else {
                     String::new()
                 },
                 lease_until: start.lease_until,
             },
+            began: now,
             ends: if failing {
                 now
             } else if serving {
                 Time::MAX
             } else {
-                now + run_time
+                now + self.plan.run_time(start)
             },
             fails: failing,
+            usage: self.plan.usage(start),
+            service: start.service.clone(),
             run: (!late).then_some(self.runs.len()),
         };
         self.tasks.insert(key, attempted);
