--- a/crates/node/src/core/entry.rs
+++ b/crates/node/src/core/entry.rs
@@ -1,12 +1,13 @@
 //! Callers' requests at a node: the router, and what it knows from the domain's scheduler.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use config::Config;
 use model::{Kind, NodeId, Time};
 use peer::{GrantView, ViewContent};
 use route::{
     Backend, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
+    ShareReport,
 };
 
 use super::event::Action;
@@ -16,6 +17,7 @@
 pub(crate) struct Entry {
     router: Router,
     services: Vec<String>,
+    request_max: Duration,
     grants: Vec<GrantView>,
     addresses: BTreeMap<NodeId, String>,
 }
@@ -25,6 +27,7 @@
         Self {
             router: Router::new(cfg),
             services: Vec::new(),
+            request_max: Duration::ZERO,
             grants: Vec::new(),
             addresses: BTreeMap::new(),
         }
@@ -44,6 +47,7 @@
                     repeat: requests.repeat,
                     deadline: requests.deadline,
                 };
+                self.request_max = self.request_max.max(requests.deadline);
                 self.router.set_service(&unit.name, policy);
                 self.services.push(unit.name.clone());
             }
@@ -80,6 +84,16 @@
         }
     }
 
+    /// The longest deadline of the services' requests.
+    pub(crate) fn request_max(&self) -> Duration {
+        self.request_max
+    }
+
+    /// What this node holds, uses and wants of the domain's backend servers.
+    pub(crate) fn shares(&self, now: Time) -> Vec<ShareReport> {
+        self.router.shares(now)
+    }
+
     /// Takes the nodes of other domains that can serve.
     pub(crate) fn set_remotes(&mut self, remotes: impl Fn(&str) -> Vec<Remote>) {
         for service in &self.services {
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -10,7 +10,7 @@
 use lease::Holder;
 use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, Time};
 use peer::{DomainSummary, Heartbeat, NodeSummary, PeerMsg, ViewVersion};
-use route::Remote;
+use route::{NodeShares, Remote};
 use serde::{Deserialize, Serialize};
 use store::{Row, TableReq, Write, decode, encode};
 
@@ -25,8 +25,6 @@
 pub(crate) const MEMBER_PREFIX: &str = "member/";
 /// The most rows that are read at a time; the target has 80 nodes.
 const ROWS_PER_READ: u32 = 1_000;
-/// How many heartbeats are remembered to know when they were sent.
-const SENT_MAX: usize = 16;
 
 /// The row `member/<node>`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,13 +64,14 @@
 }
 
 /// What a node tells others of itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct SelfState {
     pub(crate) config_version: u64,
     pub(crate) scheduler: Option<Epoch>,
     pub(crate) view: ViewVersion,
     pub(crate) leaving: bool,
     pub(crate) free: Size,
+    pub(crate) shares: NodeShares,
 }
 
 /// The other nodes.
@@ -87,8 +86,8 @@
     /// Whether this node's own row was read at least once.
     registered_once: bool,
     seq: u64,
-    /// When the latest heartbeats were sent.
-    sent: BTreeMap<u64, Time>,
+    /// When the newest heartbeat was sent.
+    heartbeat_sent: Time,
     next_heartbeat: Time,
     next_summary: Time,
     turn: usize,
@@ -105,7 +104,7 @@
             registered: false,
             registered_once: false,
             seq: 0,
-            sent: BTreeMap::new(),
+            heartbeat_sent: Time::ZERO,
             next_heartbeat: Time::ZERO,
             next_summary: Time::ZERO,
             turn: 0,
@@ -151,9 +150,17 @@
         })
     }
 
-    /// When a heartbeat was sent, if that was not long ago.
-    pub(crate) fn heartbeat_sent(&self, seq: u64) -> Option<Time> {
-        self.sent.get(&seq).copied()
+    /// Counts a heartbeat to this node's own scheduler, which needs no message.
+    pub(crate) fn own_beat(&mut self, now: Time) -> u64 {
+        self.seq += 1;
+        self.heartbeat_sent = now;
+        self.seq
+    }
+
+    /// When the newest heartbeat was sent, if it is that one. An answer to an earlier one says nothing
+    /// of what the scheduler counts on now.
+    pub(crate) fn newest_heartbeat_sent(&self, seq: u64) -> Option<Time> {
+        (seq == self.seq).then_some(self.heartbeat_sent)
     }
 
     /// The newest version of the configuration that any node was heard to have.
@@ -223,7 +230,7 @@
     }
 
     /// Does all that is due.
-    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>, state: SelfState, services: &[String]) {
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>, state: &SelfState, services: &[String]) {
         self.register(cx);
         if self.rows.begin(cx.now, self.cfg.rows_interval) {
             let req = TableReq::Scan {
@@ -304,12 +311,9 @@
         }
     }
 
-    fn send_heartbeats(&mut self, cx: &mut Cx<'_>, state: SelfState) {
+    fn send_heartbeats(&mut self, cx: &mut Cx<'_>, state: &SelfState) {
         self.seq += 1;
-        self.sent.insert(self.seq, cx.now);
-        while self.sent.len() > SENT_MAX {
-            self.sent.pop_first();
-        }
+        self.heartbeat_sent = cx.now;
         let heartbeat = Heartbeat {
             incarnation: self.me.incarnation,
             seq: self.seq,
@@ -317,14 +321,14 @@
             scheduler: state.scheduler,
             view: state.view,
             leaving: state.leaving,
-            demand: Vec::new(),
+            shares: state.shares.clone(),
         };
         for (to, member) in self.in_domain() {
             send(cx, to, member, PeerMsg::Heartbeat(heartbeat.clone()));
         }
     }
 
-    fn send_summaries(&mut self, cx: &mut Cx<'_>, state: SelfState, services: &[String]) {
+    fn send_summaries(&mut self, cx: &mut Cx<'_>, state: &SelfState, services: &[String]) {
         self.turn += 1;
         let summary = DomainSummary {
             domain: self.me.domain,
@@ -350,7 +354,7 @@
         }
     }
 
-    fn own_nodes(&self, now: Time, state: SelfState) -> Vec<NodeSummary> {
+    fn own_nodes(&self, now: Time, state: &SelfState) -> Vec<NodeSummary> {
         let me = NodeSummary {
             node: self.me.node,
             config_version: state.config_version,
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -24,7 +24,7 @@
 };
 use model::{Epoch, NodeId, Time};
 use peer::{DomainView, Heartbeat, PeerMsg};
-use route::Offer;
+use route::{GrantConfig, NodeShares, Offer};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -35,7 +35,7 @@
     operators::Operators,
     rows::lease_key,
     scheduler::Scheduler,
-    views::{OwnView, Views},
+    views::{Beat, OwnView, Views},
 };
 pub use self::{
     dump::{Dump, MemberDump, SchedulerDump},
@@ -209,10 +209,10 @@
         self.fail_unanswered(now, out);
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
-        let state = self.self_state();
+        let state = self.self_state(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
-        parts.members.tick(&mut cx, state, parts.view.services());
+        parts.members.tick(&mut cx, &state, parts.view.services());
         if parts.operators.waits_for_config() {
             parts.config.poll_soon();
         }
@@ -235,7 +235,7 @@
         }
     }
 
-    fn self_state(&self) -> SelfState {
+    fn self_state(&self, now: Time) -> SelfState {
         let scheduler = self.scheduler.as_ref();
         SelfState {
             config_version: self.config.config().version(),
@@ -243,6 +243,7 @@
             view: self.view.version(),
             leaving: self.leaving,
             free: scheduler.map_or(self.view.free(), Scheduler::free),
+            shares: self.node_shares(now),
         }
     }
 
@@ -263,8 +264,8 @@
         }
     }
 
-    /// While this node schedules the domain: computes what its nodes may serve, and tells them of a
-    /// change at once.
+    /// While this node schedules the domain: tells its nodes at once of a change of backend servers, and
+    /// itself each second.
     fn refresh_views(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(scheduler) = &self.scheduler else {
             self.views = None;
@@ -272,49 +273,64 @@
         };
         let epoch = scheduler.epoch();
         let current = self.views.take().filter(|views| views.epoch() == epoch);
-        let views = self
-            .views
-            .insert(current.unwrap_or_else(|| Views::new(epoch)));
-        let mut nodes: Vec<NodeId> = self.members.in_domain().map(|(node, _)| node).collect();
-        nodes.push(self.me.node);
-        let changed = views.refresh(scheduler, &nodes);
-        let due = now >= self.next_own_view;
-        if !(changed || due) {
-            return;
-        }
-        self.next_own_view = now + self.cfg.members.heartbeat_interval;
+        let views = self.views.insert(current.unwrap_or_else(|| {
+            let cfg = GrantConfig {
+                term: self.cfg.lease.term,
+                drift_margin: self.cfg.lease.drift_margin,
+                ..GrantConfig::default()
+            };
+            Views::new(now, epoch, cfg)
+        }));
+        views.set_request_max(self.entry.request_max());
+        let changed = views.refresh(scheduler);
         if changed {
             let others: Vec<NodeId> = self.members.live_in_domain(now).map(|(n, _)| n).collect();
             for node in others {
-                self.send_view(node, out);
+                self.send_view(now, node, out);
             }
         }
-        self.take_own_view(now);
+        if changed || now >= self.next_own_view {
+            self.next_own_view = now + self.cfg.members.heartbeat_interval;
+            self.take_own_view(now);
+        }
+    }
+
+    fn node_shares(&self, now: Time) -> NodeShares {
+        NodeShares {
+            applied: self.view.applied(),
+            shares: self.entry.shares(now),
+        }
     }
 
     /// Takes the view of this node's own scheduler, which needs no message.
     fn take_own_view(&mut self, now: Time) {
+        let shares = self.node_shares(now);
+        let has = self.view.version();
         let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
-        views.heard(self.me.node, 0);
-        let has = self.view.version();
-        let term = self.cfg.lease.term;
-        if let Some(view) = views.view(self.me.node, has, term, scheduler.free()) {
+        let seq = self.members.own_beat(now);
+        let beat = Beat {
+            node: self.me.node,
+            start: self.me.incarnation,
+            seq,
+            shares: &shares,
+        };
+        views.heard(now, beat);
+        if let Some(view) = views.view(now, self.me.node, has, scheduler.free()) {
             self.take_view(now, &view);
         }
     }
 
-    fn send_view(&self, to: NodeId, out: &mut Vec<Action>) {
-        let (Some(views), Some(scheduler)) = (&self.views, &self.scheduler) else {
+    fn send_view(&mut self, now: Time, to: NodeId, out: &mut Vec<Action>) {
+        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
         let member = self.members.in_domain().find(|(node, _)| *node == to);
         let Some((_, member)) = member else {
             return;
         };
-        let term = self.cfg.lease.term;
-        if let Some(view) = views.view(to, member.view, term, scheduler.free()) {
+        if let Some(view) = views.view(now, to, member.view, scheduler.free()) {
             out.push(Action::Peer {
                 to,
                 address: member.row.address.clone(),
@@ -329,7 +345,7 @@
         if !self.view.take(view) {
             return;
         }
-        let until = OwnView::until(sent, view);
+        let until = sent + view.term;
         match &view.content {
             Some(content) => self.entry.set_view(until, content),
             None => self.entry.renew_grants(until),
@@ -341,7 +357,7 @@
             PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
             PeerMsg::Summary(summary) => self.members.summary(now, from, summary),
             PeerMsg::View(view) => {
-                if let Some(sent) = self.members.heartbeat_sent(view.answers) {
+                if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
                     self.take_view(sent, &view);
                 }
             }
@@ -409,8 +425,14 @@
             return;
         }
         if let Some(views) = &mut self.views {
-            views.heard(from, msg.seq);
-            self.send_view(from, out);
+            let beat = Beat {
+                node: from,
+                start: msg.incarnation,
+                seq: msg.seq,
+                shares: &msg.shares,
+            };
+            views.heard(now, beat);
+            self.send_view(now, from, out);
         }
     }
 
--- a/crates/node/src/core/views.rs
+++ b/crates/node/src/core/views.rs
@@ -1,107 +1,132 @@
 //! What a domain's scheduler lets each of its nodes serve, and what a node was let serve.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use model::{Epoch, NodeId, Size, Time};
+use model::{Epoch, Incarnation, NodeId, Size, Time};
 use peer::{BackendView, DomainView, GrantView, ViewContent, ViewVersion};
+use route::{GrantBook, GrantConfig, NodeShares};
 
 use super::scheduler::Scheduler;
 
-/// How many requests a backend server takes at a time.
-const SLOTS_PER_WORKER: u32 = 8;
-/// How many connections a backend server takes at a time.
-const CONNECTIONS_PER_WORKER: u32 = 64;
+/// A heartbeat as far as views answer it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Beat<'a> {
+    pub(crate) node: NodeId,
+    pub(crate) start: Incarnation,
+    pub(crate) seq: u64,
+    pub(crate) shares: &'a NodeShares,
+}
+
+/// What was last told to one node.
+#[derive(Clone, Debug)]
+struct Told {
+    start: Incarnation,
+    seq: u64,
+    version: ViewVersion,
+    content: ViewContent,
+}
 
 /// The views that a scheduler hands out.
 #[derive(Clone, Debug)]
 pub(crate) struct Views {
-    version: ViewVersion,
+    newest: ViewVersion,
+    term: Duration,
     backends: Vec<BackendView>,
-    grants: BTreeMap<NodeId, Vec<GrantView>>,
-    /// The latest heartbeat of each node.
-    heartbeats: BTreeMap<NodeId, u64>,
+    book: GrantBook,
+    told: BTreeMap<NodeId, Told>,
 }
 
 impl Views {
-    pub(crate) fn new(epoch: Epoch) -> Self {
+    pub(crate) fn new(now: Time, epoch: Epoch, cfg: GrantConfig) -> Self {
+        // The first epoch of a domain has no earlier grants.
+        let takeover = epoch.table > 1 || epoch.local > 0;
         Self {
-            version: ViewVersion { epoch, change: 1 },
+            newest: ViewVersion { epoch, change: 0 },
+            term: cfg.term,
             backends: Vec::new(),
-            grants: BTreeMap::new(),
-            heartbeats: BTreeMap::new(),
+            book: GrantBook::new(cfg, now, takeover),
+            told: BTreeMap::new(),
         }
     }
 
     pub(crate) const fn epoch(&self) -> Epoch {
-        self.version.epoch
+        self.newest.epoch
     }
 
-    /// Computes the views anew, and returns whether they have changed.
-    pub(crate) fn refresh(&mut self, scheduler: &Scheduler, nodes: &[NodeId]) -> bool {
+    /// Takes the scheduler's backend servers, and returns whether they have changed.
+    pub(crate) fn refresh(&mut self, scheduler: &Scheduler) -> bool {
         let backends = scheduler.backends();
-        let grants = equal_shares(&backends, nodes);
-        let changed = backends != self.backends || grants != self.grants;
-        if changed {
-            self.version.change += 1;
-            self.backends = backends;
-            self.grants = grants;
+        if backends == self.backends {
+            return false;
         }
-        changed
+        self.book.set_workers(backends.iter().map(|b| b.worker));
+        self.backends = backends;
+        true
+    }
+
+    /// The longest deadline of the services' requests.
+    pub(crate) fn set_request_max(&mut self, request_max: Duration) {
+        self.book.set_request_max(request_max);
     }
 
-    /// Notes a node's heartbeat, which later views answer.
-    pub(crate) fn heard(&mut self, node: NodeId, seq: u64) {
-        self.heartbeats.insert(node, seq);
+    /// Takes a node's heartbeat.
+    pub(crate) fn heard(&mut self, now: Time, beat: Beat<'_>) {
+        self.book
+            .report(now, beat.node, beat.start, beat.seq, beat.shares);
+        let told = self.told.entry(beat.node).or_insert_with(|| Told {
+            start: beat.start,
+            seq: beat.seq,
+            version: ViewVersion::default(),
+            content: ViewContent::default(),
+        });
+        if beat.start != told.start || beat.seq > told.seq {
+            told.start = beat.start;
+            told.seq = beat.seq;
+        }
     }
 
-    /// The view for a node that has the version `has`; `None` if the node was never heard.
+    /// The answer to a node's newest heartbeat, for a node that has the view `has`; `None` if the node
+    /// was never heard.
     pub(crate) fn view(
-        &self,
+        &mut self,
+        now: Time,
         node: NodeId,
         has: ViewVersion,
-        term: std::time::Duration,
         free: Size,
     ) -> Option<DomainView> {
-        let answers = *self.heartbeats.get(&node)?;
-        let content = (has != self.version).then(|| self.content(node));
+        let told = self.told.get_mut(&node)?;
+        let shares = self.book.grant(now, node, told.start);
+        let grants = shares.into_iter().map(|share| GrantView {
+            worker: share.worker,
+            slots: share.slots,
+            connections: share.connections,
+        });
+        let content = ViewContent {
+            backends: self.backends.clone(),
+            grants: grants.collect(),
+        };
+        if told.version.epoch != self.newest.epoch || content != told.content {
+            self.newest.change += 1;
+            told.version = self.newest;
+            told.content = content;
+        }
+        let content = (has != told.version).then(|| told.content.clone());
         Some(DomainView {
-            version: self.version,
-            answers,
-            term,
+            version: told.version,
+            answers: told.seq,
+            term: self.term,
             free,
             content,
         })
     }
-
-    fn content(&self, node: NodeId) -> ViewContent {
-        ViewContent {
-            backends: self.backends.clone(),
-            grants: self.grants.get(&node).cloned().unwrap_or_default(),
-        }
-    }
-}
-
-/// Shares each backend server evenly among the nodes; what does not divide goes to none.
-fn equal_shares(backends: &[BackendView], nodes: &[NodeId]) -> BTreeMap<NodeId, Vec<GrantView>> {
-    let n = u32::try_from(nodes.len()).unwrap_or(u32::MAX).max(1);
-    let mut workers: Vec<_> = backends.iter().map(|backend| backend.worker).collect();
-    workers.sort_unstable();
-    workers.dedup();
-    let grants: Vec<GrantView> = workers
-        .into_iter()
-        .map(|worker| GrantView {
-            worker,
-            slots: SLOTS_PER_WORKER / n,
-            connections: CONNECTIONS_PER_WORKER / n,
-        })
-        .collect();
-    nodes.iter().map(|node| (*node, grants.clone())).collect()
 }
 
 /// The view that a node was given.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnView {
     version: ViewVersion,
+    /// The heartbeat whose answer was applied last.
+    applied: u64,
     free: Size,
     services: Vec<String>,
 }
@@ -111,6 +136,11 @@
         self.version
     }
 
+    /// The heartbeat whose answer was applied last.
+    pub(crate) const fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// What the workers of the domain have free.
     pub(crate) const fn free(&self) -> Size {
         self.free
@@ -129,19 +159,14 @@
             return false;
         }
         self.version = view.version;
+        self.applied = view.answers;
         self.free = view.free;
         if let Some(content) = &view.content {
-            let mut services: Vec<String> =
-                content.backends.iter().map(|b| b.service.clone()).collect();
-            services.sort_unstable();
-            services.dedup();
-            self.services = services;
+            let services = content.backends.iter();
+            self.services = services.map(|b| b.service.clone()).collect();
+            self.services.sort_unstable();
+            self.services.dedup();
         }
         true
     }
-
-    /// When the grants of a view lapse, which answers a heartbeat that was sent at `sent`.
-    pub(crate) fn until(sent: Time, view: &DomainView) -> Time {
-        sent + view.term
-    }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,6 +5,7 @@
 use config::Entry;
 use lease::LeaseMsg;
 use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, WorkerId};
+use route::NodeShares;
 use serde::{Deserialize, Serialize};
 
 /// A message from one node to another.
@@ -66,8 +67,8 @@
     pub view: ViewVersion,
     /// Whether the sender shuts down.
     pub leaving: bool,
-    /// How many slots of each backend server the sender could use, where that has changed.
-    pub demand: Vec<(WorkerId, u32)>,
+    /// The sender's shares of backend servers.
+    pub shares: NodeShares,
 }
 
 /// What a failure domain offers to others.
@@ -127,7 +128,8 @@
 pub struct DomainView {
     /// The view's version.
     pub version: ViewVersion,
-    /// The heartbeat that this answers. The grants' term counts from when that heartbeat was sent.
+    /// The receiver's heartbeat that this answers. The grants' term counts from when that heartbeat was
+    /// sent, and they are taken only if it is the newest one.
     pub answers: u64,
     /// How long the grants are good for.
     pub term: Duration,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use crate::ShareReport;
 use model::{Class, NodeId, Repeat, Time, Verdict, WorkerId};
 
 /// Settings of a [`Router`].
@@ -212,6 +213,22 @@
         self.grants.insert(worker, grant);
     }
 
+    /// What this node holds, uses and wants of each backend server.
+    #[must_use]
+    pub fn shares(&self, now: Time) -> Vec<ShareReport> {
+        let live = self.grants.iter().filter(|(_, grant)| now < grant.until);
+        live.map(|(worker, grant)| {
+            let in_flight = self.busy.get(worker).copied().unwrap_or(0);
+            ShareReport {
+                worker: *worker,
+                slots: grant.slots,
+                in_flight,
+                wanted: in_flight + 1,
+            }
+        })
+        .collect()
+    }
+
     /// How many requests have no final answer yet.
     #[must_use]
     pub fn in_flight(&self) -> usize {
