Place by classes, shares, kept room and preemption instead of first fit

Cause: the thin placer scanned all workers for each start, started in order of class only, let large units starve, and knew nothing of learned sizes, bad workers or urgent work. Change: indexes by free room; lines by class and team, smallest share first; room kept for units that waited too long, with revocable backfill; preemption that checkpoints; growth, quarantine and probes, backoff, reasons that clear, paced stops. The scheduler carries out the new decisions (checkpoint, throttle, explain), reports usage, and starts tasks with the reserved size: its edits are here because the new variants would not compile without them.

--- a/crates/node/src/core/scheduler.rs
+++ b/crates/node/src/core/scheduler.rs
@@ -398,7 +398,7 @@
             }
         }
         for decision in decisions {
-            self.carry_out(decision);
+            self.carry_out(now, decision);
         }
     }
 
@@ -408,14 +408,53 @@
         let mut decisions = Vec::new();
         self.placer.decide(now, &mut decisions);
         for decision in decisions {
-            self.carry_out(decision);
+            self.carry_out(now, decision);
         }
     }
 
-    fn carry_out(&mut self, decision: Decision) {
+    fn carry_out(&mut self, now: Time, decision: Decision) {
         match decision {
             Decision::Start { task, worker, .. } => self.begin(&task, worker),
-            Decision::Stop { task, worker } => self.stop(task, worker),
+            Decision::Stop { task, worker } => self.stop(now, task, worker),
+            Decision::Checkpoint { task, worker } => self.checkpoint(now, task, worker),
+            Decision::Throttle {
+                task,
+                worker,
+                milli_processors,
+            } => self.throttle(task, worker, milli_processors),
+            Decision::Explain { unit, reason } => {
+                if let Some(job) = self.jobs.get_mut(&unit) {
+                    job.set_reason(&reason.map(|e| e.to_string()).unwrap_or_default());
+                }
+            }
+        }
+    }
+
+    fn checkpoint(&mut self, now: Time, task: TaskId, worker: WorkerId) {
+        let Some(state) = task_state(&self.jobs, &task) else {
+            return;
+        };
+        let Some(book) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        if book.unqueue(&task) {
+            self.task_ended(&task, TaskEnd::NotStarted, now);
+            return;
+        }
+        let attempt = state.attempt;
+        book.command(Command::Checkpoint { task, attempt });
+    }
+
+    fn throttle(&mut self, task: TaskId, worker: WorkerId, milli_processors: u64) {
+        let Some(state) = task_state(&self.jobs, &task) else {
+            return;
+        };
+        if let Some(book) = self.workers.get_mut(&worker) {
+            book.command(Command::Throttle {
+                task,
+                attempt: state.attempt,
+                milli_processors,
+            });
         }
     }
 
@@ -447,7 +486,7 @@
         let start = PendingStart {
             task: task.clone(),
             attempt: state.attempt,
-            size: unit.size,
+            size: self.placer.reserved(task).unwrap_or(unit.size),
             command: unit.command.clone(),
             service,
         };
@@ -456,7 +495,7 @@
         }
     }
 
-    fn stop(&mut self, task: TaskId, worker: WorkerId) {
+    fn stop(&mut self, now: Time, task: TaskId, worker: WorkerId) {
         let Some(state) = task_state(&self.jobs, &task) else {
             return;
         };
@@ -464,7 +503,7 @@
             return;
         };
         if book.unqueue(&task) {
-            self.task_ended(&task, TaskEnd::NotStarted, Time::ZERO);
+            self.task_ended(&task, TaskEnd::NotStarted, now);
             return;
         }
         book.endpoints.remove(&task);
@@ -534,6 +573,7 @@
         let current = state.is_some_and(|s| s.attempt == view.attempt && s.phase == here);
         let running = view.phase == Reported::Running;
         if current && running {
+            self.placer.usage(now, &view.task, view.usage);
             self.runs_here(id, view);
         } else if current {
             self.ended_here(now, id, view);
@@ -650,7 +690,9 @@
         let Some(job) = self.jobs.get_mut(&task.unit) else {
             return;
         };
-        if matches!(end, TaskEnd::Failed | TaskEnd::StartFailed) {
+        // Failures that are blamed on the worker do not count against the task.
+        let counted = self.placer.failures(task) > job.task(task.index).failures;
+        if end.is_failure() && (counted || matches!(next, Next::GivenUp { .. })) {
             job.add_failure(task.index);
         }
         let cancelled = job.row.cancelled;
--- /dev/null
+++ b/crates/place/src/config.rs
@@ -0,0 +1,114 @@
+//! Settings of a [`Placer`](crate::Placer).
+
+use std::time::Duration;
+
+use model::Class;
+
+/// How a worker is chosen among those with room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FitRule {
+    /// The worker with the least room left over, over all dimensions.
+    #[default]
+    Best,
+    /// The worker whose free room points the same way as the task's size.
+    Alignment,
+    /// The worker whose processors and memory are left in the closest proportion.
+    Balance,
+}
+
+/// What may run ahead of a unit that waits for room which is kept for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Backfill {
+    /// Nothing: kept room stays idle until the unit starts.
+    None,
+    /// Tasks that are expected to end in time, and are checkpointed if they do not.
+    #[default]
+    Revocable,
+}
+
+/// Settings of a [`Placer`](crate::Placer).
+#[derive(Clone, Debug)]
+pub struct PlaceConfig {
+    /// The most starts of one call of [`Placer::decide`](crate::Placer::decide). 1,000 by default.
+    pub batch_max: usize,
+    /// How a worker is chosen. [`FitRule::Best`] by default.
+    pub fit: FitRule,
+    /// What may use room that is kept for others. [`Backfill::Revocable`] by default.
+    pub backfill: Backfill,
+    /// Workers without accelerators kept for interactive work, in thousandths. 20 by default.
+    pub urgent_reserve_permille: u32,
+    /// The share of an accelerator host that is kept beside each of its free accelerators, in
+    /// thousandths of the host's processors and memory per accelerator. 500 by default.
+    pub accelerator_share_permille: u64,
+    /// How long an interactive unit waits before room is kept for it. 500 ms by default.
+    pub patience_interactive: Duration,
+    /// How long a standard unit waits before room is kept for it. 5 s by default.
+    pub patience_standard: Duration,
+    /// How long a bulk unit waits before room is kept for it. 60 s by default.
+    pub patience_bulk: Duration,
+    /// The most units that room is kept for at a time, without urgent ones. 4 by default.
+    pub kept_units_max: usize,
+    /// The most units of one team and class that a call looks at. 32 by default.
+    pub scan_depth: usize,
+    /// How long a task may take to checkpoint before it is stopped. 3 s by default.
+    pub checkpoint_timeout: Duration,
+    /// How often a task is preempted at the most. 3 by default.
+    pub preemptions_max: u32,
+    /// Whether urgent work preempts at all. True by default.
+    pub preempts: bool,
+    /// The wait after a task's first failure; it doubles with each further one. 1 s by default.
+    pub backoff: Duration,
+    /// The longest wait after a failure. 60 s by default.
+    pub backoff_max: Duration,
+    /// Failures in a row after which a worker is quarantined. 3 by default.
+    pub quarantine_failures: u32,
+    /// How long a first quarantine lasts; it doubles with each failed probe. 60 s by default.
+    pub quarantine: Duration,
+    /// The longest quarantine. 30 min by default.
+    pub quarantine_max: Duration,
+    /// The most stops given out per second after a cancellation. 500 by default.
+    pub stops_per_s: u64,
+}
+
+impl Default for PlaceConfig {
+    fn default() -> Self {
+        Self {
+            batch_max: 1_000,
+            fit: FitRule::default(),
+            backfill: Backfill::default(),
+            urgent_reserve_permille: 20,
+            accelerator_share_permille: 500,
+            patience_interactive: Duration::from_millis(500),
+            patience_standard: Duration::from_secs(5),
+            patience_bulk: Duration::from_secs(60),
+            kept_units_max: 4,
+            scan_depth: 32,
+            checkpoint_timeout: Duration::from_secs(3),
+            preemptions_max: 3,
+            preempts: true,
+            backoff: Duration::from_secs(1),
+            backoff_max: Duration::from_secs(60),
+            quarantine_failures: 3,
+            quarantine: Duration::from_secs(60),
+            quarantine_max: Duration::from_secs(30 * 60),
+            stops_per_s: 500,
+        }
+    }
+}
+
+impl PlaceConfig {
+    pub(crate) const fn patience(&self, class: Class) -> Duration {
+        match class {
+            Class::Interactive => self.patience_interactive,
+            Class::Standard => self.patience_standard,
+            Class::Bulk => self.patience_bulk,
+        }
+    }
+
+    /// The wait after the `failures`-th failure.
+    pub(crate) fn backoff_after(&self, failures: u32) -> Duration {
+        let doublings = failures.saturating_sub(1).min(16);
+        let wait = self.backoff.saturating_mul(1 << doublings);
+        wait.min(self.backoff_max)
+    }
+}
--- a/crates/place/src/error.rs
+++ b/crates/place/src/error.rs
@@ -8,6 +8,14 @@
     /// No worker of the domain holds one of its tasks.
     #[error("no worker holds a task of {0}")]
     TooLarge(Size),
+    /// Its tasks start together, and all workers together don't hold them.
+    #[error("the workers together do not hold {tasks} tasks of {size} at a time")]
+    TooManyTogether {
+        /// How many tasks start together.
+        tasks: u32,
+        /// What each needs.
+        size: Size,
+    },
     /// Its team is not known.
     #[error("the team `{0}` is not known")]
     NoTeam(String),
--- /dev/null
+++ b/crates/place/src/fit.rs
@@ -0,0 +1,136 @@
+//! An index of workers by free room, and the rules that choose among them.
+//!
+//! A search looks at a few candidates of each step of free processors, never at all workers. Within
+//! a step the workers are sorted by free memory, so that the tightest one that fits comes first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::Size;
+
+use crate::config::FitRule;
+
+/// Steps of the processor scale between one power of two and the next.
+const STEPS_PER_OCTAVE: u64 = 8;
+
+/// Candidates weighed per step of free processors.
+const CANDIDATES_PER_STEP: usize = 2;
+
+/// One whole, for shares of a worker.
+const MILLION: u64 = 1_000_000;
+
+/// A worker's number within one placer.
+pub(crate) type Slot = u32;
+
+/// Free memory, free processors, and the worker.
+type RoomEntry = (u64, u64, Slot);
+
+/// Workers by free accelerators, then by steps of free processors, then by free memory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoomIndex {
+    steps: BTreeMap<(u32, u64), BTreeSet<RoomEntry>>,
+}
+
+/// The step of the processor scale that an amount belongs to; monotonic in the amount.
+fn step(milli_processors: u64) -> u64 {
+    if milli_processors < STEPS_PER_OCTAVE {
+        return milli_processors;
+    }
+    let octave = u64::from(milli_processors.ilog2());
+    let shift = octave - u64::from(STEPS_PER_OCTAVE.ilog2());
+    octave * STEPS_PER_OCTAVE + (milli_processors >> shift) - STEPS_PER_OCTAVE
+}
+
+impl RoomIndex {
+    pub(crate) fn insert(&mut self, room: Size, slot: Slot) {
+        let key = (room.accelerators, step(room.milli_processors));
+        let entry = (room.memory_mb, room.milli_processors, slot);
+        self.steps.entry(key).or_default().insert(entry);
+    }
+
+    pub(crate) fn remove(&mut self, room: Size, slot: Slot) {
+        let key = (room.accelerators, step(room.milli_processors));
+        if let Some(set) = self.steps.get_mut(&key) {
+            set.remove(&(room.memory_mb, room.milli_processors, slot));
+            if set.is_empty() {
+                self.steps.remove(&key);
+            }
+        }
+    }
+
+    /// The worker of the lowest score that has room, among a few candidates of each step. A worker
+    /// without a score is passed over. Hosts with fewer free accelerators go first.
+    pub(crate) fn best<S: Ord + Copy>(
+        &self,
+        size: Size,
+        mut score: impl FnMut(Slot, Size) -> Option<S>,
+    ) -> Option<Slot> {
+        let least = step(size.milli_processors);
+        let mut best: Option<(S, Slot)> = None;
+        let mut level = size.accelerators;
+        for ((accelerators, step), set) in self.steps.range((size.accelerators, least)..) {
+            if *accelerators != level {
+                if best.is_some() {
+                    break;
+                }
+                level = *accelerators;
+            }
+            if *step < least {
+                continue;
+            }
+            let mut weighed = 0;
+            for (memory, processors, slot) in set.range((size.memory_mb, 0, 0)..) {
+                if *processors < size.milli_processors {
+                    continue;
+                }
+                let room = Size::new(*processors, *memory, *accelerators);
+                let Some(score) = score(*slot, room) else {
+                    continue;
+                };
+                if best.is_none_or(|b| (score, *slot) < b) {
+                    best = Some((score, *slot));
+                }
+                weighed += 1;
+                if weighed >= CANDIDATES_PER_STEP {
+                    break;
+                }
+            }
+        }
+        best.map(|(_, slot)| slot)
+    }
+
+    /// The workers with the most room, roughly in that order.
+    pub(crate) fn roomiest(&self) -> impl Iterator<Item = Slot> {
+        let sets = self.steps.values().rev();
+        sets.flat_map(|set| set.iter().rev().map(|(_, _, slot)| *slot))
+    }
+}
+
+/// The part of `whole` that `amount` is, in millionths.
+pub(crate) const fn share(amount: u64, whole: u64) -> u64 {
+    if whole == 0 {
+        return 0;
+    }
+    amount.saturating_mul(MILLION) / whole
+}
+
+impl FitRule {
+    /// How ill a task of `size` fits in the `room` of a worker that holds `whole`; lower is better.
+    pub(crate) fn score(self, size: Size, room: Size, whole: Size) -> u64 {
+        let left = room - size;
+        let processors = share(left.milli_processors, whole.milli_processors);
+        let memory = share(left.memory_mb, whole.memory_mb);
+        match self {
+            Self::Best => processors + memory,
+            Self::Alignment => {
+                let dot = |a: u64, b: u64, whole: u64| share(a, whole) * share(b, whole) / MILLION;
+                let product = dot(
+                    size.milli_processors,
+                    room.milli_processors,
+                    whole.milli_processors,
+                ) + dot(size.memory_mb, room.memory_mb, whole.memory_mb);
+                u64::MAX - product
+            }
+            Self::Balance => processors.abs_diff(memory) + (processors + memory) / 4,
+        }
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -35,10 +35,29 @@
 //! assert_eq!(out.len(), 2);
 //! ```
 
+mod cancel;
+mod config;
+mod decision;
+mod ends;
 mod error;
+mod explain;
+mod fit;
+mod growth;
+mod health;
+mod kept;
+mod learn;
+mod pass;
 mod placer;
+mod preempt;
+mod queues;
+mod stops;
+mod teams;
+mod units;
+mod workers;
 
 pub use crate::{
+    config::{Backfill, FitRule, PlaceConfig},
+    decision::{Decision, Next, TaskEnd, Waiting, WorkerSpec},
     error::Unplaceable,
-    placer::{Decision, Next, PlaceConfig, Placer, TaskEnd, Waiting, WorkerSpec},
+    placer::Placer,
 };
--- /dev/null
+++ b/crates/place/src/pass.rs
@@ -0,0 +1,296 @@
+//! One pass over the queues: class by class, and within a class the team with the smallest share
+//! first.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use model::{Class, Size, Time};
+
+use crate::{
+    Decision, Placer,
+    config::Backfill,
+    fit::Slot,
+    teams::TeamIx,
+    units::{Entry, TaskKey, UnitIx},
+};
+
+/// Preemptions begun in one pass.
+const PREEMPTIONS_PER_PASS: u32 = 64;
+
+/// A gang that found no room is tried again after this time, if anything has changed.
+const GANG_RETRY: Duration = Duration::from_millis(200);
+
+/// Sizes without room that are remembered within a pass.
+const FAILED_REMEMBERED: usize = 16;
+
+/// Sizes for which this pass has found no room. Room only shrinks within a pass.
+#[derive(Debug, Default)]
+struct Failed {
+    sizes: Vec<(bool, Size)>,
+}
+
+impl Failed {
+    fn covers(&self, service: bool, size: Size) -> bool {
+        let mut sizes = self.sizes.iter();
+        sizes.any(|(s, failed)| *s == service && failed.fits(&size))
+    }
+
+    fn add(&mut self, service: bool, size: Size) {
+        self.sizes
+            .retain(|(s, failed)| *s != service || !size.fits(failed));
+        if self.sizes.len() < FAILED_REMEMBERED {
+            self.sizes.push((service, size));
+        }
+    }
+}
+
+/// A team's turn: its share, itself, where its line goes on, and how many units were passed over.
+type Turn = (u64, TeamIx, u64, usize);
+
+/// What one pass remembers.
+#[derive(Debug, Default)]
+struct Pass {
+    no_room: Failed,
+    not_preemptible: Failed,
+    preemptions: u32,
+    /// The length of `out` at which the pass ends.
+    limit: usize,
+}
+
+impl Placer {
+    /// Starts what there is room for.
+    pub(crate) fn pass(&mut self, now: Time, out: &mut Vec<Decision>) {
+        self.dirty = false;
+        let mut pass = Pass {
+            limit: out.len() + self.cfg.batch_max,
+            ..Pass::default()
+        };
+        for class in Class::URGENT_FIRST {
+            pass.no_room = Failed::default();
+            self.pass_class(now, class, &mut pass, out);
+            if out.len() >= pass.limit {
+                self.dirty = true;
+                return;
+            }
+        }
+    }
+
+    fn pass_class(&mut self, now: Time, class: Class, pass: &mut Pass, out: &mut Vec<Decision>) {
+        let teams = self.queues.teams(class);
+        let mut turns: BTreeSet<Turn> = teams
+            .map(|team| (self.teams.share(team), team, 0, 0))
+            .collect();
+        while let Some((_, team, from, passed_over)) = turns.pop_first() {
+            if out.len() >= pass.limit {
+                return;
+            }
+            let Some((seq, unit)) = self.queues.next(class, team, from) else {
+                continue;
+            };
+            let turn = if self.start_next(now, unit, pass, out) {
+                (self.teams.share(team), team, seq, passed_over)
+            } else if passed_over < self.cfg.scan_depth {
+                (self.teams.share(team), team, seq + 1, passed_over + 1)
+            } else {
+                continue;
+            };
+            turns.insert(turn);
+        }
+    }
+
+    /// Starts the next task of a unit, or all tasks of a gang, and returns whether it did.
+    fn start_next(
+        &mut self,
+        now: Time,
+        unit: UnitIx,
+        pass: &mut Pass,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let Some(entry) = self.units.get(unit) else {
+            return false;
+        };
+        if entry.is_gang() {
+            return self.start_gang(now, unit, pass, out);
+        }
+        let Some(index) = entry.waiting.first().copied() else {
+            return false;
+        };
+        let size = self.size_of(unit);
+        if !self.teams.allows(entry.team, size) {
+            return false;
+        }
+        let (service, class) = (entry.is_service(), entry.class());
+        if !pass.no_room.covers(service, size) {
+            if let Some((slot, revocable)) = self.find(now, unit, index, size) {
+                self.put(now, (unit, index), slot, size, revocable);
+                self.announce((unit, index), out);
+                return true;
+            }
+            if !self.avoids(entry, index) {
+                pass.no_room.add(service, size);
+            }
+        }
+        class == Class::Interactive && self.preempt(now, (unit, index), size, pass, out)
+    }
+
+    fn preempt(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        size: Size,
+        pass: &mut Pass,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let exhausted = pass.preemptions >= PREEMPTIONS_PER_PASS;
+        if !self.cfg.preempts || exhausted || pass.not_preemptible.covers(false, size) {
+            return false;
+        }
+        if self.keep_by_preemption(now, key, size, out) {
+            pass.preemptions += 1;
+            return true;
+        }
+        pass.not_preemptible.add(false, size);
+        false
+    }
+
+    /// Reserves room for all tasks of a gang, then starts them; or holds nothing.
+    fn start_gang(
+        &mut self,
+        now: Time,
+        unit: UnitIx,
+        pass: &mut Pass,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let size = self.size_of(unit);
+        let at_once = self.at_once(unit);
+        let Some(entry) = self.units.get(unit) else {
+            return false;
+        };
+        if now < entry.retry_at {
+            self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
+            return false;
+        }
+        let hopeless = !self.teams.allows(entry.team, at_once)
+            || !at_once.fits(&self.workers.free())
+            || pass.no_room.covers(false, size);
+        if hopeless {
+            return false;
+        }
+        let indexes: Vec<u32> = entry.waiting.iter().copied().collect();
+        let mut reserved = Vec::with_capacity(indexes.len());
+        for index in indexes {
+            let Some((slot, _)) = self.find(now, unit, index, size) else {
+                break;
+            };
+            self.put(now, (unit, index), slot, size, false);
+            reserved.push((unit, index));
+        }
+        if self.units.get(unit).is_some_and(|e| e.waiting.is_empty()) {
+            for key in reserved {
+                self.announce(key, out);
+            }
+            return true;
+        }
+        for key in reserved {
+            self.unput(key);
+        }
+        if let Some(entry) = self.units.get_mut(unit) {
+            entry.retry_at = now + GANG_RETRY;
+            self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
+        }
+        false
+    }
+
+    /// Whether the task is kept off workers on which it failed.
+    fn avoids(&self, entry: &Entry, index: u32) -> bool {
+        let failed_on = entry.tasks.get(&index).map_or(0, |t| t.failed_on.len());
+        failed_on > 0 && failed_on * 2 < self.workers.open_count() as usize
+    }
+
+    /// A worker with room for a task, and whether that room is kept for another unit.
+    fn find(&self, now: Time, unit: UnitIx, index: u32, size: Size) -> Option<(Slot, bool)> {
+        let entry = self.units.get(unit)?;
+        if let Some(slot) = self.find_probe(entry, size) {
+            return Some((slot, false));
+        }
+        if let Some(slot) = self.find_free(entry, index, size) {
+            return Some((slot, false));
+        }
+        let may_backfill = entry.may_interrupt() && self.cfg.backfill == Backfill::Revocable;
+        let may_backfill = may_backfill && entry.preemptible(index, self.cfg.preemptions_max);
+        if !may_backfill || self.avoids(entry, index) {
+            return None;
+        }
+        let until = now + self.run_time_of(entry);
+        Some((self.backfill_slot(until, size)?, true))
+    }
+
+    /// A worker that is probed after its quarantine.
+    fn find_probe(&self, entry: &Entry, size: Size) -> Option<Slot> {
+        if !entry.may_interrupt() {
+            return None;
+        }
+        let mut probes = self.workers.probes().iter();
+        probes
+            .find(|slot| size.fits(&self.workers.get(**slot).free()))
+            .copied()
+    }
+
+    fn find_free(&self, entry: &Entry, index: u32, size: Size) -> Option<Slot> {
+        let failed_on = match entry.tasks.get(&index) {
+            Some(task) if self.avoids(entry, index) => task.failed_on.as_slice(),
+            _ => &[],
+        };
+        let score = |slot: Slot, room: Size| {
+            let whole = self.workers.get(slot).spec.size;
+            let usable = !failed_on.contains(&slot);
+            usable.then(|| self.cfg.fit.score(size, room, whole))
+        };
+        let workers = &self.workers;
+        if size.accelerators > 0 {
+            return workers.accelerated().best(size, score);
+        }
+        if entry.is_service()
+            && let Some(slot) = self.find_spread(entry, size, score)
+        {
+            return Some(slot);
+        }
+        let urgent = entry.class() == Class::Interactive;
+        let plain = workers.plain().best(size, score);
+        let service = entry.is_service();
+        let beside = || {
+            let index = workers.accelerated_plain();
+            (!service).then(|| index.best(size, score))?
+        };
+        let reserve = || urgent.then(|| workers.urgent().best(size, score))?;
+        let scarce = || {
+            let needed = !self.plain_holds(size, urgent);
+            needed.then(|| workers.accelerated().best(size, score))?
+        };
+        plain.or_else(beside).or_else(reserve).or_else(scarce)
+    }
+
+    /// A worker in a rack with as few replicas as any.
+    fn find_spread(
+        &self,
+        entry: &Entry,
+        size: Size,
+        score: impl Fn(Slot, Size) -> Option<u64>,
+    ) -> Option<Slot> {
+        let fewest = if entry.racks.len() < self.workers.rack_count() {
+            0
+        } else {
+            entry.racks.values().min().copied().unwrap_or(0)
+        };
+        let in_rack = |slot: Slot| {
+            let rack = self.workers.get(slot).spec.rack;
+            entry.racks.get(&rack).copied().unwrap_or(0)
+        };
+        (fewest..=fewest + 1).find_map(|most| {
+            let spread = |slot, room| {
+                let few = in_rack(slot) <= most;
+                few.then(|| score(slot, room))?
+            };
+            self.workers.plain().best(size, spread)
+        })
+    }
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,128 +1,45 @@
-//! Queues and decisions.
+//! The placer: what it is told, and its bookkeeping.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeSet;
 
-use model::{Class, Kind, RackId, Repeat, Size, TaskId, Team, Time, Unit, UnitId, WorkerId};
+use model::{Kind, Size, TaskId, Team, Time, Unit, UnitId, WorkerId};
 
-use crate::Unplaceable;
+use crate::{
+    Decision, PlaceConfig, Unplaceable, Waiting, WorkerSpec,
+    fit::Slot,
+    growth::Growth,
+    health::Trust,
+    kept::Kept,
+    learn::Learning,
+    queues::Queues,
+    stops::Stops,
+    teams::Teams,
+    units::{Entry, Hold, Placed, TaskKey, UnitIx, Units},
+    workers::Workers,
+};
 
-/// Settings of a [`Placer`].
-#[derive(Clone, Debug)]
-pub struct PlaceConfig {
-    /// The most decisions of one call of [`Placer::decide`]. 1,000 by default.
-    pub batch_max: usize,
-}
-
-impl Default for PlaceConfig {
-    fn default() -> Self {
-        Self { batch_max: 1_000 }
-    }
-}
-
-/// A worker as the platform lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkerSpec {
-    /// The worker.
-    pub id: WorkerId,
-    /// The rack it stands in.
-    pub rack: RackId,
-    /// All that it holds.
-    pub size: Size,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TaskEnd {
-    /// It ended well.
-    Succeeded,
-    /// It ended with a failure of its own.
-    Failed,
-    /// It could not be started on its worker.
-    StartFailed,
-    /// It was stopped with its progress saved.
-    Checkpointed,
-    /// It was stopped by a command.
-    Stopped,
-    /// Its worker is gone and its lease has lapsed.
-    Lost,
-    /// It surely never started.
-    NotStarted,
-}
-
-/// What follows after an attempt has ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// The task is done.
-    Done,
-    /// The task waits for another attempt.
-    Waits,
-    /// The task is given up.
-    GivenUp {
-        /// Why.
-        reason: String,
-    },
-}
-
-/// A task that is to be started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Waiting {
-    /// The task's number within its unit.
-    pub index: u32,
-    /// How many of its attempts have failed.
-    pub failures: u32,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Start a task. Its room is reserved.
-    Start {
-        /// The task.
-        task: TaskId,
-        /// Where it starts.
-        worker: WorkerId,
-        /// What is reserved for it.
-        size: Size,
-    },
-    /// Stop a task that runs or is being started.
-    Stop {
-        /// The task.
-        task: TaskId,
-        /// Where it runs.
-        worker: WorkerId,
-    },
-}
-
-#[derive(Clone, Debug)]
-struct Worker {
-    size: Size,
-    used: Size,
-    open: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Placed {
-    worker: WorkerId,
-    size: Size,
-}
-
-#[derive(Clone, Debug)]
-struct Entry {
-    unit: Unit,
-    waiting: VecDeque<u32>,
-    failures: BTreeMap<u32, u32>,
-}
+/// A service's replica that ran for so long has its earlier failures forgiven.
+const STABLE_RUN: std::time::Duration = std::time::Duration::from_secs(600);
 
 /// Decides which tasks start where in one failure domain.
 #[derive(Clone, Debug)]
 pub struct Placer {
-    cfg: PlaceConfig,
-    teams: BTreeMap<String, Team>,
-    used_by_team: BTreeMap<String, Size>,
-    workers: BTreeMap<WorkerId, Worker>,
-    units: BTreeMap<UnitId, Entry>,
-    queues: BTreeMap<Class, Vec<UnitId>>,
-    placed: BTreeMap<TaskId, Placed>,
+    pub(crate) cfg: PlaceConfig,
+    pub(crate) teams: Teams,
+    pub(crate) workers: Workers,
+    pub(crate) units: Units,
+    pub(crate) queues: Queues,
+    pub(crate) learning: Learning,
+    pub(crate) kept: Kept,
+    pub(crate) growths: Vec<Growth>,
+    pub(crate) pending: Vec<Decision>,
+    pub(crate) dirty: bool,
+    pub(crate) recheck: bool,
+    pub(crate) next_patience: Time,
+    pub(crate) retry_gangs_at: Time,
+    pub(crate) stops: Stops,
+    pub(crate) quarantined: BTreeSet<(Time, Slot)>,
+    next_seq: u64,
 }
 
 impl Placer {
@@ -131,56 +48,88 @@
     pub fn new(cfg: PlaceConfig) -> Self {
         Self {
             cfg,
-            teams: BTreeMap::new(),
-            used_by_team: BTreeMap::new(),
-            workers: BTreeMap::new(),
-            units: BTreeMap::new(),
-            queues: BTreeMap::new(),
-            placed: BTreeMap::new(),
+            teams: Teams::default(),
+            workers: Workers::default(),
+            units: Units::default(),
+            queues: Queues::default(),
+            learning: Learning::default(),
+            kept: Kept::default(),
+            growths: Vec::new(),
+            pending: Vec::new(),
+            dirty: false,
+            recheck: false,
+            next_patience: Time::ZERO,
+            retry_gangs_at: Time::MAX,
+            stops: Stops::default(),
+            quarantined: BTreeSet::new(),
+            next_seq: 0,
         }
     }
 
     /// Adds a team or changes its quota.
     pub fn set_team(&mut self, team: &Team) {
-        self.teams.insert(team.name.clone(), team.clone());
+        if self.teams.set(team) {
+            self.changed();
+        }
     }
 
     /// Adds a worker, on which nothing is placed before it is opened.
     pub fn add_worker(&mut self, spec: WorkerSpec) {
-        self.workers.entry(spec.id).or_insert(Worker {
-            size: spec.size,
-            used: Size::ZERO,
-            open: false,
-        });
+        if self.workers.add(spec, &self.cfg) {
+            self.changed();
+        }
     }
 
     /// Lets work be placed on a worker.
     pub fn open_worker(&mut self, _now: Time, id: WorkerId) {
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.open = true;
+        let Some(slot) = self.workers.slot(id) else {
+            return;
+        };
+        if self.workers.set_open(slot, true, &self.cfg) {
+            self.changed();
         }
     }
 
     /// Lets no more work be placed on a worker. What runs there goes on.
     pub fn close_worker(&mut self, id: WorkerId) {
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.open = false;
+        let Some(slot) = self.workers.slot(id) else {
+            return;
+        };
+        if self.workers.set_open(slot, false, &self.cfg) {
+            self.drop_groups(|group| group.rooms.contains_key(&slot));
+            self.changed();
         }
     }
 
+    const fn changed(&mut self) {
+        self.recheck = true;
+        self.dirty = true;
+    }
+
     /// Adds a unit or changes its description. None of its tasks waits before [`Self::enqueue`].
+    /// Tasks beyond a lowered number are dropped or stopped.
     pub fn add_unit(&mut self, id: &UnitId, unit: &Unit) {
-        if let Some(entry) = self.units.get_mut(id) {
-            entry.unit = unit.clone();
+        let team = self.teams.index(&unit.team);
+        let name = self.learning.name(&unit.name);
+        let Some(ix) = self.units.find(id) else {
+            let entry = Entry::new(id, unit, team, name, self.next_seq);
+            self.next_seq += 1;
+            self.units.insert(entry);
             return;
-        }
-        let entry = Entry {
-            unit: unit.clone(),
-            waiting: VecDeque::new(),
-            failures: BTreeMap::new(),
         };
-        self.units.insert(id.clone(), entry);
-        self.queues.entry(unit.class).or_default().push(id.clone());
+        if self.units.get(ix).is_none_or(|entry| entry.unit == *unit) {
+            return;
+        }
+        self.drop_groups(|group| group.unit == ix);
+        if let Some(entry) = self.units.get_mut(ix) {
+            self.queues.remove(ix, entry);
+            entry.unit = unit.clone();
+            entry.team = team;
+            entry.name = name;
+        }
+        self.drop_surplus(ix);
+        self.file(ix);
+        self.changed();
     }
 
     /// Puts tasks of a known unit in the queue. Tasks that wait or run already are left as they are.
@@ -190,193 +139,285 @@
     /// The unit can never run as things stand; nothing is queued.
     pub fn enqueue(
         &mut self,
-        _now: Time,
+        now: Time,
         id: &UnitId,
         waiting: &[Waiting],
     ) -> Result<(), Unplaceable> {
-        let Some(entry) = self.units.get(id) else {
+        let Some(ix) = self.units.find(id) else {
+            return Ok(());
+        };
+        self.check(ix)?;
+        let Some(entry) = self.units.get_mut(ix) else {
             return Ok(());
         };
-        self.check(&entry.unit)?;
-        for task in waiting {
-            let placed = self.placed.contains_key(&TaskId::new(id, task.index));
-            if let Some(entry) = self.units.get_mut(id)
-                && !placed
-                && !entry.waiting.contains(&task.index)
-            {
-                entry.waiting.push_back(task.index);
-                entry.failures.insert(task.index, task.failures);
+        if entry.waiting.is_empty() {
+            entry.since = now;
+        }
+        for new in waiting {
+            let task = entry.tasks.entry(new.index).or_default();
+            if task.placed.is_none() && !task.kept && task.due.is_none() {
+                task.failures = task.failures.max(new.failures);
+                entry.waiting.insert(new.index);
             }
         }
+        entry.blocked = None;
+        self.file(ix);
+        self.dirty = true;
         Ok(())
     }
 
     /// Forgets a unit none of whose tasks runs.
     pub fn remove_unit(&mut self, id: &UnitId) {
-        if let Some(entry) = self.units.remove(id)
-            && let Some(queue) = self.queues.get_mut(&entry.unit.class)
-        {
-            queue.retain(|other| other != id);
-        }
-    }
-
-    fn check(&self, unit: &Unit) -> Result<(), Unplaceable> {
-        let Some(team) = self.teams.get(&unit.team) else {
-            return Err(Unplaceable::NoTeam(unit.team.clone()));
-        };
-        let at_once = match unit.kind {
-            Kind::Gang { tasks } => unit.size.times(tasks),
-            Kind::Batch { .. } | Kind::Service { .. } => unit.size,
+        let Some(ix) = self.units.find(id) else {
+            return;
         };
-        if !at_once.fits(&team.quota) {
-            return Err(Unplaceable::OverQuota(at_once));
-        }
-        let held = self.workers.values().any(|w| unit.size.fits(&w.size));
-        if !held && !self.workers.is_empty() {
-            return Err(Unplaceable::TooLarge(unit.size));
+        self.drop_waiting(ix);
+        let running = self.running(ix);
+        for index in running {
+            self.release((ix, index));
         }
-        Ok(())
+        self.units.remove(ix);
     }
 
     /// Counts a task that was found running on a worker, also where it exceeds what the worker holds.
-    pub fn adopt(&mut self, _now: Time, task: &TaskId, worker: WorkerId, size: Size) {
-        if let Some(entry) = self.units.get_mut(&task.unit) {
-            entry.waiting.retain(|index| *index != task.index);
+    pub fn adopt(&mut self, now: Time, task: &TaskId, worker: WorkerId, size: Size) {
+        let Some(ix) = self.units.find(&task.unit) else {
+            return;
+        };
+        let unknown = WorkerSpec {
+            id: worker,
+            rack: model::RackId::default(),
+            size: Size::ZERO,
+        };
+        if self.workers.slot(worker).is_none() {
+            self.workers.add(unknown, &self.cfg);
         }
-        self.reserve(task.clone(), worker, size);
+        let Some(slot) = self.workers.slot(worker) else {
+            return;
+        };
+        let key = (ix, task.index);
+        self.release(key);
+        self.drop_groups(|group| {
+            group.unit == ix && group.tasks.iter().any(|t| t.index == task.index)
+        });
+        self.undelay(key);
+        self.put(now, key, slot, size, false);
     }
 
-    /// Frees what a task held, and says what follows.
-    pub fn ended(&mut self, _now: Time, task: &TaskId, end: TaskEnd) -> Next {
-        self.release(task);
-        let Some(entry) = self.units.get_mut(&task.unit) else {
-            return Next::Done;
+    fn undelay(&mut self, key: TaskKey) {
+        let Some(entry) = self.units.get_mut(key.0) else {
+            return;
         };
-        let failed = matches!(end, TaskEnd::Failed | TaskEnd::StartFailed);
-        let never = entry.unit.repeat == Repeat::Never;
-        match end {
-            TaskEnd::Succeeded if !entry.unit.kind.is_service() => return Next::Done,
-            TaskEnd::Lost if never => return given_up("it may have run and must not be repeated"),
-            TaskEnd::Failed if never => return given_up("it failed and must not be repeated"),
-            _ => {}
-        }
-        let failures = entry.failures.entry(task.index).or_default();
-        *failures += u32::from(failed);
-        if failed && *failures >= entry.unit.attempts {
-            return given_up("all attempts failed");
+        let task = entry.tasks.entry(key.1).or_default();
+        if let Some(due) = task.due.take() {
+            entry.delayed -= 1;
+            self.queues.undelay(due, key);
         }
-        entry.waiting.push_back(task.index);
-        Next::Waits
     }
 
-    fn release(&mut self, task: &TaskId) {
-        let Some(placed) = self.placed.remove(task) else {
+    /// Reserves room for a task, which no longer waits.
+    pub(crate) fn put(&mut self, now: Time, key: TaskKey, slot: Slot, size: Size, revocable: bool) {
+        let max = self.cfg.preemptions_max;
+        let Some(entry) = self.units.get(key.0) else {
             return;
         };
-        if let Some(worker) = self.workers.get_mut(&placed.worker) {
-            worker.used -= placed.size;
+        let hold = if entry.is_service() {
+            Hold::Lasting
+        } else if revocable {
+            Hold::Revocable
+        } else if entry.preemptible(key.1, max) {
+            Hold::Preemptible
+        } else {
+            Hold::Firm
+        };
+        let placed = Placed {
+            slot,
+            size,
+            since: now,
+            ends: now + self.run_time_of(entry),
+            hold,
+            ending: false,
+            growing: false,
+            throttled: false,
+            team: entry.team,
+        };
+        self.workers.reserve(key, &placed, &self.cfg);
+        self.teams.add(placed.team, size);
+        let rack = self.workers.get(slot).spec.rack;
+        if let Some(entry) = self.units.get_mut(key.0) {
+            entry.since = now;
+            entry.waiting.remove(&key.1);
+            *entry.racks.entry(rack).or_default() += 1;
+            entry.tasks.entry(key.1).or_default().placed = Some(placed);
         }
-        let entry = self.units.get(&task.unit);
-        if let Some(used) = entry.and_then(|e| self.used_by_team.get_mut(&e.unit.team)) {
-            *used -= placed.size;
+        self.file(key.0);
+    }
+
+    /// Frees what a task held.
+    pub(crate) fn release(&mut self, key: TaskKey) -> Option<Placed> {
+        let entry = self.units.get_mut(key.0)?;
+        let placed = entry.tasks.get_mut(&key.1)?.placed.take()?;
+        let rack = self.workers.get(placed.slot).spec.rack;
+        if let Some(n) = entry.racks.get_mut(&rack) {
+            *n -= 1;
+            if *n == 0 {
+                entry.racks.remove(&rack);
+            }
         }
+        self.workers.release(key, &placed, &self.cfg);
+        self.teams.sub(placed.team, placed.size);
+        self.dirty = true;
+        Some(placed)
     }
 
-    /// Drops a unit: what waits is forgotten, what runs is stopped.
-    pub fn cancel(&mut self, _now: Time, id: &UnitId, out: &mut Vec<Decision>) {
-        let Some(entry) = self.units.get_mut(id) else {
-            return;
-        };
-        entry.waiting.clear();
-        if let Some(queue) = self.queues.get_mut(&entry.unit.class) {
-            queue.retain(|other| other != id);
+    /// Takes a reservation back that was never announced.
+    pub(crate) fn unput(&mut self, key: TaskKey) {
+        self.release(key);
+        if let Some(entry) = self.units.get_mut(key.0) {
+            entry.waiting.insert(key.1);
         }
-        for index in 0..entry.unit.kind.tasks() {
-            let task = TaskId::new(id, index);
-            if let Some(placed) = self.placed.get(&task) {
-                let worker = placed.worker;
-                out.push(Decision::Stop { task, worker });
-            }
+        self.file(key.0);
+    }
+
+    pub(crate) fn announce(&self, key: TaskKey, out: &mut Vec<Decision>) {
+        if let (Some(entry), Some(placed)) = (self.units.get(key.0), self.units.placed(key)) {
+            out.push(Decision::Start {
+                task: entry.task_id(key.1),
+                worker: self.workers.get(placed.slot).spec.id,
+                size: placed.size,
+            });
         }
     }
 
-    /// Decides what starts now.
-    pub fn decide(&mut self, _now: Time, out: &mut Vec<Decision>) {
-        for class in Class::URGENT_FIRST {
-            let queue = self.queues.get(&class).cloned().unwrap_or_default();
-            for id in queue {
-                self.start_unit(&id, out);
-                if out.len() >= self.cfg.batch_max {
-                    return;
-                }
-            }
+    pub(crate) fn announce_stop(&self, key: TaskKey, out: &mut Vec<Decision>) {
+        if let (Some(entry), Some(placed)) = (self.units.get(key.0), self.units.placed(key)) {
+            out.push(Decision::Stop {
+                task: entry.task_id(key.1),
+                worker: self.workers.get(placed.slot).spec.id,
+            });
         }
     }
 
-    fn start_unit(&mut self, id: &UnitId, out: &mut Vec<Decision>) {
-        let Some(entry) = self.units.get(id) else {
-            return;
-        };
-        let size = entry.unit.size;
-        let together = matches!(entry.unit.kind, Kind::Gang { .. });
-        let waiting: Vec<u32> = entry.waiting.iter().copied().collect();
-        let begun = out.len();
-        for index in &waiting {
-            let Some(worker) = self.first_fit(id, size) else {
-                break;
-            };
-            let task = TaskId::new(id, *index);
-            self.reserve(task.clone(), worker, size);
-            out.push(Decision::Start { task, worker, size });
+    /// Decides what is done now.
+    pub fn decide(&mut self, now: Time, out: &mut Vec<Decision>) {
+        self.give_stops(now, out);
+        self.end_backoffs(now);
+        self.end_quarantines(now);
+        self.recheck();
+        out.append(&mut self.pending);
+        self.settle_growths(now, out);
+        self.settle_groups(now, out);
+        if now >= self.retry_gangs_at {
+            self.retry_gangs_at = Time::MAX;
+            self.dirty = true;
         }
-        let started = out.len() - begun;
-        if together && started < waiting.len() {
-            self.undo(out.split_off(begun));
-        } else if let Some(entry) = self.units.get_mut(id) {
-            entry.waiting.drain(..started);
+        if self.dirty {
+            self.pass(now, out);
         }
+        self.keep_for_patient(now);
     }
 
-    fn undo(&mut self, decisions: Vec<Decision>) {
-        for decision in decisions {
-            if let Decision::Start { task, .. } = decision {
-                self.release(&task);
+    fn end_backoffs(&mut self, now: Time) {
+        while let Some((ix, index)) = self.queues.pop_due(now) {
+            let Some(entry) = self.units.get_mut(ix) else {
+                continue;
+            };
+            entry.delayed -= 1;
+            if entry.waiting.is_empty() {
+                entry.since = now;
             }
+            entry.waiting.insert(index);
+            entry.tasks.entry(index).or_default().due = None;
+            self.file(ix);
+            self.dirty = true;
         }
     }
 
-    fn first_fit(&self, id: &UnitId, size: Size) -> Option<WorkerId> {
-        let team = self.teams.get(&self.units.get(id)?.unit.team)?;
-        let used = self
-            .used_by_team
-            .get(&team.name)
-            .copied()
-            .unwrap_or_default();
-        if !(used + size).fits(&team.quota) {
-            return None;
+    fn end_quarantines(&mut self, now: Time) {
+        while let Some((until, slot)) = self.quarantined.first().copied() {
+            if until > now {
+                return;
+            }
+            self.quarantined.pop_first();
+            self.workers.probe(slot, now, &self.cfg);
+            self.dirty = true;
         }
-        self.workers
-            .iter()
-            .find(|(_, w)| w.open && (w.used + size).fits(&w.size))
-            .map(|(id, _)| *id)
     }
 
-    fn reserve(&mut self, task: TaskId, worker: WorkerId, size: Size) {
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.used += size;
+    /// Brings the queues in step with a unit.
+    pub(crate) fn file(&mut self, ix: UnitIx) {
+        if let Some(entry) = self.units.get(ix) {
+            self.queues.file(ix, entry);
         }
-        if let Some(entry) = self.units.get(&task.unit) {
-            *self
-                .used_by_team
-                .entry(entry.unit.team.clone())
-                .or_default() += size;
+    }
+
+    /// What is reserved for each of a unit's tasks.
+    pub(crate) fn size_of(&self, ix: UnitIx) -> Size {
+        self.units.get(ix).map_or(Size::ZERO, |entry| {
+            self.learning.of(entry.name).size(entry.unit.size)
+        })
+    }
+
+    /// How long a task of a unit is expected to run.
+    pub(crate) fn run_time_of(&self, entry: &Entry) -> std::time::Duration {
+        match entry.unit.kind {
+            Kind::Service { .. } => STABLE_RUN,
+            _ => self.learning.of(entry.name).run_time(entry.unit.run_time),
         }
-        self.placed.insert(task, Placed { worker, size });
     }
-}
 
-fn given_up(reason: &str) -> Next {
-    Next::GivenUp {
-        reason: reason.to_owned(),
+    /// What is reserved for a task that runs or is being started.
+    #[must_use]
+    pub fn reserved(&self, task: &TaskId) -> Option<Size> {
+        let ix = self.units.find(&task.unit)?;
+        Some(self.units.placed((ix, task.index))?.size)
+    }
+
+    /// How many failures count against a task. Those that its workers are blamed for do not.
+    #[must_use]
+    pub fn failures(&self, task: &TaskId) -> u32 {
+        let entry = self
+            .units
+            .find(&task.unit)
+            .and_then(|ix| self.units.get(ix));
+        let task = entry.and_then(|entry| entry.tasks.get(&task.index));
+        task.map_or(0, |task| task.failures)
+    }
+
+    /// Whether a worker gets no work because everything failed there.
+    #[must_use]
+    pub fn is_quarantined(&self, id: WorkerId) -> bool {
+        let worker = self.workers.slot(id).map(|slot| self.workers.get(slot));
+        worker.is_some_and(|worker| worker.health.trust != Trust::Full)
+    }
+
+    /// The room of all workers that take work, summed over them.
+    #[must_use]
+    pub const fn free(&self) -> Size {
+        self.workers.free()
+    }
+
+    /// When [`Self::decide`] is due at the latest, if nothing else is told before. A point that has
+    /// passed means at once.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.dirty || self.recheck || !self.pending.is_empty() {
+            return Some(Time::ZERO);
+        }
+        let timeout = self.cfg.checkpoint_timeout;
+        let groups = self.kept.groups.values();
+        let groups = groups.map(|g| g.asked.at.map_or(g.shadow, |at| at + timeout));
+        let quarantine = self.quarantined.first().map(|(until, _)| *until);
+        let patience = (!self.queues.is_empty()).then_some(self.next_patience);
+        let gangs = (self.retry_gangs_at < Time::MAX).then_some(self.retry_gangs_at);
+        let others = [
+            self.queues.first_delay(),
+            self.stops.next(),
+            self.growth_deadline(),
+            quarantine,
+            patience,
+            gangs,
+        ];
+        groups.chain(others.into_iter().flatten()).min()
     }
 }
