store: changes that waited too long are given up as not run; conflicts are fenced

Cause: changes waited without bound in an outage. A transaction that failed on the absence of a row could still be made by a late copy after its change was settled as a conflict, and the changes of a split batch could then be made twice. A stale process of a node went on against its successor's marker row. Change: Settlement::NotRun (never sent, or surely not made) and MayHaveRun (only for a stale process); push takes the time; a fence transaction before such a conflict is settled; at most one transaction per interval also after a marker conflict; oldest_waiting, is_stale. The node settles what poll gives up and registers again if its row was not written.

--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -4,7 +4,7 @@
 
 use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
 use store::{
-    Check, CommitChange, CommitConfig, CommitOutput, Full, GroupCommit, Settlement, StoreError,
+    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, Settlement, StoreError,
     TableReq, TableResp, WorkerCall, Write,
 };
 
@@ -93,25 +93,33 @@
 
     pub(crate) fn push(
         &mut self,
+        now: Time,
         owner: Owner,
         checks: Vec<Check>,
         writes: Vec<Write>,
-    ) -> Result<(), Full> {
+    ) -> Result<(), NotTaken> {
         let tag = self.last_tag + 1;
-        self.group.push(CommitChange {
+        let change = CommitChange {
             tag,
             checks,
             writes,
-        })?;
+        };
+        self.group.push(now, change)?;
         self.last_tag = tag;
         self.owners.insert(tag, owner);
         Ok(())
     }
 
-    pub(crate) fn poll(&mut self, now: Time, calls: &mut Calls, out: &mut Vec<Action>) {
+    /// Makes the next call if one is due, and returns what was given up.
+    pub(crate) fn poll(
+        &mut self,
+        now: Time,
+        calls: &mut Calls,
+        out: &mut Vec<Action>,
+    ) -> Vec<(Owner, Settlement)> {
         let mut outputs = Vec::new();
         self.group.poll(now, &mut outputs);
-        self.carry_out(outputs, calls, out);
+        self.carry_out(outputs, calls, out)
     }
 
     /// Takes the result of a commit's call, and returns what is settled by it.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -150,7 +150,10 @@
             Event::Object(..) | Event::Peer(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
-        self.commits.poll(now, &mut self.calls, out);
+        let given_up = self.commits.poll(now, &mut self.calls, out);
+        for (owner, settlement) in given_up {
+            self.settled(now, owner, settlement, out);
+        }
     }
 
     fn split<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> (Cx<'a>, Parts<'a>) {
@@ -173,7 +176,7 @@
             self.lease_step(now, Input::Members(Vec::new()), out);
         }
         self.lease_step(now, Input::Tick, out);
-        self.register();
+        self.register(now);
         let valid_until = self.lease.valid_until(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
@@ -221,7 +224,7 @@
     }
 
     /// Writes this node's row among the members.
-    fn register(&mut self) {
+    fn register(&mut self, now: Time) {
         if self.registered {
             return;
         }
@@ -235,7 +238,7 @@
         };
         self.registered = self
             .commits
-            .push(Owner::Nobody, Vec::new(), vec![write])
+            .push(now, Owner::Nobody, Vec::new(), vec![write])
             .is_ok();
     }
 
@@ -307,7 +310,7 @@
     fn settled(&mut self, now: Time, owner: Owner, settlement: Settlement, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
         match owner {
-            Owner::Nobody => {}
+            Owner::Nobody => self.registered = matches!(settlement, Settlement::Committed { .. }),
             Owner::State(id) => {
                 if let Some(scheduler) = parts.scheduler {
                     scheduler.state_settled(now, &id, settlement);
--- a/crates/node/src/core/operators.rs
+++ b/crates/node/src/core/operators.rs
@@ -201,7 +201,7 @@
         unit_writes(&entry, current, &publication.domains, &mut writes);
         if cx
             .commits
-            .push(Owner::Operator(id), vec![check], writes)
+            .push(cx.now, Owner::Operator(id), vec![check], writes)
             .is_err()
         {
             let message = "too many changes wait for the table; try again later".to_owned();
@@ -230,6 +230,14 @@
                 refuse(cx, id, Verdict::NotRun, message);
             }
             Settlement::Refused { reason } => refuse(cx, id, Verdict::NotRun, reason),
+            Settlement::NotRun => {
+                let message = "the table cannot be reached; try again later".to_owned();
+                refuse(cx, id, Verdict::NotRun, message);
+            }
+            Settlement::MayHaveRun => {
+                let message = "this node was replaced before the table answered".to_owned();
+                refuse(cx, id, Verdict::MayHaveRun, message);
+            }
         }
     }
 
--- a/crates/node/src/core/scheduler.rs
+++ b/crates/node/src/core/scheduler.rs
@@ -672,7 +672,7 @@
         for (id, job) in &mut self.jobs {
             if let Some((checks, writes)) = job.flush(self.domain, id) {
                 let owner = Owner::State(id.clone());
-                if cx.commits.push(owner, checks, writes).is_err() {
+                if cx.commits.push(cx.now, owner, checks, writes).is_err() {
                     job.not_flushed();
                 }
             }
@@ -702,6 +702,11 @@
                 log::error!("scheduler: the state of {id} was refused: {reason}");
                 job.not_flushed();
             }
+            Settlement::NotRun => job.not_flushed(),
+            Settlement::MayHaveRun => {
+                log::warn!("scheduler: a later start of this node writes to the table");
+                self.superseded = true;
+            }
         }
     }
 
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -2,15 +2,23 @@
 //!
 //! Each transaction checks and writes the node's marker row, which names the transaction by the
 //! node's incarnation and a sequence number. A transaction whose reply is lost is sent again as it
-//! was: if the first one has been made, or is made later, the second one fails on the marker's
-//! version, and reading the marker tells which transaction it names. So no write is made twice and
+//! was: if the first copy has been made, or is made later, the second one fails on the marker's
+//! version, and reading the marker tells which transaction it names. So no change is made twice, and
 //! none is given up while it could still be made.
+//!
+//! A transaction that the table did not make may have a copy on its way, which a check that fails now
+//! (`None`, the row's absence) does not stop for good. Before its changes are settled or tried
+//! anew, a transaction of the marker alone, the *fence*, raises the marker's version: after that no
+//! copy of an earlier transaction can be made.
+
+mod queue;
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use model::{Incarnation, NodeId, Time};
 use serde::{Deserialize, Serialize};
 
+use self::queue::{Queue, Waiting};
 use crate::{Check, Row, StoreError, TableReq, TableResp, Txn, Write, decode, encode};
 
 /// Settings of a [`GroupCommit`].
@@ -22,6 +30,8 @@
     pub changes_max: usize,
     /// The most changes that wait; further ones are refused. 10,000 by default.
     pub waiting_max: usize,
+    /// How long a change waits to be sent before it is given up as not run. 10 s by default.
+    pub waiting_time_max: Duration,
     /// The wait before an unanswered transaction is sent again. 500 ms by default.
     pub retry_after: Duration,
 }
@@ -32,6 +42,7 @@
             interval: Duration::from_millis(50),
             changes_max: 200,
             waiting_max: 10_000,
+            waiting_time_max: Duration::from_secs(10),
             retry_after: Duration::from_millis(500),
         }
     }
@@ -66,6 +77,12 @@
         /// The platform's reason.
         reason: String,
     },
+    /// It was not made, and never will be: it waited too long to be sent, or a later start of this
+    /// node has taken over its marker row.
+    NotRun,
+    /// It may have been made: its reply was lost, and a later start of this node has overwritten the
+    /// marker row that would have told.
+    MayHaveRun,
 }
 
 /// What the owner of a [`GroupCommit`] has to do.
@@ -77,10 +94,16 @@
     Settled(u64, Settlement),
 }
 
-/// Too many changes wait: the platform is slow or cannot be reached.
+/// Why a change was not taken; it will not be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("too many changes wait for the platform's table")]
-pub struct Full;
+pub enum NotTaken {
+    /// Too many changes wait: the platform is slow or cannot be reached.
+    #[error("too many changes wait for the platform's table")]
+    Full,
+    /// A later start of this node has taken over: this process is stale.
+    #[error("a later start of this node writes to the platform's table")]
+    Stale,
+}
 
 /// The marker row `marker/<node>`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,10 +112,17 @@
     seq: u64,
 }
 
+/// The transaction under way.
 #[derive(Clone, Debug)]
 struct Batch {
     seq: u64,
-    changes: Vec<CommitChange>,
+    changes: Vec<Waiting>,
+    /// A copy of the transaction was sent whose outcome is unknown.
+    uncertain: bool,
+    /// Why the table did not make it: it is being fenced.
+    failed: Option<Settlement>,
+    /// The number of the fence, once it was sent.
+    fence: Option<u64>,
 }
 
 /// What is known of the marker row.
@@ -110,7 +140,7 @@
     Idle,
     /// The marker is being read.
     ReadingMarker,
-    /// The batch's transaction is being made.
+    /// The batch's transaction, or its fence, is being made.
     Committing,
 }
 
@@ -122,13 +152,13 @@
     incarnation: Incarnation,
     marker: MarkerVersion,
     seq: u64,
-    waiting: VecDeque<CommitChange>,
-    /// Batches that a conflict has split; they go before what waits.
-    split: VecDeque<Vec<CommitChange>>,
+    queue: Queue,
     batch: Option<Batch>,
     phase: Phase,
     next_call: Time,
+    next_transaction: Time,
     transactions: u64,
+    stale: bool,
 }
 
 impl GroupCommit {
@@ -141,12 +171,13 @@
             incarnation,
             marker: MarkerVersion::Unread,
             seq: 0,
-            waiting: VecDeque::new(),
-            split: VecDeque::new(),
+            queue: Queue::default(),
             batch: None,
             phase: Phase::Idle,
             next_call: Time::ZERO,
+            next_transaction: Time::ZERO,
             transactions: 0,
+            stale: false,
         }
     }
 
@@ -154,12 +185,16 @@
     ///
     /// # Errors
     ///
-    /// Too many changes wait; this one is not taken and will not be made.
-    pub fn push(&mut self, change: CommitChange) -> Result<(), Full> {
-        if self.waiting.len() >= self.cfg.waiting_max {
-            return Err(Full);
+    /// Too many changes wait, or a later start of this node has taken over. The change is not taken
+    /// and will not be made.
+    pub fn push(&mut self, now: Time, change: CommitChange) -> Result<(), NotTaken> {
+        if self.stale {
+            return Err(NotTaken::Stale);
+        }
+        if self.queue.len() >= self.cfg.waiting_max {
+            return Err(NotTaken::Full);
         }
-        self.waiting.push_back(change);
+        self.queue.push(now, change);
         Ok(())
     }
 
@@ -167,8 +202,15 @@
     #[must_use]
     pub fn unsettled(&self) -> usize {
         let under_way = self.batch.as_ref().map_or(0, |batch| batch.changes.len());
-        let split: usize = self.split.iter().map(Vec::len).sum();
-        under_way + split + self.waiting.len()
+        under_way + self.queue.len()
+    }
+
+    /// How long the oldest change that is not settled has waited; zero where there is none.
+    #[must_use]
+    pub fn oldest_waiting(&self, now: Time) -> Duration {
+        let under_way = self.batch.iter().flat_map(|batch| &batch.changes);
+        let oldest = under_way.map(|w| w.since).chain(self.queue.oldest()).min();
+        oldest.map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// How many transactions were sent.
@@ -177,19 +219,28 @@
         self.transactions
     }
 
-    /// Makes the next call if one is due.
+    /// Whether a later start of this node has taken over. Nothing is sent any more.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Gives up what has waited too long, and makes the next call if one is due.
     pub fn poll(&mut self, now: Time, out: &mut Vec<CommitOutput>) {
+        self.give_up_expired(now, out);
         if self.phase != Phase::Idle || now < self.next_call || !self.fill_batch() {
             return;
         }
         let MarkerVersion::Known(marker_version) = self.marker else {
-            self.read_marker(out);
-            return;
+            return self.read_marker(out);
         };
+        if now < self.next_transaction {
+            return;
+        }
         let txn = self.transaction(marker_version);
         self.phase = Phase::Committing;
         self.transactions += 1;
-        self.next_call = now + self.cfg.interval;
+        self.next_transaction = now + self.cfg.interval;
         out.push(CommitOutput::Call(TableReq::Commit(txn)));
     }
 
@@ -208,25 +259,54 @@
         self.poll(now, out);
     }
 
+    /// Changes of which no copy was sent, or none that could still be made, are given up in time; a
+    /// change that may have been made stays until that is known.
+    fn give_up_expired(&mut self, now: Time, out: &mut Vec<CommitOutput>) {
+        let max = self.cfg.waiting_time_max;
+        let sent = |batch: &Batch| batch.uncertain || batch.failed.is_some();
+        if self.phase == Phase::Idle
+            && let Some(batch) = self.batch.take_if(|batch| !sent(batch))
+        {
+            let (expired, rest) = batch
+                .changes
+                .into_iter()
+                .partition(|w| now.since(w.since) > max);
+            settle(expired, &Settlement::NotRun, out);
+            let changes: Vec<Waiting> = rest;
+            self.batch = (!changes.is_empty()).then_some(Batch { changes, ..batch });
+        }
+        let expired = self.queue.take_expired(now, max);
+        settle(expired, &Settlement::NotRun, out);
+    }
+
     fn fill_batch(&mut self) -> bool {
         if self.batch.is_some() {
             return true;
         }
-        let changes = self.split.pop_front().unwrap_or_else(|| {
-            let n = self.waiting.len().min(self.cfg.changes_max);
-            self.waiting.drain(..n).collect()
-        });
+        let changes = self.queue.take(self.cfg.changes_max);
         if changes.is_empty() {
             return false;
         }
-        self.seq += 1;
-        let seq = self.seq;
-        self.batch = Some(Batch { seq, changes });
+        self.batch = Some(Batch {
+            seq: self.next_seq(),
+            changes,
+            uncertain: false,
+            failed: None,
+            fence: None,
+        });
         true
     }
 
-    fn transaction(&self, marker_version: Option<u64>) -> Txn {
-        let seq = self.seq;
+    const fn next_seq(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    fn transaction(&mut self, marker_version: Option<u64>) -> Txn {
+        let mut seq = self.seq;
+        if self.batch.as_ref().is_some_and(needs_fence_number) {
+            seq = self.next_seq();
+        }
         let marker = Marker {
             incarnation: self.incarnation,
             seq,
@@ -243,9 +323,16 @@
                 value: Some(encode(&marker)),
             }],
         };
-        for change in self.batch.iter().flat_map(|batch| &batch.changes) {
-            txn.checks.extend_from_slice(&change.checks);
-            txn.writes.extend_from_slice(&change.writes);
+        let Some(batch) = &mut self.batch else {
+            return txn;
+        };
+        if batch.failed.is_some() {
+            batch.fence = Some(seq);
+            return txn;
+        }
+        for waiting in &batch.changes {
+            txn.checks.extend_from_slice(&waiting.change.checks);
+            txn.writes.extend_from_slice(&waiting.change.writes);
         }
         txn
     }
@@ -266,18 +353,21 @@
             self.next_call = now + self.cfg.retry_after;
             return;
         };
-        self.marker = MarkerVersion::Known(row.as_ref().map(|row| row.version));
-        if let Some(version) = row.and_then(|row| self.names_batch(&row)) {
-            self.settle(&Settlement::Committed { version }, out);
+        let marker = row.as_ref().and_then(marker_of);
+        if marker.is_some_and(|marker| marker.incarnation > self.incarnation) {
+            return self.become_stale(out);
+        }
+        let version = row.map(|row| row.version);
+        self.marker = MarkerVersion::Known(version);
+        let ours = marker.filter(|marker| marker.incarnation == self.incarnation);
+        let (Some(marker), Some(version), Some(batch)) = (ours, version, &self.batch) else {
+            return;
+        };
+        if marker.seq == batch.seq {
+            self.settle_batch(&Settlement::Committed { version }, out);
+        } else if Some(marker.seq) == batch.fence {
+            self.fenced(out);
         }
-    }
-
-    /// The version of the marker, if it names the transaction under way.
-    fn names_batch(&self, row: &Row) -> Option<u64> {
-        let batch = self.batch.as_ref()?;
-        let marker: Marker = decode(&row.value).ok()?;
-        let ours = marker.incarnation == self.incarnation && marker.seq == batch.seq;
-        ours.then_some(row.version)
     }
 
     fn committed(
@@ -289,48 +379,108 @@
         match result {
             Ok(TableResp::Committed { version }) => {
                 self.marker = MarkerVersion::Known(Some(version));
-                self.settle(&Settlement::Committed { version }, out);
+                if self.batch.as_ref().is_some_and(|b| b.failed.is_some()) {
+                    self.fenced(out);
+                } else {
+                    self.settle_batch(&Settlement::Committed { version }, out);
+                }
             }
             Ok(TableResp::Conflict { key }) if key == self.marker_key => {
                 self.marker = MarkerVersion::Unread;
-                self.next_call = now;
             }
-            Ok(TableResp::Conflict { key }) => self.split_or_settle(key, out),
+            Ok(TableResp::Conflict { key }) => {
+                self.not_made(now, Settlement::Conflict { key }, out);
+            }
             Err(StoreError::Refused(reason)) => {
-                self.settle(&Settlement::Refused { reason }, out);
+                self.not_made(now, Settlement::Refused { reason }, out);
             }
-            Ok(_) | Err(StoreError::Unreachable(_) | StoreError::Lost(_)) => {
+            Err(StoreError::Unreachable(_)) => self.next_call = now + self.cfg.retry_after,
+            Ok(_) | Err(StoreError::Lost(_)) => {
                 self.next_call = now + self.cfg.retry_after;
+                if let Some(batch) = &mut self.batch {
+                    batch.uncertain = true;
+                }
             }
         }
     }
 
-    /// A transaction that conflicts is not made at all: its changes are tried one by one, so that one
-    /// change's conflict is not another's.
-    fn split_or_settle(&mut self, key: String, out: &mut Vec<CommitOutput>) {
-        let Some(batch) = self.batch.take() else {
+    /// The table has not made the transaction. A conflict that can never turn into success, and a
+    /// refusal, need no fence unless another copy is on its way.
+    fn not_made(&mut self, now: Time, failure: Settlement, out: &mut Vec<CommitOutput>) {
+        let Some(batch) = &mut self.batch else {
             return;
         };
-        if let [change] = &batch.changes[..] {
-            out.push(CommitOutput::Settled(
-                change.tag,
-                Settlement::Conflict { key },
-            ));
+        if batch.failed.is_some() {
+            // The fence itself was refused: it is sent again.
+            self.next_call = now + self.cfg.retry_after;
             return;
         }
-        for change in batch.changes.into_iter().rev() {
-            self.split.push_front(vec![change]);
+        let for_good = match &failure {
+            Settlement::Conflict { key } => batch.never_again(key),
+            _ => !batch.uncertain,
+        };
+        batch.failed = Some(failure);
+        if for_good {
+            self.fenced(out);
+        }
+    }
+
+    /// No copy of the transaction can be made any more. Its changes are tried one by one, so that
+    /// one change's conflict is not another's.
+    fn fenced(&mut self, out: &mut Vec<CommitOutput>) {
+        let Some(batch) = self.batch.take() else {
+            return;
+        };
+        match batch.failed {
+            Some(failure) if batch.changes.len() == 1 => settle(batch.changes, &failure, out),
+            _ => self.queue.split(batch.changes),
         }
     }
 
-    fn settle(&mut self, settlement: &Settlement, out: &mut Vec<CommitOutput>) {
-        for change in self
-            .batch
-            .take()
-            .into_iter()
-            .flat_map(|batch| batch.changes)
-        {
-            out.push(CommitOutput::Settled(change.tag, settlement.clone()));
+    fn become_stale(&mut self, out: &mut Vec<CommitOutput>) {
+        self.stale = true;
+        if let Some(batch) = self.batch.take() {
+            let settlement = if batch.uncertain || batch.failed.is_some() {
+                Settlement::MayHaveRun
+            } else {
+                Settlement::NotRun
+            };
+            settle(batch.changes, &settlement, out);
         }
+        settle(self.queue.take_all(), &Settlement::NotRun, out);
+    }
+
+    fn settle_batch(&mut self, settlement: &Settlement, out: &mut Vec<CommitOutput>) {
+        if let Some(batch) = self.batch.take() {
+            settle(batch.changes, settlement, out);
+        }
+    }
+}
+
+impl Batch {
+    /// Whether the failed check of `key` can never hold again: versions are not reused, so only the
+    /// absence of a row can come back.
+    fn never_again(&self, key: &str) -> bool {
+        let checks = self.changes.iter().flat_map(|w| &w.change.checks);
+        checks
+            .filter(|check| check.key == key)
+            .any(|check| check.version.is_some())
+    }
+}
+
+const fn needs_fence_number(batch: &Batch) -> bool {
+    batch.failed.is_some() && batch.fence.is_none()
+}
+
+fn marker_of(row: &Row) -> Option<Marker> {
+    decode(&row.value).ok()
+}
+
+fn settle(changes: Vec<Waiting>, settlement: &Settlement, out: &mut Vec<CommitOutput>) {
+    for waiting in changes {
+        out.push(CommitOutput::Settled(
+            waiting.change.tag,
+            settlement.clone(),
+        ));
     }
 }
