--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -265,7 +265,9 @@
             key: member_key(self.me.node),
             value: Some(encode(&row)),
         };
-        let pushed = cx.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+        let pushed = cx
+            .commits
+            .push(cx.now, Owner::Nobody, Vec::new(), vec![write]);
         self.registered = pushed.is_ok();
     }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -185,7 +185,10 @@
             Event::Object(..) | Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
-        self.commits.poll(now, &mut self.calls, out);
+        let given_up = self.commits.poll(now, &mut self.calls, out);
+        for (owner, settlement) in given_up {
+            self.settled(now, owner, settlement, out);
+        }
     }
 
     fn split<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> (Cx<'a>, Parts<'a>) {
@@ -260,7 +263,9 @@
                 value: None,
             };
             // A full queue only delays it.
-            let _ = self.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+            let _ = self
+                .commits
+                .push(now, Owner::Nobody, Vec::new(), vec![write]);
         }
     }
 
