cli: the cell grows callers, links, faults and records judged from outside (thin core)

Change: processes with clocks of their own that crash, pause and exit; links; callers, backend servers; scheduled and seeded faults; records of what was seen outside and eight checks over them.

--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -1,87 +1,110 @@
 //! A whole cell in one process, on virtual time: the daemon's own state machines over the stand-ins
-//! for the platform, with seeded faults.
+//! for the platform, with callers, backend servers, links and seeded faults.
 
+mod callers;
+mod calls;
+mod chaos;
+mod config;
+mod fault;
+mod faults;
+mod links;
+mod log;
+mod process;
 mod promises;
 mod queue;
+mod records;
+mod traffic;
 
 use std::{collections::BTreeMap, time::Duration};
 
-use fakes::{FakePlatform, Fate, FaultLevel, Faults, PlatformSpec};
-use model::{Incarnation, NodeId, Time};
+use fakes::{FakePlatform, FakeWorker, Faults, Rng};
+use model::{Catalog, Kind, NodeId, Repeat, SourceFile, Time};
 use node::{
-    Action, CallId, Event, Identity, Node, NodeConfig, OperatorId,
-    api::{OperatorReq, OperatorResp},
+    Action, Event, OperatorId,
+    api::{FileText, OperatorReq, OperatorResp},
 };
-use store::{StoreError, TableReq, WorkerCall};
+use peer::PeerMsg;
 
-use self::queue::Queue;
+use self::{
+    callers::Callers,
+    calls::PlatformCall,
+    links::{Links, Place},
+    log::Log,
+    process::Process,
+    queue::Queue,
+    records::{VersionSeen, WorkerPeak},
+    traffic::{Traffic, TrafficStep},
+};
+pub use self::{
+    config::{CellConfig, Load},
+    fault::Fault,
+    promises::broken,
+    records::{
+        Answer, Disturbance, Execution, Leaving, Records, Try, TryId, VersionSeen as SeenVersion,
+        WorkerPeak as PeakOfWorker,
+    },
+};
 
 /// How often a node's clock ticks.
 const TICK: Duration = Duration::from_millis(50);
-/// After this time a call without an answer counts as lost.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
-/// The round trip between a node and the platform.
-const PLATFORM_ROUND_TRIP: Duration = Duration::from_millis(4);
-
-/// How a cell is made up.
-#[derive(Clone, Debug)]
-pub struct CellConfig {
-    /// All that is random depends on it. 1 by default.
-    pub seed: u64,
-    /// How many faults there are. None by default.
-    pub faults: FaultLevel,
-    /// The platform.
-    pub platform: PlatformSpec,
-    /// How many nodes each failure domain has. 2 by default.
-    pub nodes_per_domain: u32,
-    /// The nodes' settings.
-    pub node: NodeConfig,
-}
-
-impl Default for CellConfig {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            faults: FaultLevel::None,
-            platform: PlatformSpec::default(),
-            nodes_per_domain: 2,
-            node: NodeConfig::default(),
-        }
-    }
-}
+/// How often the cell is looked at from outside.
+const LOOK: Duration = Duration::from_millis(500);
+/// An operator waits for an answer this long.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// What is to happen at a point in time.
 #[derive(Clone, Debug)]
 enum Happening {
-    Tick(NodeId),
-    Event(NodeId, Event),
-    TableArrives {
-        node: NodeId,
-        call: CallId,
-        req: TableReq,
-        fate: Fate,
-        again: bool,
-    },
-    WorkerArrives {
-        node: NodeId,
-        call: CallId,
-        req: WorkerCall,
-        fate: Fate,
-        again: bool,
-    },
+    Tick(NodeId, u64),
+    /// An event for one start of a node.
+    Event(NodeId, u64, Event),
+    /// An event for whatever runs on the node's VM by then.
+    Operator(NodeId, OperatorId, OperatorReq),
+    Peer(NodeId, NodeId, PeerMsg),
+    Call(PlatformCall),
+    Traffic(TrafficStep),
+    Fault(Fault),
+    /// A process starts on the node's VM.
+    Boot(NodeId),
+    Resume(NodeId, u64),
+    Look,
+}
+
+/// Counts of what the cell cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Costs {
+    /// Messages between nodes.
+    pub peer_messages: u64,
+    /// Calls to workers.
+    pub worker_calls: u64,
+    /// Calls that read the table.
+    pub table_reads: u64,
+    /// Transactions that were tried.
+    pub table_writes: u64,
+    /// Requests that were passed on to a node of another region.
+    pub cross_region_requests: u64,
 }
 
 /// A whole cell on virtual time.
 #[derive(Debug)]
 pub struct Cell {
+    cfg: CellConfig,
     now: Time,
+    rng: Rng,
     queue: Queue<Happening>,
     platform: FakePlatform,
     faults: Faults,
-    nodes: BTreeMap<NodeId, Node>,
-    domains: BTreeMap<NodeId, model::DomainId>,
+    links: Links,
+    places: BTreeMap<NodeId, Place>,
+    processes: BTreeMap<NodeId, Process>,
+    starts: BTreeMap<NodeId, u64>,
     answers: BTreeMap<OperatorId, OperatorResp>,
     last_operator: u64,
+    traffic: Traffic,
+    callers: Callers,
+    records: Records,
+    costs: Costs,
+    log: Log,
 }
 
 impl Cell {
@@ -92,26 +115,35 @@
     /// Never: the names that it makes for domains and regions are valid.
     #[must_use]
     pub fn new(cfg: &CellConfig) -> Self {
-        let mut queue = Queue::default();
-        let mut nodes = BTreeMap::new();
-        let mut domains = BTreeMap::new();
-        let count = cfg.platform.domains * cfg.nodes_per_domain;
-        for i in 0..count {
-            let me = identity(i, cfg);
-            domains.insert(me.node, me.domain);
-            queue.push(Time::from_ms(u64::from(i)), Happening::Tick(me.node));
-            nodes.insert(me.node, Node::new(cfg.node.clone(), me));
-        }
-        Self {
+        let mut cell = Self {
             now: Time::ZERO,
-            queue,
+            rng: Rng::new(cfg.seed ^ 0x6365_6c6c),
+            queue: Queue::default(),
             platform: FakePlatform::new(&cfg.platform),
             faults: Faults::new(cfg.seed, cfg.faults),
-            nodes,
-            domains,
+            links: Links::new(cfg.seed, cfg.faults),
+            places: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            starts: BTreeMap::new(),
             answers: BTreeMap::new(),
             last_operator: 0,
+            traffic: Traffic::new(cfg.seed, cfg.faults),
+            callers: Callers::default(),
+            records: Records::default(),
+            costs: Costs::default(),
+            log: Log::default(),
+            cfg: cfg.clone(),
+        };
+        for i in 0..cfg.platform.domains * cfg.nodes_per_domain {
+            let place = place(i, cfg);
+            cell.places.insert(place.node, place);
+            cell.records.nodes.insert(place.node, place.domain);
+            let at = Time::from_ms(u64::from(i));
+            cell.queue.push(at, Happening::Boot(place.node));
         }
+        cell.queue.push(Time::ZERO, Happening::Look);
+        chaos::schedule(&mut cell);
+        cell
     }
 
     /// The present virtual time.
@@ -131,13 +163,23 @@
         self.platform.advance(end);
     }
 
+    /// Schedules a fault at a point in virtual time, in milliseconds.
+    pub fn at(&mut self, ms: u64, fault: Fault) {
+        self.queue.push(Time::from_ms(ms), Happening::Fault(fault));
+    }
+
+    /// Begins to send callers' requests.
+    pub fn load(&mut self, load: Load) {
+        let at = load.from.max(self.now);
+        let i = self.callers.add(load);
+        let step = TrafficStep::NextCaller(i);
+        self.queue.push(at, Happening::Traffic(step));
+    }
+
     /// Sends an operator's call to a node and runs until it is answered, for a minute at the most.
     pub fn operator(&mut self, node: NodeId, req: OperatorReq) -> Option<OperatorResp> {
-        self.last_operator += 1;
-        let id = OperatorId(self.last_operator);
-        self.queue
-            .push(self.now, Happening::Event(node, Event::Operator(id, req)));
-        let limit = self.now + Duration::from_secs(60);
+        let id = self.operator_at(self.now.as_ms(), node, req);
+        let limit = self.now + OPERATOR_TIMEOUT;
         while !self.answers.contains_key(&id) && self.now < limit {
             let next = self.now + TICK;
             self.run_until(next.since(Time::ZERO));
@@ -145,181 +187,234 @@
         self.answers.remove(&id)
     }
 
-    /// The promises that did not hold, as workers saw it.
+    /// Sends an operator's call at a point in virtual time, in milliseconds, without waiting.
+    pub fn operator_at(&mut self, ms: u64, node: NodeId, req: OperatorReq) -> OperatorId {
+        if let OperatorReq::Publish { files, .. } = &req {
+            self.note_once(files);
+        }
+        self.last_operator += 1;
+        let id = OperatorId(self.last_operator);
+        let at = Time::from_ms(ms);
+        self.queue.push(at, Happening::Operator(node, id, req));
+        id
+    }
+
+    /// Takes the answer to an operator's call, if there is one yet.
+    pub fn answer(&mut self, id: OperatorId) -> Option<OperatorResp> {
+        self.answers.remove(&id)
+    }
+
+    /// The nodes that run and serve now.
+    #[must_use]
+    pub fn ready_nodes(&self) -> Vec<NodeId> {
+        let ready = self.processes.iter().filter(|(_, p)| p.is_ready());
+        ready.map(|(id, _)| *id).collect()
+    }
+
+    /// A node's state as its operator sees it.
+    #[must_use]
+    pub fn dump(&self, node: NodeId) -> Option<node::Dump> {
+        let process = self.processes.get(&node)?;
+        Some(process.node.dump(process.local(self.now)))
+    }
+
+    /// The log of the session, a line for each thing that happened.
+    #[must_use]
+    pub fn log(&self) -> &[String] {
+        self.log.lines()
+    }
+
+    /// What the cell cost so far.
+    #[must_use]
+    pub fn costs(&self) -> Costs {
+        Costs {
+            table_reads: self.platform.table.reads(),
+            table_writes: self.platform.table.writes(),
+            ..self.costs
+        }
+    }
+
+    /// The platform, to look at what workers ran.
+    #[must_use]
+    pub const fn platform(&self) -> &FakePlatform {
+        &self.platform
+    }
+
+    /// All that was seen from outside up to now.
+    #[must_use]
+    pub fn records(&self) -> Records {
+        let mut records = self.records.clone();
+        records.end = self.now;
+        records.workers = self.platform.workers().map(|w| self.peak(w)).collect();
+        let runs = self.platform.workers().flat_map(FakeWorker::runs);
+        records.runs = runs.cloned().collect();
+        records
+    }
+
+    /// The promises that did not hold, as workers, backend servers, callers and operators saw it.
     #[must_use]
     pub fn broken_promises(&self) -> Vec<String> {
-        promises::broken(&self.platform)
+        promises::broken(&self.records())
+    }
+
+    fn peak(&self, worker: &FakeWorker) -> WorkerPeak {
+        WorkerPeak {
+            worker: worker.id(),
+            size: worker.size(),
+            peak: worker.peak(),
+            requests: self.traffic.peak_open(worker.id()),
+        }
+    }
+
+    /// Remembers what must not run twice, from the files that an operator publishes.
+    fn note_once(&mut self, files: &[FileText]) {
+        let sources: Vec<SourceFile<'_>> = files
+            .iter()
+            .map(|file| SourceFile {
+                path: &file.path,
+                text: &file.text,
+            })
+            .collect();
+        let Ok(catalog) = Catalog::parse(&sources) else {
+            return;
+        };
+        for unit in catalog.units.values() {
+            let repeat = match unit.kind {
+                Kind::Service { requests, .. } => requests.repeat,
+                Kind::Batch { .. } | Kind::Gang { .. } => unit.repeat,
+            };
+            if repeat == Repeat::Never {
+                self.records.once.insert(unit.name.clone());
+            }
+        }
     }
 
     fn happen(&mut self, happening: Happening) {
         match happening {
-            Happening::Tick(node) => {
-                self.queue.push(self.now + TICK, Happening::Tick(node));
-                self.event(node, Event::Tick);
-            }
-            Happening::Event(node, event) => self.event(node, event),
-            Happening::TableArrives {
-                node,
-                call,
-                req,
-                fate,
-                again,
-            } => {
-                let resp = self.platform.table.call(&req);
-                if fate.answered && !again {
-                    let event = Event::Table(call, Ok(resp));
-                    self.queue
-                        .push(self.now + fate.back, Happening::Event(node, event));
+            Happening::Tick(node, start) => {
+                if self.runs(node, start) {
+                    let next = self.now + TICK;
+                    self.queue.push(next, Happening::Tick(node, start));
+                    self.event(node, start, Event::Tick);
                 }
             }
-            Happening::WorkerArrives {
-                node,
-                call,
-                req,
-                fate,
-                again,
-            } => {
-                let resp = self.platform.call_worker(self.now, &req);
-                if fate.answered && !again {
-                    let event = Event::Worker(call, req.worker, resp);
-                    self.queue
-                        .push(self.now + fate.back, Happening::Event(node, event));
-                }
+            Happening::Event(node, start, event) => self.event(node, start, event),
+            Happening::Operator(node, id, req) => {
+                let start = self.start_of(node);
+                self.event(node, start, Event::Operator(id, req));
+            }
+            Happening::Peer(from, to, msg) => {
+                let start = self.start_of(to);
+                self.event(to, start, Event::Peer(from, msg));
             }
+            Happening::Call(call) => self.call_arrives(call),
+            Happening::Traffic(step) => self.traffic_step(step),
+            Happening::Fault(fault) => self.inject(&fault),
+            Happening::Boot(node) => self.boot(node),
+            Happening::Resume(node, start) => self.resume(node, start),
+            Happening::Look => self.look(),
         }
     }
 
-    fn event(&mut self, id: NodeId, event: Event) {
-        let mut actions = Vec::new();
-        if let Some(node) = self.nodes.get_mut(&id) {
-            node.handle(self.now, event, &mut actions);
+    /// Hands an event to one start of a node. A paused process takes it later.
+    fn event(&mut self, id: NodeId, start: u64, event: Event) {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(&id).filter(|p| p.start == start) else {
+            return;
+        };
+        if process.is_paused() {
+            process.defer(event);
+            return;
         }
+        let mut actions = Vec::new();
+        let local = process.local(now);
+        process.node.handle(local, event, &mut actions);
         for action in actions {
-            self.act(id, action);
+            self.act(id, start, action);
         }
     }
 
-    fn act(&mut self, node: NodeId, action: Action) {
+    fn act(&mut self, node: NodeId, start: u64, action: Action) {
         match action {
-            Action::Table(call, req) => self.call_table(node, call, req),
-            Action::Worker(call, req) => self.call_worker(node, call, req),
-            Action::Vms => {
-                let vms = self.platform.vms(self.now, self.domains[&node]);
-                let event = Event::Vms(Ok(vms));
-                self.queue.push(
-                    self.now + PLATFORM_ROUND_TRIP,
-                    Happening::Event(node, event),
-                );
-            }
-            Action::Operator(id, resp) => {
-                self.answers.insert(id, resp);
-            }
-            Action::Object(..)
-            | Action::Peer(..)
-            | Action::Dispatch { .. }
-            | Action::Forward { .. }
-            | Action::Refuse { .. }
-            | Action::Exit => {}
+            Action::Table(call, req) => self.call_table(node, start, call, req),
+            Action::Object(call, req) => self.call_objects(node, start, call, &req),
+            Action::Worker(call, req) => self.call_worker(node, start, call, req),
+            Action::Vms => self.call_vms(node, start),
+            Action::Operator(id, resp) => self.operator_answered(node, id, resp),
+            Action::Peer(to, msg) => self.send_peer(node, to, &msg),
+            Action::Dispatch {
+                req,
+                worker,
+                timeout,
+                ..
+            } => self.dispatch(req, worker, timeout),
+            Action::Forward {
+                req,
+                node: to,
+                timeout,
+            } => self.forward(req, to, timeout),
+            Action::Refuse {
+                req,
+                verdict,
+                reason,
+                retry_after,
+            } => self.refuse(req, verdict, reason, retry_after),
+            Action::Exit => self.exit(node, start),
         }
     }
 
-    fn call_table(&mut self, node: NodeId, call: CallId, req: TableReq) {
-        let fate = self.faults.draw(PLATFORM_ROUND_TRIP);
-        if self.faults.is_cut(self.now) {
-            let event = Event::Table(call, Err(unreachable_error()));
-            self.queue.push(
-                self.now + PLATFORM_ROUND_TRIP,
-                Happening::Event(node, event),
-            );
+    fn send_peer(&mut self, from: NodeId, to: NodeId, msg: &PeerMsg) {
+        self.costs.peer_messages += 1;
+        let (Some(a), Some(b)) = (self.places.get(&from), self.places.get(&to)) else {
             return;
+        };
+        for at in self.links.send(self.now, a, b) {
+            let msg = msg.clone();
+            self.queue.push(at, Happening::Peer(from, to, msg));
         }
-        if !(fate.arrives && fate.answered) {
-            let event = Event::Table(call, Err(lost_error()));
-            self.queue
-                .push(self.now + CALL_TIMEOUT, Happening::Event(node, event));
-        }
-        if fate.arrives {
-            let at = self.now + fate.there;
-            if fate.twice {
-                let again = at + CALL_TIMEOUT / 2;
-                let req = req.clone();
-                self.queue.push(
-                    again,
-                    Happening::TableArrives {
-                        node,
-                        call,
-                        req,
-                        fate,
-                        again: true,
-                    },
-                );
+    }
+
+    fn operator_answered(&mut self, node: NodeId, id: OperatorId, resp: OperatorResp) {
+        match &resp {
+            OperatorResp::Done { message, version } => {
+                if *version > 0 {
+                    self.records.accepted.push((self.now, *version));
+                }
+                self.log.add(self.now, format!("{node} did: {message}"));
             }
-            self.queue.push(
-                at,
-                Happening::TableArrives {
-                    node,
-                    call,
-                    req,
-                    fate,
-                    again: false,
-                },
-            );
+            OperatorResp::Failed { verdict, message } => {
+                let line = format!("{node} refused ({verdict}): {message}");
+                self.log.add(self.now, line);
+            }
+            OperatorResp::Status(_) => {}
         }
+        self.answers.insert(id, resp);
     }
 
-    fn call_worker(&mut self, node: NodeId, call: CallId, req: WorkerCall) {
-        let fate = self.faults.draw(PLATFORM_ROUND_TRIP);
-        if !(fate.arrives && fate.answered) {
-            let event = Event::Worker(call, req.worker, Err(lost_error()));
-            self.queue
-                .push(self.now + CALL_TIMEOUT, Happening::Event(node, event));
-        }
-        if fate.arrives {
-            let at = self.now + fate.there;
-            if fate.twice {
-                let again = at + CALL_TIMEOUT / 2;
-                let req = req.clone();
-                self.queue.push(
-                    again,
-                    Happening::WorkerArrives {
-                        node,
-                        call,
-                        req,
-                        fate,
-                        again: true,
-                    },
-                );
-            }
-            self.queue.push(
-                at,
-                Happening::WorkerArrives {
-                    node,
-                    call,
-                    req,
-                    fate,
-                    again: false,
-                },
-            );
+    /// Looks at the cell from outside.
+    fn look(&mut self) {
+        self.queue.push(self.now + LOOK, Happening::Look);
+        self.platform.advance(self.now);
+        self.log.look(self.now, &self.platform);
+        for (id, process) in self.processes.iter().filter(|(_, p)| !p.is_paused()) {
+            let dump = process.node.dump(process.local(self.now));
+            self.records.versions.push(VersionSeen {
+                at: self.now,
+                node: *id,
+                incarnation: process.incarnation(),
+                version: dump.config_version,
+                ready: process.node.is_ready(),
+            });
         }
     }
 }
 
-fn identity(i: u32, cfg: &CellConfig) -> Identity {
+fn place(i: u32, cfg: &CellConfig) -> Place {
     let domain = i % cfg.platform.domains + 1;
     let region = (domain - 1) % cfg.platform.regions.max(1) + 1;
-    Identity {
+    Place {
         node: NodeId(i + 1),
-        incarnation: Incarnation(1),
         region: format!("r{region}").parse().expect("a short name is valid"),
         domain: format!("d{domain}").parse().expect("a short name is valid"),
-        peer_address: format!("10.0.0.{}:7100", i + 1),
     }
 }
-
-fn unreachable_error() -> StoreError {
-    StoreError::Unreachable("the table is cut off".to_owned())
-}
-
-fn lost_error() -> StoreError {
-    StoreError::Lost("no answer in time".to_owned())
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,7 +15,10 @@
 mod try_run;
 
 pub use crate::{
-    cell::{Cell, CellConfig},
+    cell::{
+        Answer, Cell, CellConfig, Costs, Disturbance, Execution, Fault, Leaving, Load,
+        PeakOfWorker, Records, SeenVersion, Try, TryId, broken,
+    },
     files::{FilesError, collect},
     try_run::{TryOptions, TryReport, try_files, unit_line},
 };
