--- a/crates/cli/src/cell/links.rs
+++ b/crates/cli/src/cell/links.rs
@@ -14,6 +14,18 @@
 /// A call to a table that is slow takes longer by this.
 const SLOWNESS: Duration = Duration::from_secs(1);
 
+/// A message that was not acknowledged by then has failed, as its sender sees it.
+pub(crate) const ACK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What becomes of a message.
+#[derive(Clone, Debug)]
+pub(crate) struct Delivery {
+    /// When it arrives: never, once, or twice.
+    pub(crate) arrives: Vec<Time>,
+    /// When its sender learns that it was not acknowledged.
+    pub(crate) failed: Option<Time>,
+}
+
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Place {
@@ -121,20 +133,30 @@
             || holds(&self.from_peers, &b.domain, now))
     }
 
-    /// When a message from one node reaches the other: never, once, or twice.
-    pub(crate) fn send(&mut self, now: Time, a: &Place, b: &Place) -> Vec<Time> {
-        let pair = (a.node.min(b.node), a.node.max(b.node));
+    /// What becomes of a message from one node to another. A fresh connection is never silent.
+    pub(crate) fn send(&mut self, now: Time, a: &Place, b: &Place, fresh: bool) -> Delivery {
         let lost = self.rng.chance(self.lost_per_mille);
+        let unacknowledged = self.rng.chance(self.lost_per_mille);
         let twice = self.rng.chance(self.twice_per_mille);
+        let there = self.latency(a, b);
+        let pair = (a.node.min(b.node), a.node.max(b.node));
+        if fresh {
+            self.silent.remove(&pair);
+        }
         if lost || holds(&self.silent, &pair, now) || !self.connects(now, a, b) {
-            return Vec::new();
+            return Delivery {
+                arrives: Vec::new(),
+                failed: Some(now + ACK_TIMEOUT),
+            };
         }
-        let first = now + self.latency(a, b);
+        let mut arrives = vec![now + there];
         if twice {
-            let again = now + self.latency(a, b) + NEAR;
-            return vec![first, again];
+            arrives.push(now + self.latency(a, b) + NEAR);
+        }
+        Delivery {
+            arrives,
+            failed: unacknowledged.then(|| now + ACK_TIMEOUT),
         }
-        vec![first]
     }
 
     /// One way between two nodes. Some messages are overtaken by later ones.
--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod links;
 mod log;
+mod peers;
 mod process;
 mod promises;
 mod queue;
@@ -23,13 +24,13 @@
     Action, Event, OperatorId,
     api::{FileText, OperatorReq, OperatorResp},
 };
-use peer::PeerMsg;
 
 use self::{
     callers::Callers,
     calls::PlatformCall,
     links::{Links, Place},
     log::Log,
+    peers::Letter,
     process::Process,
     queue::Queue,
     records::{VersionSeen, WorkerPeak},
@@ -60,7 +61,7 @@
     Event(NodeId, u64, Event),
     /// An event for whatever runs on the node's VM by then.
     Operator(NodeId, OperatorId, OperatorReq),
-    Peer(NodeId, NodeId, PeerMsg),
+    Peer(Letter),
     Call(PlatformCall),
     Traffic(TrafficStep),
     Fault(Fault),
@@ -303,10 +304,7 @@
                 let start = self.start_of(node);
                 self.event(node, start, Event::Operator(id, req));
             }
-            Happening::Peer(from, to, msg) => {
-                let start = self.start_of(to);
-                self.event(to, start, Event::Peer(from, msg));
-            }
+            Happening::Peer(letter) => self.peer_arrives(letter),
             Happening::Call(call) => self.call_arrives(call),
             Happening::Traffic(step) => self.traffic_step(step),
             Happening::Fault(fault) => self.inject(&fault),
@@ -341,7 +339,7 @@
             Action::Worker(call, req) => self.call_worker(node, start, call, req),
             Action::Vms => self.call_vms(node, start),
             Action::Operator(id, resp) => self.operator_answered(node, id, resp),
-            Action::Peer(to, msg) => self.send_peer(node, to, &msg),
+            Action::Peer { to, fresh, msg, .. } => self.send_peer(node, start, to, fresh, msg),
             Action::Dispatch {
                 req,
                 worker,
@@ -352,6 +350,7 @@
                 req,
                 node: to,
                 timeout,
+                ..
             } => self.forward(req, to, timeout),
             Action::Refuse {
                 req,
@@ -363,17 +362,6 @@
         }
     }
 
-    fn send_peer(&mut self, from: NodeId, to: NodeId, msg: &PeerMsg) {
-        self.costs.peer_messages += 1;
-        let (Some(a), Some(b)) = (self.places.get(&from), self.places.get(&to)) else {
-            return;
-        };
-        for at in self.links.send(self.now, a, b) {
-            let msg = msg.clone();
-            self.queue.push(at, Happening::Peer(from, to, msg));
-        }
-    }
-
     fn operator_answered(&mut self, node: NodeId, id: OperatorId, resp: OperatorResp) {
         match &resp {
             OperatorResp::Done { message, version } => {
@@ -386,7 +374,10 @@
                 let line = format!("{node} refused ({verdict}): {message}");
                 self.log.add(self.now, line);
             }
-            OperatorResp::Status(_) => {}
+            OperatorResp::Status(_)
+            | OperatorResp::Changes { .. }
+            | OperatorResp::Recalls(_)
+            | OperatorResp::InForce { .. } => {}
         }
         self.answers.insert(id, resp);
     }
--- a/crates/model/src/size.rs
+++ b/crates/model/src/size.rs
@@ -8,7 +8,17 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of processors, memory and accelerators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Size {
     /// Thousandths of a processor.
     pub milli_processors: u64,
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -23,7 +23,17 @@
 /// assert_eq!(sent - Time::from_ms(900), Duration::ZERO);
 /// ```
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 #[serde(transparent)]
 pub struct Time(u64);
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -7,7 +7,18 @@
 use crate::Size;
 
 /// How urgent a unit of work is. Ordered from least to most urgent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "lowercase")]
 pub enum Class {
     /// Waits for whatever the other classes leave.
--- a/crates/node/src/core/settings.rs
+++ b/crates/node/src/core/settings.rs
@@ -30,7 +30,7 @@
     pub task_lease: Duration,
     /// The interval at which each worker is read and its leases are renewed. 6 s by default.
     pub worker_interval: Duration,
-    /// How long a start command is good for. 2 s by default.
+    /// How long a start command is good for. 1 s by default.
     pub start_window: Duration,
     /// The longest time that a call to a worker takes before it is given up. 4 s by default.
     pub call_timeout: Duration,
@@ -49,7 +49,7 @@
         Self {
             task_lease: Duration::from_secs(20),
             worker_interval: Duration::from_secs(6),
-            start_window: Duration::from_secs(2),
+            start_window: Duration::from_secs(1),
             call_timeout: Duration::from_secs(4),
             drift_margin: Duration::from_millis(600),
             inbox_interval: Duration::from_secs(1),
@@ -74,6 +74,8 @@
     pub scheduler: SchedulerConfig,
     /// How configuration is read.
     pub config: ConfigSyncConfig,
+    /// How nodes know of each other.
+    pub members: MembersConfig,
 }
 
 /// Settings of how configuration is read.
@@ -90,3 +92,31 @@
         }
     }
 }
+
+/// Settings of how nodes know of each other.
+#[derive(Clone, Debug)]
+pub struct MembersConfig {
+    /// The interval of heartbeats within a failure domain. 1 s by default.
+    pub heartbeat_interval: Duration,
+    /// The interval of summaries to each other failure domain. 2 s by default.
+    pub summary_interval: Duration,
+    /// The interval at which the members' rows are read. 10 s by default.
+    pub rows_interval: Duration,
+    /// A node that was not heard for this long counts as not live. 5 s by default.
+    pub live_for: Duration,
+    /// The row of a node of the own domain that was not heard for this long is deleted by the domain's
+    /// scheduler. 300 s by default.
+    pub forget_after: Duration,
+}
+
+impl Default for MembersConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat_interval: Duration::from_secs(1),
+            summary_interval: Duration::from_secs(2),
+            rows_interval: Duration::from_secs(10),
+            live_for: Duration::from_secs(5),
+            forget_after: Duration::from_secs(300),
+        }
+    }
+}
