--- a/crates/cli/src/cell/callers.rs
+++ b/crates/cli/src/cell/callers.rs
@@ -40,6 +40,12 @@
         self.loads.push(load);
         self.loads.len() - 1
     }
+
+    pub(crate) fn stop(&mut self, now: Time) {
+        for load in &mut self.loads {
+            load.until = load.until.min(now);
+        }
+    }
 }
 
 impl Cell {
--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -177,6 +177,11 @@
         self.queue.push(at, Happening::Traffic(step));
     }
 
+    /// Ends all load. Requests on their way go on.
+    pub fn stop_load(&mut self) {
+        self.callers.stop(self.now);
+    }
+
     /// Sends an operator's call to a node and runs until it is answered, for a minute at the most.
     pub fn operator(&mut self, node: NodeId, req: OperatorReq) -> Option<OperatorResp> {
         let id = self.operator_at(self.now.as_ms(), node, req);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -20,5 +20,5 @@
         PeakOfWorker, Records, SeenVersion, Try, TryId, broken,
     },
     files::{FilesError, collect},
-    try_run::{TryOptions, TryReport, try_files, unit_line},
+    try_run::{Figures, TryOptions, TryReport, Verdicts, Waits, try_files, unit_line},
 };
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -89,9 +89,9 @@
         Ok(files) => files,
         Err(e) => return failed(&e.to_string(), EXIT_USAGE),
     };
-    let report = try_files(files, options);
-    print!("{}", report.text);
-    if report.ok {
+    let report = try_files(&files, options);
+    print!("{report}");
+    if report.is_ok() {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(EXIT_FAILED)
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -14,6 +14,8 @@
     pub task: TaskId,
     /// The attempt.
     pub attempt: Attempt,
+    /// What was reserved for it.
+    pub size: Size,
     /// Where it ran.
     pub worker: WorkerId,
     /// When it began.
@@ -289,6 +291,7 @@
             self.runs.push(Run {
                 task: start.task.clone(),
                 attempt: start.attempt,
+                size: start.size,
                 worker: self.id,
                 began: now,
                 ended: None,
