config: submissions merge into entries, recalls undo content, a follower that only rises

Cause: a change without a base took the last word silently, one change made one version, a removal guessed at the home of its rows, and a resent call was made twice. Change: a submission carries an id and is recognised in any later version; those that wait at one node merge into one entry; a conflict names the author, version and keys of the other change; a recall keeps the recalled contents, refuses them under any name, removes the batch or returns the service to its newest content that is not recalled, in the same new version. A change not decided within 10 s is answered, as not run or as uncertain.

--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -88,6 +88,11 @@
     vec![("recalled", target.to_string())]
 }
 
+/// The key and value of a failure domain that is evacuated.
+pub(crate) fn domain_fields() -> Fields {
+    vec![("evacuated", "true".to_owned())]
+}
+
 /// The keys and values of a unit of work; none where there is no unit.
 pub(crate) fn unit_fields(unit: Option<&Unit>) -> Fields {
     let Some(unit) = unit else {
@@ -96,7 +101,7 @@
     let mut fields = vec![
         ("kind", kind_name(&unit.kind).to_owned()),
         ("team", unit.team.clone()),
-        ("command", unit.command.join(" ")),
+        ("command", format!("{:?}", unit.command)),
         ("size", unit.size.to_string()),
         ("class", unit.class.to_string()),
     ];
--- /dev/null
+++ b/crates/config/src/follower.rs
@@ -0,0 +1,425 @@
+//! How a node's configuration follows the table's head and its peers.
+//!
+//! A version is only ever raised: by the entry that follows it, or by a snapshot of a higher version.
+//! So a stale read of the table, a late answer or an old peer cannot take anything back.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use model::{DomainId, NodeId, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::{Config, Entry};
+
+/// A peer that was not heard for this long is forgotten.
+const PEER_FORGOTTEN_AFTER: Duration = Duration::from_secs(600);
+
+/// Settings of a [`Follower`].
+#[derive(Clone, Debug)]
+pub struct FollowerConfig {
+    /// The interval at which the table's head is read. 1 s by default.
+    pub poll_interval: Duration,
+    /// The wait before a peer is asked again for what it has not sent. 500 ms by default.
+    pub ask_retry: Duration,
+    /// How long a node that has just started waits to hear from its peers before it serves what the
+    /// table gave it: longer than the interval of heartbeats. 1.5 s by default.
+    pub start_wait: Duration,
+    /// A peer's version is out of date after this time without news of it. 10 s by default.
+    pub peer_timeout: Duration,
+    /// The most entries that are kept to answer peers with. 256 by default.
+    pub entries_kept: usize,
+    /// The most entries that are read at a time. 100 by default.
+    pub entries_per_read: u32,
+}
+
+impl Default for FollowerConfig {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_secs(1),
+            ask_retry: Duration::from_millis(500),
+            start_wait: Duration::from_millis(1_500),
+            peer_timeout: Duration::from_secs(10),
+            entries_kept: 256,
+            entries_per_read: 100,
+        }
+    }
+}
+
+/// The table's head as it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The version of the configuration that it names.
+    pub version: u64,
+    /// The version of the head's row in the table.
+    pub row_version: u64,
+}
+
+/// The whole state at one version, as it is stored for new nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The entries up to this version are no longer in the table.
+    pub deleted_to: u64,
+    /// The state.
+    pub config: Config,
+}
+
+/// What one node tells another about the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// The entries after the version that was asked for, oldest first.
+    Entries(Vec<Entry>),
+    /// The whole state: the entries are no longer at hand.
+    Whole(Box<Config>),
+}
+
+/// What a [`Follower`] wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// Read the head, then call [`Follower::head_read`].
+    Head,
+    /// Read the snapshot, then call [`Follower::snapshot_read`].
+    Snapshot,
+    /// Read entries, then call [`Follower::entries_read`].
+    Entries {
+        /// Only entries after this version.
+        after: u64,
+        /// The most entries to read.
+        limit: u32,
+    },
+    /// Ask a peer for its news, and hand its answer to [`Follower::take_news`].
+    Peer {
+        /// The peer.
+        node: NodeId,
+        /// The version that this node has.
+        after: u64,
+    },
+}
+
+/// What was last heard of a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// The peer's failure domain.
+    pub domain: DomainId,
+    /// The version that it has in force.
+    pub version: u64,
+    /// When it was heard.
+    pub at: Time,
+}
+
+/// A read of the table under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// None.
+    Nothing,
+    /// The head.
+    Head,
+    /// What leads up to this head.
+    UpTo(Head),
+}
+
+/// A node's configuration, and how it follows the newest.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    cfg: FollowerConfig,
+    config: Config,
+    /// The newest entries, oldest first, without a gap up to the present version.
+    kept: VecDeque<Entry>,
+    reading: Reading,
+    next_poll: Time,
+    polls: u64,
+    /// The newest poll after which this node had the version that the head named.
+    caught_up: u64,
+    /// The newest head that was read.
+    head: Option<Head>,
+    /// Whether the table has answered since the start.
+    table_seen: bool,
+    started: Option<Time>,
+    known: bool,
+    heard: BTreeMap<NodeId, Heard>,
+    asked: Option<Time>,
+    stale_heads: u64,
+}
+
+impl Follower {
+    /// A follower that has no version yet.
+    #[must_use]
+    pub fn new(cfg: FollowerConfig) -> Self {
+        Self {
+            cfg,
+            config: Config::default(),
+            kept: VecDeque::new(),
+            reading: Reading::Nothing,
+            next_poll: Time::ZERO,
+            polls: 0,
+            caught_up: 0,
+            head: None,
+            table_seen: false,
+            started: None,
+            known: false,
+            heard: BTreeMap::new(),
+            asked: None,
+            stale_heads: 0,
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Whether the node may serve: it has had a version at least as new as its reachable peers'.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// How often the table named a lower version than this node has.
+    #[must_use]
+    pub const fn stale_heads(&self) -> u64 {
+        self.stale_heads
+    }
+
+    /// What was heard of the peers.
+    #[must_use]
+    pub const fn heard(&self) -> &BTreeMap<NodeId, Heard> {
+        &self.heard
+    }
+
+    /// The version of the head's row, if this node has the version that the head names.
+    #[must_use]
+    pub fn head_row(&self) -> Option<u64> {
+        let current = self.head.filter(|h| h.version == self.config.version());
+        current.map(|head| head.row_version)
+    }
+
+    /// A number for [`Self::is_fresh`]; the head is read at the next tick.
+    pub fn want_fresh(&mut self) -> u64 {
+        self.poll_soon();
+        self.polls + 1
+    }
+
+    /// Whether this node has all that was committed before [`Self::want_fresh`] gave this number.
+    #[must_use]
+    pub const fn is_fresh(&self, number: u64) -> bool {
+        self.caught_up >= number
+    }
+
+    /// Reads the head at the next tick.
+    pub const fn poll_soon(&mut self) {
+        self.next_poll = Time::ZERO;
+    }
+
+    /// Makes the reads that are due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Want>) {
+        let started = *self.started.get_or_insert(now);
+        if self.reading == Reading::Nothing && now >= self.next_poll {
+            self.next_poll = now + self.cfg.poll_interval;
+            self.polls += 1;
+            self.reading = Reading::Head;
+            out.push(Want::Head);
+        }
+        self.heard
+            .retain(|_, heard| now < heard.at + PEER_FORGOTTEN_AFTER);
+        self.ask_peer(now, out);
+        self.look_whether_known(now, started);
+    }
+
+    /// Takes the head; `None` where there is no row yet.
+    pub fn head_read(&mut self, head: Option<Head>, out: &mut Vec<Want>) {
+        if self.reading != Reading::Head {
+            return;
+        }
+        self.reading = Reading::Nothing;
+        self.table_seen = true;
+        let version = head.map_or(0, |head| head.version);
+        if version < self.config.version() {
+            self.stale_heads += 1;
+            return;
+        }
+        self.head = head;
+        match head {
+            Some(head) if version > self.config.version() => self.read_up_to(head, out),
+            _ => self.caught_up = self.polls,
+        }
+    }
+
+    fn read_up_to(&mut self, head: Head, out: &mut Vec<Want>) {
+        self.reading = Reading::UpTo(head);
+        let after = self.config.version();
+        let limit = self.cfg.entries_per_read;
+        out.push(if after == 0 && head.version > u64::from(limit) {
+            Want::Snapshot
+        } else {
+            Want::Entries { after, limit }
+        });
+    }
+
+    /// A read of the table has failed.
+    pub const fn read_failed(&mut self) {
+        self.reading = Reading::Nothing;
+    }
+
+    /// Takes the snapshot, and returns whether the configuration has changed.
+    pub fn snapshot_read(&mut self, snapshot: Option<Snapshot>, out: &mut Vec<Want>) -> bool {
+        let Reading::UpTo(head) = self.reading else {
+            return false;
+        };
+        let changed = snapshot.is_some_and(|snapshot| self.take_whole(snapshot.config));
+        let after = self.config.version();
+        if after >= head.version {
+            self.reached(head);
+        } else {
+            let limit = self.cfg.entries_per_read;
+            out.push(Want::Entries { after, limit });
+        }
+        changed
+    }
+
+    /// Takes entries, and returns whether the configuration has changed.
+    ///
+    /// Where none of them follows the present version, those that do are no longer in the table: the
+    /// snapshot has them.
+    pub fn entries_read(&mut self, entries: &[Entry], out: &mut Vec<Want>) -> bool {
+        let Reading::UpTo(head) = self.reading else {
+            return false;
+        };
+        let changed = self.take_entries(entries);
+        if self.config.version() >= head.version {
+            self.reached(head);
+        } else if changed {
+            self.read_up_to(head, out);
+        } else if entries
+            .first()
+            .is_some_and(|e| e.version > self.config.version() + 1)
+        {
+            out.push(Want::Snapshot);
+        } else {
+            // The scan was older than the head: the next poll tries again.
+            self.reading = Reading::Nothing;
+        }
+        changed
+    }
+
+    fn reached(&mut self, head: Head) {
+        self.reading = Reading::Nothing;
+        if self.config.version() == head.version {
+            self.caught_up = self.polls;
+        }
+    }
+
+    /// Takes this node's own entry, which was committed with the head's row at this version. Returns
+    /// whether the configuration has changed.
+    pub fn committed(&mut self, entry: &Entry, row_version: u64) -> bool {
+        let version = entry.version;
+        if self.head.is_none_or(|head| head.version < version) {
+            self.head = Some(Head {
+                version,
+                row_version,
+            });
+        }
+        self.take_entries(std::slice::from_ref(entry))
+    }
+
+    /// Takes the version that a peer has in force.
+    pub fn peer_heard(
+        &mut self,
+        now: Time,
+        node: NodeId,
+        domain: DomainId,
+        version: u64,
+        out: &mut Vec<Want>,
+    ) {
+        let at = now;
+        self.heard.insert(
+            node,
+            Heard {
+                domain,
+                version,
+                at,
+            },
+        );
+        self.ask_peer(now, out);
+    }
+
+    /// Asks the peer that has the newest version, if it is newer than this node's.
+    fn ask_peer(&mut self, now: Time, out: &mut Vec<Want>) {
+        let after = self.config.version();
+        let waits = self.asked.is_some_and(|at| now < at + self.cfg.ask_retry);
+        if waits || !self.heard.values().any(|heard| heard.version > after) {
+            return;
+        }
+        // Each retry asks the peer that was heard last: one that has gone silent is not asked again.
+        let newer = self.heard.iter().filter(|(_, heard)| heard.version > after);
+        if let Some((node, _)) = newer.max_by_key(|(node, heard)| (heard.at, *node)) {
+            self.asked = Some(now);
+            out.push(Want::Peer { node: *node, after });
+        }
+    }
+
+    /// What a peer is told that has this version; `None` where it has all that this node has.
+    #[must_use]
+    pub fn news_after(&self, version: u64) -> Option<News> {
+        if version >= self.config.version() {
+            return None;
+        }
+        let oldest = self.kept.front().map_or(u64::MAX, |entry| entry.version);
+        if oldest > version + 1 {
+            return Some(News::Whole(Box::new(self.config.clone())));
+        }
+        let newer = self.kept.iter().filter(|entry| entry.version > version);
+        Some(News::Entries(newer.cloned().collect()))
+    }
+
+    /// Takes a peer's news, and returns whether the configuration has changed.
+    pub fn take_news(&mut self, news: News) -> bool {
+        self.asked = None;
+        match news {
+            News::Entries(entries) => self.take_entries(&entries),
+            News::Whole(config) => self.take_whole(*config),
+        }
+    }
+
+    fn take_entries(&mut self, entries: &[Entry]) -> bool {
+        let before = self.config.version();
+        for entry in entries {
+            if self.config.apply(entry).is_ok() {
+                self.kept.push_back(entry.clone());
+            }
+        }
+        let surplus = self.kept.len().saturating_sub(self.cfg.entries_kept);
+        self.kept.drain(..surplus);
+        self.config.version() > before
+    }
+
+    fn take_whole(&mut self, config: Config) -> bool {
+        let newer = config.version() > self.config.version();
+        if newer {
+            self.config = config;
+            self.kept.clear();
+        }
+        newer
+    }
+
+    /// A node may serve once it has what the table's head named, or what a peer had, and what each
+    /// peer has that is heard. A peer without any version proves nothing: it may have just started too.
+    fn look_whether_known(&mut self, now: Time, started: Time) {
+        if self.known {
+            return;
+        }
+        self.known = self.may_serve(now, started);
+    }
+
+    fn may_serve(&self, now: Time, started: Time) -> bool {
+        let version = self.config.version();
+        let live = |heard: &&Heard| now < heard.at + self.cfg.peer_timeout;
+        let newest = self.heard.values().filter(live).map(|heard| heard.version);
+        let newest = newest.max();
+        let head = self.head.map_or(0, |head| head.version);
+        let has_source = self.table_seen || newest.is_some_and(|newest| newest > 0);
+        let waited = newest.is_some() || now >= started + self.cfg.start_wait;
+        has_source && waited && version >= newest.unwrap_or(0) && version >= head
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,26 +1,38 @@
 //! Configuration as a sequence of versions, and recalls that stay in force until lifted.
 //!
+//! A change is proposed against a version and merged with others into an entry, which makes the next
+//! version. A [`Follower`] brings a node's version up to the table's head, or to what its peers have.
+//!
 //! # Example
 //!
 //! ```
-//! use config::{Change, Config};
+//! use config::{Change, Config, Proposal, Submission};
 //! use model::{Size, Team};
 //!
 //! let mut config = Config::default();
 //! let team = Team { name: "t".into(), quota: Size::ZERO };
-//! let entry = config.prepare("ayla", 0, vec![Change::SetTeam(team)]).unwrap();
-//! config.apply(&entry).unwrap();
+//! let submission = Submission::new("id-1", "ayla", vec![Change::SetTeam(team)]);
+//! let merge = config.merge(&[Proposal { submission, base: 0 }]);
+//! config.apply(&merge.entry.unwrap()).unwrap();
 //! assert_eq!(config.version(), 1);
 //! ```
 
+mod change;
 mod diff;
 mod error;
+mod follower;
+mod history;
+mod prepare;
 mod state;
 mod target;
 
 pub use crate::{
+    change::{Change, Entry, Submission},
     diff::{ItemChange, ItemFate, KeyChange},
-    error::{ApplyError, ChangeError, TargetError},
-    state::{Change, Config, Entry},
+    error::{ApplyError, ChangeError, Conflict, TargetError},
+    follower::{Follower, FollowerConfig, Head, Heard, News, Snapshot, Want},
+    history::Setting,
+    prepare::{Merge, Outcome, Proposal},
+    state::{Config, Recall},
     target::RecallTarget,
 };
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -18,11 +18,18 @@
     Commit,
     ConfigHead,
     ConfigEntries,
+    ConfigSnapshot,
+    ConfigCompact,
     StateScan,
     InboxScan,
     InboxUnit(UnitId, (String, u64)),
     Operator(OperatorId),
-    Worker { worker: WorkerId, sent: Time },
+    /// Rows that the configuration's next entry depends on.
+    Publishing,
+    Worker {
+        worker: WorkerId,
+        sent: Time,
+    },
 }
 
 /// Who wants to know what became of a change.
@@ -31,7 +38,8 @@
     /// Nobody: the change is made again if it matters.
     Nobody,
     State(UnitId),
-    Operator(OperatorId),
+    /// The configuration's next entry.
+    Publishing,
 }
 
 /// The calls under way.
--- a/crates/node/src/core/dump.rs
+++ b/crates/node/src/core/dump.rs
@@ -22,6 +22,10 @@
     pub ready: bool,
     /// The version of the configuration in force.
     pub config_version: u64,
+    /// How often the table named an older configuration than the node has.
+    pub stale_heads: u64,
+    /// The recalls in force.
+    pub recalls: Vec<String>,
     /// Changes on their way to the table.
     pub unsettled_changes: usize,
     /// Transactions sent since the start.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -74,9 +74,9 @@
             calls: Calls::default(),
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
-            config: ConfigSync::new(cfg.config.clone()),
+            config: ConfigSync::new(&cfg.config),
             entry: Entry::new(cfg.route.clone()),
-            operators: Operators::default(),
+            operators: Operators::new(me.clone()),
             scheduler: None,
             next_view: Time::ZERO,
             registered: false,
@@ -95,6 +95,7 @@
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
+        let recalls = self.config.config().recalls().keys();
         Dump {
             node: self.me.node.to_string(),
             domain: self.me.domain.to_string(),
@@ -102,6 +103,8 @@
             uptime_ms: now.as_ms(),
             ready: self.is_ready(),
             config_version: self.config.config().version(),
+            stale_heads: self.config.stale_heads(),
+            recalls: recalls.map(ToString::to_string).collect(),
             unsettled_changes: self.commits.unsettled(),
             transactions: self.commits.transactions(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
@@ -127,7 +130,7 @@
             }
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, id, req);
+                parts.operators.call(&mut cx, parts.config, id, req);
             }
             Event::Peer(from, PeerMsg::Lease(msg)) => {
                 self.lease_step(now, Input::Peer { from, msg }, out);
@@ -147,6 +150,23 @@
                 self.entry.offer(now, &offer, out);
             }
             Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
+            Event::Peer(from, PeerMsg::Heartbeat(heartbeat)) => {
+                let (mut cx, parts) = self.split(now, out);
+                let version = heartbeat.config_version;
+                parts
+                    .config
+                    .peer_version(&mut cx, from, heartbeat.domain, version);
+            }
+            Event::Peer(from, PeerMsg::ConfigWanted { after }) => {
+                if let Some(news) = self.config.entries_after(after) {
+                    out.push(Action::Peer(from, PeerMsg::ConfigEntries(news)));
+                }
+            }
+            Event::Peer(_, PeerMsg::ConfigEntries(news)) => {
+                if self.config.take_entries(news) {
+                    self.config_changed();
+                }
+            }
             Event::Object(..) | Event::Peer(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
@@ -174,9 +194,7 @@
         let valid_until = self.lease.valid_until(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
-        if parts.operators.waits_for_config() {
-            parts.config.poll_soon();
-        }
+        parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
             scheduler.tick(&mut cx, valid_until);
         }
@@ -264,13 +282,29 @@
             Purpose::ConfigHead => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.config.head_read(&mut cx, result);
-                parts.operators.config_changed(&mut cx, parts.config);
             }
             Purpose::ConfigEntries => {
-                if self.config.entries_read(result) {
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.entries_read(&mut cx, result) {
                     self.config_changed();
                 }
             }
+            Purpose::ConfigSnapshot => {
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.snapshot_read(&mut cx, result) {
+                    self.config_changed();
+                }
+            }
+            Purpose::ConfigCompact => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.config.compact(&mut cx, result);
+            }
+            Purpose::Publishing => {
+                let (mut cx, parts) = self.split(now, out);
+                parts
+                    .operators
+                    .publishing_read(&mut cx, parts.config, result);
+            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, parts.config, id, result);
@@ -310,9 +344,11 @@
                     scheduler.state_settled(now, &id, settlement);
                 }
             }
-            Owner::Operator(id) => {
-                parts.operators.settled(&mut cx, id, settlement);
-                parts.config.poll_soon();
+            Owner::Publishing => {
+                let operators = parts.operators;
+                if operators.settled(&mut cx, parts.config, &settlement) {
+                    self.config_changed();
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/node/src/core/operators/homes.rs
@@ -0,0 +1,168 @@
+//! Which failure domains place a unit's parts, and the rows by which they learn of changes.
+
+use std::collections::BTreeSet;
+
+use config::{Change, Config, Entry};
+use model::{DomainId, Kind, Unit, UnitId};
+use store::{Check, Row, Write, decode, encode};
+
+use super::super::rows::{UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key};
+
+/// What the rows of an entry's changes are made of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Homes<'a> {
+    /// The configuration that the entry follows.
+    pub(super) before: &'a Config,
+    /// The domains that take new work.
+    pub(super) domains: &'a [DomainId],
+    /// The rows of the units that the entry removes or replaces.
+    pub(super) rows: &'a [Row],
+}
+
+impl Homes<'_> {
+    /// The checks and writes by which the home domains learn of an entry's changes.
+    pub(super) fn writes(&self, entry: &Entry) -> (Vec<Check>, Vec<Write>) {
+        let mut checks = Vec::new();
+        let mut writes = Vec::new();
+        for change in entry.changes() {
+            match change {
+                Change::SetUnit(unit) => {
+                    let parts = parts(unit, self.before.removed_at(&unit.name), self.domains);
+                    let kept: BTreeSet<UnitId> =
+                        parts.iter().map(|(id, _, _)| id.clone()).collect();
+                    let replaced = |id: &UnitId, old: &UnitRow| {
+                        old.unit.kind.is_service() && !kept.contains(id)
+                    };
+                    self.cancel(&unit.name, replaced, &mut checks, &mut writes);
+                    for (id, part, home) in parts {
+                        let row = UnitRow {
+                            unit: part,
+                            home,
+                            cancelled: false,
+                        };
+                        add_unit(&id, &row, &mut writes);
+                    }
+                }
+                Change::RemoveUnit(name) => {
+                    self.cancel(name, |_, _| true, &mut checks, &mut writes);
+                }
+                Change::SetTeam(_)
+                | Change::Recall(_)
+                | Change::Lift(_)
+                | Change::Evacuate(_)
+                | Change::Readmit(_) => {}
+            }
+        }
+        (checks, writes)
+    }
+
+    /// Cancels the rows of a unit at the homes that they name, wherever these are by now.
+    fn cancel(
+        &self,
+        name: &str,
+        is_meant: impl Fn(&UnitId, &UnitRow) -> bool,
+        checks: &mut Vec<Check>,
+        writes: &mut Vec<Write>,
+    ) {
+        for row in self.rows {
+            let id = UnitId::new(last_part(&row.key));
+            let Ok(old) = decode::<UnitRow>(&row.value) else {
+                log::error!("operator: row {} cannot be read", row.key);
+                continue;
+            };
+            if old.unit.name != name || old.cancelled || !is_meant(&id, &old) {
+                continue;
+            }
+            checks.push(Check {
+                key: row.key.clone(),
+                version: Some(row.version),
+            });
+            let cancelled = UnitRow {
+                cancelled: true,
+                ..old
+            };
+            add_unit(&id, &cancelled, writes);
+        }
+    }
+}
+
+/// What the keys begin with of the rows that an entry's changes remove or replace.
+pub(super) fn prefixes(entry: &Entry, before: &Config) -> Vec<String> {
+    let names = entry.changes().filter_map(|change| match change {
+        Change::SetUnit(unit) => {
+            let old = before.units().get(&unit.name)?;
+            old.kind.is_service().then_some(old)
+        }
+        Change::RemoveUnit(name) => before.units().get(name),
+        _ => None,
+    });
+    let prefix = |unit: &Unit| {
+        let mark = if unit.kind.is_service() { '@' } else { '.' };
+        format!("{UNIT_PREFIX}{}{mark}", unit.name)
+    };
+    names.map(prefix).collect()
+}
+
+fn add_unit(id: &UnitId, row: &UnitRow, writes: &mut Vec<Write>) {
+    writes.push(Write {
+        key: unit_key(id),
+        value: Some(encode(row)),
+    });
+    writes.push(Write {
+        key: inbox_key(row.home, id),
+        value: Some(Vec::new()),
+    });
+}
+
+/// The parts of a unit by home domain: a service has one in each domain that holds replicas, other
+/// work is placed whole by one domain.
+///
+/// `removed_at` is the version that last removed a unit of this name: what is published after that is
+/// another run, under another id.
+fn parts(unit: &Unit, removed_at: u64, domains: &[DomainId]) -> Vec<(UnitId, Unit, DomainId)> {
+    let n = u32::try_from(domains.len()).unwrap_or(u32::MAX);
+    if n == 0 {
+        return Vec::new();
+    }
+    let first = usize::try_from(stable_hash(unit.name.as_bytes()) % u64::from(n)).unwrap_or(0);
+    let Kind::Service {
+        replicas,
+        spread,
+        requests,
+    } = unit.kind
+    else {
+        let run = run_hash(unit, removed_at) & 0xffff_ffff;
+        let id = UnitId::new(&format!("{}.{run:08x}", unit.name));
+        return vec![(id, unit.clone(), domains[first])];
+    };
+    (0..n)
+        .map(|i| {
+            let domain = domains[(first + i as usize) % domains.len()];
+            let share = replicas / n + u32::from(i < replicas % n);
+            let mut part = unit.clone();
+            part.kind = Kind::Service {
+                replicas: share,
+                spread,
+                requests,
+            };
+            let id = UnitId::new(&format!("{}@{domain}", unit.name));
+            (id, part, domain)
+        })
+        .filter(|(_, part, _)| part.kind.tasks() > 0)
+        .collect()
+}
+
+fn run_hash(unit: &Unit, removed_at: u64) -> u64 {
+    let mut content = encode(unit);
+    if removed_at > 0 {
+        content.extend_from_slice(&removed_at.to_le_bytes());
+    }
+    stable_hash(&content)
+}
+
+/// A hash that is the same in every process (FNV-1a).
+fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/crates/node/src/core/operators/mod.rs
@@ -0,0 +1,285 @@
+//! Operators' calls.
+
+mod homes;
+mod listing;
+mod publishing;
+mod views;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use config::{Change, Outcome, Proposal, RecallTarget, Submission};
+use model::{Catalog, DomainId, SourceFile, Verdict};
+use serde::{Deserialize, Serialize};
+use store::{Row, Settlement, StoreError, TableReq, TableResp, decode};
+
+use self::{
+    listing::{Listing, Next},
+    publishing::Publishing,
+};
+use super::{
+    calls::{Cx, Purpose},
+    config_sync::ConfigSync,
+    event::{Action, OperatorId},
+    rows::UNIT_PREFIX,
+    settings::Identity,
+};
+use crate::api::{FileText, OperatorReq, OperatorResp, Submitter};
+
+/// The most rows that are read at a time.
+const ROWS_PER_READ: u32 = 500;
+
+pub(crate) const MEMBER_PREFIX: &str = "member/";
+
+/// The row `member/<node>`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberRow {
+    pub(crate) domain: DomainId,
+    pub(crate) address: String,
+}
+
+/// A call that reads rows.
+#[derive(Clone, Debug)]
+enum Reading {
+    /// The states of units.
+    Listing(Listing),
+    /// The members, to tell which have this version in force.
+    InForce(u64),
+}
+
+/// The operators' calls under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Operators {
+    me: Identity,
+    reading: BTreeMap<OperatorId, Reading>,
+    publishing: Publishing,
+}
+
+impl Operators {
+    pub(crate) fn new(me: Identity) -> Self {
+        Self {
+            me,
+            reading: BTreeMap::new(),
+            publishing: Publishing::default(),
+        }
+    }
+
+    /// Takes a call.
+    pub(crate) fn call(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        id: OperatorId,
+        req: OperatorReq,
+    ) {
+        match req {
+            OperatorReq::Publish {
+                by,
+                base,
+                files,
+                dry_run,
+            } => match changes_of(&files) {
+                Err(message) => refuse(cx, id, Verdict::NotRun, message),
+                Ok(changes) if dry_run => dry_run_of(cx, config, id, &by, base, changes),
+                Ok(changes) => self.submit(cx, config, id, &by, base, changes),
+            },
+            OperatorReq::Status { name } => {
+                let listing = Reading::Listing(Listing::new(name));
+                self.reading.insert(id, listing);
+                scan(cx, id, UNIT_PREFIX, String::new());
+            }
+            OperatorReq::Cancel { by, name } => {
+                let changes = vec![Change::RemoveUnit(name)];
+                self.submit(cx, config, id, &by, None, changes);
+            }
+            OperatorReq::Recall { by, targets } => {
+                let changes = each(targets, Change::Recall);
+                self.submit(cx, config, id, &by, None, changes);
+            }
+            OperatorReq::Lift { by, targets } => {
+                let changes = each(targets, Change::Lift);
+                self.submit(cx, config, id, &by, None, changes);
+            }
+            OperatorReq::Evacuate { by, domain, undo } => {
+                let change = if undo {
+                    Change::Readmit(domain)
+                } else {
+                    Change::Evacuate(domain)
+                };
+                self.submit(cx, config, id, &by, None, vec![change]);
+            }
+            OperatorReq::Recalls => {
+                let recalls = views::recalls(config.config());
+                answer(cx, id, OperatorResp::Recalls(recalls));
+            }
+            OperatorReq::InForce { version } => {
+                self.reading.insert(id, Reading::InForce(version));
+                scan(cx, id, MEMBER_PREFIX, String::new());
+            }
+            OperatorReq::Drain { node } => {
+                let message = format!("this node cannot drain {node}; stop its process instead");
+                refuse(cx, id, Verdict::NotRun, message);
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        id: OperatorId,
+        by: &Submitter,
+        base: Option<u64>,
+        changes: Vec<Change>,
+    ) {
+        let submission = submission(by, changes);
+        self.publishing.add(cx.now, config, id, submission, base);
+    }
+
+    /// Does all that is due.
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>, config: &mut ConfigSync) {
+        self.publishing.tick(cx, config);
+    }
+
+    /// Takes rows that were read for a call.
+    pub(crate) fn rows_read(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &ConfigSync,
+        id: OperatorId,
+        result: Result<TableResp, StoreError>,
+    ) {
+        match self.reading.remove(&id) {
+            None => {}
+            Some(Reading::Listing(listing)) => self.listed(cx, id, listing, result),
+            Some(Reading::InForce(version)) => {
+                // Where the table cannot be read, the nodes that were heard are named.
+                let rows = match result {
+                    Ok(TableResp::Rows(rows)) => rows,
+                    _ => Vec::new(),
+                };
+                let members = views::in_force(cx.now, &self.me, config, version, &rows);
+                answer(cx, id, OperatorResp::InForce { version, members });
+            }
+        }
+    }
+
+    fn listed(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: OperatorId,
+        mut listing: Listing,
+        result: Result<TableResp, StoreError>,
+    ) {
+        let rows = match result {
+            Ok(TableResp::Rows(rows)) => rows,
+            Ok(_) => return refuse(cx, id, Verdict::NotRun, "the table gave no rows".to_owned()),
+            Err(e) => return refuse(cx, id, Verdict::NotRun, format!("{e}; try again later")),
+        };
+        match listing.rows_read(&rows) {
+            Next::Read(prefix, after) => {
+                self.reading.insert(id, Reading::Listing(listing));
+                scan(cx, id, prefix, after);
+            }
+            Next::Answer(units) => answer(cx, id, OperatorResp::Status(units)),
+        }
+    }
+
+    /// Takes rows that were read for the entry under way.
+    pub(crate) fn publishing_read(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        result: Result<TableResp, StoreError>,
+    ) {
+        self.publishing.rows_read(cx, config, result);
+    }
+
+    /// Takes what became of the entry under way, and returns whether the configuration has changed.
+    pub(crate) fn settled(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        settlement: &Settlement,
+    ) -> bool {
+        self.publishing.settled(cx, config, settlement)
+    }
+}
+
+fn submission(by: &Submitter, changes: Vec<Change>) -> Submission {
+    let author = if by.author.is_empty() {
+        "an operator"
+    } else {
+        &by.author
+    };
+    Submission::new(&by.id, author, changes)
+}
+
+fn each(targets: Vec<RecallTarget>, change: impl Fn(RecallTarget) -> Change) -> Vec<Change> {
+    targets.into_iter().map(change).collect()
+}
+
+/// The changes that put operator files in force, or all faults of the files.
+fn changes_of(files: &[FileText]) -> Result<Vec<Change>, String> {
+    let sources: Vec<SourceFile<'_>> = files
+        .iter()
+        .map(|file| SourceFile {
+            path: &file.path,
+            text: &file.text,
+        })
+        .collect();
+    let catalog = Catalog::parse(&sources).map_err(|e| e.to_string())?;
+    let teams = catalog.teams.into_values().map(Change::SetTeam);
+    let units = catalog.units.into_values().map(Change::SetUnit);
+    Ok(teams.chain(units).collect())
+}
+
+fn dry_run_of(
+    cx: &mut Cx<'_>,
+    config: &ConfigSync,
+    id: OperatorId,
+    by: &Submitter,
+    base: Option<u64>,
+    changes: Vec<Change>,
+) {
+    let current = config.config();
+    let version = current.version();
+    let diff = current.diff(&changes);
+    let proposal = Proposal {
+        submission: submission(by, changes),
+        base: base.unwrap_or(version),
+    };
+    if let Some(Outcome::Refused(e)) = current.merge(&[proposal]).outcomes.pop() {
+        return refuse(cx, id, Verdict::NotRun, e.to_string());
+    }
+    let changes = diff;
+    answer(cx, id, OperatorResp::Changes { version, changes });
+}
+
+fn scan(cx: &mut Cx<'_>, id: OperatorId, prefix: &str, after: String) {
+    let req = TableReq::Scan {
+        prefix: prefix.to_owned(),
+        after,
+        limit: ROWS_PER_READ,
+    };
+    cx.table(Purpose::Operator(id), req);
+}
+
+fn answer(cx: &mut Cx<'_>, id: OperatorId, resp: OperatorResp) {
+    cx.out.push(Action::Operator(id, resp));
+}
+
+fn done(cx: &mut Cx<'_>, id: OperatorId, message: String, version: u64) {
+    answer(cx, id, OperatorResp::Done { message, version });
+}
+
+fn refuse(cx: &mut Cx<'_>, id: OperatorId, verdict: Verdict, message: String) {
+    answer(cx, id, OperatorResp::Failed { verdict, message });
+}
+
+fn member_domains(rows: &[Row]) -> Vec<DomainId> {
+    let members = rows
+        .iter()
+        .filter_map(|row| decode::<MemberRow>(&row.value).ok());
+    let domains: BTreeSet<DomainId> = members.map(|member| member.domain).collect();
+    domains.into_iter().collect()
+}
--- /dev/null
+++ b/crates/node/src/core/operators/publishing.rs
@@ -0,0 +1,377 @@
+//! Operators' changes on their way into the configuration.
+//!
+//! Changes that wait go into one entry together, where they do not concern the same items. There is
+//! one entry of a node under way at a time. A change that loses the race for the head waits for the
+//! other's entry and is looked at again: only a change of the same item refuses it.
+
+use std::{collections::VecDeque, time::Duration};
+
+use config::{Change, Entry, Outcome, Proposal, Submission};
+use model::{DomainId, Time, Verdict};
+use store::{Row, Settlement, StoreError, TableReq, TableResp};
+
+use super::{
+    super::{
+        calls::{Cx, Owner, Purpose},
+        config_sync::ConfigSync,
+        event::OperatorId,
+    },
+    MEMBER_PREFIX, ROWS_PER_READ, done, homes,
+    homes::Homes,
+    member_domains, refuse,
+};
+
+/// A change that is not decided after this time is answered: refused where it is not on its way to
+/// the table, uncertain where it is.
+const DECIDE_WITHIN: Duration = Duration::from_secs(10);
+/// How often a change is tried again after others came first.
+const RACES_MAX: u32 = 50;
+
+/// A change that is not settled.
+#[derive(Clone, Debug)]
+struct Pending {
+    /// The call to answer; `None` once it was answered.
+    call: Option<OperatorId>,
+    submission: Submission,
+    /// The version that the change is based on; `None` until a fresh one is known here.
+    base: Option<u64>,
+    /// What the configuration has to be fresh by.
+    fresh: u64,
+    since: Time,
+    races: u32,
+}
+
+/// How far the entry under way has come.
+#[derive(Clone, Debug, Default)]
+enum Round {
+    /// There is none.
+    #[default]
+    Idle,
+    /// The members are being read, to know the domains.
+    Members,
+    /// The rows that the entry replaces are being read.
+    Rows {
+        plan: Plan,
+        /// The prefixes that are still to be read; the last one is being read, after this key.
+        prefixes: Vec<String>,
+        after: String,
+        rows: Vec<Row>,
+    },
+    /// The entry is on its way to the table.
+    Committing(Plan),
+}
+
+/// An entry, and the changes that are in it.
+#[derive(Clone, Debug)]
+struct Plan {
+    entry: Entry,
+    joined: Vec<Pending>,
+    domains: Vec<DomainId>,
+}
+
+/// The operators' changes under way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Publishing {
+    waiting: VecDeque<Pending>,
+    round: Round,
+}
+
+impl Publishing {
+    /// Takes a change.
+    pub(super) fn add(
+        &mut self,
+        now: Time,
+        config: &mut ConfigSync,
+        call: OperatorId,
+        submission: Submission,
+        base: Option<u64>,
+    ) {
+        let is_recall = matches!(submission.changes.first(), Some(Change::Recall(_)));
+        let pending = Pending {
+            call: Some(call),
+            submission,
+            base,
+            fresh: config.want_fresh(),
+            since: now,
+            races: 0,
+        };
+        if is_recall {
+            self.waiting.push_front(pending);
+        } else {
+            self.waiting.push_back(pending);
+        }
+    }
+
+    /// Begins an entry if one is due, and answers calls that have waited too long.
+    pub(super) fn tick(&mut self, cx: &mut Cx<'_>, config: &mut ConfigSync) {
+        self.give_up(cx);
+        if !matches!(self.round, Round::Idle) || self.waiting.is_empty() {
+            return;
+        }
+        if self.waiting.iter().any(|p| config.is_fresh(p.fresh)) {
+            self.round = Round::Members;
+            scan(cx, MEMBER_PREFIX, String::new());
+        } else {
+            config.poll_soon();
+        }
+    }
+
+    fn give_up(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now;
+        let late = |pending: &Pending| now >= pending.since + DECIDE_WITHIN;
+        self.waiting.retain(|pending| {
+            if late(pending) {
+                let message = "the platform's table gives no answer; try again later";
+                pending.refuse(cx, Verdict::NotRun, message);
+            }
+            !late(pending)
+        });
+        if let Round::Committing(plan) = &mut self.round {
+            for pending in plan.joined.iter_mut().filter(|pending| late(pending)) {
+                let message = "the platform's table gives no answer: the change may come into force; \
+                               resend it to learn what became of it";
+                pending.refuse(cx, Verdict::MayHaveRun, message);
+                pending.call = None;
+            }
+        }
+    }
+
+    /// Takes rows that were read for the entry under way.
+    pub(super) fn rows_read(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        result: Result<TableResp, StoreError>,
+    ) {
+        let Ok(TableResp::Rows(read)) = result else {
+            return self.abandon();
+        };
+        match std::mem::take(&mut self.round) {
+            Round::Members => self.plan(cx, config, &member_domains(&read)),
+            Round::Rows {
+                plan,
+                mut prefixes,
+                mut after,
+                mut rows,
+            } => {
+                let whole = read.len() < ROWS_PER_READ as usize;
+                if whole {
+                    prefixes.pop();
+                    after.clear();
+                } else if let Some(last) = read.last() {
+                    last.key.clone_into(&mut after);
+                }
+                rows.extend(read);
+                self.read_or_commit(cx, config, plan, prefixes, after, rows);
+            }
+            round => self.round = round,
+        }
+    }
+
+    /// Gives the entry up that is not on its way to the table; the next tick begins another one.
+    fn abandon(&mut self) {
+        match std::mem::take(&mut self.round) {
+            Round::Rows { plan, .. } => self.put_back(plan),
+            Round::Committing(plan) => self.round = Round::Committing(plan),
+            Round::Idle | Round::Members => {}
+        }
+    }
+
+    fn put_back(&mut self, plan: Plan) {
+        for pending in plan.joined.into_iter().rev() {
+            self.waiting.push_front(pending);
+        }
+    }
+
+    /// Merges the changes that wait into an entry.
+    fn plan(&mut self, cx: &mut Cx<'_>, config: &mut ConfigSync, members: &[DomainId]) {
+        let current = config.config();
+        let mut ready: Vec<Pending> = Vec::new();
+        for mut pending in std::mem::take(&mut self.waiting) {
+            if !config.is_fresh(pending.fresh) {
+                self.waiting.push_back(pending);
+            } else if evacuates_last(&pending.submission, current, members) {
+                let message = "no other failure domain takes work; nothing was evacuated";
+                pending.refuse(cx, Verdict::NotRun, message);
+            } else {
+                pending.base.get_or_insert(current.version());
+                ready.push(pending);
+            }
+        }
+        let proposals: Vec<Proposal> = ready
+            .iter()
+            .map(|pending| Proposal {
+                submission: pending.submission.clone(),
+                base: pending.base.unwrap_or(current.version()),
+            })
+            .collect();
+        let merge = current.merge(&proposals);
+        let mut joined = Vec::new();
+        let newest = current.version();
+        for (pending, outcome) in ready.into_iter().zip(merge.outcomes) {
+            match outcome {
+                Outcome::Joined => joined.push(pending),
+                Outcome::NextEntry => self.waiting.push_back(pending),
+                Outcome::Unchanged => pending.done(cx, "nothing has changed".to_owned(), newest),
+                Outcome::Already { version } => {
+                    let message = format!("version {version}: it was done before");
+                    pending.done(cx, message, version);
+                }
+                Outcome::Refused(e) => pending.refuse(cx, Verdict::NotRun, &e.to_string()),
+            }
+        }
+        let Some(entry) = merge.entry else {
+            return;
+        };
+        let prefixes = homes::prefixes(&entry, current);
+        let takes_work = |domain: &&DomainId| {
+            let readmitted = entry.changes().any(|c| *c == Change::Readmit(**domain));
+            let evacuated = entry.changes().any(|c| *c == Change::Evacuate(**domain));
+            !evacuated && (readmitted || !current.is_evacuated(**domain))
+        };
+        let domains = members.iter().filter(takes_work).copied().collect();
+        let plan = Plan {
+            entry,
+            joined,
+            domains,
+        };
+        self.read_or_commit(cx, config, plan, prefixes, String::new(), Vec::new());
+    }
+
+    fn read_or_commit(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &ConfigSync,
+        plan: Plan,
+        prefixes: Vec<String>,
+        after: String,
+        rows: Vec<Row>,
+    ) {
+        if let Some(prefix) = prefixes.last() {
+            scan(cx, prefix, after.clone());
+            self.round = Round::Rows {
+                plan,
+                prefixes,
+                after,
+                rows,
+            };
+        } else {
+            self.commit(cx, config, plan, &rows);
+        }
+    }
+
+    fn commit(&mut self, cx: &mut Cx<'_>, config: &ConfigSync, plan: Plan, rows: &[Row]) {
+        let before = config.config();
+        if plan.entry.version != before.version() + 1 {
+            // Another entry has come in the meantime, by the table or by a peer.
+            return self.put_back(plan);
+        }
+        let (head, mut writes) = config.writes(&plan.entry);
+        let homes = Homes {
+            before,
+            domains: &plan.domains,
+            rows,
+        };
+        let (mut checks, unit_writes) = homes.writes(&plan.entry);
+        checks.insert(0, head);
+        writes.extend(unit_writes);
+        if cx.commits.push(Owner::Publishing, checks, writes).is_err() {
+            for pending in &plan.joined {
+                let message = "too many changes wait for the table; try again later";
+                pending.refuse(cx, Verdict::NotRun, message);
+            }
+            return;
+        }
+        self.round = Round::Committing(plan);
+    }
+
+    /// Takes what became of the entry, and returns whether the configuration has changed.
+    pub(super) fn settled(
+        &mut self,
+        cx: &mut Cx<'_>,
+        config: &mut ConfigSync,
+        settlement: &Settlement,
+    ) -> bool {
+        let Round::Committing(plan) = std::mem::take(&mut self.round) else {
+            return false;
+        };
+        match settlement {
+            Settlement::Committed { version } => {
+                for (pending, made) in plan.joined.iter().zip(&plan.entry.submissions) {
+                    pending.done(cx, message(plan.entry.version, made), plan.entry.version);
+                }
+                config.committed(cx, &plan.entry, *version)
+            }
+            Settlement::Conflict { .. } => {
+                for mut pending in plan.joined {
+                    pending.races += 1;
+                    pending.fresh = config.want_fresh();
+                    if pending.races <= RACES_MAX {
+                        self.waiting.push_back(pending);
+                    } else {
+                        let message = "too many other changes at the same time; try again";
+                        pending.refuse(cx, Verdict::NotRun, message);
+                    }
+                }
+                false
+            }
+            Settlement::Refused { reason } => {
+                for pending in &plan.joined {
+                    pending.refuse(cx, Verdict::NotRun, reason);
+                }
+                false
+            }
+        }
+    }
+}
+
+impl Pending {
+    fn done(&self, cx: &mut Cx<'_>, message: String, version: u64) {
+        if let Some(call) = self.call {
+            done(cx, call, message, version);
+        }
+    }
+
+    fn refuse(&self, cx: &mut Cx<'_>, verdict: Verdict, message: &str) {
+        if let Some(call) = self.call {
+            refuse(cx, call, verdict, message.to_owned());
+        }
+    }
+}
+
+/// What was done, in a line. A recall's effects on units are named.
+fn message(version: u64, made: &Submission) -> String {
+    let is_recall = |change: &Change| matches!(change, Change::Recall(_));
+    if !made.changes.iter().any(is_recall) {
+        return format!("version {version}, {} changes", made.changes.len());
+    }
+    let texts: Vec<String> = made
+        .changes
+        .iter()
+        .map(|change| match change {
+            Change::Recall(target) => format!("{target} is recalled"),
+            Change::SetUnit(unit) => format!("{} returns to its last good content", unit.name),
+            Change::RemoveUnit(name) => format!("{name} is removed"),
+            other => other.item(),
+        })
+        .collect();
+    format!("version {version}: {}", texts.join(", "))
+}
+
+/// Whether a submission would leave no domain that takes work.
+fn evacuates_last(submission: &Submission, current: &config::Config, members: &[DomainId]) -> bool {
+    let leaves = |domain: &DomainId| {
+        current.is_evacuated(*domain) || submission.changes.contains(&Change::Evacuate(*domain))
+    };
+    let evacuates = |change: &Change| matches!(change, Change::Evacuate(_));
+    submission.changes.iter().any(evacuates) && members.iter().all(leaves)
+}
+
+fn scan(cx: &mut Cx<'_>, prefix: &str, after: String) {
+    let req = TableReq::Scan {
+        prefix: prefix.to_owned(),
+        after,
+        limit: ROWS_PER_READ,
+    };
+    cx.table(Purpose::Publishing, req);
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use config::Entry;
+use config::News;
 use lease::LeaseMsg;
 use model::{DomainId, Epoch, Incarnation, NodeId, RegionId, Size, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -21,8 +21,8 @@
         /// The newest version that the sender has.
         after: u64,
     },
-    /// Entries of the configuration, oldest first.
-    ConfigEntries(Vec<Entry>),
+    /// Entries of the configuration, or the whole of it. Answers [`PeerMsg::ConfigWanted`].
+    ConfigEntries(News),
     /// The domain's inbox in the table has news.
     InboxNews,
 }
