--- /dev/null
+++ b/crates/model/src/files/limits.rs
@@ -0,0 +1,39 @@
+//! The bounds of what operator files may hold.
+
+use std::ops::RangeInclusive;
+
+/// The most operator files of one publication.
+pub(super) const FILES_MAX: usize = 2_000;
+/// The largest operator file, in bytes.
+pub(super) const FILE_BYTES_MAX: usize = 1 << 20;
+/// The most bytes of one publication's files together.
+pub(super) const TOTAL_BYTES_MAX: usize = 16 << 20;
+/// The longest name, in bytes.
+pub(super) const NAME_BYTES_MAX: usize = 40;
+/// The most words of a command.
+pub(super) const COMMAND_WORDS_MAX: usize = 256;
+/// The longest word of a command, in bytes.
+pub(super) const COMMAND_WORD_BYTES_MAX: usize = 4_096;
+
+/// Processors of one task, and the smallest share of one.
+pub(super) const PROCESSORS: RangeInclusive<f64> = 0.001..=1_024.0;
+/// Memory of one task, in units of 2^20 bytes.
+pub(super) const MEMORY_MB: RangeInclusive<u64> = 1..=16_777_216;
+/// Accelerators of one task.
+pub(super) const ACCELERATORS: RangeInclusive<u64> = 0..=64;
+/// Processors of a team.
+pub(super) const QUOTA_PROCESSORS: RangeInclusive<f64> = 0.0..=1_000_000.0;
+/// Memory of a team, in units of 2^20 bytes.
+pub(super) const QUOTA_MEMORY_MB: RangeInclusive<u64> = 0..=10_000_000_000;
+/// Accelerators of a team.
+pub(super) const QUOTA_ACCELERATORS: RangeInclusive<u64> = 0..=1_000_000;
+/// Tasks of a batch or job.
+pub(super) const TASKS: RangeInclusive<u64> = 1..=100_000;
+/// Replicas of a service.
+pub(super) const REPLICAS: RangeInclusive<u64> = 1..=10_000;
+/// Attempts of a task.
+pub(super) const ATTEMPTS: RangeInclusive<u64> = 1..=1_000;
+/// Declared run time, in seconds: up to a year.
+pub(super) const RUN_TIME_S: RangeInclusive<u64> = 1..=31_536_000;
+/// Deadline of a request, in milliseconds: up to an hour.
+pub(super) const DEADLINE_MS: RangeInclusive<u64> = 1..=3_600_000;
