--- a/crates/node/src/core/entry.rs
+++ b/crates/node/src/core/entry.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use config::Config;
-use model::{Kind, NodeId, Time};
+use model::{Kind, Time};
 use peer::{GrantView, ViewContent};
 use route::{
     Backend, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
@@ -19,7 +19,6 @@
     services: Vec<String>,
     request_max: Duration,
     grants: Vec<GrantView>,
-    addresses: BTreeMap<NodeId, String>,
 }
 
 impl Entry {
@@ -29,7 +28,6 @@
             services: Vec::new(),
             request_max: Duration::ZERO,
             grants: Vec::new(),
-            addresses: BTreeMap::new(),
         }
     }
 
@@ -101,19 +99,10 @@
         }
     }
 
-    /// Takes where other nodes are reached.
-    pub(crate) fn set_addresses(&mut self, addresses: BTreeMap<NodeId, String>) {
-        self.addresses = addresses;
-    }
-
-    fn address(&self, node: NodeId) -> String {
-        self.addresses.get(&node).cloned().unwrap_or_default()
-    }
-
     pub(crate) fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.offer(now, offer, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+        carry_out(actions, out);
     }
 
     pub(crate) fn finished(
@@ -125,17 +114,17 @@
     ) {
         let mut actions = Vec::new();
         self.router.finished(now, req, outcome, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+        carry_out(actions, out);
     }
 
     pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.tick(now, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+        carry_out(actions, out);
     }
 }
 
-fn carry_out(actions: Vec<RouteAction>, address: impl Fn(NodeId) -> String, out: &mut Vec<Action>) {
+fn carry_out(actions: Vec<RouteAction>, out: &mut Vec<Action>) {
     for action in actions {
         out.push(match action {
             RouteAction::Dispatch {
@@ -149,15 +138,7 @@
                 endpoint,
                 timeout,
             },
-            RouteAction::Forward { req, node, timeout } => {
-                let address = address(node);
-                Action::Forward {
-                    req,
-                    node,
-                    address,
-                    timeout,
-                }
-            }
+            RouteAction::Forward { req, node, timeout } => Action::Forward { req, node, timeout },
             RouteAction::Refuse {
                 req,
                 verdict,
