The scheduler in small modules: recalls, leaving workers, rolling updates, moves, generations

Change: split by job. A recalled batch is held until lifted; recalled and leaving workers are emptied; replicas of a changed service are replaced one at a time; units that wait move to a domain with room in one transaction; answers to calls of an earlier scheduler of the same node are ignored (they could have opened a worker before its list was read); attempts that must be committed first no longer wait for a pause in the changes.

--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -206,4 +206,6 @@
     pub attempt: Attempt,
     /// How many attempts have failed.
     pub failures: u32,
+    /// Names what the newest attempt was started with; 0 if that is not known.
+    pub content: u32,
 }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -2,13 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
+use model::{Incarnation, NodeId, Time};
 use store::{
     Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, Settlement, StoreError,
     TableReq, TableResp, WorkerCall, Write,
 };
 
-use super::event::{Action, CallId, OperatorId};
+use super::{
+    event::{Action, CallId, OperatorId},
+    scheduler::{Change, Generation, Read},
+};
 
 /// What a call to the table is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,14 +24,12 @@
     Members,
     ConfigSnapshot,
     ConfigCompact,
-    StateScan,
-    InboxScan,
-    InboxUnit(UnitId, (String, u64)),
+    Scheduler(Generation, Read),
     Operator(OperatorId),
     /// Rows that the configuration's next entry depends on.
     Publishing,
     Worker {
-        worker: WorkerId,
+        generation: Generation,
         sent: Time,
     },
 }
@@ -38,7 +39,7 @@
 pub(crate) enum Owner {
     /// Nobody: the change is made again if it matters.
     Nobody,
-    State(UnitId),
+    Scheduler(Generation, Change),
     /// The configuration's next entry.
     Publishing,
 }
@@ -56,9 +57,15 @@
         out.push(Action::Table(call, req));
     }
 
-    pub(crate) fn worker(&mut self, now: Time, req: WorkerCall, out: &mut Vec<Action>) {
-        let worker = req.worker;
-        let call = self.add(Purpose::Worker { worker, sent: now });
+    pub(crate) fn worker(
+        &mut self,
+        generation: Generation,
+        now: Time,
+        req: WorkerCall,
+        out: &mut Vec<Action>,
+    ) {
+        let sent = now;
+        let call = self.add(Purpose::Worker { generation, sent });
         out.push(Action::Worker(call, req));
     }
 
--- a/crates/node/src/core/dump.rs
+++ b/crates/node/src/core/dump.rs
@@ -5,7 +5,7 @@
 use model::Size;
 use serde::Serialize;
 
-use super::scheduler::Scheduler;
+use super::scheduler::{Scheduler, Worker};
 use crate::api::TaskPhase;
 
 /// A node's state. Secrets are not in it.
@@ -59,21 +59,43 @@
     pub epoch: String,
     /// Whether it has rebuilt its state after the takeover.
     pub recovered: bool,
-    /// Its workers, and whether each answers.
-    pub workers: BTreeMap<String, bool>,
+    /// Its workers.
+    pub workers: BTreeMap<String, WorkerDump>,
     /// How many tasks it knows in each phase.
     pub tasks: BTreeMap<&'static str, usize>,
     /// The replicas that take new requests.
     pub backends: Vec<String>,
 }
 
+/// One worker.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct WorkerDump {
+    /// Whether it answers.
+    pub answers: bool,
+    /// Whether it takes new work.
+    pub open: bool,
+    /// Whether it gets no work because everything failed there.
+    pub quarantined: bool,
+    /// How many tasks run there or are being started.
+    pub tasks: usize,
+}
+
 impl Scheduler {
     pub(crate) fn dump(&self) -> SchedulerDump {
         let mut tasks = BTreeMap::new();
         for task in self.jobs().values().flat_map(|job| &job.row.tasks) {
             *tasks.entry(phase_name(task.phase)).or_default() += 1;
         }
-        let worker = |worker: &super::workers::Worker| (worker.spec.id.to_string(), worker.known);
+        let worker = |worker: &Worker| {
+            let dump = WorkerDump {
+                answers: worker.known,
+                open: worker.serves(),
+                quarantined: self.is_quarantined(worker.spec.id),
+                tasks: worker.expected.len(),
+            };
+            (worker.spec.id.to_string(), dump)
+        };
         let backends = self.backends().into_iter();
         SchedulerDump {
             epoch: self.epoch().to_string(),
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,7 +7,6 @@
 mod dump;
 mod entry;
 mod event;
-mod jobs;
 mod members;
 mod operators;
 mod poll;
@@ -15,14 +14,13 @@
 mod scheduler;
 mod settings;
 mod views;
-mod workers;
 
 use std::collections::BTreeMap;
 
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time, Verdict};
+use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
 use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
 use route::{GrantConfig, NodeShares, Offer};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
@@ -34,13 +32,13 @@
     members::{Members, SelfState, member_key},
     operators::Operators,
     rows::lease_key,
-    scheduler::Scheduler,
+    scheduler::{Generation, Policy, Scheduler},
     views::{Beat, OwnView, Views},
 };
 use crate::api::{OperatorReq, OperatorResp};
 
 pub use self::{
-    dump::{Dump, MemberDump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
     event::{Action, CallId, Event, OperatorId},
     settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
@@ -57,6 +55,7 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
+    generation: Generation,
     members: Members,
     /// Where the lease's questions go, also to nodes that are no longer among the members.
     lease_addresses: BTreeMap<NodeId, String>,
@@ -87,6 +86,7 @@
             entry: Entry::new(cfg.route.clone()),
             operators: Operators::new(me.clone()),
             scheduler: None,
+            generation: Generation::default(),
             questions: BTreeMap::new(),
             lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
@@ -166,8 +166,8 @@
                 }
             }
             Event::Worker(call, worker, result) => {
-                if let Some(Purpose::Worker { sent, .. }) = self.calls.answered(call)
-                    && let Some(scheduler) = &mut self.scheduler
+                if let Some(Purpose::Worker { generation, sent }) = self.calls.answered(call)
+                    && let Some(scheduler) = current(&mut self.scheduler, generation)
                 {
                     scheduler.worker_answered(now, worker, sent, result);
                 }
@@ -230,12 +230,13 @@
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
         let state = self.self_state(now);
+        let elsewhere = self.free_elsewhere(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
         parts.members.tick(&mut cx, &state, parts.view.services());
         parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
-            scheduler.tick(&mut cx, valid_until);
+            scheduler.tick(&mut cx, valid_until, &elsewhere);
         }
         self.forget_members(now);
         self.refresh_views(now, out);
@@ -315,6 +316,15 @@
         }
     }
 
+    /// What other failure domains have free that take new work.
+    fn free_elsewhere(&self, now: Time) -> Vec<(DomainId, Size)> {
+        let config = self.config.config();
+        let domains = self.members.free_elsewhere(now);
+        domains
+            .filter(|(domain, _)| !config.is_evacuated(*domain))
+            .collect()
+    }
+
     fn node_shares(&self, now: Time) -> NodeShares {
         NodeShares {
             applied: self.view.applied(),
@@ -394,7 +404,7 @@
             }
             PeerMsg::ConfigEntries(news) => {
                 if self.config.take_entries(news) {
-                    self.config_changed();
+                    self.config_changed(now);
                 }
             }
         }
@@ -519,7 +529,7 @@
             Purpose::ConfigEntries => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.entries_read(&mut cx, result) {
-                    self.config_changed();
+                    self.config_changed(now);
                 }
             }
             Purpose::Members => {
@@ -535,7 +545,7 @@
             Purpose::ConfigSnapshot => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.snapshot_read(&mut cx, result) {
-                    self.config_changed();
+                    self.config_changed(now);
                 }
             }
             Purpose::ConfigCompact => {
@@ -552,58 +562,43 @@
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, parts.config, id, result);
             }
-            Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
-                self.scheduler_answered(now, purpose, result, out);
+            Purpose::Scheduler(generation, read) => {
+                let (mut cx, parts) = self.split(now, out);
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.read(&mut cx, read, result);
+                }
             }
             Purpose::Worker { .. } => {}
         }
     }
 
-    fn scheduler_answered(
-        &mut self,
-        now: Time,
-        purpose: Purpose,
-        result: Result<TableResp, StoreError>,
-        out: &mut Vec<Action>,
-    ) {
-        let (mut cx, parts) = self.split(now, out);
-        let Some(scheduler) = parts.scheduler else {
-            return;
-        };
-        match purpose {
-            Purpose::StateScan => scheduler.rows_read(now, result),
-            Purpose::InboxScan => scheduler.inbox_read(&mut cx, result),
-            Purpose::InboxUnit(id, notice) => scheduler.unit_read(now, &id, notice, result),
-            _ => {}
-        }
-    }
-
     fn settled(&mut self, now: Time, owner: Owner, settlement: Settlement, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
         match owner {
             Owner::Nobody => {}
-            Owner::State(id) => {
-                if let Some(scheduler) = parts.scheduler {
-                    scheduler.state_settled(now, &id, settlement);
+            Owner::Scheduler(generation, change) => {
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.settled(now, change, settlement);
                 }
             }
             Owner::Publishing => {
                 let operators = parts.operators;
                 if operators.settled(&mut cx, parts.config, &settlement) {
-                    self.config_changed();
+                    self.config_changed(now);
                 }
             }
         }
     }
 
-    fn config_changed(&mut self) {
+    fn config_changed(&mut self, now: Time) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
         self.entry.set_config(self.config.config());
         if let Some(scheduler) = &mut self.scheduler {
-            scheduler.set_teams(self.config.config().teams().values());
+            let policy = Policy::new(self.config.config(), self.me.domain);
+            scheduler.set_policy(now, policy);
             scheduler.read_inbox_soon();
         }
     }
@@ -671,10 +666,17 @@
     }
 
     fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
-        let cfg = self.cfg.scheduler.clone();
-        let place = self.cfg.place.clone();
-        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-        scheduler.set_teams(self.config.config().teams().values());
+        self.generation.0 += 1;
+        let mut scheduler = Scheduler::new(
+            now,
+            self.cfg.scheduler.clone(),
+            self.cfg.place.clone(),
+            self.me.domain,
+            epoch,
+            self.generation,
+        );
+        let policy = Policy::new(self.config.config(), self.me.domain);
+        scheduler.set_policy(now, policy);
         self.scheduler = Some(scheduler);
     }
 
@@ -749,3 +751,16 @@
         msg,
     });
 }
+
+/// The present scheduler, if it is the one of this generation.
+fn current(scheduler: &mut Option<Scheduler>, generation: Generation) -> Option<&mut Scheduler> {
+    let present = scheduler.as_mut()?;
+    (present.generation() == generation).then_some(present)
+}
+
+/// A hash that is the same in every process (FNV-1a).
+fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/node/src/core/operators/homes.rs
+++ b/crates/node/src/core/operators/homes.rs
@@ -6,7 +6,10 @@
 use model::{DomainId, Kind, Unit, UnitId};
 use store::{Check, Row, Write, decode, encode};
 
-use super::super::rows::{UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key};
+use super::super::{
+    rows::{UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key},
+    stable_hash,
+};
 
 /// What the rows of an entry's changes are made of.
 #[derive(Clone, Copy, Debug)]
@@ -114,8 +117,8 @@
     });
 }
 
-/// The parts of a unit by home domain: a service has one in each domain that holds replicas, other
-/// work is placed whole by one domain.
+/// The parts of a unit by home domain: services and batches have one in each domain, so that all
+/// domains' workers share them; a job whose tasks all start together is placed whole by one.
 ///
 /// `removed_at` is the version that last removed a unit of this name: what is published after that is
 /// another run, under another id.
@@ -124,34 +127,47 @@
     if n == 0 {
         return Vec::new();
     }
+    // Units of different names begin at different domains, so that odd tasks do not pile up in one.
     let first = usize::try_from(stable_hash(unit.name.as_bytes()) % u64::from(n)).unwrap_or(0);
-    let Kind::Service {
-        replicas,
-        spread,
-        requests,
-    } = unit.kind
-    else {
-        let run = run_hash(unit, removed_at) & 0xffff_ffff;
-        let id = UnitId::new(&format!("{}.{run:08x}", unit.name));
+    let run = run_hash(unit, removed_at) & 0xffff_ffff;
+    let name = &unit.name;
+    if let Kind::Gang { .. } = unit.kind {
+        let id = UnitId::new(&format!("{name}.{run:08x}"));
         return vec![(id, unit.clone(), domains[first])];
-    };
+    }
+    let tasks = unit.kind.tasks();
+    let share = |i: u32| tasks / n + u32::from(i < tasks % n);
     (0..n)
+        .filter(|i| share(*i) > 0)
         .map(|i| {
             let domain = domains[(first + i as usize) % domains.len()];
-            let share = replicas / n + u32::from(i < replicas % n);
-            let mut part = unit.clone();
-            part.kind = Kind::Service {
-                replicas: share,
-                spread,
-                requests,
+            let id = if unit.kind.is_service() {
+                format!("{name}@{domain}")
+            } else {
+                format!("{name}.{run:08x}@{domain}")
             };
-            let id = UnitId::new(&format!("{}@{domain}", unit.name));
-            (id, part, domain)
+            let mut part = unit.clone();
+            part.kind = with_tasks(&unit.kind, share(i));
+            (UnitId::new(&id), part, domain)
         })
-        .filter(|(_, part, _)| part.kind.tasks() > 0)
         .collect()
 }
 
+/// The kind with another number of tasks.
+fn with_tasks(kind: &Kind, tasks: u32) -> Kind {
+    match *kind {
+        Kind::Service {
+            spread, requests, ..
+        } => Kind::Service {
+            replicas: tasks,
+            spread,
+            requests,
+        },
+        Kind::Batch { .. } => Kind::Batch { tasks },
+        Kind::Gang { .. } => Kind::Gang { tasks },
+    }
+}
+
 fn run_hash(unit: &Unit, removed_at: u64) -> u64 {
     let mut content = encode(unit);
     if removed_at > 0 {
@@ -159,10 +175,3 @@
     }
     stable_hash(&content)
 }
-
-/// A hash that is the same in every process (FNV-1a).
-fn stable_hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- /dev/null
+++ b/crates/node/src/core/scheduler/fleet.rs
@@ -0,0 +1,166 @@
+//! The domain's workers: the VM list, calls, and workers that leave, are recalled or fall silent.
+
+use std::collections::BTreeSet;
+
+use model::{TaskId, Time, UnitId, WorkerId};
+use place::{TaskEnd, WorkerSpec};
+use store::{StoreError, VmInfo, VmRole, VmState};
+
+use super::{Scheduler, workers::Worker};
+use crate::core::{calls::Cx, event::Action};
+
+impl Scheduler {
+    pub(super) fn read_vms(&mut self, cx: &mut Cx<'_>) {
+        if self.vms_poll.begin(cx.now, self.cfg.vms_interval) {
+            cx.out.push(Action::Vms);
+        }
+    }
+
+    /// Takes the VM list.
+    pub(crate) fn vms(&mut self, now: Time, result: Result<Vec<VmInfo>, StoreError>) {
+        self.vms_poll.end();
+        let Ok(vms) = result else {
+            return;
+        };
+        self.vms_read = true;
+        let mut listed = BTreeSet::new();
+        for vm in &vms {
+            if let VmRole::Worker { worker, rack, size } = vm.role {
+                let spec = WorkerSpec {
+                    id: worker,
+                    rack,
+                    size,
+                };
+                listed.insert(worker);
+                self.worker_listed(now, spec, vm.state == VmState::Leaving);
+            }
+        }
+        let known: Vec<WorkerId> = self.workers.keys().copied().collect();
+        for id in known.into_iter().filter(|id| !listed.contains(id)) {
+            self.worker_unlisted(now, id);
+        }
+        self.retry_unplaceable(now);
+    }
+
+    fn worker_listed(&mut self, now: Time, spec: WorkerSpec, leaving: bool) {
+        let leases_until = self.old_leases_until;
+        let worker = self
+            .workers
+            .entry(spec.id)
+            .or_insert_with(|| Worker::new(spec, leases_until));
+        worker.spec = spec;
+        worker.leaving = leaving;
+        self.placer.add_worker(spec);
+        self.open_or_close(now, spec.id);
+    }
+
+    /// A worker that the list does not name leaves, and is forgotten once nothing can run there.
+    fn worker_unlisted(&mut self, now: Time, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        worker.leaving = true;
+        if worker.expected.is_empty() && now >= worker.leases_until {
+            self.workers.remove(&id);
+        }
+        self.placer.close_worker(id);
+    }
+
+    /// Lets work be placed on a worker, or not.
+    pub(super) fn open_or_close(&mut self, now: Time, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let recalled = self.policy.is_worker_recalled(id);
+        if worker.leaving || recalled || self.policy.is_evacuated() {
+            worker.close(now, recalled);
+            self.placer.close_worker(id);
+        } else {
+            worker.reopen();
+            if worker.known {
+                self.placer.open_worker(now, id);
+            }
+        }
+    }
+
+    /// Stops what runs on workers that leave or are recalled: at once on a recalled one; on a leaving
+    /// one after its backend servers' requests had time to end.
+    pub(super) fn empty_closed_workers(&mut self, now: Time) {
+        let grace = self.cfg.leave_grace;
+        let due: Vec<WorkerId> = self
+            .workers
+            .values_mut()
+            .filter_map(|worker| worker.empties(now, grace).then_some(worker.spec.id))
+            .collect();
+        for id in due {
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
+            let recalled = self.policy.is_worker_recalled(id);
+            let tasks: Vec<TaskId> = worker.expected.keys().cloned().collect();
+            for task in tasks {
+                self.clear_off(now, &task, id, recalled);
+            }
+        }
+    }
+
+    /// Units that no worker could hold are looked at again when the list has changed.
+    fn retry_unplaceable(&mut self, now: Time) {
+        if !self.is_recovered() {
+            return;
+        }
+        let blocked = self.jobs.iter().filter(|(_, job)| job.is_blocked());
+        let blocked: Vec<UnitId> = blocked.map(|(id, _)| id.clone()).collect();
+        for id in blocked {
+            self.enqueue(now, &id);
+        }
+    }
+
+    pub(super) fn call_workers(&mut self, cx: &mut Cx<'_>, valid_until: Time) {
+        if cx.now < self.reads_from {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            if let Some(call) = worker.next_call(cx.now, self.epoch, valid_until, &self.cfg) {
+                cx.calls.worker(self.generation, cx.now, call, cx.out);
+            }
+        }
+    }
+
+    /// Gives up the tasks of workers that have not answered for so long that all leases there have
+    /// lapsed.
+    pub(super) fn drop_lapsed(&mut self, now: Time) {
+        let silent: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| now >= worker.leases_until && !worker.expected.is_empty())
+            .map(|worker| worker.spec.id)
+            .collect();
+        for id in silent {
+            self.placer.close_worker(id);
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            worker.known = false;
+            let sent = worker.expected.iter().filter(|(_, expected)| expected.sent);
+            let tasks: Vec<TaskId> = sent.map(|(task, _)| task.clone()).collect();
+            for task in tasks {
+                self.lose(now, id, &task);
+            }
+        }
+    }
+
+    /// Takes the failure of a call: what was not sent yet is placed elsewhere, and nothing new comes
+    /// to the worker before it answers again.
+    pub(super) fn worker_failed(&mut self, now: Time, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        worker.not_reported(now, self.cfg.worker_retry);
+        let unsent = worker.take_unsent();
+        self.placer.close_worker(id);
+        for task in unsent {
+            self.task_ended(now, &task, TaskEnd::NotStarted);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/scheduler/inbox.rs
@@ -0,0 +1,170 @@
+//! Notices of submitted, changed and cancelled units.
+
+use model::{Time, UnitId};
+use store::{Check, StoreError, TableReq, TableResp, Write, decode};
+
+use super::{Change, Notice, Read, Scheduler, jobs::Job};
+use crate::{
+    api::TaskPhase,
+    core::{
+        calls::Cx,
+        rows::{UnitRow, inbox_prefix, last_part, state_key, unit_key},
+    },
+};
+
+/// The most rows that are read at a time.
+const ROWS_PER_READ: u32 = 200;
+
+impl Scheduler {
+    /// Reads the inbox at the next tick.
+    pub(crate) fn read_inbox_soon(&mut self) {
+        self.inbox_poll.soon();
+    }
+
+    pub(super) fn read_inbox(&mut self, cx: &mut Cx<'_>) {
+        let interval = self.cfg.inbox_interval;
+        if self.recovery.has_states() && self.inbox_poll.begin(cx.now, interval) {
+            let req = TableReq::Scan {
+                prefix: inbox_prefix(self.domain),
+                after: String::new(),
+                limit: ROWS_PER_READ,
+            };
+            self.table(cx, Read::Inbox, req);
+        }
+    }
+
+    pub(super) fn inbox_read(&mut self, cx: &mut Cx<'_>, result: Result<TableResp, StoreError>) {
+        self.inbox_poll.end();
+        let Ok(TableResp::Rows(rows)) = result else {
+            return;
+        };
+        for row in rows {
+            let id = UnitId::new(last_part(&row.key));
+            let notice = (row.key, row.version);
+            let known = self.jobs.get(&id);
+            if known.is_some_and(|job| job.has_notice(&notice)) {
+                continue;
+            }
+            let req = TableReq::Get { key: unit_key(&id) };
+            self.table(cx, Read::Unit(id, notice), req);
+        }
+    }
+
+    pub(super) fn unit_read(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: UnitId,
+        notice: Notice,
+        result: Result<TableResp, StoreError>,
+    ) {
+        let Ok(TableResp::Row(row)) = result else {
+            return;
+        };
+        let row = row.and_then(|row| {
+            let unit = decode::<UnitRow>(&row.value);
+            unit.inspect_err(|e| log::error!("scheduler: row {} cannot be read: {e}", row.key))
+                .ok()
+        });
+        // A unit that has been moved since is another domain's.
+        let Some(row) = row.filter(|row| row.home == self.domain) else {
+            self.drop_notice(cx, notice);
+            return;
+        };
+        if self.jobs.contains_key(&id) {
+            self.take_unit(cx.now, &id, notice, row);
+        } else {
+            let key = state_key(self.domain, &id);
+            let read = Read::State(id, notice, Box::new(row));
+            self.table(cx, read, TableReq::Get { key });
+        }
+    }
+
+    /// Deletes a notice that is of no use, unless it was written again meanwhile.
+    fn drop_notice(&mut self, cx: &mut Cx<'_>, (key, version): Notice) {
+        let check = Check {
+            key: key.clone(),
+            version: Some(version),
+        };
+        let write = Write { key, value: None };
+        let owner = self.owner(Change::Notice);
+        // A full queue only delays it: the notice is read again.
+        let _ = cx.commits.push(cx.now, owner, vec![check], vec![write]);
+    }
+
+    /// Takes the state of a unit that was not known here: one that was moved here, or a new one.
+    pub(super) fn state_read(
+        &mut self,
+        now: Time,
+        id: &UnitId,
+        notice: Notice,
+        row: UnitRow,
+        result: Result<TableResp, StoreError>,
+    ) {
+        let Ok(TableResp::Row(state)) = result else {
+            return;
+        };
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        if let Some(state) = state {
+            if !self.load(now, &state) {
+                return;
+            }
+        } else {
+            let job = Job::new(row.unit.clone(), row.cancelled);
+            self.jobs.insert(id.clone(), job);
+        }
+        self.take_unit(now, id, notice, row);
+    }
+
+    /// Takes a unit's description. A unit that is new here is placed once its state is in the table:
+    /// until then it might turn out to have been done before.
+    fn take_unit(&mut self, now: Time, id: &UnitId, notice: Notice, row: UnitRow) {
+        self.placer.add_unit(id, &row.unit);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.set_unit(row.unit, row.cancelled);
+        job.set_notice(notice);
+        let recorded = job.is_recorded();
+        self.dirty.insert(id.clone());
+        if recorded && self.is_recovered() {
+            self.enqueue(now, id);
+        }
+    }
+
+    /// Queues a unit's waiting tasks, unless it is cancelled or recalled.
+    pub(super) fn enqueue(&mut self, now: Time, id: &UnitId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.row.cancelled {
+            self.cancel(now, id);
+            return;
+        }
+        if self.policy.is_recalled(&job.row.unit) {
+            self.hold(now, id);
+            return;
+        }
+        let reason = match self.placer.enqueue(now, id, &job.waiting()) {
+            Ok(()) => String::new(),
+            Err(e) => e.to_string(),
+        };
+        job.set_reason(&reason);
+        self.dirty.insert(id.clone());
+    }
+
+    fn cancel(&mut self, now: Time, id: &UnitId) {
+        let mut decisions = Vec::new();
+        self.placer.cancel(now, id, &mut decisions);
+        if let Some(job) = self.jobs.get_mut(id) {
+            for task in job.waiting() {
+                job.set_phase(task.index, TaskPhase::Cancelled);
+            }
+            self.dirty.insert(id.clone());
+        }
+        for decision in decisions {
+            self.carry_out(now, decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/scheduler/reports.rs
@@ -0,0 +1,134 @@
+//! Workers' reports: what runs, what has ended, what is lost, and what is not the scheduler's own.
+
+use model::{Time, WorkerId};
+use place::TaskEnd;
+use store::{Command, StoreError, TaskPhase as Reported, TaskView, WorkerReport};
+
+use super::{Scheduler, jobs::task_state, workers::Expected};
+use crate::api::TaskPhase;
+
+impl Scheduler {
+    /// Takes the answer to a call that was made at `sent`.
+    pub(crate) fn worker_answered(
+        &mut self,
+        now: Time,
+        id: WorkerId,
+        sent: Time,
+        result: Result<WorkerReport, StoreError>,
+    ) {
+        let report = match result {
+            Ok(report) => report,
+            Err(e) => {
+                log::debug!("scheduler: {id} gave no answer: {e}");
+                self.worker_failed(now, id);
+                return;
+            }
+        };
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        if report.highest_epoch > self.epoch {
+            let seen = report.highest_epoch;
+            log::warn!("scheduler: {id} has been commanded under {seen}");
+            self.superseded = Some(seen);
+            return;
+        }
+        if !self.recovery.has_states() {
+            // Which attempts belong to which units is not known yet: the worker is read again.
+            worker.not_reported(now, self.cfg.worker_retry);
+            return;
+        }
+        worker.reported(now, sent, &report);
+        let missing = worker.missing(sent, &report);
+        self.open_or_close(now, id);
+        for task in missing {
+            self.lose(now, id, &task);
+        }
+        for view in &report.tasks {
+            self.take_view(now, id, view);
+        }
+    }
+
+    fn take_view(&mut self, now: Time, id: WorkerId, view: &TaskView) {
+        let state = task_state(&self.jobs, &view.task);
+        let here = TaskPhase::Running { worker: id };
+        let current = state.is_some_and(|s| s.attempt == view.attempt && s.phase == here);
+        let running = view.phase == Reported::Running;
+        if current && running {
+            self.placer.usage(now, &view.task, view.usage);
+            self.runs_here(id, view);
+        } else if current {
+            self.ended_here(now, id, view);
+        } else if running && state.is_some_and(|s| s.phase == TaskPhase::Waiting) {
+            self.adopt(now, id, view);
+        } else {
+            self.reject(id, view);
+        }
+    }
+
+    fn runs_here(&mut self, id: WorkerId, view: &TaskView) {
+        if let Some(worker) = self.workers.get_mut(&id)
+            && !view.endpoint.is_empty()
+            && !worker.is_stopping(&view.task)
+        {
+            let endpoint = view.endpoint.clone();
+            worker.endpoints.insert(view.task.clone(), endpoint);
+        }
+    }
+
+    fn ended_here(&mut self, now: Time, id: WorkerId, view: &TaskView) {
+        let end = match view.phase {
+            Reported::Running => return,
+            Reported::Succeeded => TaskEnd::Succeeded,
+            Reported::Failed => TaskEnd::Failed,
+            Reported::StartFailed => TaskEnd::StartFailed,
+            Reported::Stopped => TaskEnd::Stopped,
+            Reported::Checkpointed => TaskEnd::Checkpointed,
+            Reported::LeaseLapsed => TaskEnd::Lost,
+            Reported::NotStarted => TaskEnd::NotStarted,
+        };
+        self.forget_expected(id, &view.task);
+        let ended = self.ended.entry(view.task.unit.clone()).or_default();
+        ended.push((id, view.task.clone(), view.attempt));
+        self.task_ended(now, &view.task, end);
+    }
+
+    /// Takes over an attempt that an earlier scheduler started.
+    fn adopt(&mut self, now: Time, id: WorkerId, view: &TaskView) {
+        let expected = Expected {
+            attempt: view.attempt,
+            start_limit: now,
+            sent: true,
+        };
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.expected.insert(view.task.clone(), expected);
+        }
+        self.placer.adopt(now, &view.task, id, view.size);
+        if let Some(job) = self.jobs.get_mut(&view.task.unit) {
+            job.adopt(view.task.index, id, view.attempt);
+            self.dirty.insert(view.task.unit.clone());
+        }
+        self.runs_here(id, view);
+    }
+
+    /// Clears an attempt away that is not the task's present one.
+    fn reject(&mut self, id: WorkerId, view: &TaskView) {
+        let pending = self.ended.get(&view.task.unit);
+        let uncommitted = pending.is_some_and(|list| {
+            let mut ends = list.iter();
+            ends.any(|(_, task, attempt)| *task == view.task && *attempt == view.attempt)
+        });
+        if uncommitted {
+            return;
+        }
+        let task = view.task.clone();
+        let attempt = view.attempt;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.command(if view.phase == Reported::Running {
+                Command::Stop { task, attempt }
+            } else {
+                Command::Forget { task, attempt }
+            });
+        }
+    }
+}
--- a/crates/node/src/core/workers.rs
+++ b/crates/node/src/core/scheduler/workers.rs
@@ -4,13 +4,19 @@
 //! scheduler knows that this point lies between the sending of the call and the receipt of the report
 //! on its own clock. Each bound below is computed with whichever end is the safe one.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{Attempt, Epoch, Size, TaskId, Time};
 use place::WorkerSpec;
 use store::{Command, TaskStart, WorkerCall, WorkerReport};
 
-use super::settings::SchedulerConfig;
+use crate::core::settings::SchedulerConfig;
+
+/// How often the tasks of a worker that is being emptied are told to end.
+const STOP_INTERVAL: Duration = Duration::from_secs(2);
 
 /// One reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +46,16 @@
     pub(crate) sent: bool,
 }
 
+/// A worker that takes no new work.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    since: Time,
+    /// Whether it is recalled: what runs there is stopped at once.
+    recalled: bool,
+    /// When the tasks there are next told to end.
+    next_stop: Time,
+}
+
 /// One worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -48,6 +64,10 @@
     pub(crate) known: bool,
     /// Whether the VM list says that it leaves, or does not name it any more.
     pub(crate) leaving: bool,
+    /// Since when it takes no new work, if it does not.
+    closed: Option<Closed>,
+    /// Tasks that are to end: their replicas take no new requests.
+    stopping: BTreeSet<TaskId>,
     pub(crate) expected: BTreeMap<TaskId, Expected>,
     /// The last point of the scheduler's clock at which a task may still have a lease there.
     pub(crate) leases_until: Time,
@@ -66,6 +86,8 @@
             spec,
             known: false,
             leaving: false,
+            closed: None,
+            stopping: BTreeSet::new(),
             expected: BTreeMap::new(),
             leases_until,
             endpoints: BTreeMap::new(),
@@ -77,6 +99,69 @@
         }
     }
 
+    /// Whether its replicas take new requests.
+    pub(crate) const fn serves(&self) -> bool {
+        self.known && self.closed.is_none()
+    }
+
+    pub(crate) fn close(&mut self, now: Time, recalled: bool) {
+        let since = self.closed.map_or(now, |closed| closed.since);
+        let next_stop = self.closed.map_or(now, |closed| closed.next_stop);
+        self.closed = Some(Closed {
+            since,
+            recalled,
+            next_stop,
+        });
+    }
+
+    pub(crate) fn reopen(&mut self) {
+        self.closed = None;
+    }
+
+    /// Whether what runs here is to be told to end now.
+    pub(crate) fn empties(&mut self, now: Time, grace: Duration) -> bool {
+        let Some(closed) = &mut self.closed else {
+            return false;
+        };
+        let from = if closed.recalled {
+            closed.since
+        } else {
+            closed.since + grace
+        };
+        let due = now >= from && now >= closed.next_stop && !self.expected.is_empty();
+        if due {
+            closed.next_stop = now + STOP_INTERVAL;
+        }
+        due
+    }
+
+    /// Takes a task's replica out of service; the task is to end.
+    pub(crate) fn stopping(&mut self, task: &TaskId) {
+        self.endpoints.remove(task);
+        self.stopping.insert(task.clone());
+    }
+
+    pub(crate) fn is_stopping(&self, task: &TaskId) -> bool {
+        self.stopping.contains(task)
+    }
+
+    /// Forgets a task that has ended.
+    pub(crate) fn forget(&mut self, task: &TaskId) {
+        self.expected.remove(task);
+        self.endpoints.remove(task);
+        self.stopping.remove(task);
+    }
+
+    /// Takes back all starts that were not sent.
+    pub(crate) fn take_unsent(&mut self) -> Vec<TaskId> {
+        let starts = std::mem::take(&mut self.starts);
+        let tasks: Vec<TaskId> = starts.into_iter().map(|start| start.task).collect();
+        for task in &tasks {
+            self.forget(task);
+        }
+        tasks
+    }
+
     /// Queues a start. The task counts as expected from now on.
     pub(crate) fn start(&mut self, start: PendingStart) {
         let expected = Expected {
@@ -101,7 +186,7 @@
         self.starts.retain(|start| start.task != *task);
         let taken = self.starts.len() < before;
         if taken {
-            self.expected.remove(task);
+            self.forget(task);
         }
         taken
     }
--- a/crates/node/src/core/settings.rs
+++ b/crates/node/src/core/settings.rs
@@ -42,6 +42,14 @@
     pub vms_interval: Duration,
     /// The wait before a worker that gave no answer is called again. 1 s by default.
     pub worker_retry: Duration,
+    /// How long the backend servers on a worker that leaves may finish their requests. 10 s by default.
+    pub leave_grace: Duration,
+    /// The interval at which services are looked at for replicas to be replaced. 1 s by default.
+    pub update_interval: Duration,
+    /// The interval at which units are looked at to be moved to another domain. 2 s by default.
+    pub move_interval: Duration,
+    /// How long a unit waits at its home before it is moved. 15 s by default.
+    pub move_after: Duration,
 }
 
 impl Default for SchedulerConfig {
@@ -55,6 +63,10 @@
             inbox_interval: Duration::from_secs(1),
             vms_interval: Duration::from_secs(5),
             worker_retry: Duration::from_secs(1),
+            leave_grace: Duration::from_secs(10),
+            update_interval: Duration::from_secs(1),
+            move_interval: Duration::from_secs(2),
+            move_after: Duration::from_secs(15),
         }
     }
 }
