A bench of the placer against first fit, least loaded and the previous policy

Cause: nothing said what a decision costs or whether waiting and packing are better than before. Change: cargo bench -p place drives each policy through the same seeded loads on virtual time.

--- /dev/null
+++ b/crates/place/benches/place/main.rs
@@ -0,0 +1,215 @@
+//! Measures the placer against its baselines, each on the same seeded load in the same run.
+//!
+//! Waiting times and packing are on virtual time; the cost of decisions is on the real clock. A line
+//! `figure NAME VALUE UNIT` is printed for each value, `NAME` ending in the load and the policy but
+//! for the placer at target size.
+
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures are rounded for print"
+)]
+
+mod baselines;
+mod drive;
+mod load;
+
+use model::Class;
+use place::{Backfill, FitRule, PlaceConfig, Placer};
+
+use crate::{
+    baselines::{Rule, Scan},
+    drive::{Outcome, run},
+    load::{Load, LoadSpec},
+};
+
+fn quantile(values: &[f64], q: f64) -> f64 {
+    let mut values = values.to_vec();
+    values.sort_by(f64::total_cmp);
+    let rank = ((values.len() as f64 * q) as usize).min(values.len().saturating_sub(1));
+    values.get(rank).copied().unwrap_or(0.0)
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn figure(name: &str, suffix: &str, value: f64, unit: &str) {
+    println!("figure {name}{suffix} {value:.3} {unit}");
+}
+
+fn cost_us(outcome: &Outcome) -> f64 {
+    outcome.busy.as_secs_f64() * 1e6 / outcome.decisions as f64
+}
+
+fn packing(outcome: &Outcome) -> f64 {
+    outcome.bulk_processor_s / outcome.worker_s_in_use
+}
+
+fn waits(outcome: &Outcome, class: Class) -> &[f64] {
+    outcome.waits.get(&class).map_or(&[], Vec::as_slice)
+}
+
+fn report(suffix: &str, o: &Outcome) {
+    let urgent = waits(o, Class::Interactive);
+    figure("urgent_wait_mean_s", suffix, mean(urgent), "s");
+    figure("urgent_wait_p99_s", suffix, quantile(urgent, 0.99), "s");
+    figure("urgent_wait_max_s", suffix, quantile(urgent, 1.0), "s");
+    let standard = waits(o, Class::Standard);
+    figure("standard_wait_mean_s", suffix, mean(standard), "s");
+    figure("standard_wait_p99_s", suffix, quantile(standard, 0.99), "s");
+    figure("bulk_wait_mean_s", suffix, mean(waits(o, Class::Bulk)), "s");
+    if !o.gang_waits.is_empty() {
+        figure("gang_wait_mean_s", suffix, mean(&o.gang_waits), "s");
+        figure(
+            "gang_wait_p99_s",
+            suffix,
+            quantile(&o.gang_waits, 0.99),
+            "s",
+        );
+    }
+    figure("packing", suffix, packing(o), "processors");
+    let loaded = o.loaded.0 / o.loaded.1;
+    figure("packing_while_loaded", suffix, loaded, "processors");
+    figure("makespan_s", suffix, o.makespan_s, "s");
+    figure("reserved_processors", suffix, o.reserved.0 * 100.0, "%");
+    figure("reserved_memory", suffix, o.reserved.1 * 100.0, "%");
+    let overloaded = o.overloaded_worker_s;
+    figure("overloaded", suffix, overloaded, "worker_s");
+    let wrongly = o.given_up_wrongly as f64;
+    figure("given_up_wrongly", suffix, wrongly, "tasks");
+    figure("violations", suffix, o.violations as f64, "times");
+    figure("checkpoints", suffix, o.checkpoints as f64, "tasks");
+    figure(
+        "stops_in_call_max",
+        suffix,
+        o.stops_in_tick_max as f64,
+        "tasks",
+    );
+    figure("running_max", suffix, o.running_max as f64, "tasks");
+    figure("starts", suffix, o.starts as f64, "tasks");
+    let rate = o.decisions as f64 / o.busy.as_secs_f64();
+    figure("decisions_per_s", suffix, rate, "1/s");
+    let p99 = quantile(&o.latency_us, 0.99);
+    figure("decision_p99_us", suffix, p99, "us");
+    figure("decision_cost_us", suffix, cost_us(o), "us");
+}
+
+fn placer(cfg: PlaceConfig) -> Placer {
+    Placer::new(cfg)
+}
+
+/// The placer and all baselines on one load.
+fn compare(load: &Load, plain_names: bool) -> Outcome {
+    let name = load.spec.name;
+    let suffix = if plain_names {
+        String::new()
+    } else {
+        format!("_{name}")
+    };
+    let ours = run(placer(PlaceConfig::default()), load);
+    report(&suffix, &ours);
+    let rules = [
+        ("first_fit", Rule::FirstFit),
+        ("least_loaded", Rule::LeastLoaded),
+        ("previous", Rule::Previous),
+    ];
+    for (rule_name, rule) in rules {
+        let theirs = run(Scan::new(rule), load);
+        let both = format!("{suffix}_{rule_name}");
+        report(&both, &theirs);
+        let times = mean(waits(&theirs, Class::Interactive))
+            / mean(waits(&ours, Class::Interactive)).max(0.001);
+        figure("urgent_wait_gain", &both, times, "times");
+        let gain = packing(&ours) / packing(&theirs);
+        figure("packing_gain", &both, gain, "times");
+    }
+    ours
+}
+
+/// Other settings on one load, for the choices that the design page weighs.
+fn variants(load: &Load) {
+    let base = PlaceConfig::default;
+    let variants = [
+        (
+            "fit_alignment",
+            PlaceConfig {
+                fit: FitRule::Alignment,
+                ..base()
+            },
+        ),
+        (
+            "fit_balance",
+            PlaceConfig {
+                fit: FitRule::Balance,
+                ..base()
+            },
+        ),
+        (
+            "no_backfill",
+            PlaceConfig {
+                backfill: Backfill::None,
+                ..base()
+            },
+        ),
+        (
+            "no_kept_room",
+            PlaceConfig {
+                kept_units_max: 0,
+                ..base()
+            },
+        ),
+        (
+            "no_reserve",
+            PlaceConfig {
+                urgent_reserve_permille: 0,
+                ..base()
+            },
+        ),
+        (
+            "no_preemption",
+            PlaceConfig {
+                preempts: false,
+                ..base()
+            },
+        ),
+        (
+            "accelerator_share_0",
+            PlaceConfig {
+                accelerator_share_permille: 0,
+                ..base()
+            },
+        ),
+        (
+            "accelerator_share_1000",
+            PlaceConfig {
+                accelerator_share_permille: 1_000,
+                ..base()
+            },
+        ),
+    ];
+    for (name, cfg) in variants {
+        let outcome = run(placer(cfg), load);
+        report(&format!("_{}_{name}", load.spec.name), &outcome);
+    }
+}
+
+fn main() {
+    let only = std::env::args().find(|arg| arg == "variants");
+    if only.is_some() {
+        variants(&Load::new(LoadSpec::target()));
+        variants(&Load::new(LoadSpec::blue_mahoe()));
+        return;
+    }
+    let target = compare(&Load::new(LoadSpec::target()), true);
+    let eighth = run(
+        placer(PlaceConfig::default()),
+        &Load::new(LoadSpec::eighth()),
+    );
+    let growth = cost_us(&target) / cost_us(&eighth);
+    figure("decision_cost_us", "_eighth", cost_us(&eighth), "us");
+    figure("decision_cost_growth", "", growth, "times");
+    compare(&Load::new(LoadSpec::hatirlat()), false);
+    compare(&Load::new(LoadSpec::blue_mahoe()), false);
+}
