--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -132,6 +132,7 @@
 fn variants(load: &Load) {
     let base = PlaceConfig::default;
     let variants = [
+        ("base", base()),
         (
             "fit_alignment",
             PlaceConfig {
@@ -153,6 +154,20 @@
                 ..base()
             },
         ),
+        (
+            "press_30s",
+            PlaceConfig {
+                press_after: std::time::Duration::from_secs(30),
+                ..base()
+            },
+        ),
+        (
+            "kept_16",
+            PlaceConfig {
+                kept_units_max: 16,
+                ..base()
+            },
+        ),
         (
             "no_kept_room",
             PlaceConfig {
--- a/crates/place/src/config.rs
+++ b/crates/place/src/config.rs
@@ -46,6 +46,9 @@
     pub patience_standard: Duration,
     /// How long a bulk unit waits before room is kept for it. 60 s by default.
     pub patience_bulk: Duration,
+    /// How long room that is kept for an interactive or standard unit may drain by itself before
+    /// less urgent tasks there are checkpointed. Zero by default.
+    pub press_after: Duration,
     /// The most units that room is kept for at a time, without urgent ones. 4 by default.
     pub kept_units_max: usize,
     /// The most units of one team and class that a call looks at. 32 by default.
@@ -81,6 +84,7 @@
             patience_interactive: Duration::from_millis(500),
             patience_standard: Duration::from_secs(5),
             patience_bulk: Duration::from_secs(60),
+            press_after: Duration::ZERO,
             kept_units_max: 4,
             scan_depth: 32,
             checkpoint_timeout: Duration::from_secs(3),
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -163,7 +163,7 @@
         if asked.at.is_none() {
             let slots: Vec<Slot> = group.rooms.keys().copied().collect();
             for slot in slots {
-                asked.victims.extend(self.in_the_way(slot, class));
+                asked.victims.extend(self.in_the_way(now, slot, class));
             }
             if asked.victims.is_empty() {
                 return;
@@ -197,17 +197,18 @@
         asked.at = (!asked.victims.is_empty()).then_some(now);
     }
 
-    /// Tasks on a worker that must make way for a unit of `class` whose room is overdue.
-    fn in_the_way(&self, slot: Slot, class: Class) -> Vec<TaskKey> {
-        let worker = self.workers.get(slot);
-        let must_go = |key: &&TaskKey| {
-            let placed = self.units.placed(**key);
-            let lower = self.units.get(key.0).is_some_and(|e| e.class() < class);
-            placed.is_some_and(|p| {
-                !p.ending && (p.hold == Hold::Revocable || (p.hold.is_preemptible() && lower))
-            })
-        };
-        worker.tasks.iter().filter(must_go).copied().collect()
+    /// Tasks on a worker that must make way for a unit of `class` whose room is overdue: as few as
+    /// will do, or all that may if they are not enough.
+    fn in_the_way(&self, now: Time, slot: Slot, class: Class) -> Vec<TaskKey> {
+        let held = Size::ZERO;
+        if let Some((_, victims)) = self.victims(now, slot, held, class) {
+            return victims;
+        }
+        let tasks = self.workers.get(slot).tasks.iter();
+        tasks
+            .filter(|key| self.may_preempt(class, **key))
+            .copied()
+            .collect()
     }
 
     /// Keeps room for the units that have waited too long, the longest wait first.
@@ -302,6 +303,9 @@
             *group.rooms.entry(slot).or_default() += size;
             group.shadow = group.shadow.max(shadow);
         }
+        if class > Class::Bulk && self.cfg.preempts {
+            group.shadow = group.shadow.min(now + self.cfg.press_after);
+        }
         self.kept.push(group);
         true
     }
--- a/crates/place/src/preempt.rs
+++ b/crates/place/src/preempt.rs
@@ -8,7 +8,7 @@
     Decision, Placer,
     fit::Slot,
     kept::{Asked, Group, KeptTask},
-    units::{Entry, Placed, TaskKey},
+    units::{Entry, Hold, Placed, TaskKey},
 };
 
 /// Workers whose loss is worked out per preemption.
@@ -39,12 +39,13 @@
             if weighed > LOSSES_WEIGHED {
                 return Some(LOSS_UNKNOWN);
             }
-            self.victims(now, slot, size).map(|(loss, _)| loss)
+            self.victims(now, slot, size, Class::Interactive)
+                .map(|(loss, _)| loss)
         });
         let Some(slot) = best else {
             return false;
         };
-        let Some((_, victims)) = self.victims(now, slot, size) else {
+        let Some((_, victims)) = self.victims(now, slot, size, Class::Interactive) else {
             return false;
         };
         for victim in &victims {
@@ -68,8 +69,25 @@
         true
     }
 
-    /// The tasks to interrupt on a worker so that `size` fits there, and what that loses.
-    fn victims(&self, now: Time, slot: Slot, size: Size) -> Option<(u64, Vec<TaskKey>)> {
+    /// Whether a running task may be interrupted for a unit of `class`.
+    pub(crate) fn may_preempt(&self, class: Class, key: TaskKey) -> bool {
+        let placed = self.units.placed(key);
+        let lower = self.units.get(key.0).is_some_and(|e| e.class() < class);
+        placed.is_some_and(|placed| {
+            let may = placed.hold == Hold::Revocable || (placed.hold.is_preemptible() && lower);
+            may && !placed.ending
+        })
+    }
+
+    /// The tasks to interrupt on a worker so that `size` fits there beside what is kept, and what
+    /// that loses.
+    pub(crate) fn victims(
+        &self,
+        now: Time,
+        slot: Slot,
+        size: Size,
+        class: Class,
+    ) -> Option<(u64, Vec<TaskKey>)> {
         let worker = self.workers.get(slot);
         let taken = worker.used + worker.held + size;
         let mut excess = taken - worker.spec.size;
@@ -77,7 +95,7 @@
         for key in &worker.tasks {
             match self.units.placed(*key) {
                 Some(placed) if placed.ending => excess -= placed.size,
-                Some(placed) if placed.hold.is_preemptible() => {
+                Some(placed) if self.may_preempt(class, *key) => {
                     candidates.push((self.loss(now, *key, placed), *key, placed.size));
                 }
                 _ => {}
