--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -129,7 +129,7 @@
 }
 
 /// Other settings on one load, for the choices that the design page weighs.
-fn variants(load: &Load) {
+fn variants(load: &Load, only: &[String]) {
     let base = PlaceConfig::default;
     let variants = [
         ("base", base()),
@@ -205,16 +205,20 @@
         ),
     ];
     for (name, cfg) in variants {
+        if !only.is_empty() && !only.iter().any(|arg| name.contains(arg.as_str())) {
+            continue;
+        }
         let outcome = run(placer(cfg), load);
         report(&format!("_{}_{name}", load.spec.name), &outcome);
     }
 }
 
 fn main() {
-    let only = std::env::args().find(|arg| arg == "variants");
-    if only.is_some() {
-        variants(&Load::new(LoadSpec::target()));
-        variants(&Load::new(LoadSpec::blue_mahoe()));
+    let args: Vec<String> = std::env::args().filter(|arg| arg != "--bench").collect();
+    if args.get(1).is_some_and(|arg| arg == "variants") {
+        for spec in [LoadSpec::target(), LoadSpec::blue_mahoe()] {
+            variants(&Load::new(spec), &args[2..]);
+        }
         return;
     }
     let target = compare(&Load::new(LoadSpec::target()), true);
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -11,6 +11,7 @@
 use crate::{
     Decision, Placer,
     fit::Slot,
+    teams::{Claim, TeamIx},
     units::{Hold, TaskKey, UnitIx},
 };
 
@@ -212,19 +213,21 @@
     }
 
     /// Keeps room for the units that have waited too long, the longest wait first.
-    pub(crate) fn keep_for_patient(&mut self, now: Time) {
+    pub(crate) fn keep_for_patient(&mut self, now: Time, out: &mut Vec<Decision>) {
         if now < self.next_patience {
             return;
         }
         self.next_patience = now + PATIENCE_INTERVAL;
+        self.teams.drop_claims();
         let room = self.cfg.kept_units_max.saturating_sub(self.kept.patient());
-        if room == 0 || self.queues.is_empty() {
+        if self.queues.is_empty() {
             return;
         }
         let mut overdue = Vec::new();
         for class in Class::URGENT_FIRST {
-            for team in self.queues.teams(class) {
-                self.overdue(now, class, team, &mut overdue);
+            let teams: Vec<TeamIx> = self.queues.teams(class).collect();
+            for team in teams {
+                self.overdue(now, class, team, &mut overdue, out);
             }
         }
         overdue.sort_unstable();
@@ -237,12 +240,21 @@
         }
     }
 
+    /// Whether the unit's team may hold `size` more for it.
+    pub(crate) fn quota_allows(&self, unit: UnitIx, size: Size) -> bool {
+        let entry = self.units.get(unit);
+        entry.is_some_and(|e| self.teams.allows_unit(e.team, unit, e.class(), size))
+    }
+
+    /// Adds the first overdue unit of a line. Where the quota is used up, the next part of it that
+    /// becomes free is kept for the first such unit, so that smaller ones do not take it each time.
     fn overdue(
-        &self,
+        &mut self,
         now: Time,
         class: Class,
-        team: usize,
+        team: TeamIx,
         overdue: &mut Vec<(Time, u64, UnitIx)>,
+        out: &mut Vec<Decision>,
     ) {
         let mut from = 0;
         for _ in 0..HEADS_LOOKED_AT {
@@ -255,7 +267,15 @@
             };
             let at_once = self.at_once(unit);
             let due = entry.since + self.cfg.patience(class);
-            if now >= due.max(entry.keep_at) && self.teams.allows(team, at_once) {
+            if now < due {
+                continue;
+            }
+            let keep_at = entry.keep_at;
+            if !self.teams.allows(team, at_once) {
+                let size = at_once;
+                self.teams.claim(team, Claim { unit, class, size });
+                self.press_quota(team, class, size, out);
+            } else if now >= keep_at && self.quota_allows(unit, at_once) {
                 overdue.push((due, seq, unit));
                 return;
             }
--- a/crates/place/src/pass.rs
+++ b/crates/place/src/pass.rs
@@ -115,7 +115,7 @@
             return false;
         };
         let size = self.size_of(unit);
-        if !self.teams.allows(entry.team, size) {
+        if !self.quota_allows(unit, size) {
             return false;
         }
         let (service, class) = (entry.is_service(), entry.class());
@@ -169,7 +169,7 @@
             self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
             return false;
         }
-        let hopeless = !self.teams.allows(entry.team, at_once)
+        let hopeless = !self.quota_allows(unit, at_once)
             || !at_once.fits(&self.workers.free())
             || pass.no_room.covers(false, size);
         if hopeless {
@@ -258,7 +258,12 @@
         let plain = workers.plain().best(size, score);
         let service = entry.is_service();
         let beside = || {
-            let index = workers.accelerated_plain();
+            // Bulk work makes way as soon as the accelerators are asked for.
+            let index = if entry.class() == Class::Bulk && entry.may_interrupt() {
+                workers.accelerated()
+            } else {
+                workers.accelerated_plain()
+            };
             (!service).then(|| index.best(size, score))?
         };
         let reserve = || urgent.then(|| workers.urgent().best(size, score))?;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -240,9 +240,11 @@
             growing: false,
             throttled: false,
             team: entry.team,
+            class: entry.class(),
         };
         self.workers.reserve(key, &placed, &self.cfg);
-        self.teams.add(placed.team, size);
+        self.teams.start(key, &placed);
+        self.teams.drop_claim(placed.team, key.0);
         let rack = self.workers.get(slot).spec.rack;
         if let Some(entry) = self.units.get_mut(key.0) {
             entry.since = now;
@@ -265,7 +267,7 @@
             }
         }
         self.workers.release(key, &placed, &self.cfg);
-        self.teams.sub(placed.team, placed.size);
+        self.teams.end(key, &placed);
         self.dirty = true;
         Some(placed)
     }
@@ -314,7 +316,7 @@
         if self.dirty {
             self.pass(now, out);
         }
-        self.keep_for_patient(now);
+        self.keep_for_patient(now, out);
     }
 
     fn end_backoffs(&mut self, now: Time) {
--- a/crates/place/src/preempt.rs
+++ b/crates/place/src/preempt.rs
@@ -8,6 +8,7 @@
     Decision, Placer,
     fit::Slot,
     kept::{Asked, Group, KeptTask},
+    teams::TeamIx,
     units::{Entry, Hold, Placed, TaskKey},
 };
 
@@ -139,6 +140,37 @@
         }
     }
 
+    /// Interrupts a team's own less urgent tasks so that its quota allows `size` more.
+    pub(crate) fn press_quota(
+        &mut self,
+        team: TeamIx,
+        class: Class,
+        size: Size,
+        out: &mut Vec<Decision>,
+    ) {
+        if !self.cfg.preempts {
+            return;
+        }
+        let mut excess = self.teams.excess(team, size);
+        let mut candidates = Vec::new();
+        for key in self.teams.interruptible(team) {
+            match self.units.placed(key) {
+                Some(placed) if placed.ending => excess -= placed.size,
+                Some(placed) if placed.class < class => candidates.push((key, placed.size)),
+                _ => {}
+            }
+        }
+        for (key, size) in candidates {
+            if excess == Size::ZERO {
+                return;
+            }
+            if helps(size, excess) {
+                excess -= size;
+                self.interrupt(key, out);
+            }
+        }
+    }
+
     /// What is lost if a task is interrupted: its run so far, weighed by its processors.
     fn loss(&self, now: Time, key: TaskKey, placed: &Placed) -> u64 {
         let entry = self.units.get(key.0);
--- a/crates/place/src/teams.rs
+++ b/crates/place/src/teams.rs
@@ -1,10 +1,16 @@
 //! Teams, their hard quotas and their shares.
 
-use std::collections::HashMap;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap},
+};
 
-use model::{Size, Team};
+use model::{Class, Size, Team, Time};
 
-use crate::fit::share;
+use crate::{
+    fit::share,
+    units::{Placed, TaskKey, UnitIx},
+};
 
 /// A team's number within one placer.
 pub(crate) type TeamIx = usize;
@@ -14,6 +20,20 @@
     /// `None` while the team was only named by a unit.
     quota: Option<Size>,
     used: Size,
+    claim: Option<Claim>,
+    /// Running tasks that may be interrupted: lowest class, then latest start first.
+    interruptible: BTreeSet<Interruptible>,
+}
+
+/// A task in the order in which a team's own tasks make way.
+type Interruptible = (Class, Reverse<Time>, TaskKey);
+
+/// A part of a team's quota that is kept for one of its units.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Claim {
+    pub(crate) unit: UnitIx,
+    pub(crate) class: Class,
+    pub(crate) size: Size,
 }
 
 /// The teams and what their tasks hold.
@@ -54,6 +74,57 @@
         quota.is_some_and(|quota| (account.used + size).fits(&quota))
     }
 
+    /// Whether a unit of the team may hold `size` more, with regard to what is kept for another.
+    pub(crate) fn allows_unit(&self, ix: TeamIx, unit: UnitIx, class: Class, size: Size) -> bool {
+        let claim = self.accounts[ix].claim;
+        let claim = claim.filter(|claim| claim.unit != unit && claim.class >= class);
+        let kept = claim.map_or(Size::ZERO, |claim| claim.size);
+        self.allows(ix, size + kept)
+    }
+
+    /// Keeps a part of the quota for a unit, unless it is kept for another already.
+    pub(crate) fn claim(&mut self, ix: TeamIx, claim: Claim) {
+        self.accounts[ix].claim.get_or_insert(claim);
+    }
+
+    pub(crate) fn drop_claims(&mut self) {
+        for account in &mut self.accounts {
+            account.claim = None;
+        }
+    }
+
+    /// Ends what is kept for a unit.
+    pub(crate) fn drop_claim(&mut self, ix: TeamIx, unit: UnitIx) {
+        let claim = &mut self.accounts[ix].claim;
+        *claim = claim.filter(|claim| claim.unit != unit);
+    }
+
+    /// What the team would hold beyond its quota with `size` more.
+    pub(crate) fn excess(&self, ix: TeamIx, size: Size) -> Size {
+        let account = &self.accounts[ix];
+        account.used + size - account.quota.unwrap_or_default()
+    }
+
+    /// The team's running tasks that may be interrupted, in the order in which they make way.
+    pub(crate) fn interruptible(&self, ix: TeamIx) -> impl Iterator<Item = TaskKey> {
+        let tasks = self.accounts[ix].interruptible.iter();
+        tasks.map(|(_, _, key)| *key)
+    }
+
+    pub(crate) fn start(&mut self, key: TaskKey, placed: &Placed) {
+        self.add(placed.team, placed.size);
+        if placed.hold.is_preemptible() {
+            let tasks = &mut self.accounts[placed.team].interruptible;
+            tasks.insert((placed.class, Reverse(placed.since), key));
+        }
+    }
+
+    pub(crate) fn end(&mut self, key: TaskKey, placed: &Placed) {
+        self.sub(placed.team, placed.size);
+        let tasks = &mut self.accounts[placed.team].interruptible;
+        tasks.remove(&(placed.class, Reverse(placed.since), key));
+    }
+
     pub(crate) fn add(&mut self, ix: TeamIx, size: Size) {
         self.accounts[ix].used += size;
     }
--- a/crates/place/src/units.rs
+++ b/crates/place/src/units.rs
@@ -50,6 +50,7 @@
     /// Its processors were limited to what is reserved for it.
     pub(crate) throttled: bool,
     pub(crate) team: TeamIx,
+    pub(crate) class: Class,
 }
 
 /// One task.
