--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -162,16 +162,24 @@
             },
         ),
         (
-            "kept_16",
+            "kept_bulk_16",
             PlaceConfig {
-                kept_units_max: 16,
+                kept_bulk_max: 16,
+                ..base()
+            },
+        ),
+        (
+            "kept_urgent_4",
+            PlaceConfig {
+                kept_urgent_max: 4,
                 ..base()
             },
         ),
         (
             "no_kept_room",
             PlaceConfig {
-                kept_units_max: 0,
+                kept_bulk_max: 0,
+                kept_urgent_max: 0,
                 ..base()
             },
         ),
--- a/crates/place/src/config.rs
+++ b/crates/place/src/config.rs
@@ -49,8 +49,11 @@
     /// How long room that is kept for an interactive or standard unit may drain by itself before
     /// less urgent tasks there are checkpointed. Zero by default.
     pub press_after: Duration,
-    /// The most units that room is kept for at a time, without urgent ones. 4 by default.
-    pub kept_units_max: usize,
+    /// The most bulk units that room is kept for at a time. 4 by default.
+    pub kept_bulk_max: usize,
+    /// The most interactive and standard units that room is kept for at a time, besides those that
+    /// preempted. 16 by default.
+    pub kept_urgent_max: usize,
     /// The most units of one team and class that a call looks at. 32 by default.
     pub scan_depth: usize,
     /// How long a task may take to checkpoint before it is stopped. 3 s by default.
@@ -85,7 +88,8 @@
             patience_standard: Duration::from_secs(5),
             patience_bulk: Duration::from_secs(60),
             press_after: Duration::ZERO,
-            kept_units_max: 4,
+            kept_bulk_max: 4,
+            kept_urgent_max: 16,
             scan_depth: 32,
             checkpoint_timeout: Duration::from_secs(3),
             preemptions_max: 3,
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -73,8 +73,12 @@
         self.next += 1;
     }
 
-    fn patient(&self) -> usize {
-        self.groups.values().filter(|group| !group.urgent).count()
+    /// How many units have waited for their kept room, of the bulk class or of the others.
+    fn patient(&self, bulk: bool) -> usize {
+        let groups = self.groups.values();
+        groups
+            .filter(|group| !group.urgent && (group.class == Class::Bulk) == bulk)
+            .count()
     }
 }
 
@@ -219,7 +223,6 @@
         }
         self.next_patience = now + PATIENCE_INTERVAL;
         self.teams.drop_claims();
-        let room = self.cfg.kept_units_max.saturating_sub(self.kept.patient());
         if self.queues.is_empty() {
             return;
         }
@@ -231,7 +234,24 @@
             }
         }
         overdue.sort_unstable();
-        for (_, _, unit) in overdue.into_iter().take(room) {
+        self.keep_units(now, &overdue, true);
+        self.keep_units(now, &overdue, false);
+    }
+
+    fn keep_units(&mut self, now: Time, overdue: &[(Time, u64, UnitIx)], bulk: bool) {
+        let max = if bulk {
+            self.cfg.kept_bulk_max
+        } else {
+            self.cfg.kept_urgent_max
+        };
+        let room = max.saturating_sub(self.kept.patient(bulk));
+        let of_class = |unit: &UnitIx| {
+            let entry = self.units.get(*unit);
+            entry.is_some_and(|e| (e.class() == Class::Bulk) == bulk)
+        };
+        let units = overdue.iter().map(|(.., unit)| *unit);
+        let units: Vec<UnitIx> = units.filter(of_class).take(room).collect();
+        for unit in units {
             if !self.keep_unit(now, unit)
                 && let Some(entry) = self.units.get_mut(unit)
             {
