A gang that found too little room keeps its waiting time

Cause: each try of a gang reset the time from which its patience is counted, so that no room was kept for it.

--- a/crates/place/src/pass.rs
+++ b/crates/place/src/pass.rs
@@ -175,6 +175,7 @@
         if hopeless {
             return false;
         }
+        let since = entry.since;
         let indexes: Vec<u32> = entry.waiting.iter().copied().collect();
         let mut reserved = Vec::with_capacity(indexes.len());
         for index in indexes {
@@ -194,6 +195,8 @@
             self.unput(key);
         }
         if let Some(entry) = self.units.get_mut(unit) {
+            // A try that found too little room is no progress.
+            entry.since = since;
             entry.retry_at = now + GANG_RETRY;
             self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
         }
