--- a/crates/place/src/pass.rs
+++ b/crates/place/src/pass.rs
@@ -115,7 +115,7 @@
             return false;
         };
         let size = self.size_of(unit);
-        if !self.teams.allows(entry.team, size) {
+        if !self.quota_allows(unit, size) {
             return false;
         }
         let (service, class) = (entry.is_service(), entry.class());
@@ -169,12 +169,13 @@
             self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
             return false;
         }
-        let hopeless = !self.teams.allows(entry.team, at_once)
+        let hopeless = !self.quota_allows(unit, at_once)
             || !at_once.fits(&self.workers.free())
             || pass.no_room.covers(false, size);
         if hopeless {
             return false;
         }
+        let since = entry.since;
         let indexes: Vec<u32> = entry.waiting.iter().copied().collect();
         let mut reserved = Vec::with_capacity(indexes.len());
         for index in indexes {
@@ -194,6 +195,8 @@
             self.unput(key);
         }
         if let Some(entry) = self.units.get_mut(unit) {
+            // A try that found too little room is no progress.
+            entry.since = since;
             entry.retry_at = now + GANG_RETRY;
             self.retry_gangs_at = self.retry_gangs_at.min(entry.retry_at);
         }
@@ -258,7 +261,12 @@
         let plain = workers.plain().best(size, score);
         let service = entry.is_service();
         let beside = || {
-            let index = workers.accelerated_plain();
+            // Bulk work makes way as soon as the accelerators are asked for.
+            let index = if entry.class() == Class::Bulk && entry.may_interrupt() {
+                workers.accelerated()
+            } else {
+                workers.accelerated_plain()
+            };
             (!service).then(|| index.best(size, score))?
         };
         let reserve = || urgent.then(|| workers.urgent().best(size, score))?;
