store: a change that was surely not made can be taken back from the group commit

Cause: a request that must not be repeated waits for its claim; in an outage its caller would be told may-have-run though nothing was sent. Change: GroupCommit::withdraw takes back a change that still waits, or whose transaction was sent only over connections that the table never saw. Conclusion: the entry can refuse such requests as not run at once.

--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -93,6 +93,9 @@
 struct Batch {
     seq: u64,
     changes: Vec<CommitChange>,
+    /// Whether a transaction with these changes may have been made: one was sent, and it is not known
+    /// that it did not arrive.
+    may_be_made: bool,
 }
 
 /// What is known of the marker row.
@@ -163,6 +166,39 @@
         Ok(())
     }
 
+    /// Takes back a change that was surely not made. Returns whether it was taken back: it is then never
+    /// made and never settled.
+    pub fn withdraw(&mut self, tag: u64) -> bool {
+        let waits = self.waiting.iter().position(|change| change.tag == tag);
+        if let Some(i) = waits {
+            self.waiting.remove(i);
+            return true;
+        }
+        let split = self
+            .split
+            .iter()
+            .position(|part| part.iter().any(|c| c.tag == tag));
+        if let Some(i) = split {
+            self.split.remove(i);
+            return true;
+        }
+        let under_way = self.phase == Phase::Committing;
+        let batch = self
+            .batch
+            .as_mut()
+            .filter(|batch| !(under_way || batch.may_be_made));
+        let Some(batch) = batch else {
+            return false;
+        };
+        let before = batch.changes.len();
+        batch.changes.retain(|change| change.tag != tag);
+        let withdrawn = batch.changes.len() < before;
+        if batch.changes.is_empty() {
+            self.batch = None;
+        }
+        withdrawn
+    }
+
     /// How many changes are not settled.
     #[must_use]
     pub fn unsettled(&self) -> usize {
@@ -221,7 +257,11 @@
         }
         self.seq += 1;
         let seq = self.seq;
-        self.batch = Some(Batch { seq, changes });
+        self.batch = Some(Batch {
+            seq,
+            changes,
+            may_be_made: false,
+        });
         true
     }
 
@@ -299,7 +339,11 @@
             Err(StoreError::Refused(reason)) => {
                 self.settle(&Settlement::Refused { reason }, out);
             }
-            Ok(_) | Err(StoreError::Unreachable(_) | StoreError::Lost(_)) => {
+            Err(StoreError::Unreachable(_)) => self.next_call = now + self.cfg.retry_after,
+            Ok(_) | Err(StoreError::Lost(_)) => {
+                if let Some(batch) = &mut self.batch {
+                    batch.may_be_made = true;
+                }
                 self.next_call = now + self.cfg.retry_after;
             }
         }
