--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -216,9 +216,10 @@
             }
             Action::Object(..)
             | Action::Peer { .. }
-            | Action::Dispatch { .. }
+            | Action::Dispatch(..)
             | Action::Forward { .. }
-            | Action::Refuse { .. }
+            | Action::Answer(..)
+            | Action::Refuse(..)
             | Action::Exit => {}
         }
     }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
+use route::ReqId;
 use store::{
-    Check, CommitChange, CommitConfig, CommitOutput, Full, GroupCommit, Settlement, StoreError,
-    TableReq, TableResp, WorkerCall, Write,
+    Check, CommitChange, CommitConfig, CommitOutput, Full, GroupCommit, ObjectReq, Settlement,
+    StoreError, TableReq, TableResp, WorkerCall, Write,
 };
 
 use super::event::{Action, CallId, OperatorId};
@@ -23,7 +24,12 @@
     InboxScan,
     InboxUnit(UnitId, (String, u64)),
     Operator(OperatorId),
-    Worker { worker: WorkerId, sent: Time },
+    /// The row or object of a request's claim.
+    Claim(ReqId),
+    Worker {
+        worker: WorkerId,
+        sent: Time,
+    },
 }
 
 /// Who wants to know what became of a change.
@@ -33,6 +39,8 @@
     Nobody,
     State(UnitId),
     Operator(OperatorId),
+    /// A request that must not be repeated.
+    Claim(ReqId),
 }
 
 /// The calls under way.
@@ -48,6 +56,11 @@
         out.push(Action::Table(call, req));
     }
 
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq, out: &mut Vec<Action>) {
+        let call = self.add(purpose);
+        out.push(Action::Object(call, req));
+    }
+
     pub(crate) fn worker(&mut self, now: Time, req: WorkerCall, out: &mut Vec<Action>) {
         let worker = req.worker;
         let call = self.add(Purpose::Worker { worker, sent: now });
@@ -109,6 +122,19 @@
         Ok(())
     }
 
+    /// Takes back the newest change of an owner, if it was surely not made. It is then never made.
+    pub(crate) fn withdraw(&mut self, owner: &Owner) -> bool {
+        let tag = self.owners.iter().rev().find(|(_, other)| *other == owner);
+        let Some(tag) = tag.map(|(tag, _)| *tag) else {
+            return false;
+        };
+        let withdrawn = self.group.withdraw(tag);
+        if withdrawn {
+            self.owners.remove(&tag);
+        }
+        withdrawn
+    }
+
     pub(crate) fn poll(&mut self, now: Time, calls: &mut Calls, out: &mut Vec<Action>) {
         let mut outputs = Vec::new();
         self.group.poll(now, &mut outputs);
@@ -160,4 +186,8 @@
     pub(crate) fn table(&mut self, purpose: Purpose, req: TableReq) {
         self.calls.table(purpose, req, self.out);
     }
+
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq) {
+        self.calls.object(purpose, req, self.out);
+    }
 }
--- a/crates/node/src/core/dump.rs
+++ b/crates/node/src/core/dump.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::Size;
+use route::RouteDump;
 use serde::Serialize;
 
 use super::scheduler::Scheduler;
@@ -33,6 +34,8 @@
     pub free: Size,
     /// What other failure domains have free, where they were heard of late.
     pub free_elsewhere: BTreeMap<String, Size>,
+    /// Callers' requests.
+    pub requests: RouteDump,
     /// The scheduler of its domain, if it is that.
     pub scheduler: Option<SchedulerDump>,
 }
--- a/crates/node/src/core/entry/mod.rs
+++ b/crates/node/src/core/entry/mod.rs
@@ -1,61 +1,121 @@
-//! Callers' requests at a node: the router, and what it knows from the domain's scheduler.
+//! Callers' requests at a node: the router, what it knows from the domain's scheduler, and the claims
+//! of requests that must not be repeated.
 
-use std::collections::BTreeMap;
+mod claims;
 
-use config::Config;
-use model::{Kind, NodeId, Time};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use config::{Config, RecallTarget};
+use model::{Kind, NodeId, Time, WorkerId};
 use peer::{GrantView, ViewContent};
 use route::{
-    Backend, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
+    AttemptEnd, Backend, ClaimResult, Grant, Offer, Remote, ReqId, RouteAction, RouteConfig,
+    RouteDump, Router, ServicePolicy,
 };
+use store::{ObjectResp, Settlement, StoreError, TableResp};
 
-use super::event::Action;
+use self::claims::{Claims, Told};
+use super::{calls::Cx, event::Action};
+
+/// How long a node that shuts down still takes requests.
+const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
 /// The router of a node with its owner's part.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
     router: Router,
-    services: Vec<String>,
-    grants: Vec<GrantView>,
+    claims: Claims,
+    services: BTreeSet<String>,
+    recalled: BTreeSet<WorkerId>,
+    view: ViewContent,
     addresses: BTreeMap<NodeId, String>,
+    /// When a node that shuts down takes no more requests.
+    closes: Option<Time>,
 }
 
 impl Entry {
     pub(crate) fn new(cfg: RouteConfig) -> Self {
         Self {
             router: Router::new(cfg),
-            services: Vec::new(),
-            grants: Vec::new(),
+            claims: Claims::default(),
+            services: BTreeSet::new(),
+            recalled: BTreeSet::new(),
+            view: ViewContent::default(),
             addresses: BTreeMap::new(),
+            closes: None,
         }
     }
 
-    pub(crate) fn in_flight(&self) -> usize {
-        self.router.in_flight()
+    /// Begins to drain: requests that still come here are served until the platform's balancer has had
+    /// the time to see that the node is not ready, and refused from then on.
+    pub(crate) fn leave(&mut self, now: Time) {
+        self.closes = Some(now + DRAIN_GRACE);
+    }
+
+    /// Whether nothing is cut off if the process ends now.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.router.is_closed() && self.router.in_flight() == 0
+    }
+
+    pub(crate) fn dump(&self) -> RouteDump {
+        self.router.dump()
     }
 
     /// Takes the services of a new version of the configuration.
-    pub(crate) fn set_config(&mut self, config: &Config) {
-        self.services.clear();
+    pub(crate) fn set_config(&mut self, cx: &mut Cx<'_>, config: &Config) {
+        let mut services = BTreeSet::new();
         for unit in config.units().values() {
             if let Kind::Service { requests, .. } = unit.kind {
                 let policy = ServicePolicy {
+                    team: unit.team.clone(),
                     class: unit.class,
                     repeat: requests.repeat,
                     deadline: requests.deadline,
                 };
                 self.router.set_service(&unit.name, policy);
-                self.services.push(unit.name.clone());
+                services.insert(unit.name.clone());
             }
         }
+        let mut actions = Vec::new();
+        for gone in self.services.difference(&services) {
+            self.router.remove_service(gone, &mut actions);
+        }
+        self.services = services;
+        self.recalled = recalled_workers(config);
+        self.set_backends();
+        self.carry_out(cx, actions);
     }
 
-    /// Takes the content of a view, whose grants hold up to `until`.
-    pub(crate) fn set_view(&mut self, until: Time, content: &ViewContent) {
-        self.grants.clone_from(&content.grants);
-        self.renew_grants(until);
+    /// Takes the content of a view that answers this node's heartbeat `answers`, and whose grants hold
+    /// up to `until`.
+    pub(crate) fn set_view(&mut self, answers: u64, until: Time, content: &ViewContent) {
+        self.view = content.clone();
+        let share = |grant: &GrantView| {
+            let share = Grant {
+                slots: grant.slots,
+                connections: grant.connections,
+                until,
+            };
+            (grant.worker, share)
+        };
+        let grants = self.view.grants.iter().map(share).collect();
+        self.router.set_grants(answers, grants);
+        self.set_backends();
+    }
+
+    /// Lets the present grants hold up to `until`, as the answer to the heartbeat `answers` says.
+    pub(crate) fn renew_grants(&mut self, answers: u64, until: Time) {
+        self.router.renew_grants(answers, until);
+    }
+
+    /// A worker that is recalled gets no new request at once, whatever the scheduler says.
+    fn set_backends(&mut self) {
         let mut backends: BTreeMap<&str, Vec<Backend>> = BTreeMap::new();
-        for backend in &content.backends {
+        let open = |worker: &WorkerId| !self.recalled.contains(worker);
+        for backend in self.view.backends.iter().filter(|b| open(&b.worker)) {
             let list = backends.entry(&backend.service).or_default();
             list.push(Backend {
                 worker: backend.worker,
@@ -68,18 +128,6 @@
         }
     }
 
-    /// Lets the present grants hold up to `until`.
-    pub(crate) fn renew_grants(&mut self, until: Time) {
-        for grant in &self.grants {
-            let share = Grant {
-                slots: grant.slots,
-                connections: grant.connections,
-                until,
-            };
-            self.router.set_grant(grant.worker, share);
-        }
-    }
-
     /// Takes the nodes of other domains that can serve.
     pub(crate) fn set_remotes(&mut self, remotes: impl Fn(&str) -> Vec<Remote>) {
         for service in &self.services {
@@ -92,70 +140,112 @@
         self.addresses = addresses;
     }
 
-    fn address(&self, node: NodeId) -> String {
-        self.addresses.get(&node).cloned().unwrap_or_default()
+    pub(crate) fn offer(&mut self, cx: &mut Cx<'_>, offer: &Offer) {
+        let mut actions = Vec::new();
+        self.router.offer(cx.now, offer, &mut actions);
+        self.carry_out(cx, actions);
     }
 
-    pub(crate) fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<Action>) {
+    pub(crate) fn finished(&mut self, cx: &mut Cx<'_>, end: &AttemptEnd) {
+        let mut actions = Vec::new();
+        self.router.finished(cx.now, end, &mut actions);
+        self.carry_out(cx, actions);
+        if !self.router.is_open(end.req) {
+            self.claims.release(end.req);
+        }
+    }
+
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
+        if self.closes.is_some_and(|closes| cx.now >= closes) {
+            self.router.close();
+        }
+        let told = self.claims.tick(cx);
+        self.tell(cx, told);
         let mut actions = Vec::new();
-        self.router.offer(now, offer, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+        self.router.tick(cx.now, &mut actions);
+        self.carry_out(cx, actions);
     }
 
-    pub(crate) fn finished(
+    /// A change of a claim is settled.
+    pub(crate) fn claim_settled(&mut self, cx: &mut Cx<'_>, req: ReqId, settlement: &Settlement) {
+        let told = self.claims.settled(cx, req, settlement);
+        self.tell(cx, told);
+    }
+
+    /// A claim's row was read.
+    pub(crate) fn claim_read(
         &mut self,
-        now: Time,
+        cx: &mut Cx<'_>,
         req: ReqId,
-        outcome: Outcome,
-        out: &mut Vec<Action>,
+        result: Result<TableResp, StoreError>,
     ) {
-        let mut actions = Vec::new();
-        self.router.finished(now, req, outcome, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+        let told = self.claims.row_read(cx, req, result);
+        self.tell(cx, told);
     }
 
-    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        let mut actions = Vec::new();
-        self.router.tick(now, &mut actions);
-        carry_out(actions, |node| self.address(node), out);
+    /// The object store has answered for a claim.
+    pub(crate) fn claim_object(
+        &mut self,
+        cx: &mut Cx<'_>,
+        req: ReqId,
+        result: Result<ObjectResp, StoreError>,
+    ) {
+        let told = self.claims.object_answered(cx, req, result);
+        self.tell(cx, told);
+    }
+
+    fn tell(&mut self, cx: &mut Cx<'_>, told: Vec<(ReqId, Told)>) {
+        for (req, told) in told {
+            let mut actions = Vec::new();
+            match told {
+                Told::Claim(result) => self.router.claimed(cx.now, req, result, &mut actions),
+                Told::Void(done) => self.router.voided(cx.now, req, done, &mut actions),
+            }
+            self.carry_out(cx, actions);
+        }
     }
-}
 
-fn carry_out(actions: Vec<RouteAction>, address: impl Fn(NodeId) -> String, out: &mut Vec<Action>) {
-    for action in actions {
-        out.push(match action {
-            RouteAction::Dispatch {
-                req,
-                worker,
-                endpoint,
-                timeout,
-            } => Action::Dispatch {
-                req,
-                worker,
-                endpoint,
-                timeout,
-            },
-            RouteAction::Forward { req, node, timeout } => {
-                let address = address(node);
-                Action::Forward {
+    fn carry_out(&mut self, cx: &mut Cx<'_>, actions: Vec<RouteAction>) {
+        for action in actions {
+            match action {
+                RouteAction::Dispatch(dispatch) => cx.out.push(Action::Dispatch(dispatch)),
+                RouteAction::Forward(forward) => {
+                    let address = self.addresses.get(&forward.node);
+                    let address = address.cloned().unwrap_or_default();
+                    cx.out.push(Action::Forward { forward, address });
+                }
+                RouteAction::Refuse(refuse) => {
+                    self.claims.release(refuse.req);
+                    cx.out.push(Action::Refuse(refuse));
+                }
+                RouteAction::Answer(req, answer) => cx.out.push(Action::Answer(req, answer)),
+                RouteAction::Claim {
                     req,
-                    node,
-                    address,
-                    timeout,
+                    service,
+                    key,
+                    fingerprint,
+                } => {
+                    if !self.claims.claim(cx, req, &service, &key, fingerprint) {
+                        let unreachable = Told::Claim(ClaimResult::Unreachable);
+                        self.tell(cx, vec![(req, unreachable)]);
+                    }
+                }
+                RouteAction::Void(req) => {
+                    if !self.claims.void(cx, req) {
+                        self.tell(cx, vec![(req, Told::Void(false))]);
+                    }
                 }
+                RouteAction::Keep(req, answer) => self.claims.keep(cx, req, answer),
             }
-            RouteAction::Refuse {
-                req,
-                verdict,
-                reason,
-                retry_after,
-            } => Action::Refuse {
-                req,
-                verdict,
-                reason,
-                retry_after,
-            },
-            RouteAction::Claim { .. } => continue,
-        });
+        }
     }
 }
+
+fn recalled_workers(config: &Config) -> BTreeSet<WorkerId> {
+    let recalls = config.recalls().iter();
+    let workers = recalls.filter_map(|recall| match recall {
+        RecallTarget::Worker(worker) => Some(*worker),
+        RecallTarget::Batch(_) | RecallTarget::Setting { .. } => None,
+    });
+    workers.collect()
+}
--- a/crates/node/src/core/event.rs
+++ b/crates/node/src/core/event.rs
@@ -1,10 +1,8 @@
 //! What happens to a node, and what it wants done.
 
-use std::time::Duration;
-
-use model::{NodeId, Verdict, WorkerId};
+use model::{NodeId, WorkerId};
 use peer::PeerMsg;
-use route::{Outcome, ReqId};
+use route::{AttemptEnd, Dispatch, Forward, Offer, Refuse, ReqId, StoredAnswer};
 use store::{
     ObjectReq, ObjectResp, StoreError, TableReq, TableResp, VmInfo, WorkerCall, WorkerReport,
 };
@@ -39,18 +37,9 @@
     /// A message was not acknowledged by the node it was sent to: it may or may not have arrived.
     PeerFailed(NodeId, PeerMsg),
     /// A caller's request.
-    Request {
-        /// The request.
-        req: ReqId,
-        /// The service.
-        service: String,
-        /// The caller's idempotency key.
-        key: Option<String>,
-        /// Whether another node has passed it on.
-        forwarded: bool,
-    },
-    /// What became of a dispatched or forwarded request.
-    Finished(ReqId, Outcome),
+    Request(Offer),
+    /// The end of an attempt at a backend server or another node.
+    Finished(AttemptEnd),
     /// The process was asked to shut down.
     Shutdown,
 }
@@ -80,38 +69,18 @@
         msg: PeerMsg,
     },
     /// Send a request to a backend server.
-    Dispatch {
-        /// The request.
-        req: ReqId,
-        /// The backend server.
-        worker: WorkerId,
-        /// Where it takes requests.
-        endpoint: String,
-        /// How long it may take.
-        timeout: Duration,
-    },
+    Dispatch(Dispatch),
     /// Pass a request to another node.
     Forward {
-        /// The request.
-        req: ReqId,
-        /// The other node.
-        node: NodeId,
-        /// Where it is reached.
+        /// The attempt.
+        forward: Forward,
+        /// Where the other node is reached.
         address: String,
-        /// How long it may take.
-        timeout: Duration,
     },
+    /// Answer a caller with the answer that was kept of an earlier request with the same key.
+    Answer(ReqId, StoredAnswer),
     /// Answer a caller with a refusal or an error, at once.
-    Refuse {
-        /// The request.
-        req: ReqId,
-        /// Whether it may have run.
-        verdict: Verdict,
-        /// Why.
-        reason: &'static str,
-        /// When the caller may come back.
-        retry_after: Option<Duration>,
-    },
+    Refuse(Refuse),
     /// The shutdown is complete: the process may exit.
     Exit,
 }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -24,7 +24,7 @@
 };
 use model::{Epoch, NodeId, Time};
 use peer::{DomainView, Heartbeat, PeerMsg};
-use route::Offer;
+use route::RouteConfig;
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -80,7 +80,10 @@
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
             config: ConfigSync::new(cfg.config.clone()),
-            entry: Entry::new(cfg.route.clone()),
+            entry: Entry::new(RouteConfig {
+                seed: cfg.route.seed ^ me.incarnation.0 ^ u64::from(me.node.0),
+                ..cfg.route.clone()
+            }),
             operators: Operators::default(),
             scheduler: None,
             questions: BTreeMap::new(),
@@ -103,6 +106,12 @@
         self.config.is_known() && self.config.config().version() >= newest && !self.leaving
     }
 
+    /// Whether the node shuts down.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
@@ -122,6 +131,7 @@
                 .free_elsewhere(now)
                 .map(|(domain, free)| (domain.to_string(), free))
                 .collect(),
+            requests: self.entry.dump(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
@@ -162,27 +172,26 @@
                 parts.operators.call(&mut cx, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
-            Event::Request {
-                req,
-                service,
-                key,
-                forwarded,
-            } => {
-                let offer = Offer {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.entry.offer(now, &offer, out);
+            Event::Request(offer) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.offer(&mut cx, &offer);
+            }
+            Event::Finished(end) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.finished(&mut cx, &end);
+            }
+            Event::Object(call, result) => {
+                if let Some(Purpose::Claim(req)) = self.calls.answered(call) {
+                    let (mut cx, parts) = self.split(now, out);
+                    parts.entry.claim_object(&mut cx, req, result);
+                }
             }
-            Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
             Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
                 if let Some(question) = msg.asks() {
                     self.question_failed(now, to, question, out);
                 }
             }
-            Event::Object(..) | Event::PeerFailed(..) => {}
+            Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         self.commits.poll(now, &mut self.calls, out);
@@ -201,6 +210,7 @@
             view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
+            entry: &mut self.entry,
         };
         (cx, parts)
     }
@@ -222,8 +232,9 @@
         self.forget_members(now);
         self.refresh_views(now, out);
         self.refresh_remotes(now);
-        self.entry.tick(now, out);
-        if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.tick(&mut cx);
+        if self.leaving && self.entry.is_drained() && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
         }
         if self
@@ -331,8 +342,8 @@
         }
         let until = OwnView::until(sent, view);
         match &view.content {
-            Some(content) => self.entry.set_view(until, content),
-            None => self.entry.renew_grants(until),
+            Some(content) => self.entry.set_view(view.answers, until, content),
+            None => self.entry.renew_grants(view.answers, until),
         }
     }
 
@@ -459,7 +470,7 @@
             }
             Purpose::ConfigEntries => {
                 if self.config.entries_read(result) {
-                    self.config_changed();
+                    self.config_changed(now, out);
                 }
             }
             Purpose::Members => {
@@ -479,6 +490,10 @@
             Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
                 self.scheduler_answered(now, purpose, result, out);
             }
+            Purpose::Claim(req) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.claim_read(&mut cx, req, result);
+            }
             Purpose::Worker { .. } => {}
         }
     }
@@ -515,15 +530,17 @@
                 parts.operators.settled(&mut cx, id, settlement);
                 parts.config.poll_soon();
             }
+            Owner::Claim(req) => parts.entry.claim_settled(&mut cx, req, &settlement),
         }
     }
 
-    fn config_changed(&mut self) {
+    fn config_changed(&mut self, now: Time, out: &mut Vec<Action>) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
-        self.entry.set_config(self.config.config());
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.set_config(&mut cx, parts.config.config());
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.set_teams(self.config.config().teams().values());
             scheduler.read_inbox_soon();
@@ -603,6 +620,7 @@
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
+            self.entry.leave(now);
             self.lease_step(now, Input::HandOver, out);
         }
     }
@@ -614,6 +632,7 @@
     view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
+    entry: &'a mut Entry,
 }
 
 fn row_state(result: Result<TableResp, StoreError>) -> RowState {
--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -8,10 +8,13 @@
 
 use model::{NodeId, Time, Verdict};
 use peer::{Links, PeerMsg};
-use route::{Outcome, ReqId};
+use route::{AttemptEnd, Offer, Outcome, Reason, Refuse, ReqId};
 use stakker::{CX, after, stop, sync::ChannelGuard};
 
-use super::platform::{Job, Pool};
+use super::{
+    platform::{Job, Pool},
+    proxy::{Exchange, Proxy},
+};
 use crate::{
     Action, Dump, Event, Identity, Node, NodeConfig, OperatorId,
     api::{OperatorReq, OperatorResp},
@@ -20,29 +23,6 @@
 /// How often the node's clock ticks.
 const TICK: Duration = Duration::from_millis(25);
 
-/// What is to be done with a caller's request.
-#[derive(Clone, Debug)]
-pub(super) enum RouteAnswer {
-    /// Send it to a backend server.
-    Dispatch {
-        req: ReqId,
-        endpoint: String,
-        timeout: Duration,
-    },
-    /// Pass it to another node.
-    Forward {
-        req: ReqId,
-        node: NodeId,
-        address: String,
-    },
-    /// Answer the caller at once.
-    Refuse {
-        verdict: Verdict,
-        reason: &'static str,
-        retry_after: Option<Duration>,
-    },
-}
-
 /// What other threads send to the actor.
 pub(super) enum Incoming {
     /// Something for the node itself.
@@ -53,14 +33,12 @@
         reply: Sender<OperatorResp>,
     },
     /// A caller's request.
-    Request {
-        service: String,
-        key: Option<String>,
-        forwarded: bool,
-        reply: Sender<RouteAnswer>,
+    Request { offer: Offer, exchange: Exchange },
+    /// The end of an attempt, and the request if it is not answered.
+    Finished {
+        end: AttemptEnd,
+        exchange: Option<Exchange>,
     },
-    /// What became of a caller's request.
-    Finished(ReqId, Outcome),
     /// Asks for the node's state.
     Dump(Sender<Dump>),
     /// Asks whether callers may be sent here.
@@ -76,7 +54,9 @@
     /// Keeps the channel from other threads open.
     channel: Option<ChannelGuard>,
     operators: BTreeMap<OperatorId, Sender<OperatorResp>>,
-    requests: BTreeMap<ReqId, Sender<RouteAnswer>>,
+    /// Requests that wait for a decision.
+    requests: BTreeMap<ReqId, Exchange>,
+    proxy: Option<Proxy>,
     last_id: u64,
 }
 
@@ -94,11 +74,20 @@
             channel: None,
             operators: BTreeMap::new(),
             requests: BTreeMap::new(),
+            proxy: None,
             last_id: 0,
         })
     }
 
-    pub(super) fn connect(&mut self, cx: CX![], pool: Pool, links: Links, guard: ChannelGuard) {
+    pub(super) fn connect(
+        &mut self,
+        cx: CX![],
+        pool: Pool,
+        links: Links,
+        proxy: Proxy,
+        guard: ChannelGuard,
+    ) {
+        self.proxy = Some(proxy);
         self.pool = Some(pool);
         self.links = Some(links);
         self.channel = Some(guard);
@@ -118,23 +107,12 @@
                 self.operators.insert(id, reply);
                 self.event(cx, Event::Operator(id, req));
             }
-            Incoming::Request {
-                service,
-                key,
-                forwarded,
-                reply,
-            } => {
+            Incoming::Request { offer, exchange } => {
                 let req = ReqId(self.next_id());
-                self.requests.insert(req, reply);
-                let event = Event::Request {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.event(cx, event);
+                self.requests.insert(req, exchange);
+                self.event(cx, Event::Request(Offer { req, ..offer }));
             }
-            Incoming::Finished(req, outcome) => self.event(cx, Event::Finished(req, outcome)),
+            Incoming::Finished { end, exchange } => self.finished(cx, end, exchange),
             // The asker may have given up waiting.
             Incoming::Dump(reply) => drop(reply.send(self.node.dump(self.now(cx)))),
             Incoming::Ready(reply) => drop(reply.send(self.node.is_ready())),
@@ -145,6 +123,9 @@
         let mut actions = Vec::new();
         let now = self.now(cx);
         self.node.handle(now, event, &mut actions);
+        if let Some(proxy) = self.proxy.as_ref().filter(|_| self.node.is_leaving()) {
+            proxy.close_connections();
+        }
         for action in actions {
             self.act(cx, action);
         }
@@ -162,31 +143,26 @@
                     let _ = reply.send(resp);
                 }
             }
-            Action::Dispatch {
-                req,
-                endpoint,
-                timeout,
-                ..
-            } => {
-                let answer = RouteAnswer::Dispatch {
-                    req,
-                    endpoint,
-                    timeout,
-                };
-                self.answer(req, answer);
+            Action::Dispatch(dispatch) => {
+                let (req, attempt) = (dispatch.req, dispatch.attempt);
+                let carry = |proxy: &Proxy, exchange| proxy.dispatch(exchange, dispatch);
+                self.attempt(cx, req, attempt, carry);
             }
-            Action::Refuse {
-                req,
-                verdict,
-                reason,
-                retry_after,
-            } => {
-                let answer = RouteAnswer::Refuse {
-                    verdict,
-                    reason,
-                    retry_after,
+            Action::Forward { forward, address } => {
+                let (req, attempt) = (forward.req, forward.attempt);
+                let links = self.links.clone();
+                let carry = |proxy: &Proxy, exchange| {
+                    if let Some(links) = links {
+                        proxy.forward(&links, exchange, forward, address);
+                    }
                 };
-                self.answer(req, answer);
+                self.attempt(cx, req, attempt, carry);
+            }
+            Action::Answer(req, answer) => {
+                self.answer(req, |proxy, exchange| proxy.answer(exchange, answer));
+            }
+            Action::Refuse(refuse) => {
+                self.answer(refuse.req, |proxy, exchange| proxy.refuse(exchange, refuse));
             }
             Action::Peer {
                 to,
@@ -194,12 +170,6 @@
                 fresh,
                 msg,
             } => self.send_peer(to, &address, fresh, msg),
-            Action::Forward {
-                req, node, address, ..
-            } => {
-                let answer = RouteAnswer::Forward { req, node, address };
-                self.answer(req, answer);
-            }
             Action::Exit => stop!(cx),
         }
     }
@@ -222,10 +192,45 @@
         }
     }
 
-    fn answer(&mut self, req: ReqId, answer: RouteAnswer) {
-        if let Some(reply) = self.requests.remove(&req) {
-            // The caller may have gone away.
-            let _ = reply.send(answer);
+    /// Carries out an attempt. A request that was lost with its thread can't be sent any more.
+    fn attempt(
+        &mut self,
+        cx: CX![],
+        req: ReqId,
+        attempt: u32,
+        carry: impl FnOnce(&Proxy, Exchange),
+    ) {
+        if self.requests.contains_key(&req) {
+            self.answer(req, carry);
+        } else {
+            let end = AttemptEnd::new(req, attempt, Outcome::CallerGone);
+            self.event(cx, Event::Finished(end));
+        }
+    }
+
+    /// Hands a request over to be answered or sent.
+    fn answer(&mut self, req: ReqId, carry: impl FnOnce(&Proxy, Exchange)) {
+        if let (Some(exchange), Some(proxy)) = (self.requests.remove(&req), &self.proxy) {
+            carry(proxy, exchange);
+        }
+    }
+
+    fn finished(&mut self, cx: CX![], end: AttemptEnd, exchange: Option<Exchange>) {
+        let req = end.req;
+        let gone = end.outcome == Outcome::CallerGone;
+        if let Some(exchange) = exchange {
+            self.requests.insert(req, exchange);
+        }
+        self.event(cx, Event::Finished(end));
+        // The caller's own body has failed: what came of the request is not known.
+        if gone {
+            let refuse = Refuse {
+                req,
+                verdict: Verdict::MayHaveRun,
+                reason: Reason::AnswerLost,
+                retry_after: None,
+            };
+            self.answer(req, |proxy, exchange| proxy.refuse(exchange, refuse));
         }
     }
 
--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -9,7 +9,6 @@
 };
 
 use model::Verdict;
-use peer::Links;
 use serde::{Serialize, de::DeserializeOwned};
 use stakker::sync::Channel;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -36,9 +35,8 @@
 
 /// What a handler needs.
 pub(super) struct Shared {
-    pub(super) channel: Channel<Incoming>,
-    pub(super) proxy: Proxy,
-    pub(super) links: Links,
+    channel: Channel<Incoming>,
+    proxy: Proxy,
     operator_token: String,
 }
 
@@ -46,7 +44,7 @@
     pub(super) fn start(
         settings: &Settings,
         channel: &Channel<Incoming>,
-        links: &Links,
+        proxy: &Proxy,
     ) -> io::Result<Self> {
         let server = Server::http(settings.listen).map_err(io::Error::other)?;
         let address = server
@@ -56,8 +54,7 @@
         let server = Arc::new(server);
         let shared = Arc::new(Shared {
             channel: channel.clone(),
-            proxy: Proxy::default(),
-            links: links.clone(),
+            proxy: proxy.clone(),
             operator_token: settings.operator_token.clone(),
         });
         for _ in 0..THREADS {
@@ -80,8 +77,8 @@
 fn handle(shared: &Shared, req: Request) {
     let url = req.url().to_owned();
     let method = req.method().clone();
-    if let Some(rest) = url.strip_prefix("/s/") {
-        shared.proxy.handle(shared, rest, req);
+    if url.starts_with("/s/") {
+        shared.proxy.caller(req);
         return;
     }
     match (&method, url.as_str()) {
@@ -170,7 +167,7 @@
 }
 
 /// The value of a request's header.
-pub(super) fn header(req: &Request, name: &str) -> Option<String> {
+fn header(req: &Request, name: &str) -> Option<String> {
     let found = req
         .headers()
         .iter()
@@ -183,7 +180,7 @@
 /// # Panics
 ///
 /// The name or the value is no valid text of a header; all callers give valid ones.
-pub(super) fn answer_header(name: &str, value: &str) -> Header {
+fn answer_header(name: &str, value: &str) -> Header {
     Header::from_bytes(name, value).expect("the header's text is valid")
 }
 
@@ -197,11 +194,11 @@
     }
 }
 
-pub(super) fn text(req: Request, status: u16, body: &str) {
+fn text(req: Request, status: u16, body: &str) {
     respond(req, Response::from_string(body).with_status_code(status));
 }
 
-pub(super) fn respond<R: Read>(req: Request, response: Response<R>) {
+fn respond<R: Read>(req: Request, response: Response<R>) {
     if let Err(e) = req.respond(response) {
         log::debug!("http: the answer was not taken: {e}");
     }
--- a/crates/node/src/daemon/links.rs
+++ b/crates/node/src/daemon/links.rs
@@ -1,26 +1,24 @@
 //! Where the links' messages go within the process.
 
-use std::sync::Arc;
-
 use model::NodeId;
 use peer::{ForwardedRequest, PeerMsg, Sink};
 use stakker::sync::Channel;
 
-use super::{actor::Incoming, forward::Forwards};
+use super::{actor::Incoming, proxy::Proxy};
 use crate::Event;
 
-/// Passes what arrives on the links to the node's actor and to the threads for passed-on requests.
+/// Passes what arrives on the links to the node's actor and to the proxy.
 #[derive(Clone)]
 pub(super) struct Inbox {
     channel: Channel<Incoming>,
-    forwards: Arc<Forwards>,
+    proxy: Proxy,
 }
 
 impl Inbox {
-    pub(super) fn new(channel: &Channel<Incoming>) -> Self {
+    pub(super) fn new(channel: &Channel<Incoming>, proxy: &Proxy) -> Self {
         Self {
             channel: channel.clone(),
-            forwards: Arc::new(Forwards::start(channel)),
+            proxy: proxy.clone(),
         }
     }
 
@@ -40,6 +38,6 @@
     }
 
     fn forwarded(&self, req: ForwardedRequest) {
-        self.forwards.handle(req);
+        self.proxy.forwarded(req);
     }
 }
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -1,7 +1,6 @@
 //! The actors and threads that join a node's decisions to the world.
 
 mod actor;
-mod forward;
 mod http;
 mod links;
 mod platform;
@@ -18,7 +17,7 @@
 use stakker::{Stakker, actor, call, fwd_to, ret_shutdown, sync::Channel};
 use store::HttpPlatformConfig;
 
-use self::{actor::NodeActor, http::Faces, links::Inbox, platform::Pool};
+use self::{actor::NodeActor, http::Faces, links::Inbox, platform::Pool, proxy::Proxy};
 use crate::{Identity, NodeConfig, settings::Settings};
 
 /// The longest sleep of the main thread.
@@ -58,11 +57,13 @@
         token: settings.peer_token.clone(),
         ..LinksConfig::default()
     };
-    let links = Links::start(links_config, settings.peer_listen, Inbox::new(&channel))?;
-    let faces = Faces::start(settings, &channel, &links)?;
+    let proxy = Proxy::new(channel.clone());
+    let inbox = Inbox::new(&channel, &proxy);
+    let links = Links::start(links_config, settings.peer_listen, inbox)?;
+    let faces = Faces::start(settings, &channel, &proxy)?;
     watch_signals(&channel)?;
     log::info!("node: {} listens on {}", settings.node, faces.address());
-    call!([node], connect(pool, links, guard));
+    call!([node], connect(pool, links, proxy, guard));
 
     let mut pending = stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
--- /dev/null
+++ b/crates/node/src/daemon/proxy/attempt.rs
@@ -0,0 +1,409 @@
+//! One attempt at a backend server or another node.
+
+use std::{
+    io::{self, Read},
+    time::Duration,
+};
+
+use model::Verdict;
+use peer::{LinkError, Links};
+use route::{AttemptEnd, Dispatch, Forward, Outcome, StoredAnswer};
+use ureq::{
+    SendBody, Timeout,
+    http::{HeaderMap, HeaderValue, Method, Request, Response, Uri},
+};
+
+use super::{
+    answer::{self, Streamed},
+    exchange::Exchange,
+    headers,
+};
+
+/// How much of an answer is read before its head is passed on, in bytes.
+const ANSWER_FIRST_BYTES: usize = 64 << 10;
+/// The longest answer that is kept for resends, in bytes.
+const KEPT_MAX_BYTES: usize = 1 << 20;
+/// The longest head of an answer, in bytes.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+/// The longest wait for a connection to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// An open connection that was not used for this long is replaced: it may have gone silent.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+/// How many unused connections are kept open to one backend server.
+const IDLE_PER_SERVER: usize = 4;
+/// How many unused connections are kept open in all.
+const IDLE_CONNECTIONS: usize = 128;
+
+/// The clients that talk to backend servers.
+#[derive(Clone, Debug)]
+pub(super) struct Agents {
+    /// Keeps connections open.
+    pooled: ureq::Agent,
+    /// Makes a new connection for each request.
+    fresh: ureq::Agent,
+}
+
+impl Default for Agents {
+    fn default() -> Self {
+        Self {
+            pooled: agent(IDLE_PER_SERVER),
+            fresh: agent(0),
+        }
+    }
+}
+
+fn agent(idle_per_server: usize) -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .max_redirects(0)
+        .proxy(None)
+        .user_agent("")
+        .accept("")
+        .accept_encoding("")
+        .max_response_header_size(HEAD_MAX_BYTES)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_connections(if idle_per_server > 0 {
+            IDLE_CONNECTIONS
+        } else {
+            0
+        })
+        .max_idle_connections_per_host(idle_per_server)
+        .max_idle_age(IDLE_MAX)
+        .build()
+        .new_agent()
+}
+
+/// The end of an attempt, and the request if it is not answered.
+type Ended = (AttemptEnd, Option<Exchange>);
+
+/// Sends a request to a backend server and its answer back.
+pub(super) fn dispatch(agents: &Agents, mut exchange: Exchange, dispatch: &Dispatch) -> Ended {
+    let mut end = AttemptEnd::new(dispatch.req, dispatch.attempt, Outcome::NotSent);
+    let agent = if dispatch.fresh {
+        &agents.fresh
+    } else {
+        &agents.pooled
+    };
+    match call(agent, &mut exchange, dispatch) {
+        Ok((resp, sent)) => {
+            end.bytes = sent;
+            let keep = dispatch.keep_answer;
+            let (parts, body) = resp.into_parts();
+            let resp = Response::from_parts(parts, body.into_reader());
+            pass_on(exchange, end, resp, keep, Verdict::Ran)
+        }
+        Err(outcome) => {
+            end.outcome = outcome;
+            end.replayable = exchange.body.is_replayable();
+            (end, Some(exchange))
+        }
+    }
+}
+
+/// Makes the call, and returns the answer's head and how many bytes were sent.
+fn call(
+    agent: &ureq::Agent,
+    exchange: &mut Exchange,
+    dispatch: &Dispatch,
+) -> Result<(Response<ureq::Body>, u64), Outcome> {
+    let url = format!("{}/{}", dispatch.endpoint, exchange.path);
+    let Ok(uri) = url.parse::<Uri>() else {
+        log::warn!("http: {url} is no address of a backend server");
+        return Err(Outcome::NotSent);
+    };
+    let mut headers = exchange.headers.clone();
+    let id = format!("{}-{}", dispatch.req.0, dispatch.attempt);
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        headers.insert(headers::ATTEMPT, id);
+    }
+    let method = exchange.method.clone();
+    let empty = exchange.body.length == Some(0);
+    set_length(&mut headers, exchange.body.length, &method);
+    let mut source = exchange.source();
+    let result = if empty {
+        send(
+            agent,
+            method,
+            uri,
+            headers,
+            SendBody::none(),
+            true,
+            dispatch,
+        )
+    } else {
+        let body = SendBody::from_reader(&mut source);
+        send(agent, method, uri, headers, body, false, dispatch)
+    };
+    let sent = source.read;
+    let asker_failed = source.failed;
+    result.map(|resp| (resp, sent)).map_err(|e| {
+        log::debug!("http: {url}: {e}");
+        if asker_failed {
+            Outcome::CallerGone
+        } else {
+            outcome(&e)
+        }
+    })
+}
+
+fn set_length(headers: &mut HeaderMap, length: Option<u64>, method: &Method) {
+    headers.remove("content-length");
+    let wants_length = matches!(*method, Method::POST | Method::PUT | Method::PATCH);
+    match length {
+        Some(0) if !wants_length => {}
+        Some(length) => {
+            headers.insert("content-length", length.into());
+        }
+        None => {
+            headers.insert("transfer-encoding", HeaderValue::from_static("chunked"));
+        }
+    }
+}
+
+fn send(
+    agent: &ureq::Agent,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: SendBody<'_>,
+    empty: bool,
+    dispatch: &Dispatch,
+) -> Result<Response<ureq::Body>, ureq::Error> {
+    // A body is unusual with these methods, and the client wants to be told that it is meant.
+    let builder = match method {
+        _ if empty => None,
+        Method::GET => Some(agent.get(&uri)),
+        Method::HEAD => Some(agent.head(&uri)),
+        Method::DELETE => Some(agent.delete(&uri)),
+        Method::OPTIONS => Some(agent.options(&uri)),
+        _ => None,
+    };
+    if let Some(builder) = builder {
+        let mut builder = builder.force_send_body();
+        if let Some(map) = builder.headers_mut() {
+            *map = headers;
+        }
+        return builder
+            .config()
+            .timeout_global(Some(dispatch.timeout))
+            .timeout_recv_response(Some(dispatch.silence))
+            .build()
+            .send(body);
+    }
+    let mut req = Request::new(body);
+    *req.method_mut() = method;
+    *req.uri_mut() = uri;
+    *req.headers_mut() = headers;
+    let req = agent
+        .configure_request(req)
+        .timeout_global(Some(dispatch.timeout))
+        .timeout_recv_response(Some(dispatch.silence))
+        .build();
+    agent.run(req)
+}
+
+/// What a failed call says of the request. Only a connection that was never made proves that the
+/// request was not sent.
+fn outcome(e: &ureq::Error) -> Outcome {
+    match e {
+        ureq::Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => Outcome::NotSent,
+        ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve)
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::ConnectionFailed => Outcome::NotSent,
+        ureq::Error::Timeout(_) => Outcome::Silent,
+        _ => Outcome::CutShort,
+    }
+}
+
+/// Passes a request to another node and its answer back.
+pub(super) fn forward(
+    links: &Links,
+    mut exchange: Exchange,
+    forward: &Forward,
+    address: &str,
+) -> Ended {
+    let mut end = AttemptEnd::new(forward.req, forward.attempt, Outcome::NotSent);
+    let address = address.parse();
+    let uri = exchange.url.parse::<Uri>();
+    let (Ok(address), Ok(uri)) = (address, uri) else {
+        return (end, Some(exchange));
+    };
+    let mut headers = exchange.headers.clone();
+    set_length(&mut headers, exchange.body.length, &exchange.method);
+    headers.remove("transfer-encoding");
+    let within = u64::try_from(forward.timeout.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(headers::WITHIN, within.into());
+    let method = exchange.method.clone();
+    let mut source = exchange.source();
+    let mut req = Request::new(&mut source);
+    *req.method_mut() = method;
+    *req.uri_mut() = uri;
+    *req.headers_mut() = headers;
+    let result = links.forward(forward.node, address, req);
+    end.bytes = source.read;
+    let asker_failed = source.failed;
+    match result {
+        Ok(resp) => {
+            let verdict = headers::text(resp.headers(), &headers::VERDICT);
+            let declined = verdict.as_deref() == Some(Verdict::NotRun.as_str());
+            let verdict = match verdict.as_deref() {
+                Some("may-have-run") => Verdict::MayHaveRun,
+                _ => Verdict::Ran,
+            };
+            let temporary = is_temporary(resp.status().as_u16());
+            if temporary && verdict == Verdict::MayHaveRun {
+                end.outcome = Outcome::CutShort;
+                end.replayable = exchange.body.is_replayable();
+                return (end, Some(exchange));
+            }
+            if temporary && declined && exchange.body.is_replayable() {
+                end.outcome = Outcome::Declined;
+                return (end, Some(exchange));
+            }
+            let verdict = if declined { Verdict::NotRun } else { verdict };
+            pass_on(exchange, end, resp, false, verdict)
+        }
+        Err(e) => {
+            log::debug!("http: {}: {e}", forward.node);
+            end.outcome = match e {
+                _ if asker_failed => Outcome::CallerGone,
+                LinkError::Unreachable(_) | LinkError::Refused(_) => Outcome::NotSent,
+                LinkError::Lost(_) => Outcome::Silent,
+            };
+            end.replayable = exchange.body.is_replayable();
+            (end, Some(exchange))
+        }
+    }
+}
+
+/// Whether another node may do better.
+const fn is_temporary(status: u16) -> bool {
+    status == 503 || status == 502
+}
+
+/// Passes an answer on.
+fn pass_on(
+    exchange: Exchange,
+    mut end: AttemptEnd,
+    resp: Response<impl Read>,
+    keep: bool,
+    verdict: Verdict,
+) -> Ended {
+    let (parts, body) = resp.into_parts();
+    let status = parts.status.as_u16();
+    let length = headers::content_length(&parts.headers);
+    let chunked = parts.headers.contains_key("transfer-encoding");
+    let bodyless = exchange.is_bodyless(status);
+    let from_backend = verdict == Verdict::Ran && !parts.headers.contains_key(headers::VERDICT);
+    if says_not_run(&parts.headers) && verdict == Verdict::Ran {
+        end.outcome = Outcome::Declined;
+        end.replayable = exchange.body.is_replayable();
+        return (end, Some(exchange));
+    }
+    // An answer that ends with its connection cannot be told from one that is cut.
+    let unclear = from_backend && !bodyless && length.is_none() && !chunked;
+    let mut body = Counted { body, read: 0 };
+    let mut first = Vec::new();
+    let most = ANSWER_FIRST_BYTES as u64 + 1;
+    let read = if bodyless {
+        Ok(0)
+    } else {
+        body.by_ref().take(most).read_to_end(&mut first)
+    };
+    let long = first.len() > ANSWER_FIRST_BYTES;
+    let short_of = !long && !bodyless && length.is_some_and(|length| length != body.read);
+    let cannot_stream = long && !answer::can_stream(&exchange, length);
+    if read.is_err() || unclear || short_of || cannot_stream {
+        end.outcome = Outcome::CutShort;
+        end.replayable = exchange.body.is_replayable();
+        end.bytes += body.read;
+        return (end, Some(exchange));
+    }
+    let mut headers = parts.headers;
+    headers::drop_link_headers(&mut headers);
+    headers.insert(headers::VERDICT, HeaderValue::from_static(verdict.as_str()));
+    let whole = if status >= 500 {
+        Outcome::Faulty
+    } else {
+        Outcome::Answered
+    };
+    if !long {
+        end.bytes += body.read;
+        end.answer = keep.then(|| stored(status, &headers, first.clone()));
+        let taken = answer::short(exchange, status, &headers, &first);
+        end.outcome = if taken { whole } else { Outcome::CallerGone };
+        return (end, None);
+    }
+    let mut tee = Tee {
+        kept: (keep && length.is_none_or(|n| n <= KEPT_MAX_BYTES as u64)).then(|| first.clone()),
+        body: &mut body,
+        ended: false,
+    };
+    let streamed = answer::stream(exchange, status, &headers, length, first.chain(&mut tee));
+    let (kept, ended) = (tee.kept.take(), tee.ended);
+    end.bytes += body.read;
+    end.answer = kept
+        .filter(|_| ended)
+        .map(|body| stored(status, &headers, body));
+    end.outcome = match streamed {
+        Streamed::Whole => whole,
+        Streamed::Cut => Outcome::Broken,
+        Streamed::AskerGone => Outcome::CallerGone,
+    };
+    (end, None)
+}
+
+/// Whether a backend server says that it did not run the request.
+fn says_not_run(headers: &HeaderMap) -> bool {
+    let verdict = headers::text(headers, &headers::VERDICT);
+    verdict.as_deref() == Some(Verdict::NotRun.as_str())
+}
+
+fn stored(status: u16, headers: &HeaderMap, body: Vec<u8>) -> StoredAnswer {
+    let text = headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((name.to_string(), value.to_owned()))
+    });
+    StoredAnswer {
+        status,
+        headers: text.filter(|(name, _)| name != "content-length").collect(),
+        body,
+    }
+}
+
+/// Counts what is read.
+struct Counted<R> {
+    body: R,
+    read: u64,
+}
+
+impl<R: Read> Read for Counted<R> {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let n = self.body.read(buf)?;
+        self.read += n as u64;
+        Ok(n)
+    }
+}
+
+/// Keeps a copy of what is read, up to a bound.
+struct Tee<R> {
+    body: R,
+    kept: Option<Vec<u8>>,
+    ended: bool,
+}
+
+impl<R: Read> Read for Tee<R> {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let n = self.body.read(buf)?;
+        self.ended |= n == 0 && !buf.is_empty();
+        if let Some(kept) = &mut self.kept {
+            kept.extend_from_slice(&buf[..n]);
+            if kept.len() > KEPT_MAX_BYTES {
+                self.kept = None;
+            }
+        }
+        Ok(n)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,8 @@
-//! Routing of callers' requests: queues, slot grants and verdicts.
+//! Routing of callers' requests: queues, shares of backend servers, retries, claims and verdicts.
 //!
 //! A [`Router`] is told of services, backend servers, grants and requests, and returns
-//! [`RouteAction`]s for its owner to carry out. It does no I/O and reads no clock.
+//! [`RouteAction`]s for its owner to carry out. A [`GrantBook`] shares a domain's backend servers out
+//! among its nodes. Both do no I/O and read no clock.
 //!
 //! # Example
 //!
@@ -15,6 +16,7 @@
 //!     class: Class::Interactive,
 //!     repeat: Repeat::Safe,
 //!     deadline: Duration::from_millis(800),
+//!     ..ServicePolicy::default()
 //! };
 //! router.set_service("lookup", policy);
 //! let backend = Backend { worker: WorkerId(1), endpoint: "http://127.0.0.1:8080".into() };
@@ -23,16 +25,33 @@
 //! router.set_grant(WorkerId(1), grant);
 //!
 //! let mut out = Vec::new();
-//! let offer = Offer { req: ReqId(1), service: "lookup".into(), key: None, forwarded: false };
+//! let offer = Offer { req: ReqId(1), service: "lookup".into(), ..Offer::default() };
 //! router.offer(Time::ZERO, &offer, &mut out);
-//! assert!(matches!(out[0], RouteAction::Dispatch { req: ReqId(1), .. }));
+//! assert!(matches!(&out[0], RouteAction::Dispatch(dispatch) if dispatch.req == ReqId(1)));
 //! ```
 
+mod attempts;
+mod budget;
+mod choose;
+mod claims;
+mod config;
+mod counters;
+mod fair;
 mod grants;
+mod health;
+mod request;
 mod router;
+mod service;
+mod slots;
+mod types;
 
-pub use crate::grants::{GrantBook, GrantConfig, NodeShares, Share, ShareReport};
-pub use crate::router::{
-    Backend, ClaimResult, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router,
-    ServicePolicy,
+pub use crate::{
+    config::{HealthConfig, RouteConfig},
+    counters::{RouteDump, ServiceCounters, ServiceDump},
+    grants::{GrantBook, GrantConfig, NodeShares, Share, ShareReport},
+    router::Router,
+    types::{
+        AttemptEnd, Backend, ClaimResult, Dispatch, Forward, Grant, Offer, Outcome, Reason, Refuse,
+        Remote, ReqId, RouteAction, ServicePolicy, StoredAnswer,
+    },
 };
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,182 +1,48 @@
 //! The router of one node.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use model::{Class, NodeId, Repeat, Time, Verdict, WorkerId};
 
-/// Settings of a [`Router`].
-#[derive(Clone, Debug)]
-pub struct RouteConfig {
-    /// What a refused caller is told to wait before it comes back. 1 s by default.
-    pub retry_after: Duration,
-    /// The most requests that wait for one service. 1,000 by default.
-    pub queue_max: usize,
-}
-
-impl Default for RouteConfig {
-    fn default() -> Self {
-        Self {
-            retry_after: Duration::from_secs(1),
-            queue_max: 1_000,
-        }
-    }
-}
-
-/// A request at this node, numbered by the router's owner and never reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ReqId(pub u64);
-
-/// How a service's requests are handled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServicePolicy {
-    /// How urgent they are.
-    pub class: Class,
-    /// Whether they may be sent a second time.
-    pub repeat: Repeat,
-    /// How long one may wait and run.
-    pub deadline: Duration,
-}
-
-/// A replica that takes requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Backend {
-    /// The worker on which it runs.
-    pub worker: WorkerId,
-    /// Where it takes requests.
-    pub endpoint: String,
-}
-
-/// This node's share of a backend server, good until a point in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The most requests at a time.
-    pub slots: u32,
-    /// The most connections at a time.
-    pub connections: u32,
-    /// Nothing is dispatched under the grant from this point on.
-    pub until: Time,
-}
-
-/// A node of another domain that can serve a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Remote {
-    /// The node.
-    pub node: NodeId,
-    /// Whether it is in this node's region.
-    pub same_region: bool,
-}
-
-/// A caller's request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Offer {
-    /// The request.
-    pub req: ReqId,
-    /// The service that it is for.
-    pub service: String,
-    /// The caller's idempotency key.
-    pub key: Option<String>,
-    /// Whether another node has passed it on; it is then not passed on again.
-    pub forwarded: bool,
-}
-
-/// What became of a dispatched or forwarded request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The whole answer was passed on.
-    Answered,
-    /// The request never reached the other side.
-    NotSent,
-    /// The other side said that it did not run it.
-    Declined,
-    /// The answer did not come, or came in part.
-    CutShort,
-}
-
-/// What became of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimResult {
-    /// The claim is this request's.
-    Claimed,
-    /// Another request with the same key has the claim, and its answer is stored.
-    Answered,
-    /// Another request with the same key has the claim, and its outcome is not known.
-    Uncertain,
-    /// The table could not be reached; no claim was made.
-    Unreachable,
-}
-
-/// What the owner of a [`Router`] has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RouteAction {
-    /// Send the request to a backend server. A slot and a connection are held for it.
-    Dispatch {
-        /// The request.
-        req: ReqId,
-        /// The backend server.
-        worker: WorkerId,
-        /// Where it takes requests.
-        endpoint: String,
-        /// How long it may take.
-        timeout: Duration,
-    },
-    /// Pass the request to another node.
-    Forward {
-        /// The request.
-        req: ReqId,
-        /// The other node.
-        node: NodeId,
-        /// How long it may take.
-        timeout: Duration,
-    },
-    /// Commit a claim row and hand its result to [`Router::claimed`].
-    Claim {
-        /// The request.
-        req: ReqId,
-        /// The service.
-        service: String,
-        /// The caller's idempotency key.
-        key: String,
-    },
-    /// Answer the caller with a refusal or an error, at once.
-    Refuse {
-        /// The request.
-        req: ReqId,
-        /// Whether it may have run.
-        verdict: Verdict,
-        /// Why.
-        reason: &'static str,
-        /// When the caller may come back.
-        retry_after: Option<Duration>,
-    },
-}
-
-#[derive(Clone, Debug, Default)]
-struct Service {
-    policy: Option<ServicePolicy>,
-    backends: Vec<Backend>,
-    remotes: Vec<Remote>,
-    queue: VecDeque<ReqId>,
-}
+use crate::{
+    Backend, Grant, NodeShares, Offer, Reason, Refuse, Remote, ReqId, RouteAction, RouteConfig,
+    RouteDump, ServiceCounters, ServicePolicy,
+    budget::Jitter,
+    fair::{Fair, Flow},
+    health::{Health, as_us},
+    request::{Phase, Request},
+    service::Service,
+    slots::Slots,
+};
 
-#[derive(Clone, Debug)]
-struct Request {
-    service: String,
-    forwarded: bool,
-    deadline: Time,
-    worker: Option<WorkerId>,
+/// Another node as the router knows it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Peer {
+    pub(crate) health: Health,
+    pub(crate) in_flight: u32,
 }
 
 /// Decides where callers' requests go from one node.
+///
+/// Each request ends with exactly one of: the end of an attempt whose answer was passed on, or a
+/// [`RouteAction::Refuse`] or [`RouteAction::Answer`].
 #[derive(Clone, Debug)]
 pub struct Router {
-    cfg: RouteConfig,
-    services: BTreeMap<String, Service>,
-    grants: BTreeMap<WorkerId, Grant>,
-    busy: BTreeMap<WorkerId, u32>,
-    requests: BTreeMap<ReqId, Request>,
+    pub(crate) cfg: RouteConfig,
+    pub(crate) services: BTreeMap<String, Service>,
+    pub(crate) slots: Slots,
+    pub(crate) peers: BTreeMap<NodeId, Peer>,
+    pub(crate) fair: Fair,
+    pub(crate) requests: BTreeMap<ReqId, Request>,
+    /// When each request is next looked at, if nothing happens to it before.
+    pub(crate) timers: BTreeSet<(Time, ReqId)>,
+    pub(crate) in_flight: usize,
+    pub(crate) jitter: Jitter,
+    closed: bool,
+    applied: u64,
 }
 
 impl Router {
@@ -184,32 +50,126 @@
     #[must_use]
     pub fn new(cfg: RouteConfig) -> Self {
         Self {
-            cfg,
+            slots: Slots::new(cfg.interactive_percent),
             services: BTreeMap::new(),
-            grants: BTreeMap::new(),
-            busy: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            fair: Fair::default(),
             requests: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            in_flight: 0,
+            jitter: Jitter::new(cfg.seed),
+            closed: false,
+            applied: 0,
+            cfg,
         }
     }
 
     /// Adds a service or changes its policy.
     pub fn set_service(&mut self, name: &str, policy: ServicePolicy) {
-        self.services.entry(name.to_owned()).or_default().policy = Some(policy);
+        let flow = Flow {
+            class: policy.class,
+            team: policy.team.clone(),
+            service: name.to_owned(),
+        };
+        if let Some(service) = self.services.get_mut(name) {
+            if service.flow != flow {
+                self.fair.forget(&service.flow);
+                if !service.queue.is_empty() {
+                    self.fair.wait(&flow);
+                }
+                service.flow = flow;
+            }
+            service.policy = policy;
+        } else {
+            let service = Service::new(flow, policy, as_us(self.cfg.run_time));
+            self.services.insert(name.to_owned(), service);
+        }
+        self.find_interactive();
     }
 
-    /// Replaces the list of a service's backend servers.
+    /// Removes a service: what waits for it is refused, what runs goes on.
+    pub fn remove_service(&mut self, name: &str, out: &mut Vec<RouteAction>) {
+        let Some(service) = self.services.get(name) else {
+            return;
+        };
+        let waiting: Vec<ReqId> = service.queue.iter().copied().collect();
+        for req in waiting {
+            self.give_up(req, Reason::NoSuchService, None, out);
+        }
+        if let Some(service) = self.services.remove(name) {
+            self.fair.forget(&service.flow);
+        }
+        self.find_interactive();
+    }
+
+    /// Replaces the list of a service's backend servers. One that is missing gets no new request from
+    /// now on; requests in flight there go on.
     pub fn set_backends(&mut self, name: &str, backends: Vec<Backend>) {
-        self.services.entry(name.to_owned()).or_default().backends = backends;
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.backends = backends;
+        let workers = service.backends.iter().map(|backend| backend.worker);
+        let workers: BTreeSet<WorkerId> = workers.collect();
+        service.health.retain(|worker, _| workers.contains(worker));
+        self.find_interactive();
     }
 
     /// Replaces the list of nodes to which a service's requests can be passed.
     pub fn set_remotes(&mut self, name: &str, remotes: Vec<Remote>) {
-        self.services.entry(name.to_owned()).or_default().remotes = remotes;
+        if let Some(service) = self.services.get_mut(name) {
+            service.remotes = remotes;
+        }
     }
 
-    /// Replaces this node's share of a backend server.
+    /// Replaces this node's share of one backend server.
     pub fn set_grant(&mut self, worker: WorkerId, grant: Grant) {
-        self.grants.insert(worker, grant);
+        self.slots.set_grant(worker, grant);
+    }
+
+    /// Replaces this node's shares of all backend servers. `answers` is the heartbeat that they
+    /// answer; it must be the node's newest one, see [`GrantBook`](crate::GrantBook).
+    pub fn set_grants(&mut self, answers: u64, grants: BTreeMap<WorkerId, Grant>) {
+        self.applied = answers;
+        self.slots.set_grants(grants);
+    }
+
+    /// Prolongs all shares, which an answer to the heartbeat `answers` has confirmed.
+    pub fn renew_grants(&mut self, answers: u64, until: Time) {
+        self.applied = answers;
+        self.slots.renew(until);
+    }
+
+    /// What the next heartbeat is to say of this node's shares.
+    pub fn report_shares(&mut self, now: Time) -> NodeShares {
+        let mut queued: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        for service in self.services.values() {
+            let part = service.queue.len().div_ceil(service.backends.len().max(1));
+            for backend in &service.backends {
+                *queued.entry(backend.worker).or_default() += u32::try_from(part).unwrap_or(0);
+            }
+        }
+        NodeShares {
+            applied: self.applied,
+            shares: self.slots.report(now, &queued),
+        }
+    }
+
+    /// Refuses new requests from now on; those that are here go on.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Whether new requests are refused.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Whether a request has no final answer yet.
+    #[must_use]
+    pub fn is_open(&self, req: ReqId) -> bool {
+        self.requests.contains_key(&req)
     }
 
     /// How many requests have no final answer yet.
@@ -218,184 +178,233 @@
         self.requests.len()
     }
 
+    /// Counts of one service.
+    #[must_use]
+    pub fn counters(&self, service: &str) -> ServiceCounters {
+        let service = self.services.get(service);
+        service.map(|service| service.counters).unwrap_or_default()
+    }
+
+    /// The router's state.
+    #[must_use]
+    pub fn dump(&self) -> RouteDump {
+        let services = self.services.iter();
+        RouteDump {
+            open: self.requests.len(),
+            in_flight: self.in_flight,
+            closed: self.closed,
+            services: services
+                .map(|(name, service)| (name.clone(), service.dump()))
+                .collect(),
+        }
+    }
+
     /// Takes a caller's request.
     pub fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<RouteAction>) {
-        let Some(service) = self.services.get_mut(&offer.service) else {
-            refuse(
-                &self.cfg,
-                offer.req,
-                Verdict::NotRun,
-                "no such service",
-                out,
-            );
-            return;
+        let refusal = match self.services.get_mut(&offer.service) {
+            None => Some((Reason::NoSuchService, None)),
+            Some(service) => {
+                service.counters.offered += 1;
+                service.budget.pay_in(&self.cfg);
+                self.refusal(now, offer)
+            }
         };
-        let Some(policy) = service.policy else {
-            refuse(
-                &self.cfg,
-                offer.req,
-                Verdict::NotRun,
-                "no such service",
-                out,
-            );
-            return;
-        };
-        if service.queue.len() >= self.cfg.queue_max {
-            refuse(&self.cfg, offer.req, Verdict::NotRun, "overloaded", out);
+        if let Some((reason, retry_after)) = refusal {
+            self.refuse_offer(offer, reason, retry_after, out);
             return;
         }
-        service.queue.push_back(offer.req);
-        let request = Request {
-            service: offer.service.clone(),
-            forwarded: offer.forwarded,
-            deadline: now + policy.deadline,
-            worker: None,
+        let Some(service) = self.services.get_mut(&offer.service) else {
+            return;
         };
+        let deadline = service.policy.deadline;
+        let within = offer.within.map_or(deadline, |within| within.min(deadline));
+        let run = Duration::from_micros(service.run_estimate_us());
+        let request = Request::new(now, offer, within, run.min(within / 2));
+        self.timers.insert((request.timer, offer.req));
         self.requests.insert(offer.req, request);
-        self.dispatch(now, &offer.service, out);
+        service.queue.push_back(offer.req);
+        self.fair.wait(&service.flow);
+        self.pump(now, out);
     }
 
-    /// Takes what became of a request.
-    pub fn finished(
+    fn refusal(&mut self, now: Time, offer: &Offer) -> Option<(Reason, Option<Duration>)> {
+        let service = self.services.get(&offer.service)?;
+        if self.closed {
+            return Some((Reason::ShuttingDown, Some(self.cfg.retry_after)));
+        }
+        if service.policy.repeat == Repeat::Never && offer.key.is_none() {
+            return Some((Reason::KeyMissing, None));
+        }
+        if service.queue.len() >= self.cfg.queue_max {
+            let wait = self.expected_wait(now, service);
+            return Some((Reason::Overloaded, Some(self.retry_after(wait))));
+        }
+        let late = self.lateness(now, service, offer)?;
+        Some((Reason::Overloaded, Some(self.retry_after(late))))
+    }
+
+    /// When a refused caller may come back: once the queue is expected to be short enough, spread out
+    /// so that refused callers do not all come back together.
+    pub(crate) fn retry_after(&mut self, wait: Duration) -> Duration {
+        let wait = wait.clamp(self.cfg.retry_after, self.cfg.retry_after_max);
+        wait + self.jitter.span(wait / 4)
+    }
+
+    fn refuse_offer(
+        &mut self,
+        offer: &Offer,
+        reason: Reason,
+        retry_after: Option<Duration>,
+        out: &mut Vec<RouteAction>,
+    ) {
+        if let Some(service) = self.services.get_mut(&offer.service) {
+            service.counters.not_run += 1;
+        }
+        out.push(RouteAction::Refuse(Refuse {
+            req: offer.req,
+            verdict: Verdict::NotRun,
+            reason,
+            retry_after,
+        }));
+    }
+
+    /// Ends a request that no attempt is under way for.
+    pub(crate) fn give_up(
         &mut self,
-        now: Time,
         req: ReqId,
-        outcome: Outcome,
+        reason: Reason,
+        retry_after: Option<Duration>,
         out: &mut Vec<RouteAction>,
     ) {
-        let Some(request) = self.requests.remove(&req) else {
+        let Some(request) = self.requests.get_mut(&req) else {
             return;
         };
-        if let Some(busy) = request.worker.and_then(|worker| self.busy.get_mut(&worker)) {
-            *busy -= 1;
-        }
-        match outcome {
-            Outcome::Answered => {}
-            Outcome::NotSent | Outcome::Declined => {
-                refuse(
-                    &self.cfg,
-                    req,
-                    Verdict::NotRun,
-                    "no backend server took it",
-                    out,
-                );
-            }
-            Outcome::CutShort => {
-                refuse(
-                    &self.cfg,
-                    req,
-                    Verdict::MayHaveRun,
-                    "the answer was cut short",
-                    out,
-                );
-            }
+        if request.may_have_run {
+            self.end(req, Verdict::MayHaveRun, Reason::AnswerLost, None, out);
+        } else if request.claimed {
+            self.timers.remove(&(request.timer, req));
+            request.timer = request.deadline;
+            self.timers.insert((request.timer, req));
+            request.phase = Phase::Voiding {
+                reason,
+                retry_after,
+            };
+            self.unqueue(req);
+            out.push(RouteAction::Void(req));
+        } else {
+            self.end(req, Verdict::NotRun, reason, retry_after, out);
         }
-        self.dispatch(now, &request.service, out);
     }
 
-    /// Takes what became of a claim.
-    pub fn claimed(
+    /// Tells the caller the end.
+    pub(crate) fn end(
         &mut self,
-        _now: Time,
         req: ReqId,
-        result: ClaimResult,
+        verdict: Verdict,
+        reason: Reason,
+        retry_after: Option<Duration>,
         out: &mut Vec<RouteAction>,
     ) {
-        if result == ClaimResult::Uncertain {
-            refuse(
-                &self.cfg,
-                req,
-                Verdict::MayHaveRun,
-                "an earlier request has the key",
-                out,
-            );
-        }
+        self.close_request(req, |counters| match verdict {
+            Verdict::NotRun => counters.not_run += 1,
+            Verdict::MayHaveRun => counters.may_have_run += 1,
+            Verdict::Ran => counters.answered += 1,
+        });
+        out.push(RouteAction::Refuse(Refuse {
+            req,
+            verdict,
+            reason,
+            retry_after,
+        }));
     }
 
-    /// Gives up what cannot start in time.
-    pub fn tick(&mut self, now: Time, out: &mut Vec<RouteAction>) {
-        let names: Vec<String> = self.services.keys().cloned().collect();
-        for name in names {
-            self.dispatch(now, &name, out);
-            self.give_up(now, &name, out);
+    pub(crate) fn close_request(&mut self, req: ReqId, count: impl FnOnce(&mut ServiceCounters)) {
+        self.unqueue(req);
+        if let Some(request) = self.requests.remove(&req) {
+            self.timers.remove(&(request.timer, req));
+            if let Some(service) = self.services.get_mut(&request.service) {
+                count(&mut service.counters);
+            }
         }
     }
 
-    fn give_up(&mut self, now: Time, name: &str, out: &mut Vec<RouteAction>) {
-        let Some(service) = self.services.get_mut(name) else {
+    fn unqueue(&mut self, req: ReqId) {
+        let request = self.requests.get(&req);
+        let service = request.and_then(|request| self.services.get_mut(&request.service));
+        let Some(service) = service else {
             return;
         };
-        let requests = &self.requests;
-        let late = |req: &ReqId| requests.get(req).is_none_or(|r| now >= r.deadline);
-        let gone: Vec<ReqId> = service.queue.iter().copied().filter(late).collect();
-        service.queue.retain(|req| !gone.contains(req));
-        for req in gone {
-            self.requests.remove(&req);
-            refuse(
-                &self.cfg,
-                req,
-                Verdict::NotRun,
-                "it could not start in time",
-                out,
-            );
+        if let Some(i) = service.queue.iter().position(|queued| *queued == req) {
+            service.queue.remove(i);
+            if service.queue.is_empty() {
+                self.fair.rest(&service.flow);
+            }
         }
     }
 
-    fn dispatch(&mut self, now: Time, name: &str, out: &mut Vec<RouteAction>) {
-        while let Some(req) = self
-            .services
-            .get(name)
-            .and_then(|s| s.queue.front().copied())
+    /// Does what is due: retries go back into their queues, and what cannot be run in time any more is
+    /// given up.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<RouteAction>) {
+        while let Some((at, req)) = self.timers.first().copied()
+            && at <= now
         {
-            let Some(action) = self.choose(now, name, req) else {
-                return;
-            };
-            if let Some(service) = self.services.get_mut(name) {
-                service.queue.pop_front();
-            }
-            out.push(action);
+            self.timers.remove(&(at, req));
+            self.timer(now, req, out);
         }
+        self.pump(now, out);
     }
 
-    fn choose(&mut self, now: Time, name: &str, req: ReqId) -> Option<RouteAction> {
-        let service = self.services.get(name)?;
-        let request = self.requests.get_mut(&req)?;
-        let timeout = request.deadline.since(now);
-        let free = |backend: &&Backend| {
-            let busy = self.busy.get(&backend.worker).copied().unwrap_or(0);
-            let grant = self.grants.get(&backend.worker);
-            grant.is_some_and(|grant| now < grant.until && busy < grant.slots)
+    fn timer(&mut self, now: Time, req: ReqId, out: &mut Vec<RouteAction>) {
+        let Some(request) = self.requests.get_mut(&req) else {
+            return;
         };
-        if let Some(backend) = service.backends.iter().find(free) {
-            *self.busy.entry(backend.worker).or_default() += 1;
-            request.worker = Some(backend.worker);
-            return Some(RouteAction::Dispatch {
-                req,
-                worker: backend.worker,
-                endpoint: backend.endpoint.clone(),
-                timeout,
-            });
-        }
-        if !service.backends.is_empty() || request.forwarded {
-            return None;
+        match request.phase {
+            Phase::Queued if now < request.give_up => {
+                request.timer = request.give_up;
+                self.timers.insert((request.timer, req));
+            }
+            Phase::Queued => {
+                let name = request.service.clone();
+                let wait = self.services.get(&name);
+                let wait = wait.map_or(Duration::ZERO, |service| self.expected_wait(now, service));
+                let wait = self.retry_after(wait);
+                self.give_up(req, Reason::TooLate, Some(wait), out);
+            }
+            Phase::Backoff => {
+                request.phase = Phase::Queued;
+                request.timer = request.give_up.max(now);
+                self.timers.insert((request.timer, req));
+                if let Some(service) = self.services.get_mut(&request.service) {
+                    service.queue.push_front(req);
+                    self.fair.wait(&service.flow);
+                } else {
+                    self.give_up(req, Reason::NoSuchService, None, out);
+                }
+            }
+            Phase::Claiming { .. } | Phase::Voiding { .. } if now < request.deadline => {
+                request.timer = request.deadline;
+                self.timers.insert((request.timer, req));
+            }
+            Phase::Claiming { worker } => {
+                // It will not run; the claim is voided once it is settled.
+                self.release_claiming(req, worker);
+                let verdict = Verdict::MayHaveRun;
+                self.end(req, verdict, Reason::ClaimUncertain, None, out);
+            }
+            Phase::Voiding { .. } => {
+                let verdict = Verdict::MayHaveRun;
+                self.end(req, verdict, Reason::ClaimUncertain, None, out);
+            }
+            // The attempt's owner bounds its time and tells its end.
+            Phase::Running { .. } => {}
         }
-        let node = service.remotes.first()?.node;
-        Some(RouteAction::Forward { req, node, timeout })
     }
-}
 
-fn refuse(
-    cfg: &RouteConfig,
-    req: ReqId,
-    verdict: Verdict,
-    reason: &'static str,
-    out: &mut Vec<RouteAction>,
-) {
-    let retry_after = (verdict == Verdict::NotRun).then_some(cfg.retry_after);
-    out.push(RouteAction::Refuse {
-        req,
-        verdict,
-        reason,
-        retry_after,
-    });
+    fn find_interactive(&mut self) {
+        let services = self.services.values();
+        let interactive = services.filter(|service| service.policy.class == Class::Interactive);
+        let workers = interactive.flat_map(|service| &service.backends);
+        let workers = workers.map(|backend| backend.worker).collect();
+        self.slots.set_interactive(workers);
+    }
 }
