--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -5,7 +5,7 @@
 use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
 use route::ReqId;
 use store::{
-    Check, CommitChange, CommitConfig, CommitOutput, Full, GroupCommit, ObjectReq, Settlement,
+    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, ObjectReq, Settlement,
     StoreError, TableReq, TableResp, WorkerCall, Write,
 };
 
@@ -20,12 +20,16 @@
     ConfigHead,
     ConfigEntries,
     Members,
+    ConfigSnapshot,
+    ConfigCompact,
     StateScan,
     InboxScan,
     InboxUnit(UnitId, (String, u64)),
     Operator(OperatorId),
     /// The row or object of a request's claim.
     Claim(ReqId),
+    /// Rows that the configuration's next entry depends on.
+    Publishing,
     Worker {
         worker: WorkerId,
         sent: Time,
@@ -38,9 +42,10 @@
     /// Nobody: the change is made again if it matters.
     Nobody,
     State(UnitId),
-    Operator(OperatorId),
     /// A request that must not be repeated.
     Claim(ReqId),
+    /// The configuration's next entry.
+    Publishing,
 }
 
 /// The calls under way.
@@ -107,16 +112,18 @@
 
     pub(crate) fn push(
         &mut self,
+        now: Time,
         owner: Owner,
         checks: Vec<Check>,
         writes: Vec<Write>,
-    ) -> Result<(), Full> {
+    ) -> Result<(), NotTaken> {
         let tag = self.last_tag + 1;
-        self.group.push(CommitChange {
+        let change = CommitChange {
             tag,
             checks,
             writes,
-        })?;
+        };
+        self.group.push(now, change)?;
         self.last_tag = tag;
         self.owners.insert(tag, owner);
         Ok(())
@@ -135,10 +142,16 @@
         withdrawn
     }
 
-    pub(crate) fn poll(&mut self, now: Time, calls: &mut Calls, out: &mut Vec<Action>) {
+    /// Makes the next call if one is due, and returns what was given up.
+    pub(crate) fn poll(
+        &mut self,
+        now: Time,
+        calls: &mut Calls,
+        out: &mut Vec<Action>,
+    ) -> Vec<(Owner, Settlement)> {
         let mut outputs = Vec::new();
         self.group.poll(now, &mut outputs);
-        self.carry_out(outputs, calls, out);
+        self.carry_out(outputs, calls, out)
     }
 
     /// Takes the result of a commit's call, and returns what is settled by it.
--- a/crates/node/src/core/entry/claims.rs
+++ b/crates/node/src/core/entry/claims.rs
@@ -157,6 +157,9 @@
                 cx.table(Purpose::Claim(req), TableReq::Get { key });
                 return Vec::new();
             }
+            (Phase::Committing { .. }, Settlement::NotRun) => {
+                vec![(req, Told::Claim(ClaimResult::Unreachable))]
+            }
             (Phase::Committing { .. }, Settlement::Refused { reason }) => {
                 log::warn!("entry: the platform refused a claim: {reason}");
                 vec![(req, Told::Claim(ClaimResult::Unreachable))]
@@ -316,6 +319,8 @@
         key: key.to_owned(),
         value: row.map(encode),
     };
-    let pushed = cx.commits.push(Owner::Claim(req), vec![check], vec![write]);
+    let pushed = cx
+        .commits
+        .push(cx.now, Owner::Claim(req), vec![check], vec![write]);
     pushed.is_ok()
 }
--- a/crates/node/src/core/entry/mod.rs
+++ b/crates/node/src/core/entry/mod.rs
@@ -9,11 +9,11 @@
 };
 
 use config::{Config, RecallTarget};
-use model::{Kind, NodeId, Time, WorkerId};
+use model::{Kind, Time, WorkerId};
 use peer::{GrantView, ViewContent};
 use route::{
     AttemptEnd, Backend, ClaimResult, Grant, Offer, Remote, ReqId, RouteAction, RouteConfig,
-    RouteDump, Router, ServicePolicy,
+    RouteDump, Router, ServicePolicy, ShareReport,
 };
 use store::{ObjectResp, Settlement, StoreError, TableResp};
 
@@ -29,9 +29,9 @@
     router: Router,
     claims: Claims,
     services: BTreeSet<String>,
+    request_max: Duration,
     recalled: BTreeSet<WorkerId>,
     view: ViewContent,
-    addresses: BTreeMap<NodeId, String>,
     /// When a node that shuts down takes no more requests.
     closes: Option<Time>,
 }
@@ -42,9 +42,9 @@
             router: Router::new(cfg),
             claims: Claims::default(),
             services: BTreeSet::new(),
+            request_max: Duration::ZERO,
             recalled: BTreeSet::new(),
             view: ViewContent::default(),
-            addresses: BTreeMap::new(),
             closes: None,
         }
     }
@@ -60,6 +60,16 @@
         self.router.is_closed() && self.router.in_flight() == 0
     }
 
+    /// The longest deadline that requests have had.
+    pub(crate) const fn request_max(&self) -> Duration {
+        self.request_max
+    }
+
+    /// What this node holds, uses and wants of the domain's backend servers.
+    pub(crate) fn shares(&self, now: Time) -> Vec<ShareReport> {
+        self.router.shares(now)
+    }
+
     pub(crate) fn dump(&self) -> RouteDump {
         self.router.dump()
     }
@@ -75,6 +85,7 @@
                     repeat: requests.repeat,
                     deadline: requests.deadline,
                 };
+                self.request_max = self.request_max.max(requests.deadline);
                 self.router.set_service(&unit.name, policy);
                 services.insert(unit.name.clone());
             }
@@ -89,9 +100,8 @@
         self.carry_out(cx, actions);
     }
 
-    /// Takes the content of a view that answers this node's heartbeat `answers`, and whose grants hold
-    /// up to `until`.
-    pub(crate) fn set_view(&mut self, answers: u64, until: Time, content: &ViewContent) {
+    /// Takes the content of a view, whose grants hold up to `until`.
+    pub(crate) fn set_view(&mut self, until: Time, content: &ViewContent) {
         self.view = content.clone();
         let share = |grant: &GrantView| {
             let share = Grant {
@@ -102,13 +112,13 @@
             (grant.worker, share)
         };
         let grants = self.view.grants.iter().map(share).collect();
-        self.router.set_grants(answers, grants);
+        self.router.set_grants(grants);
         self.set_backends();
     }
 
-    /// Lets the present grants hold up to `until`, as the answer to the heartbeat `answers` says.
-    pub(crate) fn renew_grants(&mut self, answers: u64, until: Time) {
-        self.router.renew_grants(answers, until);
+    /// Lets the present grants hold up to `until`.
+    pub(crate) fn renew_grants(&mut self, until: Time) {
+        self.router.renew_grants(until);
     }
 
     /// A worker that is recalled gets no new request at once, whatever the scheduler says.
@@ -135,11 +145,6 @@
         }
     }
 
-    /// Takes where other nodes are reached.
-    pub(crate) fn set_addresses(&mut self, addresses: BTreeMap<NodeId, String>) {
-        self.addresses = addresses;
-    }
-
     pub(crate) fn offer(&mut self, cx: &mut Cx<'_>, offer: &Offer) {
         let mut actions = Vec::new();
         self.router.offer(cx.now, offer, &mut actions);
@@ -209,11 +214,7 @@
         for action in actions {
             match action {
                 RouteAction::Dispatch(dispatch) => cx.out.push(Action::Dispatch(dispatch)),
-                RouteAction::Forward(forward) => {
-                    let address = self.addresses.get(&forward.node);
-                    let address = address.cloned().unwrap_or_default();
-                    cx.out.push(Action::Forward { forward, address });
-                }
+                RouteAction::Forward(forward) => cx.out.push(Action::Forward(forward)),
                 RouteAction::Refuse(refuse) => {
                     self.claims.release(refuse.req);
                     cx.out.push(Action::Refuse(refuse));
@@ -242,7 +243,7 @@
 }
 
 fn recalled_workers(config: &Config) -> BTreeSet<WorkerId> {
-    let recalls = config.recalls().iter();
+    let recalls = config.recalls().keys();
     let workers = recalls.filter_map(|recall| match recall {
         RecallTarget::Worker(worker) => Some(*worker),
         RecallTarget::Batch(_) | RecallTarget::Setting { .. } => None,
--- a/crates/node/src/core/event.rs
+++ b/crates/node/src/core/event.rs
@@ -61,8 +61,6 @@
     Peer {
         /// The other node.
         to: NodeId,
-        /// Where it is reached.
-        address: String,
         /// Whether the message goes on a fresh connection, whose failure tells that nothing answers.
         fresh: bool,
         /// The message.
@@ -71,12 +69,7 @@
     /// Send a request to a backend server.
     Dispatch(Dispatch),
     /// Pass a request to another node.
-    Forward {
-        /// The attempt.
-        forward: Forward,
-        /// Where the other node is reached.
-        address: String,
-    },
+    Forward(Forward),
     /// Answer a caller with the answer that was kept of an earlier request with the same key.
     Answer(ReqId, StoredAnswer),
     /// Answer a caller with a refusal or an error, at once.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -22,9 +22,9 @@
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time};
-use peer::{DomainView, Heartbeat, PeerMsg};
-use route::RouteConfig;
+use model::{Epoch, NodeId, Time, Verdict};
+use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
+use route::{GrantConfig, NodeShares, RouteConfig};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -35,8 +35,10 @@
     operators::Operators,
     rows::lease_key,
     scheduler::Scheduler,
-    views::{OwnView, Views},
+    views::{Beat, OwnView, Views},
 };
+use crate::api::{OperatorReq, OperatorResp};
+
 pub use self::{
     dump::{Dump, MemberDump, SchedulerDump},
     event::{Action, CallId, Event, OperatorId},
@@ -56,6 +58,8 @@
     operators: Operators,
     scheduler: Option<Scheduler>,
     members: Members,
+    /// Where the lease's questions go, also to nodes that are no longer among the members.
+    lease_addresses: BTreeMap<NodeId, String>,
     /// The lease's questions to other nodes that are not answered, and when each was sent.
     questions: BTreeMap<(NodeId, Question), Time>,
     views: Option<Views>,
@@ -79,14 +83,15 @@
             calls: Calls::default(),
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
-            config: ConfigSync::new(cfg.config.clone()),
+            config: ConfigSync::new(&cfg.config),
             entry: Entry::new(RouteConfig {
                 seed: cfg.route.seed ^ me.incarnation.0 ^ u64::from(me.node.0),
                 ..cfg.route.clone()
             }),
-            operators: Operators::default(),
+            operators: Operators::new(me.clone()),
             scheduler: None,
             questions: BTreeMap::new(),
+            lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
             views: None,
             view: OwnView::default(),
@@ -115,6 +120,7 @@
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
+        let recalls = self.config.config().recalls().keys();
         Dump {
             node: self.me.node.to_string(),
             domain: self.me.domain.to_string(),
@@ -122,6 +128,8 @@
             uptime_ms: now.as_ms(),
             ready: self.is_ready(),
             config_version: self.config.config().version(),
+            stale_heads: self.config.stale_heads(),
+            recalls: recalls.map(ToString::to_string).collect(),
             unsettled_changes: self.commits.unsettled(),
             transactions: self.commits.transactions(),
             members: self.member_dumps(now),
@@ -150,6 +158,13 @@
         dumps.collect()
     }
 
+    /// Where another node is reached.
+    #[must_use]
+    pub fn address(&self, node: NodeId) -> Option<&str> {
+        let known = self.members.address(node);
+        known.or_else(|| self.lease_addresses.get(&node).map(String::as_str))
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -167,9 +182,10 @@
                     scheduler.worker_answered(now, worker, sent, result);
                 }
             }
+            Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, id, req);
+                parts.operators.call(&mut cx, parts.config, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request(offer) => {
@@ -194,7 +210,10 @@
             Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
-        self.commits.poll(now, &mut self.calls, out);
+        let given_up = self.commits.poll(now, &mut self.calls, out);
+        for (owner, settlement) in given_up {
+            self.settled(now, owner, settlement, out);
+        }
     }
 
     fn split<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> (Cx<'a>, Parts<'a>) {
@@ -206,6 +225,7 @@
         };
         let parts = Parts {
             config: &mut self.config,
+            me: &self.me,
             members: &mut self.members,
             view: &self.view,
             operators: &mut self.operators,
@@ -219,13 +239,11 @@
         self.fail_unanswered(now, out);
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
-        let state = self.self_state();
+        let state = self.self_state(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
-        parts.members.tick(&mut cx, state, parts.view.services());
-        if parts.operators.waits_for_config() {
-            parts.config.poll_soon();
-        }
+        parts.members.tick(&mut cx, &state, parts.view.services());
+        parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
             scheduler.tick(&mut cx, valid_until);
         }
@@ -246,7 +264,7 @@
         }
     }
 
-    fn self_state(&self) -> SelfState {
+    fn self_state(&self, now: Time) -> SelfState {
         let scheduler = self.scheduler.as_ref();
         SelfState {
             config_version: self.config.config().version(),
@@ -254,6 +272,7 @@
             view: self.view.version(),
             leaving: self.leaving,
             free: scheduler.map_or(self.view.free(), Scheduler::free),
+            shares: self.node_shares(now),
         }
     }
 
@@ -270,12 +289,14 @@
                 value: None,
             };
             // A full queue only delays it.
-            let _ = self.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+            let _ = self
+                .commits
+                .push(now, Owner::Nobody, Vec::new(), vec![write]);
         }
     }
 
-    /// While this node schedules the domain: computes what its nodes may serve, and tells them of a
-    /// change at once.
+    /// While this node schedules the domain: tells its nodes at once of a change of backend servers, and
+    /// itself each second.
     fn refresh_views(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(scheduler) = &self.scheduler else {
             self.views = None;
@@ -283,55 +304,64 @@
         };
         let epoch = scheduler.epoch();
         let current = self.views.take().filter(|views| views.epoch() == epoch);
-        let views = self
-            .views
-            .insert(current.unwrap_or_else(|| Views::new(epoch)));
-        let mut nodes: Vec<NodeId> = self.members.in_domain().map(|(node, _)| node).collect();
-        nodes.push(self.me.node);
-        let changed = views.refresh(scheduler, &nodes);
-        let due = now >= self.next_own_view;
-        if !(changed || due) {
-            return;
-        }
-        self.next_own_view = now + self.cfg.members.heartbeat_interval;
+        let views = self.views.insert(current.unwrap_or_else(|| {
+            let cfg = GrantConfig {
+                term: self.cfg.lease.term,
+                drift_margin: self.cfg.lease.drift_margin,
+                ..GrantConfig::default()
+            };
+            Views::new(now, epoch, cfg)
+        }));
+        views.set_request_max(self.entry.request_max());
+        let changed = views.refresh(scheduler);
         if changed {
             let others: Vec<NodeId> = self.members.live_in_domain(now).map(|(n, _)| n).collect();
             for node in others {
-                self.send_view(node, out);
+                self.send_view(now, node, out);
             }
         }
-        self.take_own_view(now);
+        if changed || now >= self.next_own_view {
+            self.next_own_view = now + self.cfg.members.heartbeat_interval;
+            self.take_own_view(now);
+        }
+    }
+
+    fn node_shares(&self, now: Time) -> NodeShares {
+        NodeShares {
+            applied: self.view.applied(),
+            shares: self.entry.shares(now),
+        }
     }
 
     /// Takes the view of this node's own scheduler, which needs no message.
     fn take_own_view(&mut self, now: Time) {
+        let shares = self.node_shares(now);
+        let has = self.view.version();
         let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
-        views.heard(self.me.node, 0);
-        let has = self.view.version();
-        let term = self.cfg.lease.term;
-        if let Some(view) = views.view(self.me.node, has, term, scheduler.free()) {
+        let seq = self.members.own_beat(now);
+        let beat = Beat {
+            node: self.me.node,
+            start: self.me.incarnation,
+            seq,
+            shares: &shares,
+        };
+        views.heard(now, beat);
+        if let Some(view) = views.view(now, self.me.node, has, scheduler.free()) {
             self.take_view(now, &view);
         }
     }
 
-    fn send_view(&self, to: NodeId, out: &mut Vec<Action>) {
-        let (Some(views), Some(scheduler)) = (&self.views, &self.scheduler) else {
+    fn send_view(&mut self, now: Time, to: NodeId, out: &mut Vec<Action>) {
+        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
-        let member = self.members.in_domain().find(|(node, _)| *node == to);
-        let Some((_, member)) = member else {
+        let Some(has) = self.members.view_of(to) else {
             return;
         };
-        let term = self.cfg.lease.term;
-        if let Some(view) = views.view(to, member.view, term, scheduler.free()) {
-            out.push(Action::Peer {
-                to,
-                address: member.row.address.clone(),
-                fresh: false,
-                msg: PeerMsg::View(view),
-            });
+        if let Some(view) = views.view(now, to, has, scheduler.free()) {
+            send_peer(out, to, PeerMsg::View(view));
         }
     }
 
@@ -340,19 +370,19 @@
         if !self.view.take(view) {
             return;
         }
-        let until = OwnView::until(sent, view);
+        let until = sent + view.term;
         match &view.content {
-            Some(content) => self.entry.set_view(view.answers, until, content),
-            None => self.entry.renew_grants(view.answers, until),
+            Some(content) => self.entry.set_view(until, content),
+            None => self.entry.renew_grants(until),
         }
     }
 
     fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
         match msg {
             PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
-            PeerMsg::Summary(summary) => self.members.summary(now, from, summary),
+            PeerMsg::Summary(summary) => self.summary(now, from, summary, out),
             PeerMsg::View(view) => {
-                if let Some(sent) = self.members.heartbeat_sent(view.answers) {
+                if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
                     self.take_view(sent, &view);
                 }
             }
@@ -368,7 +398,16 @@
                 }
             }
             PeerMsg::Drain => self.shutdown(now, out),
-            PeerMsg::ConfigWanted { .. } | PeerMsg::ConfigEntries(_) => {}
+            PeerMsg::ConfigWanted { after } => {
+                if let Some(news) = self.config.entries_after(after) {
+                    send_peer(out, from, PeerMsg::ConfigEntries(news));
+                }
+            }
+            PeerMsg::ConfigEntries(news) => {
+                if self.config.take_entries(news) {
+                    self.config_changed(now, out);
+                }
+            }
         }
     }
 
@@ -415,13 +454,36 @@
         }
     }
 
+    fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
+        let (mut cx, parts) = self.split(now, out);
+        let domain = summary.domain;
+        for told in &summary.nodes {
+            let version = told.config_version;
+            parts
+                .config
+                .peer_version(&mut cx, told.node, domain, version);
+        }
+        parts.members.summary(now, from, summary);
+    }
+
     fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
         if !self.members.heard(now, from, msg) {
             return;
         }
+        let (mut cx, parts) = self.split(now, out);
+        let domain = parts.me.domain;
+        parts
+            .config
+            .peer_version(&mut cx, from, domain, msg.config_version);
         if let Some(views) = &mut self.views {
-            views.heard(from, msg.seq);
-            self.send_view(from, out);
+            let beat = Beat {
+                node: from,
+                start: msg.incarnation,
+                seq: msg.seq,
+                shares: &msg.shares,
+            };
+            views.heard(now, beat);
+            self.send_view(now, from, out);
         }
     }
 
@@ -434,8 +496,6 @@
         let members = &self.members;
         self.entry
             .set_remotes(|service| members.remotes(now, service));
-        let addresses = members.all().map(|(node, m)| (node, m.row.address.clone()));
-        self.entry.set_addresses(addresses.collect());
     }
 
     fn table_answered(
@@ -466,10 +526,10 @@
             Purpose::ConfigHead => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.config.head_read(&mut cx, result);
-                parts.operators.config_changed(&mut cx, parts.config);
             }
             Purpose::ConfigEntries => {
-                if self.config.entries_read(result) {
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.entries_read(&mut cx, result) {
                     self.config_changed(now, out);
                 }
             }
@@ -483,6 +543,22 @@
                     self.lease_step(now, Input::Members(members), out);
                 }
             }
+            Purpose::ConfigSnapshot => {
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.snapshot_read(&mut cx, result) {
+                    self.config_changed(now, out);
+                }
+            }
+            Purpose::ConfigCompact => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.config.compact(&mut cx, result);
+            }
+            Purpose::Publishing => {
+                let (mut cx, parts) = self.split(now, out);
+                parts
+                    .operators
+                    .publishing_read(&mut cx, parts.config, result);
+            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, parts.config, id, result);
@@ -526,9 +602,11 @@
                     scheduler.state_settled(now, &id, settlement);
                 }
             }
-            Owner::Operator(id) => {
-                parts.operators.settled(&mut cx, id, settlement);
-                parts.config.poll_soon();
+            Owner::Publishing => {
+                let operators = parts.operators;
+                if operators.settled(&mut cx, parts.config, &settlement) {
+                    self.config_changed(now, out);
+                }
             }
             Owner::Claim(req) => parts.entry.claim_settled(&mut cx, req, &settlement),
         }
@@ -583,9 +661,9 @@
                 if let Some(question) = msg.asks() {
                     self.questions.insert((to, question), now);
                 }
+                self.lease_addresses.insert(to, address);
                 out.push(Action::Peer {
                     to,
-                    address,
                     fresh: true,
                     msg: PeerMsg::Lease(msg),
                 });
@@ -617,6 +695,23 @@
         self.scheduler = Some(scheduler);
     }
 
+    /// Answers an operator's call to shut a node down gracefully.
+    fn drain(&mut self, now: Time, id: OperatorId, node: NodeId, out: &mut Vec<Action>) {
+        let resp = if node == self.me.node {
+            self.shutdown(now, out);
+            drain_answer(node)
+        } else if self.address(node).is_some() {
+            send_peer(out, node, PeerMsg::Drain);
+            drain_answer(node)
+        } else {
+            OperatorResp::Failed {
+                verdict: Verdict::NotRun,
+                message: format!("no node {node} is known; `lacewing dump` names the known ones"),
+            }
+        };
+        out.push(Action::Operator(id, resp));
+    }
+
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
@@ -628,6 +723,7 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
+    me: &'a Identity,
     members: &'a mut Members,
     view: &'a OwnView,
     operators: &'a mut Operators,
@@ -657,3 +753,18 @@
         Err(StoreError::Unreachable(_) | StoreError::Refused(_)) => WriteResult::NotWritten,
     }
 }
+
+fn drain_answer(node: NodeId) -> OperatorResp {
+    OperatorResp::Done {
+        message: format!("{node} is asked to shut down gracefully"),
+        version: 0,
+    }
+}
+
+fn send_peer(out: &mut Vec<Action>, to: NodeId, msg: PeerMsg) {
+    out.push(Action::Peer {
+        to,
+        fresh: false,
+        msg,
+    });
+}
--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -148,7 +148,12 @@
                 let carry = |proxy: &Proxy, exchange| proxy.dispatch(exchange, dispatch);
                 self.attempt(cx, req, attempt, carry);
             }
-            Action::Forward { forward, address } => {
+            Action::Forward(forward) => {
+                let address = self
+                    .node
+                    .address(forward.node)
+                    .unwrap_or_default()
+                    .to_owned();
                 let (req, attempt) = (forward.req, forward.attempt);
                 let links = self.links.clone();
                 let carry = |proxy: &Proxy, exchange| {
@@ -164,12 +169,7 @@
             Action::Refuse(refuse) => {
                 self.answer(refuse.req, |proxy, exchange| proxy.refuse(exchange, refuse));
             }
-            Action::Peer {
-                to,
-                address,
-                fresh,
-                msg,
-            } => self.send_peer(to, &address, fresh, msg),
+            Action::Peer { to, fresh, msg } => self.send_peer(to, fresh, msg),
             Action::Exit => stop!(cx),
         }
     }
@@ -180,7 +180,8 @@
         }
     }
 
-    fn send_peer(&self, to: NodeId, address: &str, fresh: bool, msg: PeerMsg) {
+    fn send_peer(&self, to: NodeId, fresh: bool, msg: PeerMsg) {
+        let address = self.node.address(to).unwrap_or_default();
         let (Some(links), Ok(address)) = (&self.links, address.parse()) else {
             log::warn!("node: {to} has no address that can be used: {address}");
             return;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -8,8 +8,8 @@
 use model::{Class, NodeId, Repeat, Time, Verdict, WorkerId};
 
 use crate::{
-    Backend, Grant, NodeShares, Offer, Reason, Refuse, Remote, ReqId, RouteAction, RouteConfig,
-    RouteDump, ServiceCounters, ServicePolicy,
+    Backend, Grant, Offer, Reason, Refuse, Remote, ReqId, RouteAction, RouteConfig, RouteDump,
+    ServiceCounters, ServicePolicy, ShareReport,
     budget::Jitter,
     fair::{Fair, Flow},
     health::{Health, as_us},
@@ -42,7 +42,6 @@
     pub(crate) in_flight: usize,
     pub(crate) jitter: Jitter,
     closed: bool,
-    applied: u64,
 }
 
 impl Router {
@@ -59,7 +58,6 @@
             in_flight: 0,
             jitter: Jitter::new(cfg.seed),
             closed: false,
-            applied: 0,
             cfg,
         }
     }
@@ -127,21 +125,19 @@
         self.slots.set_grant(worker, grant);
     }
 
-    /// Replaces this node's shares of all backend servers. `answers` is the heartbeat that they
-    /// answer; it must be the node's newest one, see [`GrantBook`](crate::GrantBook).
-    pub fn set_grants(&mut self, answers: u64, grants: BTreeMap<WorkerId, Grant>) {
-        self.applied = answers;
+    /// Replaces this node's shares of all backend servers.
+    pub fn set_grants(&mut self, grants: BTreeMap<WorkerId, Grant>) {
         self.slots.set_grants(grants);
     }
 
-    /// Prolongs all shares, which an answer to the heartbeat `answers` has confirmed.
-    pub fn renew_grants(&mut self, answers: u64, until: Time) {
-        self.applied = answers;
+    /// Prolongs all shares.
+    pub fn renew_grants(&mut self, until: Time) {
         self.slots.renew(until);
     }
 
-    /// What the next heartbeat is to say of this node's shares.
-    pub fn report_shares(&mut self, now: Time) -> NodeShares {
+    /// What this node holds, uses and wants of each backend server.
+    #[must_use]
+    pub fn shares(&self, now: Time) -> Vec<ShareReport> {
         let mut queued: BTreeMap<WorkerId, u32> = BTreeMap::new();
         for service in self.services.values() {
             let part = service.queue.len().div_ceil(service.backends.len().max(1));
@@ -149,10 +145,7 @@
                 *queued.entry(backend.worker).or_default() += u32::try_from(part).unwrap_or(0);
             }
         }
-        NodeShares {
-            applied: self.applied,
-            shares: self.slots.report(now, &queued),
-        }
+        self.slots.report(now, &queued)
     }
 
     /// Refuses new requests from now on; those that are here go on.
@@ -202,7 +195,8 @@
     /// Takes a caller's request.
     pub fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<RouteAction>) {
         let refusal = match self.services.get_mut(&offer.service) {
-            None => Some((Reason::NoSuchService, None)),
+            // It may have been published a moment ago, and not be known here yet.
+            None => Some((Reason::NoSuchService, Some(self.cfg.retry_after))),
             Some(service) => {
                 service.counters.offered += 1;
                 service.budget.pay_in(&self.cfg);
@@ -345,6 +339,7 @@
     /// Does what is due: retries go back into their queues, and what cannot be run in time any more is
     /// given up.
     pub fn tick(&mut self, now: Time, out: &mut Vec<RouteAction>) {
+        self.slots.tick(now);
         while let Some((at, req)) = self.timers.first().copied()
             && at <= now
         {
--- a/crates/route/src/slots.rs
+++ b/crates/route/src/slots.rs
@@ -1,17 +1,23 @@
 //! The slots and connections of backend servers that this node holds and uses.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::{Class, Time, WorkerId};
 
 use crate::{Grant, ShareReport};
 
+/// How long a peak of use counts as wanted.
+const PEAK_WINDOW: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Busy {
     all: u32,
     /// Those of requests that are not interactive.
     lower: u32,
-    /// The most of `all` since the last report.
+    /// The most of `all` of late.
     peak: u32,
 }
 
@@ -23,6 +29,7 @@
     busy: BTreeMap<WorkerId, Busy>,
     /// The servers with a replica of an interactive service.
     interactive: BTreeSet<WorkerId>,
+    next_peak: Time,
 }
 
 impl Slots {
@@ -100,12 +107,20 @@
         self.busy.get(&worker).copied().unwrap_or_default()
     }
 
+    /// Forgets old peaks of use.
+    pub(crate) fn tick(&mut self, now: Time) {
+        if now < self.next_peak {
+            return;
+        }
+        self.next_peak = now + PEAK_WINDOW;
+        self.busy.retain(|_, busy| busy.all > 0 || busy.peak > 0);
+        for busy in self.busy.values_mut() {
+            busy.peak = busy.all;
+        }
+    }
+
     /// What to tell the domain's scheduler. `queued` are the requests that wait, by server.
-    pub(crate) fn report(
-        &mut self,
-        now: Time,
-        queued: &BTreeMap<WorkerId, u32>,
-    ) -> Vec<ShareReport> {
+    pub(crate) fn report(&self, now: Time, queued: &BTreeMap<WorkerId, u32>) -> Vec<ShareReport> {
         let workers: BTreeSet<WorkerId> = self
             .grants
             .keys()
@@ -123,11 +138,6 @@
                 wanted: busy.peak + queued.get(&worker).copied().unwrap_or(0),
             }
         });
-        let reports = reports.collect();
-        self.busy.retain(|_, busy| busy.all > 0);
-        for busy in self.busy.values_mut() {
-            busy.peak = busy.all;
-        }
-        reports
+        reports.collect()
     }
 }
