--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -22,7 +22,7 @@
 };
 use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
 use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
-use route::{GrantConfig, NodeShares, Offer};
+use route::{GrantConfig, NodeShares, RouteConfig};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -83,7 +83,10 @@
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
             config: ConfigSync::new(&cfg.config),
-            entry: Entry::new(cfg.route.clone()),
+            entry: Entry::new(RouteConfig {
+                seed: cfg.route.seed ^ me.incarnation.0 ^ u64::from(me.node.0),
+                ..cfg.route.clone()
+            }),
             operators: Operators::new(me.clone()),
             scheduler: None,
             generation: Generation::default(),
@@ -108,6 +111,12 @@
         self.config.is_known() && self.config.config().version() >= newest && !self.leaving
     }
 
+    /// Whether the node shuts down.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
@@ -130,6 +139,7 @@
                 .free_elsewhere(now)
                 .map(|(domain, free)| (domain.to_string(), free))
                 .collect(),
+            requests: self.entry.dump(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
@@ -178,27 +188,26 @@
                 parts.operators.call(&mut cx, parts.config, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
-            Event::Request {
-                req,
-                service,
-                key,
-                forwarded,
-            } => {
-                let offer = Offer {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.entry.offer(now, &offer, out);
+            Event::Request(offer) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.offer(&mut cx, &offer);
+            }
+            Event::Finished(end) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.finished(&mut cx, &end);
+            }
+            Event::Object(call, result) => {
+                if let Some(Purpose::Claim(req)) = self.calls.answered(call) {
+                    let (mut cx, parts) = self.split(now, out);
+                    parts.entry.claim_object(&mut cx, req, result);
+                }
             }
-            Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
             Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
                 if let Some(question) = msg.asks() {
                     self.question_failed(now, to, question, out);
                 }
             }
-            Event::Object(..) | Event::PeerFailed(..) => {}
+            Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         let given_up = self.commits.poll(now, &mut self.calls, out);
@@ -221,6 +230,7 @@
             view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
+            entry: &mut self.entry,
         };
         (cx, parts)
     }
@@ -241,8 +251,9 @@
         self.forget_members(now);
         self.refresh_views(now, out);
         self.refresh_remotes(now);
-        self.entry.tick(now, out);
-        if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.tick(&mut cx);
+        if self.leaving && self.entry.is_drained() && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
         }
         if self
@@ -404,7 +415,7 @@
             }
             PeerMsg::ConfigEntries(news) => {
                 if self.config.take_entries(news) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
         }
@@ -529,7 +540,7 @@
             Purpose::ConfigEntries => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.entries_read(&mut cx, result) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
             Purpose::Members => {
@@ -545,7 +556,7 @@
             Purpose::ConfigSnapshot => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.snapshot_read(&mut cx, result) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
             Purpose::ConfigCompact => {
@@ -568,6 +579,10 @@
                     scheduler.read(&mut cx, read, result);
                 }
             }
+            Purpose::Claim(req) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.claim_read(&mut cx, req, result);
+            }
             Purpose::Worker { .. } => {}
         }
     }
@@ -584,18 +599,20 @@
             Owner::Publishing => {
                 let operators = parts.operators;
                 if operators.settled(&mut cx, parts.config, &settlement) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
+            Owner::Claim(req) => parts.entry.claim_settled(&mut cx, req, &settlement),
         }
     }
 
-    fn config_changed(&mut self, now: Time) {
+    fn config_changed(&mut self, now: Time, out: &mut Vec<Action>) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
-        self.entry.set_config(self.config.config());
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.set_config(&mut cx, parts.config.config());
         if let Some(scheduler) = &mut self.scheduler {
             let policy = Policy::new(self.config.config(), self.me.domain);
             scheduler.set_policy(now, policy);
@@ -700,6 +717,7 @@
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
+            self.entry.leave(now);
             self.lease_step(now, Input::HandOver, out);
         }
     }
@@ -712,6 +730,7 @@
     view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
+    entry: &'a mut Entry,
 }
 
 fn row_state(result: Result<TableResp, StoreError>) -> RowState {
--- a/crates/store/src/commit/queue.rs
+++ b/crates/store/src/commit/queue.rs
@@ -57,6 +57,17 @@
         expired
     }
 
+    /// Removes a change.
+    pub(super) fn remove(&mut self, tag: u64) -> bool {
+        for queue in [&mut self.split, &mut self.waiting] {
+            if let Some(i) = queue.iter().position(|w| w.change.tag == tag) {
+                queue.remove(i);
+                return true;
+            }
+        }
+        false
+    }
+
     pub(super) fn take_all(&mut self) -> Vec<Waiting> {
         let split = self.split.drain(..);
         split.chain(self.waiting.drain(..)).collect()
