--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use model::{DomainId, NodeId, Time};
+use model::{NodeId, Time};
 use serde::{Deserialize, Serialize};
 
 use crate::{Config, Entry};
@@ -99,13 +99,10 @@
 
 /// What was last heard of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Heard {
-    /// The peer's failure domain.
-    pub domain: DomainId,
+struct Heard {
     /// The version that it has in force.
-    pub version: u64,
-    /// When it was heard.
-    pub at: Time,
+    version: u64,
+    at: Time,
 }
 
 /// A read of the table under way.
@@ -182,12 +179,6 @@
         self.stale_heads
     }
 
-    /// What was heard of the peers.
-    #[must_use]
-    pub const fn heard(&self) -> &BTreeMap<NodeId, Heard> {
-        &self.heard
-    }
-
     /// The version of the head's row, if this node has the version that the head names.
     #[must_use]
     pub fn head_row(&self) -> Option<u64> {
@@ -324,23 +315,9 @@
     }
 
     /// Takes the version that a peer has in force.
-    pub fn peer_heard(
-        &mut self,
-        now: Time,
-        node: NodeId,
-        domain: DomainId,
-        version: u64,
-        out: &mut Vec<Want>,
-    ) {
+    pub fn peer_heard(&mut self, now: Time, node: NodeId, version: u64, out: &mut Vec<Want>) {
         let at = now;
-        self.heard.insert(
-            node,
-            Heard {
-                domain,
-                version,
-                at,
-            },
-        );
+        self.heard.insert(node, Heard { version, at });
         self.ask_peer(now, out);
     }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,7 +30,7 @@
     change::{Change, Entry, Submission},
     diff::{ItemChange, ItemFate, KeyChange},
     error::{ApplyError, ChangeError, Conflict, TargetError},
-    follower::{Follower, FollowerConfig, Head, Heard, News, Snapshot, Want},
+    follower::{Follower, FollowerConfig, Head, News, Snapshot, Want},
     history::Setting,
     prepare::{Merge, Outcome, Proposal},
     state::{Config, Recall},
--- a/crates/config/src/target.rs
+++ b/crates/config/src/target.rs
@@ -17,7 +17,17 @@
 /// let target: RecallTarget = "setting/dealer-lookup@17".parse().unwrap();
 /// assert_eq!(target.to_string(), "setting/dealer-lookup@17");
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum RecallTarget {
     /// A batch or job, by name.
--- a/crates/model/src/verdict.rs
+++ b/crates/model/src/verdict.rs
@@ -5,7 +5,18 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request, start or write may have run. Every answer and every error carries one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// It truly has not run and never will under this request.
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -20,6 +20,7 @@
     ConfigEntries,
     ConfigSnapshot,
     ConfigCompact,
+    Members,
     StateScan,
     InboxScan,
     InboxUnit(UnitId, (String, u64)),
--- a/crates/node/src/core/config_sync.rs
+++ b/crates/node/src/core/config_sync.rs
@@ -1,17 +1,14 @@
 //! The configuration in force at a node: the follower's reads as calls to the table and to peers.
 
 use config::{Config, Entry, Follower, FollowerConfig, Head, News, Snapshot, Want};
-use model::{DomainId, NodeId, Time};
-use peer::PeerMsg;
+use model::{NodeId, Time};
 use serde::{Deserialize, Serialize};
 use store::{Check, Row, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use super::{
     calls::{Cx, Owner, Purpose},
-    event::Action,
     settings::ConfigSyncConfig,
 };
-use crate::api::MemberVersion;
 
 const HEAD_KEY: &str = "config/head";
 const ENTRY_PREFIX: &str = "config/entry/";
@@ -33,6 +30,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ConfigSync {
     follower: Follower,
+    /// The peers to be asked, and the version that this node has.
+    asks: Vec<(NodeId, u64)>,
 }
 
 impl ConfigSync {
@@ -43,6 +42,7 @@
         };
         Self {
             follower: Follower::new(cfg),
+            asks: Vec::new(),
         }
     }
 
@@ -132,17 +132,24 @@
         })
     }
 
-    /// Takes the version that a peer has in force, as its heartbeat tells.
-    pub(crate) fn peer_version(
-        &mut self,
-        cx: &mut Cx<'_>,
-        node: NodeId,
-        domain: DomainId,
-        version: u64,
-    ) {
-        self.follow(cx, |follower, now, wants| {
-            follower.peer_heard(now, node, domain, version, wants);
-        });
+    /// Takes the version that a peer has in force, as its heartbeat or summary tells.
+    pub(crate) fn peer_version(&mut self, now: Time, node: NodeId, version: u64) {
+        let mut wants = Vec::new();
+        self.follower.peer_heard(now, node, version, &mut wants);
+        for want in wants {
+            self.ask(want);
+        }
+    }
+
+    fn ask(&mut self, want: Want) {
+        if let Want::Peer { node, after } = want {
+            self.asks.push((node, after));
+        }
+    }
+
+    /// The peers to be asked for the entries after a version.
+    pub(crate) fn take_asks(&mut self) -> Vec<(NodeId, u64)> {
+        std::mem::take(&mut self.asks)
     }
 
     /// What a peer is told that has this version; `None` where it has all that this node has.
@@ -227,20 +234,6 @@
         let _ = cx.commits.push(Owner::Nobody, vec![check], writes);
     }
 
-    /// The versions of the nodes that were heard, without this one.
-    pub(crate) fn members(&self, now: Time, version: u64) -> Vec<MemberVersion> {
-        let heard = self.follower.heard().iter();
-        heard
-            .map(|(node, heard)| MemberVersion {
-                node: *node,
-                domain: heard.domain,
-                version: Some(heard.version),
-                age_ms: u64::try_from(now.since(heard.at).as_millis()).ok(),
-                in_force: heard.version >= version,
-            })
-            .collect()
-    }
-
     /// Lets the follower do something, and carries out what it then wants.
     fn follow<T>(
         &mut self,
@@ -250,34 +243,32 @@
         let mut wants = Vec::new();
         let done = act(&mut self.follower, cx.now, &mut wants);
         for want in wants {
-            carry_out(cx, want);
+            match read_of(want) {
+                Some((purpose, req)) => cx.table(purpose, req),
+                None => self.ask(want),
+            }
         }
         done
     }
 }
 
-fn carry_out(cx: &mut Cx<'_>, want: Want) {
+/// The read of the table that is wanted; `None` where a peer is to be asked.
+fn read_of(want: Want) -> Option<(Purpose, TableReq)> {
+    let get = |key: &str| TableReq::Get {
+        key: key.to_owned(),
+    };
     match want {
-        Want::Head => {
-            let key = HEAD_KEY.to_owned();
-            cx.table(Purpose::ConfigHead, TableReq::Get { key });
-        }
-        Want::Snapshot => {
-            let key = SNAPSHOT_KEY.to_owned();
-            cx.table(Purpose::ConfigSnapshot, TableReq::Get { key });
-        }
+        Want::Head => Some((Purpose::ConfigHead, get(HEAD_KEY))),
+        Want::Snapshot => Some((Purpose::ConfigSnapshot, get(SNAPSHOT_KEY))),
         Want::Entries { after, limit } => {
             let req = TableReq::Scan {
                 prefix: ENTRY_PREFIX.to_owned(),
                 after: entry_key(after),
                 limit,
             };
-            cx.table(Purpose::ConfigEntries, req);
-        }
-        Want::Peer { node, after } => {
-            let msg = PeerMsg::ConfigWanted { after };
-            cx.out.push(Action::Peer(node, msg));
+            Some((Purpose::ConfigEntries, req))
         }
+        Want::Peer { .. } => None,
     }
 }
 
--- a/crates/node/src/core/entry.rs
+++ b/crates/node/src/core/entry.rs
@@ -1,12 +1,13 @@
 //! Callers' requests at a node: the router, and what it knows from the domain's scheduler.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use config::Config;
-use model::{Kind, Time};
-use peer::DomainView;
+use model::{Kind, NodeId, Time};
+use peer::{GrantView, ViewContent};
 use route::{
-    Backend, Grant, Offer, Outcome, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
+    Backend, Grant, Offer, Outcome, Remote, ReqId, RouteAction, RouteConfig, Router, ServicePolicy,
+    ShareReport,
 };
 
 use super::event::Action;
@@ -16,6 +17,9 @@
 pub(crate) struct Entry {
     router: Router,
     services: Vec<String>,
+    request_max: Duration,
+    grants: Vec<GrantView>,
+    addresses: BTreeMap<NodeId, String>,
 }
 
 impl Entry {
@@ -23,6 +27,9 @@
         Self {
             router: Router::new(cfg),
             services: Vec::new(),
+            request_max: Duration::ZERO,
+            grants: Vec::new(),
+            addresses: BTreeMap::new(),
         }
     }
 
@@ -40,25 +47,19 @@
                     repeat: requests.repeat,
                     deadline: requests.deadline,
                 };
+                self.request_max = self.request_max.max(requests.deadline);
                 self.router.set_service(&unit.name, policy);
                 self.services.push(unit.name.clone());
             }
         }
     }
 
-    /// Takes what the domain's scheduler lets this node serve. `sent` is when the heartbeat was sent
-    /// that the view answers: the scheduler counts the grants' term from later than that.
-    pub(crate) fn set_view(&mut self, sent: Time, view: &DomainView) {
-        for grant in &view.grants {
-            let share = Grant {
-                slots: grant.slots,
-                connections: grant.connections,
-                until: sent + view.term,
-            };
-            self.router.set_grant(grant.worker, share);
-        }
+    /// Takes the content of a view, whose grants hold up to `until`.
+    pub(crate) fn set_view(&mut self, until: Time, content: &ViewContent) {
+        self.grants.clone_from(&content.grants);
+        self.renew_grants(until);
         let mut backends: BTreeMap<&str, Vec<Backend>> = BTreeMap::new();
-        for backend in &view.backends {
+        for backend in &content.backends {
             let list = backends.entry(&backend.service).or_default();
             list.push(Backend {
                 worker: backend.worker,
@@ -71,10 +72,48 @@
         }
     }
 
+    /// Lets the present grants hold up to `until`.
+    pub(crate) fn renew_grants(&mut self, until: Time) {
+        for grant in &self.grants {
+            let share = Grant {
+                slots: grant.slots,
+                connections: grant.connections,
+                until,
+            };
+            self.router.set_grant(grant.worker, share);
+        }
+    }
+
+    /// The longest deadline of the services' requests.
+    pub(crate) fn request_max(&self) -> Duration {
+        self.request_max
+    }
+
+    /// What this node holds, uses and wants of the domain's backend servers.
+    pub(crate) fn shares(&self, now: Time) -> Vec<ShareReport> {
+        self.router.shares(now)
+    }
+
+    /// Takes the nodes of other domains that can serve.
+    pub(crate) fn set_remotes(&mut self, remotes: impl Fn(&str) -> Vec<Remote>) {
+        for service in &self.services {
+            self.router.set_remotes(service, remotes(service));
+        }
+    }
+
+    /// Takes where other nodes are reached.
+    pub(crate) fn set_addresses(&mut self, addresses: BTreeMap<NodeId, String>) {
+        self.addresses = addresses;
+    }
+
+    fn address(&self, node: NodeId) -> String {
+        self.addresses.get(&node).cloned().unwrap_or_default()
+    }
+
     pub(crate) fn offer(&mut self, now: Time, offer: &Offer, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.offer(now, offer, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 
     pub(crate) fn finished(
@@ -86,17 +125,17 @@
     ) {
         let mut actions = Vec::new();
         self.router.finished(now, req, outcome, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 
     pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.router.tick(now, &mut actions);
-        carry_out(actions, out);
+        carry_out(actions, |node| self.address(node), out);
     }
 }
 
-fn carry_out(actions: Vec<RouteAction>, out: &mut Vec<Action>) {
+fn carry_out(actions: Vec<RouteAction>, address: impl Fn(NodeId) -> String, out: &mut Vec<Action>) {
     for action in actions {
         out.push(match action {
             RouteAction::Dispatch {
@@ -110,7 +149,15 @@
                 endpoint,
                 timeout,
             },
-            RouteAction::Forward { req, node, timeout } => Action::Forward { req, node, timeout },
+            RouteAction::Forward { req, node, timeout } => {
+                let address = address(node);
+                Action::Forward {
+                    req,
+                    node,
+                    address,
+                    timeout,
+                }
+            }
             RouteAction::Refuse {
                 req,
                 verdict,
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -8,42 +8,41 @@
 mod entry;
 mod event;
 mod jobs;
+mod members;
 mod operators;
 mod poll;
 mod rows;
 mod scheduler;
 mod settings;
+mod views;
 mod workers;
 
-use std::time::Duration;
+use std::collections::BTreeMap;
 
-use lease::{Holder, Input, LeaseMachine, LeaseRow, Output, RowState, WriteResult};
-use model::Time;
-use peer::{DomainView, GrantView, PeerMsg};
-use route::Offer;
+use lease::{
+    Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
+};
+use model::{Epoch, NodeId, Time};
+use peer::{DomainView, Heartbeat, PeerMsg};
+use route::{GrantConfig, NodeShares, Offer};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
     calls::{Calls, Commits, Cx, Owner, Purpose},
     config_sync::ConfigSync,
     entry::Entry,
-    operators::{MEMBER_PREFIX, MemberRow, Operators},
+    members::{Members, SelfState, member_key},
+    operators::Operators,
     rows::lease_key,
     scheduler::Scheduler,
+    views::{Beat, OwnView, Views},
 };
 pub use self::{
-    dump::{Dump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump},
     event::{Action, CallId, Event, OperatorId},
-    settings::{ConfigSyncConfig, Identity, NodeConfig, SchedulerConfig},
+    settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
 
-/// How many requests a backend server takes at a time.
-const SLOTS_PER_WORKER: u32 = 8;
-/// How many connections a backend server takes at a time.
-const CONNECTIONS_PER_WORKER: u32 = 64;
-/// How often the domain's nodes are told what they may serve.
-const VIEW_INTERVAL: Duration = Duration::from_secs(1);
-
 /// One node.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -56,8 +55,14 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
-    next_view: Time,
-    registered: bool,
+    members: Members,
+    /// The lease's questions to other nodes that are not answered, and when each was sent.
+    questions: BTreeMap<(NodeId, Question), Time>,
+    views: Option<Views>,
+    view: OwnView,
+    next_own_view: Time,
+    next_remotes: Time,
+    next_forget: Time,
     leaving: bool,
 }
 
@@ -78,8 +83,13 @@
             entry: Entry::new(cfg.route.clone()),
             operators: Operators::new(me.clone()),
             scheduler: None,
-            next_view: Time::ZERO,
-            registered: false,
+            questions: BTreeMap::new(),
+            members: Members::new(cfg.members.clone(), me.clone()),
+            views: None,
+            view: OwnView::default(),
+            next_own_view: Time::ZERO,
+            next_remotes: Time::ZERO,
+            next_forget: Time::ZERO,
             leaving: false,
             cfg,
             me,
@@ -107,10 +117,31 @@
             recalls: recalls.map(ToString::to_string).collect(),
             unsettled_changes: self.commits.unsettled(),
             transactions: self.commits.transactions(),
+            members: self.member_dumps(now),
+            free: self.view.free(),
+            free_elsewhere: self
+                .members
+                .free_elsewhere(now)
+                .map(|(domain, free)| (domain.to_string(), free))
+                .collect(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
 
+    fn member_dumps(&self, now: Time) -> BTreeMap<String, MemberDump> {
+        let versions = self.members.config_versions(now).into_iter();
+        let dumps = versions.map(|(node, (domain, version, age))| {
+            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let dump = MemberDump {
+                domain: domain.to_string(),
+                config_version: version,
+                heard_ms_ago: age_ms,
+            };
+            (node.to_string(), dump)
+        });
+        dumps.collect()
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -130,11 +161,11 @@
             }
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, parts.config, id, req);
-            }
-            Event::Peer(from, PeerMsg::Lease(msg)) => {
-                self.lease_step(now, Input::Peer { from, msg }, out);
+                parts
+                    .operators
+                    .call(&mut cx, parts.config, parts.members, id, req);
             }
+            Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request {
                 req,
                 service,
@@ -150,27 +181,31 @@
                 self.entry.offer(now, &offer, out);
             }
             Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
-            Event::Peer(from, PeerMsg::Heartbeat(heartbeat)) => {
-                let (mut cx, parts) = self.split(now, out);
-                let version = heartbeat.config_version;
-                parts
-                    .config
-                    .peer_version(&mut cx, from, heartbeat.domain, version);
-            }
-            Event::Peer(from, PeerMsg::ConfigWanted { after }) => {
-                if let Some(news) = self.config.entries_after(after) {
-                    out.push(Action::Peer(from, PeerMsg::ConfigEntries(news)));
+            Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
+                if let Some(question) = msg.asks() {
+                    self.question_failed(now, to, question, out);
                 }
             }
-            Event::Peer(_, PeerMsg::ConfigEntries(news)) => {
-                if self.config.take_entries(news) {
-                    self.config_changed();
-                }
-            }
-            Event::Object(..) | Event::Peer(..) => {}
+            Event::Object(..) | Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         self.commits.poll(now, &mut self.calls, out);
+        for (node, after) in self.config.take_asks() {
+            self.send_peer(node, PeerMsg::ConfigWanted { after }, out);
+        }
+    }
+
+    /// Sends a message to another node, if its address is known.
+    fn send_peer(&self, to: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
+        let member = self.members.all().find(|(node, _)| *node == to);
+        if let Some((_, member)) = member {
+            out.push(Action::Peer {
+                to,
+                address: member.row.address.clone(),
+                fresh: false,
+                msg,
+            });
+        }
     }
 
     fn split<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> (Cx<'a>, Parts<'a>) {
@@ -182,6 +217,8 @@
         };
         let parts = Parts {
             config: &mut self.config,
+            members: &mut self.members,
+            view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
         };
@@ -189,16 +226,20 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.fail_unanswered(now, out);
         self.lease_step(now, Input::Tick, out);
-        self.register();
         let valid_until = self.lease.valid_until(now);
+        let state = self.self_state(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
+        parts.members.tick(&mut cx, &state, parts.view.services());
         parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
             scheduler.tick(&mut cx, valid_until);
         }
-        self.share_view(now);
+        self.forget_members(now);
+        self.refresh_views(now, out);
+        self.refresh_remotes(now);
         self.entry.tick(now, out);
         if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
@@ -208,50 +249,236 @@
             .as_ref()
             .is_some_and(Scheduler::is_superseded)
         {
-            log::warn!("node: stops scheduling {}", self.me.domain);
-            self.scheduler = None;
+            self.superseded(now, out);
+        }
+    }
+
+    fn self_state(&self, now: Time) -> SelfState {
+        let scheduler = self.scheduler.as_ref();
+        SelfState {
+            config_version: self.config.config().version(),
+            scheduler: scheduler.map(Scheduler::epoch),
+            view: self.view.version(),
+            leaving: self.leaving,
+            free: scheduler.map_or(self.view.free(), Scheduler::free),
+            shares: self.node_shares(now),
         }
     }
 
-    /// Lets this node serve the domain's backend servers while it is their scheduler.
-    fn share_view(&mut self, now: Time) {
-        let Some(scheduler) = self.scheduler.as_ref().filter(|_| now >= self.next_view) else {
+    /// While this node schedules the domain: deletes the rows of its nodes that are long gone.
+    fn forget_members(&mut self, now: Time) {
+        if self.scheduler.is_none() || now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + self.cfg.members.forget_after;
+        for node in self.members.forgotten(now) {
+            log::info!("members: {node} is forgotten");
+            let write = Write {
+                key: member_key(node),
+                value: None,
+            };
+            // A full queue only delays it.
+            let _ = self.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+        }
+    }
+
+    /// While this node schedules the domain: tells its nodes at once of a change of backend servers, and
+    /// itself each second.
+    fn refresh_views(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(scheduler) = &self.scheduler else {
+            self.views = None;
             return;
         };
-        self.next_view = now + VIEW_INTERVAL;
-        let backends = scheduler.backends();
-        let grants = backends.iter().map(|backend| GrantView {
-            worker: backend.worker,
-            slots: SLOTS_PER_WORKER,
-            connections: CONNECTIONS_PER_WORKER,
-        });
-        let view = DomainView {
-            epoch: scheduler.epoch(),
-            answers: 0,
-            term: self.cfg.lease.term,
-            grants: grants.collect(),
-            backends,
-        };
-        self.entry.set_view(now, &view);
+        let epoch = scheduler.epoch();
+        let current = self.views.take().filter(|views| views.epoch() == epoch);
+        let views = self.views.insert(current.unwrap_or_else(|| {
+            let cfg = GrantConfig {
+                term: self.cfg.lease.term,
+                drift_margin: self.cfg.lease.drift_margin,
+                ..GrantConfig::default()
+            };
+            Views::new(now, epoch, cfg)
+        }));
+        views.set_request_max(self.entry.request_max());
+        let changed = views.refresh(scheduler);
+        if changed {
+            let others: Vec<NodeId> = self.members.live_in_domain(now).map(|(n, _)| n).collect();
+            for node in others {
+                self.send_view(now, node, out);
+            }
+        }
+        if changed || now >= self.next_own_view {
+            self.next_own_view = now + self.cfg.members.heartbeat_interval;
+            self.take_own_view(now);
+        }
+    }
+
+    fn node_shares(&self, now: Time) -> NodeShares {
+        NodeShares {
+            applied: self.view.applied(),
+            shares: self.entry.shares(now),
+        }
     }
 
-    /// Writes this node's row among the members.
-    fn register(&mut self) {
-        if self.registered {
+    /// Takes the view of this node's own scheduler, which needs no message.
+    fn take_own_view(&mut self, now: Time) {
+        let shares = self.node_shares(now);
+        let has = self.view.version();
+        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
+        };
+        let seq = self.members.own_beat(now);
+        let beat = Beat {
+            node: self.me.node,
+            start: self.me.incarnation,
+            seq,
+            shares: &shares,
+        };
+        views.heard(now, beat);
+        if let Some(view) = views.view(now, self.me.node, has, scheduler.free()) {
+            self.take_view(now, &view);
         }
-        let row = MemberRow {
-            domain: self.me.domain,
-            address: self.me.peer_address.clone(),
+    }
+
+    fn send_view(&mut self, now: Time, to: NodeId, out: &mut Vec<Action>) {
+        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
+            return;
         };
-        let write = Write {
-            key: format!("{MEMBER_PREFIX}{}", self.me.node),
-            value: Some(encode(&row)),
+        let member = self.members.in_domain().find(|(node, _)| *node == to);
+        let Some((_, member)) = member else {
+            return;
         };
-        self.registered = self
-            .commits
-            .push(Owner::Nobody, Vec::new(), vec![write])
-            .is_ok();
+        if let Some(view) = views.view(now, to, member.view, scheduler.free()) {
+            out.push(Action::Peer {
+                to,
+                address: member.row.address.clone(),
+                fresh: false,
+                msg: PeerMsg::View(view),
+            });
+        }
+    }
+
+    /// Takes a view that answers a heartbeat sent at `sent`.
+    fn take_view(&mut self, sent: Time, view: &DomainView) {
+        if !self.view.take(view) {
+            return;
+        }
+        let until = sent + view.term;
+        match &view.content {
+            Some(content) => self.entry.set_view(until, content),
+            None => self.entry.renew_grants(until),
+        }
+    }
+
+    fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
+        match msg {
+            PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
+            PeerMsg::Summary(summary) => {
+                let version = summary.config_version;
+                self.config.peer_version(now, from, version);
+                self.members.summary(now, from, summary);
+            }
+            PeerMsg::View(view) => {
+                if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
+                    self.take_view(sent, &view);
+                }
+            }
+            PeerMsg::Lease(msg) => {
+                if let LeaseMsg::Answer { question, .. } = &msg {
+                    self.questions.remove(&(from, *question));
+                }
+                self.lease_step(now, Input::Peer { from, msg }, out);
+            }
+            PeerMsg::InboxNews => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.read_inbox_soon();
+                }
+            }
+            PeerMsg::Drain => self.shutdown(now, out),
+            PeerMsg::ConfigWanted { after } => {
+                if let Some(news) = self.config.entries_after(after) {
+                    self.send_peer(from, PeerMsg::ConfigEntries(news), out);
+                }
+            }
+            PeerMsg::ConfigEntries(news) => {
+                if self.config.take_entries(news) {
+                    self.config_changed();
+                }
+            }
+        }
+    }
+
+    /// Another scheduler has acted: this one stops at once.
+    fn superseded(&mut self, now: Time, out: &mut Vec<Action>) {
+        log::warn!("node: stops scheduling {}", self.me.domain);
+        let seen = self
+            .scheduler
+            .take()
+            .and_then(|scheduler| scheduler.superseded_by());
+        if let Some(epoch) = seen {
+            self.lease_step(now, Input::EpochSeen(epoch), out);
+        }
+        // A row that this node's own earlier transaction wrote after all: the lease still holds, and
+        // the state is rebuilt from the table.
+        if let Some(epoch) = self.lease.active(now) {
+            self.start_scheduler(now, epoch);
+        }
+    }
+
+    /// Reports the questions that were not answered in time.
+    fn fail_unanswered(&mut self, now: Time, out: &mut Vec<Action>) {
+        let timeout = self.cfg.lease.ask_timeout;
+        let late: Vec<(NodeId, Question)> = self
+            .questions
+            .iter()
+            .filter(|(_, sent)| now.since(**sent) >= timeout)
+            .map(|(key, _)| *key)
+            .collect();
+        for (to, question) in late {
+            self.question_failed(now, to, question, out);
+        }
+    }
+
+    fn question_failed(
+        &mut self,
+        now: Time,
+        to: NodeId,
+        question: Question,
+        out: &mut Vec<Action>,
+    ) {
+        if self.questions.remove(&(to, question)).is_some() {
+            self.lease_step(now, Input::PeerFailed { to, question }, out);
+        }
+    }
+
+    fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
+        self.config.peer_version(now, from, msg.config_version);
+        if !self.members.heard(now, from, msg) {
+            return;
+        }
+        if let Some(views) = &mut self.views {
+            let beat = Beat {
+                node: from,
+                start: msg.incarnation,
+                seq: msg.seq,
+                shares: &msg.shares,
+            };
+            views.heard(now, beat);
+            self.send_view(now, from, out);
+        }
+    }
+
+    /// Tells the router which nodes of other domains can serve.
+    fn refresh_remotes(&mut self, now: Time) {
+        if now < self.next_remotes {
+            return;
+        }
+        self.next_remotes = now + self.cfg.members.summary_interval;
+        let members = &self.members;
+        self.entry
+            .set_remotes(|service| members.remotes(now, service));
+        let addresses = members.all().map(|(node, m)| (node, m.row.address.clone()));
+        self.entry.set_addresses(addresses.collect());
     }
 
     fn table_answered(
@@ -305,9 +532,19 @@
                     .operators
                     .publishing_read(&mut cx, parts.config, result);
             }
+            Purpose::Members => {
+                let rows = match &result {
+                    Ok(TableResp::Rows(rows)) => Some(&rows[..]),
+                    _ => None,
+                };
+                self.members.rows_read(now, rows);
+                if let Some(members) = self.members.holders() {
+                    self.lease_step(now, Input::Members(members), out);
+                }
+            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.rows_read(&mut cx, parts.config, id, result);
+                parts.operators.rows_read(&mut cx, id, result);
             }
             Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
                 self.scheduler_answered(now, purpose, result, out);
@@ -397,18 +634,24 @@
                 let purpose = Purpose::LeaseWrite(call);
                 self.calls.table(purpose, TableReq::Commit(txn), out);
             }
-            Output::Broadcast(_) => {}
+            Output::Send { to, address, msg } => {
+                if let Some(question) = msg.asks() {
+                    self.questions.insert((to, question), now);
+                }
+                out.push(Action::Peer {
+                    to,
+                    address,
+                    fresh: true,
+                    msg: PeerMsg::Lease(msg),
+                });
+            }
             Output::Activated(epoch) => {
                 log::info!(
                     "lease: {} schedules {} under {epoch}",
                     self.me.node,
                     self.me.domain
                 );
-                let cfg = self.cfg.scheduler.clone();
-                let place = self.cfg.place.clone();
-                let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-                scheduler.set_teams(self.config.config().teams().values());
-                self.scheduler = Some(scheduler);
+                self.start_scheduler(now, epoch);
             }
             Output::Stopped(epoch) => {
                 log::info!(
@@ -421,6 +664,14 @@
         }
     }
 
+    fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
+        let cfg = self.cfg.scheduler.clone();
+        let place = self.cfg.place.clone();
+        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
+        scheduler.set_teams(self.config.config().teams().values());
+        self.scheduler = Some(scheduler);
+    }
+
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
@@ -431,6 +682,8 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
+    members: &'a mut Members,
+    view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
 }
--- a/crates/node/src/core/operators/mod.rs
+++ b/crates/node/src/core/operators/mod.rs
@@ -9,7 +9,6 @@
 
 use config::{Change, Outcome, Proposal, RecallTarget, Submission};
 use model::{Catalog, DomainId, SourceFile, Verdict};
-use serde::{Deserialize, Serialize};
 use store::{Row, Settlement, StoreError, TableReq, TableResp, decode};
 
 use self::{
@@ -20,6 +19,7 @@
     calls::{Cx, Purpose},
     config_sync::ConfigSync,
     event::{Action, OperatorId},
+    members::{MemberRow, Members},
     rows::UNIT_PREFIX,
     settings::Identity,
 };
@@ -28,29 +28,11 @@
 /// The most rows that are read at a time.
 const ROWS_PER_READ: u32 = 500;
 
-pub(crate) const MEMBER_PREFIX: &str = "member/";
-
-/// The row `member/<node>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct MemberRow {
-    pub(crate) domain: DomainId,
-    pub(crate) address: String,
-}
-
-/// A call that reads rows.
-#[derive(Clone, Debug)]
-enum Reading {
-    /// The states of units.
-    Listing(Listing),
-    /// The members, to tell which have this version in force.
-    InForce(u64),
-}
-
 /// The operators' calls under way.
 #[derive(Clone, Debug)]
 pub(crate) struct Operators {
     me: Identity,
-    reading: BTreeMap<OperatorId, Reading>,
+    listings: BTreeMap<OperatorId, Listing>,
     publishing: Publishing,
 }
 
@@ -58,7 +40,7 @@
     pub(crate) fn new(me: Identity) -> Self {
         Self {
             me,
-            reading: BTreeMap::new(),
+            listings: BTreeMap::new(),
             publishing: Publishing::default(),
         }
     }
@@ -68,6 +50,7 @@
         &mut self,
         cx: &mut Cx<'_>,
         config: &mut ConfigSync,
+        members: &Members,
         id: OperatorId,
         req: OperatorReq,
     ) {
@@ -83,8 +66,7 @@
                 Ok(changes) => self.submit(cx, config, id, &by, base, changes),
             },
             OperatorReq::Status { name } => {
-                let listing = Reading::Listing(Listing::new(name));
-                self.reading.insert(id, listing);
+                self.listings.insert(id, Listing::new(name));
                 scan(cx, id, UNIT_PREFIX, String::new());
             }
             OperatorReq::Cancel { by, name } => {
@@ -112,8 +94,8 @@
                 answer(cx, id, OperatorResp::Recalls(recalls));
             }
             OperatorReq::InForce { version } => {
-                self.reading.insert(id, Reading::InForce(version));
-                scan(cx, id, MEMBER_PREFIX, String::new());
+                let members = views::in_force(cx.now, &self.me, config, members, version);
+                answer(cx, id, OperatorResp::InForce { version, members });
             }
             OperatorReq::Drain { node } => {
                 let message = format!("this node cannot drain {node}; stop its process instead");
@@ -144,32 +126,12 @@
     pub(crate) fn rows_read(
         &mut self,
         cx: &mut Cx<'_>,
-        config: &ConfigSync,
         id: OperatorId,
         result: Result<TableResp, StoreError>,
     ) {
-        match self.reading.remove(&id) {
-            None => {}
-            Some(Reading::Listing(listing)) => self.listed(cx, id, listing, result),
-            Some(Reading::InForce(version)) => {
-                // Where the table cannot be read, the nodes that were heard are named.
-                let rows = match result {
-                    Ok(TableResp::Rows(rows)) => rows,
-                    _ => Vec::new(),
-                };
-                let members = views::in_force(cx.now, &self.me, config, version, &rows);
-                answer(cx, id, OperatorResp::InForce { version, members });
-            }
-        }
-    }
-
-    fn listed(
-        &mut self,
-        cx: &mut Cx<'_>,
-        id: OperatorId,
-        mut listing: Listing,
-        result: Result<TableResp, StoreError>,
-    ) {
+        let Some(mut listing) = self.listings.remove(&id) else {
+            return;
+        };
         let rows = match result {
             Ok(TableResp::Rows(rows)) => rows,
             Ok(_) => return refuse(cx, id, Verdict::NotRun, "the table gave no rows".to_owned()),
@@ -177,7 +139,7 @@
         };
         match listing.rows_read(&rows) {
             Next::Read(prefix, after) => {
-                self.reading.insert(id, Reading::Listing(listing));
+                self.listings.insert(id, listing);
                 scan(cx, id, prefix, after);
             }
             Next::Answer(units) => answer(cx, id, OperatorResp::Status(units)),
--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -15,8 +15,9 @@
         calls::{Cx, Owner, Purpose},
         config_sync::ConfigSync,
         event::OperatorId,
+        members::MEMBER_PREFIX,
     },
-    MEMBER_PREFIX, ROWS_PER_READ, done, homes,
+    ROWS_PER_READ, done, homes,
     homes::Homes,
     member_domains, refuse,
 };
--- a/crates/node/src/core/scheduler.rs
+++ b/crates/node/src/core/scheduler.rs
@@ -53,10 +53,13 @@
     recovery: Recovery,
     /// When an attempt under an earlier scheduler surely holds no lease any more.
     old_leases_until: Time,
+    /// An earlier scheduler's starts that are still on their way arrive before this, so a list that is
+    /// read later shows all that it started.
+    reads_from: Time,
     vms_read: bool,
     vms_poll: Poll,
     inbox_poll: Poll,
-    superseded: bool,
+    superseded: Option<Epoch>,
     /// Attempts whose end is to be committed before their worker drops them, by unit.
     ended: BTreeMap<UnitId, Vec<(WorkerId, TaskId, model::Attempt)>>,
 }
@@ -69,6 +72,7 @@
         domain: DomainId,
         epoch: Epoch,
     ) -> Self {
+        let reads_from = now + cfg.start_window + cfg.drift_margin;
         let old_leases_until = now + cfg.task_lease + cfg.call_timeout + cfg.drift_margin;
         Self {
             cfg,
@@ -82,17 +86,23 @@
                 reading: false,
             },
             old_leases_until,
+            reads_from,
             vms_read: false,
             vms_poll: Poll::default(),
             inbox_poll: Poll::default(),
-            superseded: false,
+            superseded: None,
             ended: BTreeMap::new(),
         }
     }
 
     /// Whether a higher epoch has been seen at a worker: this scheduler must stop at once.
     pub(crate) const fn is_superseded(&self) -> bool {
-        self.superseded
+        self.superseded.is_some()
+    }
+
+    /// The epoch that was seen, if it is higher than this scheduler's own.
+    pub(crate) fn superseded_by(&self) -> Option<Epoch> {
+        self.superseded.filter(|epoch| *epoch > self.epoch)
     }
 
     pub(crate) const fn epoch(&self) -> Epoch {
@@ -117,6 +127,11 @@
         }
     }
 
+    /// What the domain's workers have free.
+    pub(crate) fn free(&self) -> Size {
+        self.placer.free()
+    }
+
     /// The replicas that take new requests.
     pub(crate) fn backends(&self) -> Vec<BackendView> {
         let open = self.workers.values().filter(|w| w.known && !w.leaving);
@@ -398,7 +413,7 @@
             }
         }
         for decision in decisions {
-            self.carry_out(decision);
+            self.carry_out(now, decision);
         }
     }
 
@@ -408,14 +423,53 @@
         let mut decisions = Vec::new();
         self.placer.decide(now, &mut decisions);
         for decision in decisions {
-            self.carry_out(decision);
+            self.carry_out(now, decision);
         }
     }
 
-    fn carry_out(&mut self, decision: Decision) {
+    fn carry_out(&mut self, now: Time, decision: Decision) {
         match decision {
             Decision::Start { task, worker, .. } => self.begin(&task, worker),
-            Decision::Stop { task, worker } => self.stop(task, worker),
+            Decision::Stop { task, worker } => self.stop(now, task, worker),
+            Decision::Checkpoint { task, worker } => self.checkpoint(now, task, worker),
+            Decision::Throttle {
+                task,
+                worker,
+                milli_processors,
+            } => self.throttle(task, worker, milli_processors),
+            Decision::Explain { unit, reason } => {
+                if let Some(job) = self.jobs.get_mut(&unit) {
+                    job.set_reason(&reason.map(|e| e.to_string()).unwrap_or_default());
+                }
+            }
+        }
+    }
+
+    fn checkpoint(&mut self, now: Time, task: TaskId, worker: WorkerId) {
+        let Some(state) = task_state(&self.jobs, &task) else {
+            return;
+        };
+        let Some(book) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        if book.unqueue(&task) {
+            self.task_ended(&task, TaskEnd::NotStarted, now);
+            return;
+        }
+        let attempt = state.attempt;
+        book.command(Command::Checkpoint { task, attempt });
+    }
+
+    fn throttle(&mut self, task: TaskId, worker: WorkerId, milli_processors: u64) {
+        let Some(state) = task_state(&self.jobs, &task) else {
+            return;
+        };
+        if let Some(book) = self.workers.get_mut(&worker) {
+            book.command(Command::Throttle {
+                task,
+                attempt: state.attempt,
+                milli_processors,
+            });
         }
     }
 
@@ -447,7 +501,7 @@
         let start = PendingStart {
             task: task.clone(),
             attempt: state.attempt,
-            size: unit.size,
+            size: self.placer.reserved(task).unwrap_or(unit.size),
             command: unit.command.clone(),
             service,
         };
@@ -456,7 +510,7 @@
         }
     }
 
-    fn stop(&mut self, task: TaskId, worker: WorkerId) {
+    fn stop(&mut self, now: Time, task: TaskId, worker: WorkerId) {
         let Some(state) = task_state(&self.jobs, &task) else {
             return;
         };
@@ -464,7 +518,7 @@
             return;
         };
         if book.unqueue(&task) {
-            self.task_ended(&task, TaskEnd::NotStarted, Time::ZERO);
+            self.task_ended(&task, TaskEnd::NotStarted, now);
             return;
         }
         book.endpoints.remove(&task);
@@ -475,6 +529,9 @@
     // Workers
 
     fn call_workers(&mut self, cx: &mut Cx<'_>, valid_until: Time) {
+        if cx.now < self.reads_from {
+            return;
+        }
         for worker in self.workers.values_mut() {
             if let Some(call) = worker.next_call(cx.now, self.epoch, valid_until, &self.cfg) {
                 cx.calls.worker(cx.now, call, cx.out);
@@ -505,7 +562,7 @@
                 "scheduler: {id} has been commanded under {}",
                 report.highest_epoch
             );
-            self.superseded = true;
+            self.superseded = Some(report.highest_epoch);
             return;
         }
         worker.reported(now, sent, &report);
@@ -534,6 +591,7 @@
         let current = state.is_some_and(|s| s.attempt == view.attempt && s.phase == here);
         let running = view.phase == Reported::Running;
         if current && running {
+            self.placer.usage(now, &view.task, view.usage);
             self.runs_here(id, view);
         } else if current {
             self.ended_here(now, id, view);
@@ -650,7 +708,9 @@
         let Some(job) = self.jobs.get_mut(&task.unit) else {
             return;
         };
-        if matches!(end, TaskEnd::Failed | TaskEnd::StartFailed) {
+        // Failures that are blamed on the worker do not count against the task.
+        let counted = self.placer.failures(task) > job.task(task.index).failures;
+        if end.is_failure() && (counted || matches!(next, Next::GivenUp { .. })) {
             job.add_failure(task.index);
         }
         let cancelled = job.row.cancelled;
@@ -696,7 +756,7 @@
             }
             Settlement::Conflict { key } => {
                 log::warn!("scheduler: {key} was written by another scheduler");
-                self.superseded = true;
+                self.superseded = Some(self.epoch);
             }
             Settlement::Refused { reason } => {
                 log::error!("scheduler: the state of {id} was refused: {reason}");
