--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -135,7 +135,9 @@
     started: Option<Time>,
     known: bool,
     heard: BTreeMap<NodeId, Heard>,
+    /// When a peer was asked that has not answered.
     asked: Option<Time>,
+    asked_last: Option<NodeId>,
     stale_heads: u64,
 }
 
@@ -157,6 +159,7 @@
             known: false,
             heard: BTreeMap::new(),
             asked: None,
+            asked_last: None,
             stale_heads: 0,
         }
     }
@@ -328,11 +331,14 @@
         if waits || !self.heard.values().any(|heard| heard.version > after) {
             return;
         }
-        // Each retry asks the peer that was heard last: one that has gone silent is not asked again.
+        // A peer that may have gone silent is asked twice in a row only if there is no other.
         let newer = self.heard.iter().filter(|(_, heard)| heard.version > after);
-        if let Some((node, _)) = newer.max_by_key(|(node, heard)| (heard.at, *node)) {
+        let rank = |(node, heard): &(&NodeId, &Heard)| (self.asked_last != Some(**node), heard.at);
+        if let Some((node, _)) = newer.max_by_key(rank) {
+            let node = *node;
             self.asked = Some(now);
-            out.push(Want::Peer { node: *node, after });
+            self.asked_last = Some(node);
+            out.push(Want::Peer { node, after });
         }
     }
 
--- a/crates/node/src/core/config_sync.rs
+++ b/crates/node/src/core/config_sync.rs
@@ -2,11 +2,13 @@
 
 use config::{Config, Entry, Follower, FollowerConfig, Head, News, Snapshot, Want};
 use model::{NodeId, Time};
+use peer::PeerMsg;
 use serde::{Deserialize, Serialize};
 use store::{Check, Row, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use super::{
     calls::{Cx, Owner, Purpose},
+    event::Action,
     settings::ConfigSyncConfig,
 };
 
@@ -30,8 +32,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ConfigSync {
     follower: Follower,
-    /// The peers to be asked, and the version that this node has.
-    asks: Vec<(NodeId, u64)>,
 }
 
 impl ConfigSync {
@@ -42,7 +42,6 @@
         };
         Self {
             follower: Follower::new(cfg),
-            asks: Vec::new(),
         }
     }
 
@@ -133,23 +132,10 @@
     }
 
     /// Takes the version that a peer has in force, as its heartbeat or summary tells.
-    pub(crate) fn peer_version(&mut self, now: Time, node: NodeId, version: u64) {
-        let mut wants = Vec::new();
-        self.follower.peer_heard(now, node, version, &mut wants);
-        for want in wants {
-            self.ask(want);
-        }
-    }
-
-    fn ask(&mut self, want: Want) {
-        if let Want::Peer { node, after } = want {
-            self.asks.push((node, after));
-        }
-    }
-
-    /// The peers to be asked for the entries after a version.
-    pub(crate) fn take_asks(&mut self) -> Vec<(NodeId, u64)> {
-        std::mem::take(&mut self.asks)
+    pub(crate) fn peer_version(&mut self, cx: &mut Cx<'_>, node: NodeId, version: u64) {
+        self.follow(cx, |follower, now, wants| {
+            follower.peer_heard(now, node, version, wants);
+        });
     }
 
     /// What a peer is told that has this version; `None` where it has all that this node has.
@@ -231,7 +217,7 @@
             value: None,
         }));
         // Nobody waits for it: the next multiple tries again.
-        let _ = cx.commits.push(Owner::Nobody, vec![check], writes);
+        let _ = cx.commits.push(cx.now, Owner::Nobody, vec![check], writes);
     }
 
     /// Lets the follower do something, and carries out what it then wants.
@@ -243,32 +229,32 @@
         let mut wants = Vec::new();
         let done = act(&mut self.follower, cx.now, &mut wants);
         for want in wants {
-            match read_of(want) {
-                Some((purpose, req)) => cx.table(purpose, req),
-                None => self.ask(want),
-            }
+            carry_out(cx, want);
         }
         done
     }
 }
 
-/// The read of the table that is wanted; `None` where a peer is to be asked.
-fn read_of(want: Want) -> Option<(Purpose, TableReq)> {
+fn carry_out(cx: &mut Cx<'_>, want: Want) {
     let get = |key: &str| TableReq::Get {
         key: key.to_owned(),
     };
     match want {
-        Want::Head => Some((Purpose::ConfigHead, get(HEAD_KEY))),
-        Want::Snapshot => Some((Purpose::ConfigSnapshot, get(SNAPSHOT_KEY))),
+        Want::Head => cx.table(Purpose::ConfigHead, get(HEAD_KEY)),
+        Want::Snapshot => cx.table(Purpose::ConfigSnapshot, get(SNAPSHOT_KEY)),
         Want::Entries { after, limit } => {
             let req = TableReq::Scan {
                 prefix: ENTRY_PREFIX.to_owned(),
                 after: entry_key(after),
                 limit,
             };
-            Some((Purpose::ConfigEntries, req))
+            cx.table(Purpose::ConfigEntries, req);
         }
-        Want::Peer { .. } => None,
+        Want::Peer { node, after } => cx.out.push(Action::Peer {
+            to: node,
+            fresh: false,
+            msg: PeerMsg::ConfigWanted { after },
+        }),
     }
 }
 
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -150,6 +150,19 @@
         })
     }
 
+    /// Where a node is reached.
+    pub(crate) fn address(&self, node: NodeId) -> Option<&str> {
+        self.known
+            .get(&node)
+            .map(|member| member.row.address.as_str())
+    }
+
+    /// The view that a node of this domain was last heard to have.
+    pub(crate) fn view_of(&self, node: NodeId) -> Option<ViewVersion> {
+        let member = self.known.get(&node)?;
+        (member.row.domain == self.me.domain).then_some(member.view)
+    }
+
     /// Counts a heartbeat to this node's own scheduler, which needs no message.
     pub(crate) fn own_beat(&mut self, now: Time) -> u64 {
         self.seq += 1;
@@ -259,7 +272,9 @@
             key: member_key(self.me.node),
             value: Some(encode(&row)),
         };
-        let pushed = cx.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+        let pushed = cx
+            .commits
+            .push(cx.now, Owner::Nobody, Vec::new(), vec![write]);
         self.registered = pushed.is_ok();
     }
 
@@ -317,8 +332,8 @@
             leaving: state.leaving,
             shares: state.shares.clone(),
         };
-        for (to, member) in self.in_domain() {
-            send(cx, to, member, PeerMsg::Heartbeat(heartbeat.clone()));
+        for (to, _) in self.in_domain() {
+            send(cx, to, PeerMsg::Heartbeat(heartbeat.clone()));
         }
     }
 
@@ -337,13 +352,16 @@
             if domain == self.me.domain {
                 continue;
             }
-            let nodes: Vec<(NodeId, &Member)> =
-                self.all().filter(|(_, m)| m.row.domain == domain).collect();
+            let nodes: Vec<NodeId> = self
+                .all()
+                .filter(|(_, m)| m.row.domain == domain)
+                .map(|(node, _)| node)
+                .collect();
             // Nodes of one domain begin at different places, so that each node of the other domain
             // is told by somebody in each round.
             let turn = self.turn + self.me.node.0 as usize;
-            if let Some((to, member)) = nodes.get(turn % nodes.len().max(1)) {
-                send(cx, *to, member, PeerMsg::Summary(summary.clone()));
+            if let Some(to) = nodes.get(turn % nodes.len().max(1)) {
+                send(cx, *to, PeerMsg::Summary(summary.clone()));
             }
         }
     }
@@ -429,10 +447,9 @@
     Time::ZERO + now.since(Time::ZERO).saturating_sub(age)
 }
 
-fn send(cx: &mut Cx<'_>, to: NodeId, member: &Member, msg: PeerMsg) {
+fn send(cx: &mut Cx<'_>, to: NodeId, msg: PeerMsg) {
     cx.out.push(Action::Peer {
         to,
-        address: member.row.address.clone(),
         fresh: false,
         msg,
     });
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -22,8 +22,8 @@
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time};
-use peer::{DomainView, Heartbeat, PeerMsg};
+use model::{Epoch, NodeId, Time, Verdict};
+use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
 use route::{GrantConfig, NodeShares, Offer};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
@@ -37,6 +37,8 @@
     scheduler::Scheduler,
     views::{Beat, OwnView, Views},
 };
+use crate::api::{OperatorReq, OperatorResp};
+
 pub use self::{
     dump::{Dump, MemberDump, SchedulerDump},
     event::{Action, CallId, Event, OperatorId},
@@ -56,6 +58,8 @@
     operators: Operators,
     scheduler: Option<Scheduler>,
     members: Members,
+    /// Where the lease's questions go, also to nodes that are no longer among the members.
+    lease_addresses: BTreeMap<NodeId, String>,
     /// The lease's questions to other nodes that are not answered, and when each was sent.
     questions: BTreeMap<(NodeId, Question), Time>,
     views: Option<Views>,
@@ -84,6 +88,7 @@
             operators: Operators::new(me.clone()),
             scheduler: None,
             questions: BTreeMap::new(),
+            lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
             views: None,
             view: OwnView::default(),
@@ -142,6 +147,13 @@
         dumps.collect()
     }
 
+    /// Where another node is reached.
+    #[must_use]
+    pub fn address(&self, node: NodeId) -> Option<&str> {
+        let known = self.members.address(node);
+        known.or_else(|| self.lease_addresses.get(&node).map(String::as_str))
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -159,6 +171,7 @@
                     scheduler.worker_answered(now, worker, sent, result);
                 }
             }
+            Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts
@@ -189,22 +202,9 @@
             Event::Object(..) | Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
-        self.commits.poll(now, &mut self.calls, out);
-        for (node, after) in self.config.take_asks() {
-            self.send_peer(node, PeerMsg::ConfigWanted { after }, out);
-        }
-    }
-
-    /// Sends a message to another node, if its address is known.
-    fn send_peer(&self, to: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
-        let member = self.members.all().find(|(node, _)| *node == to);
-        if let Some((_, member)) = member {
-            out.push(Action::Peer {
-                to,
-                address: member.row.address.clone(),
-                fresh: false,
-                msg,
-            });
+        let given_up = self.commits.poll(now, &mut self.calls, out);
+        for (owner, settlement) in given_up {
+            self.settled(now, owner, settlement, out);
         }
     }
 
@@ -278,7 +278,9 @@
                 value: None,
             };
             // A full queue only delays it.
-            let _ = self.commits.push(Owner::Nobody, Vec::new(), vec![write]);
+            let _ = self
+                .commits
+                .push(now, Owner::Nobody, Vec::new(), vec![write]);
         }
     }
 
@@ -344,17 +346,11 @@
         let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
-        let member = self.members.in_domain().find(|(node, _)| *node == to);
-        let Some((_, member)) = member else {
+        let Some(has) = self.members.view_of(to) else {
             return;
         };
-        if let Some(view) = views.view(now, to, member.view, scheduler.free()) {
-            out.push(Action::Peer {
-                to,
-                address: member.row.address.clone(),
-                fresh: false,
-                msg: PeerMsg::View(view),
-            });
+        if let Some(view) = views.view(now, to, has, scheduler.free()) {
+            send_peer(out, to, PeerMsg::View(view));
         }
     }
 
@@ -373,11 +369,7 @@
     fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
         match msg {
             PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
-            PeerMsg::Summary(summary) => {
-                let version = summary.config_version;
-                self.config.peer_version(now, from, version);
-                self.members.summary(now, from, summary);
-            }
+            PeerMsg::Summary(summary) => self.summary(now, from, summary, out),
             PeerMsg::View(view) => {
                 if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
                     self.take_view(sent, &view);
@@ -397,7 +389,7 @@
             PeerMsg::Drain => self.shutdown(now, out),
             PeerMsg::ConfigWanted { after } => {
                 if let Some(news) = self.config.entries_after(after) {
-                    self.send_peer(from, PeerMsg::ConfigEntries(news), out);
+                    send_peer(out, from, PeerMsg::ConfigEntries(news));
                 }
             }
             PeerMsg::ConfigEntries(news) => {
@@ -451,11 +443,20 @@
         }
     }
 
+    fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
+        let (mut cx, parts) = self.split(now, out);
+        // What it tells of other nodes is left out: they may be out of this node's reach.
+        let version = summary.config_version;
+        parts.config.peer_version(&mut cx, from, version);
+        parts.members.summary(now, from, summary);
+    }
+
     fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
-        self.config.peer_version(now, from, msg.config_version);
         if !self.members.heard(now, from, msg) {
             return;
         }
+        let (mut cx, parts) = self.split(now, out);
+        parts.config.peer_version(&mut cx, from, msg.config_version);
         if let Some(views) = &mut self.views {
             let beat = Beat {
                 node: from,
@@ -477,8 +478,6 @@
         let members = &self.members;
         self.entry
             .set_remotes(|service| members.remotes(now, service));
-        let addresses = members.all().map(|(node, m)| (node, m.row.address.clone()));
-        self.entry.set_addresses(addresses.collect());
     }
 
     fn table_answered(
@@ -516,6 +515,16 @@
                     self.config_changed();
                 }
             }
+            Purpose::Members => {
+                let rows = match &result {
+                    Ok(TableResp::Rows(rows)) => Some(&rows[..]),
+                    _ => None,
+                };
+                self.members.rows_read(now, rows);
+                if let Some(members) = self.members.holders() {
+                    self.lease_step(now, Input::Members(members), out);
+                }
+            }
             Purpose::ConfigSnapshot => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.snapshot_read(&mut cx, result) {
@@ -532,16 +541,6 @@
                     .operators
                     .publishing_read(&mut cx, parts.config, result);
             }
-            Purpose::Members => {
-                let rows = match &result {
-                    Ok(TableResp::Rows(rows)) => Some(&rows[..]),
-                    _ => None,
-                };
-                self.members.rows_read(now, rows);
-                if let Some(members) = self.members.holders() {
-                    self.lease_step(now, Input::Members(members), out);
-                }
-            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, id, result);
@@ -638,9 +637,9 @@
                 if let Some(question) = msg.asks() {
                     self.questions.insert((to, question), now);
                 }
+                self.lease_addresses.insert(to, address);
                 out.push(Action::Peer {
                     to,
-                    address,
                     fresh: true,
                     msg: PeerMsg::Lease(msg),
                 });
@@ -672,6 +671,23 @@
         self.scheduler = Some(scheduler);
     }
 
+    /// Answers an operator's call to shut a node down gracefully.
+    fn drain(&mut self, now: Time, id: OperatorId, node: NodeId, out: &mut Vec<Action>) {
+        let resp = if node == self.me.node {
+            self.shutdown(now, out);
+            drain_answer(node)
+        } else if self.address(node).is_some() {
+            send_peer(out, node, PeerMsg::Drain);
+            drain_answer(node)
+        } else {
+            OperatorResp::Failed {
+                verdict: Verdict::NotRun,
+                message: format!("no node {node} is known; `lacewing dump` names the known ones"),
+            }
+        };
+        out.push(Action::Operator(id, resp));
+    }
+
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
@@ -710,3 +726,18 @@
         Err(StoreError::Unreachable(_) | StoreError::Refused(_)) => WriteResult::NotWritten,
     }
 }
+
+fn drain_answer(node: NodeId) -> OperatorResp {
+    OperatorResp::Done {
+        message: format!("{node} is asked to shut down gracefully"),
+        version: 0,
+    }
+}
+
+fn send_peer(out: &mut Vec<Action>, to: NodeId, msg: PeerMsg) {
+    out.push(Action::Peer {
+        to,
+        fresh: false,
+        msg,
+    });
+}
--- a/crates/node/src/core/operators/mod.rs
+++ b/crates/node/src/core/operators/mod.rs
@@ -97,10 +97,8 @@
                 let members = views::in_force(cx.now, &self.me, config, members, version);
                 answer(cx, id, OperatorResp::InForce { version, members });
             }
-            OperatorReq::Drain { node } => {
-                let message = format!("this node cannot drain {node}; stop its process instead");
-                refuse(cx, id, Verdict::NotRun, message);
-            }
+            // The node itself carries a drain out.
+            OperatorReq::Drain { .. } => {}
         }
     }
 
--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -276,7 +276,11 @@
         let (mut checks, unit_writes) = homes.writes(&plan.entry);
         checks.insert(0, head);
         writes.extend(unit_writes);
-        if cx.commits.push(Owner::Publishing, checks, writes).is_err() {
+        if cx
+            .commits
+            .push(cx.now, Owner::Publishing, checks, writes)
+            .is_err()
+        {
             for pending in &plan.joined {
                 let message = "too many changes wait for the table; try again later";
                 pending.refuse(cx, Verdict::NotRun, message);
@@ -316,13 +320,26 @@
                 }
                 false
             }
-            Settlement::Refused { reason } => {
-                for pending in &plan.joined {
-                    pending.refuse(cx, Verdict::NotRun, reason);
-                }
-                false
+            Settlement::Refused { reason } => plan.refuse(cx, Verdict::NotRun, reason),
+            Settlement::NotRun => {
+                let message = "the table could not be reached in time; try again later";
+                plan.refuse(cx, Verdict::NotRun, message)
             }
+            Settlement::MayHaveRun => {
+                let message = "a later start of this node writes to the table; ask another node";
+                plan.refuse(cx, Verdict::MayHaveRun, message)
+            }
+        }
+    }
+}
+
+impl Plan {
+    /// Refuses all changes of the entry. The configuration has not changed.
+    fn refuse(&self, cx: &mut Cx<'_>, verdict: Verdict, message: &str) -> bool {
+        for pending in &self.joined {
+            pending.refuse(cx, verdict, message);
         }
+        false
     }
 }
 
