node: golden sessions of configuration; a burst makes few versions

Cause: nothing showed races, lost replies, outages in mid-publish, cut-off domains, stale heads and recalls on the nodes' own machines; a burst of 40 changes in 2 s at one node made 40 versions. Change: a small fleet on virtual time over the fake table; entries of a node are at least 500 ms apart, but for recalls; a change that is seen in force answers its call though the commit's reply is missing; a call without an id gets one from its node.

--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -142,6 +142,12 @@
         touched.map_or(0, |touched| touched.version)
     }
 
+    /// The version that a submission of this id is part of, if it is one of the newest thousand.
+    #[must_use]
+    pub fn submitted_in(&self, id: &str) -> Option<u64> {
+        self.submissions.get(id).map(|mark| mark.version)
+    }
+
     /// What changes would change, item by item. Changes of nothing are left out.
     #[must_use]
     pub fn diff(&self, changes: &[Change]) -> Vec<ItemChange> {
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submitter {
     /// Chosen by the submitter, and the same in each resend of one call. Without one (empty), a
-    /// resend counts as another call.
+    /// resend counts as another call. A node keeps the newest 1,024 ids.
     #[serde(default)]
     pub id: String,
     /// Who calls.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -107,6 +107,12 @@
         self.config.is_known() && !self.leaving
     }
 
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &config::Config {
+        self.config.config()
+    }
+
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
--- a/crates/node/src/core/operators/mod.rs
+++ b/crates/node/src/core/operators/mod.rs
@@ -111,7 +111,11 @@
         base: Option<u64>,
         changes: Vec<Change>,
     ) {
-        let submission = submission(by, changes);
+        let mut submission = submission(by, changes);
+        if submission.id.is_empty() {
+            let (node, start, call) = (self.me.node, self.me.incarnation, id.0);
+            submission.id = format!("{node}/{start}/{call}");
+        }
         self.publishing.add(cx.now, config, id, submission, base);
     }
 
--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -25,6 +25,9 @@
 /// A change that is not decided after this time is answered: refused where it is not on its way to
 /// the table, uncertain where it is.
 const DECIDE_WITHIN: Duration = Duration::from_secs(10);
+/// The shortest interval between two entries of a node, so that a burst of changes makes few versions.
+/// A recall does not wait for it.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(500);
 /// How often a change is tried again after others came first.
 const RACES_MAX: u32 = 50;
 
@@ -75,6 +78,7 @@
 pub(super) struct Publishing {
     waiting: VecDeque<Pending>,
     round: Round,
+    next_entry: Time,
 }
 
 impl Publishing {
@@ -87,7 +91,6 @@
         submission: Submission,
         base: Option<u64>,
     ) {
-        let is_recall = matches!(submission.changes.first(), Some(Change::Recall(_)));
         let pending = Pending {
             call: Some(call),
             submission,
@@ -96,7 +99,7 @@
             since: now,
             races: 0,
         };
-        if is_recall {
+        if pending.is_recall() {
             self.waiting.push_front(pending);
         } else {
             self.waiting.push_back(pending);
@@ -105,8 +108,10 @@
 
     /// Begins an entry if one is due, and answers calls that have waited too long.
     pub(super) fn tick(&mut self, cx: &mut Cx<'_>, config: &mut ConfigSync) {
+        self.answer_seen(cx, config.config());
         self.give_up(cx);
-        if !matches!(self.round, Round::Idle) || self.waiting.is_empty() {
+        let is_due = cx.now >= self.next_entry || self.waiting.iter().any(Pending::is_recall);
+        if !matches!(self.round, Round::Idle) || self.waiting.is_empty() || !is_due {
             return;
         }
         if self.waiting.iter().any(|p| config.is_fresh(p.fresh)) {
@@ -117,6 +122,22 @@
         }
     }
 
+    /// Answers calls whose change has come into force, though the reply to the commit is still missing.
+    fn answer_seen(&mut self, cx: &mut Cx<'_>, current: &config::Config) {
+        let Round::Committing(plan) = &mut self.round else {
+            return;
+        };
+        if plan.entry.version > current.version() {
+            return;
+        }
+        for (pending, made) in plan.joined.iter_mut().zip(&plan.entry.submissions) {
+            if let Some(version) = current.submitted_in(&made.id) {
+                pending.done(cx, message(version, made), version);
+                pending.call = None;
+            }
+        }
+    }
+
     fn give_up(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now;
         let late = |pending: &Pending| now >= pending.since + DECIDE_WITHIN;
@@ -287,6 +308,7 @@
             }
             return;
         }
+        self.next_entry = cx.now + ENTRY_INTERVAL;
         self.round = Round::Committing(plan);
     }
 
@@ -344,6 +366,10 @@
 }
 
 impl Pending {
+    fn is_recall(&self) -> bool {
+        matches!(self.submission.changes.first(), Some(Change::Recall(_)))
+    }
+
     fn done(&self, cx: &mut Cx<'_>, message: String, version: u64) {
         if let Some(call) = self.call {
             done(cx, call, message, version);
--- /dev/null
+++ b/crates/node/tests/config.rs
@@ -0,0 +1,336 @@
+//! Golden sessions about configuration: races, bursts, lost replies, outages, cut-off domains, recalls.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, domain};
+use model::{NodeId, Time};
+use node::api::{FileText, OperatorReq, RecallTarget, Submitter};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn service(name: &str, replicas: u32) -> String {
+    format!(
+        "[[service]]\nname = \"{name}\"\nteam = \"t\"\ncommand = [\"serve\"]\n\
+         size = {{ processors = 1, memory_mb = 1 }}\nclass = \"standard\"\n\
+         replicas = {replicas}\nspread = \"rack\"\n"
+    )
+}
+
+fn batch(name: &str, command: &str) -> String {
+    format!(
+        "[[batch]]\nname = \"{name}\"\nteam = \"t\"\ncommand = [\"{command}\"]\n\
+         size = {{ processors = 1, memory_mb = 1 }}\nclass = \"bulk\"\ntasks = 4\n\
+         repeat = \"safe\"\nrun_time_s = 1\n"
+    )
+}
+
+fn by(author: &str, id: &str) -> Submitter {
+    let (id, author) = (id.to_owned(), author.to_owned());
+    Submitter { id, author }
+}
+
+fn publish(author: &str, id: &str, base: Option<u64>, items: &str) -> OperatorReq {
+    let team = "[team]\nname = \"t\"\nquota = { processors = 100, memory_mb = 100 }\n";
+    OperatorReq::Publish {
+        by: by(author, id),
+        base,
+        files: vec![FileText {
+            path: "lacewing.toml".to_owned(),
+            text: format!("{team}{items}"),
+        }],
+        dry_run: false,
+    }
+}
+
+fn recall(targets: &[&str]) -> OperatorReq {
+    let targets = targets.iter().map(|text| text.parse().unwrap()).collect();
+    let by = by("deniz", "");
+    OperatorReq::Recall { by, targets }
+}
+
+fn lift(target: &str) -> OperatorReq {
+    let targets = vec![target.parse::<RecallTarget>().unwrap()];
+    let by = by("deniz", "");
+    OperatorReq::Lift { by, targets }
+}
+
+/// A fleet of three domains that has run for a while, and the session's log.
+struct Session {
+    fleet: Fleet,
+    log: String,
+}
+
+impl Session {
+    fn new() -> Self {
+        let mut fleet = Fleet::new(3, 2, 1);
+        fleet.run(SECOND * 15);
+        let log = String::new();
+        Self { fleet, log }
+    }
+
+    fn note(&mut self, line: &str) {
+        self.log.push_str(line);
+        self.log.push('\n');
+    }
+
+    /// Makes a call and notes its answer.
+    fn call(&mut self, node: u32, what: &str, req: OperatorReq) {
+        let answer = self.fleet.call(node, req);
+        self.note(&format!("n{node} {what}\n    {answer}"));
+    }
+
+    /// Lets time pass and notes what the nodes have in force.
+    fn wait(&mut self, seconds: u32) {
+        self.fleet.run(SECOND * seconds);
+        let versions = self.fleet.versions();
+        self.note(&format!("{seconds} s later: {versions}"));
+    }
+
+    fn replicas(&mut self, node: u32, name: &str) {
+        let unit = self.fleet.node(node).config().units().get(name).cloned();
+        let text = unit.map_or("none".to_owned(), |unit| unit.kind.tasks().to_string());
+        self.note(&format!("replicas of {name} at n{node}: {text}"));
+    }
+}
+
+#[test]
+fn races() {
+    let mut session = Session::new();
+    let first = format!("{}{}", service("desk", 1), service("mail", 1));
+    session.call(
+        1,
+        "publish desk and mail",
+        publish("ayla", "", None, &first),
+    );
+    session.wait(2);
+    session.note("two operators change desk from version 1 at the same time");
+    let fleet = &mut session.fleet;
+    let one = fleet.ask(1, publish("ayla", "", Some(1), &service("desk", 2)));
+    let two = fleet.ask(2, publish("berk", "", Some(1), &service("desk", 3)));
+    session.wait(2);
+    let answers = [session.fleet.answer(one), session.fleet.answer(two)];
+    session.note(&format!("ayla: {}\nberk: {}", answers[0], answers[1]));
+    session.note("two operators change different services at the same time");
+    let fleet = &mut session.fleet;
+    let one = fleet.ask(3, publish("ayla", "", Some(2), &service("desk", 4)));
+    let two = fleet.ask(4, publish("berk", "", Some(2), &service("mail", 4)));
+    session.wait(2);
+    let answers = [session.fleet.answer(one), session.fleet.answer(two)];
+    session.note(&format!("ayla: {}\nberk: {}", answers[0], answers[1]));
+    session.replicas(5, "desk");
+    session.replicas(5, "mail");
+    insta::assert_snapshot!(session.log);
+}
+
+/// 40 changes within two seconds at one node make few versions, and none of them is lost.
+#[test]
+fn bursts_merge() {
+    let mut session = Session::new();
+    let mut calls = Vec::new();
+    for i in 0..40 {
+        let name = format!("s{i}");
+        let req = publish("ayla", &name, None, &service(&name, 1));
+        calls.push(session.fleet.ask(1, req));
+        session.fleet.run(Duration::from_millis(50));
+    }
+    session.fleet.run(SECOND * 3);
+    for call in calls {
+        let answer = session.fleet.answer(call);
+        assert!(answer.starts_with("done: version"), "{answer}");
+    }
+    let config = session.fleet.node(6).config();
+    assert_eq!(config.units().len(), 40);
+    assert!(config.version() <= 6, "{} versions", config.version());
+}
+
+#[test]
+fn lost_replies() {
+    let mut session = Session::new();
+    session.fleet.losing.insert(NodeId(1));
+    let fleet = &mut session.fleet;
+    let req = publish("ayla", "id-1", None, &batch("run", "go"));
+    let lost = fleet.ask(1, req.clone());
+    fleet.run(SECOND);
+    session.note("the commit's reply is lost; the operator resends at another node");
+    session.call(2, "publish run again", req.clone());
+    session.fleet.losing.clear();
+    session.wait(3);
+    let answer = session.fleet.answer(lost);
+    session.note(&format!("the first call: {answer}"));
+    session.call(1, "publish run once more", req);
+    let other = publish("ayla", "id-1", None, &batch("other", "go2"));
+    session.call(1, "publish other content under the same id", other);
+    session.wait(2);
+    insta::assert_snapshot!(session.log);
+}
+
+#[test]
+fn outage_in_mid_publish() {
+    let mut session = Session::new();
+    session.fleet.losing.insert(NodeId(1));
+    let req = publish("ayla", "id-1", None, &service("desk", 1));
+    let id = session.fleet.ask(1, req.clone());
+    while session.fleet.head().is_none() {
+        session.fleet.run(Duration::from_millis(2));
+    }
+    session.note("the table goes away after the commit, before its reply");
+    session.fleet.cut.extend([domain(1), domain(2), domain(3)]);
+    session.wait(5);
+    let early = session.fleet.answer(id);
+    session.wait(7);
+    let late = session.fleet.answer(id);
+    session.note(&format!("after 5 s: {early}\nafter 12 s: {late}"));
+    session.call(
+        3,
+        "publish another one",
+        publish("berk", "", None, &service("mail", 1)),
+    );
+    session.fleet.cut.clear();
+    session.fleet.losing.clear();
+    session.note("the table comes back");
+    session.wait(4);
+    session.call(5, "resend the first one", req);
+    session.wait(2);
+    insta::assert_snapshot!(session.log);
+}
+
+#[test]
+fn a_domain_cut_off_from_the_platform() {
+    let mut session = Session::new();
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 1)),
+    );
+    session.wait(2);
+    session.fleet.cut.insert(domain(3));
+    session.note("d3 (n3 and n6) is cut off from the platform");
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 2)),
+    );
+    session.wait(4);
+    session.call(
+        3,
+        "publish there",
+        publish("berk", "", None, &service("mail", 1)),
+    );
+    session.note("n6 starts anew, without anything in memory");
+    session.fleet.start(NodeId(6), domain(3), 2);
+    session.wait(1);
+    session.wait(4);
+    session.call(2, "recall", recall(&["setting/desk@2"]));
+    session.wait(4);
+    session.replicas(3, "desk");
+    session.fleet.cut.clear();
+    session.note("d3 is back");
+    session.wait(3);
+    insta::assert_snapshot!(session.log);
+}
+
+/// A table that serves old heads takes nothing back, and cannot be written to from an old version.
+#[test]
+fn stale_heads() {
+    let mut session = Session::new();
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 1)),
+    );
+    session.wait(2);
+    let old = session.fleet.head();
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 2)),
+    );
+    session.wait(2);
+    session.fleet.stale_head = old;
+    session.note("the table serves the head of version 1");
+    session.wait(3);
+    session.note("n2 starts anew");
+    session.fleet.start(NodeId(2), domain(2), 2);
+    session.wait(4);
+    session.call(
+        2,
+        "publish desk",
+        publish("berk", "", None, &service("desk", 3)),
+    );
+    session.fleet.stale_head = None;
+    session.note("the table serves its newest head");
+    session.call(
+        2,
+        "publish desk",
+        publish("berk", "", None, &service("desk", 4)),
+    );
+    session.wait(3);
+    let stale: u64 = (1..=6)
+        .map(|n| session.fleet.node(n).dump(Time::ZERO).stale_heads)
+        .sum();
+    assert!(stale > 10, "{stale} stale heads were seen");
+    insta::assert_snapshot!(session.log);
+}
+
+#[test]
+fn recalls() {
+    let mut session = Session::new();
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 1)),
+    );
+    session.call(
+        1,
+        "publish desk",
+        publish("ayla", "", None, &service("desk", 9)),
+    );
+    let run = batch("run", "bad");
+    session.call(1, "publish run", publish("ayla", "", None, &run));
+    session.call(2, "recall a version too few", recall(&["setting/desk@7"]));
+    session.call(2, "recall a service as a batch", recall(&["batch/desk"]));
+    let targets = ["setting/desk@2", "batch/run", "worker/w7"];
+    session.call(2, "recall three things", recall(&targets));
+    session.wait(2);
+    session.replicas(6, "desk");
+    let config = session.fleet.node(6).config();
+    let held = [
+        config.is_batch_recalled("run"),
+        config.is_worker_recalled("w7".parse().unwrap()),
+    ];
+    assert_eq!(held, [true, true]);
+    session.call(
+        3,
+        "publish desk of 9 again",
+        publish("ayla", "", None, &service("desk", 9)),
+    );
+    session.call(3, "publish run again", publish("ayla", "", None, &run));
+    let renamed = batch("run2", "bad");
+    session.call(
+        3,
+        "publish run under another name",
+        publish("ayla", "", None, &renamed),
+    );
+    session.call(
+        3,
+        "publish desk of 8",
+        publish("ayla", "", None, &service("desk", 8)),
+    );
+    session.call(3, "lift what is not recalled", lift("batch/desk"));
+    session.call(3, "lift the batch", lift("batch/run"));
+    session.call(3, "publish run again", publish("ayla", "", None, &run));
+    session.call(3, "which recalls are in force", OperatorReq::Recalls);
+    session.wait(2);
+    let rows = session.fleet.table.call(&store::TableReq::Scan {
+        prefix: "unit/run".to_owned(),
+        after: String::new(),
+        limit: 9,
+    });
+    let store::TableResp::Rows(rows) = rows else {
+        panic!("{rows:?}");
+    };
+    assert_eq!(rows.len(), 2, "the run after the lift is another one");
+    insta::assert_snapshot!(session.log);
+}
