--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use model::{DomainId, NodeId, Time};
+use model::{NodeId, Time};
 use serde::{Deserialize, Serialize};
 
 use crate::{Config, Entry};
@@ -99,13 +99,10 @@
 
 /// What was last heard of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Heard {
-    /// The peer's failure domain.
-    pub domain: DomainId,
+struct Heard {
     /// The version that it has in force.
-    pub version: u64,
-    /// When it was heard.
-    pub at: Time,
+    version: u64,
+    at: Time,
 }
 
 /// A read of the table under way.
@@ -138,7 +135,9 @@
     started: Option<Time>,
     known: bool,
     heard: BTreeMap<NodeId, Heard>,
+    /// When a peer was asked that has not answered.
     asked: Option<Time>,
+    asked_last: Option<NodeId>,
     stale_heads: u64,
 }
 
@@ -160,6 +159,7 @@
             known: false,
             heard: BTreeMap::new(),
             asked: None,
+            asked_last: None,
             stale_heads: 0,
         }
     }
@@ -182,12 +182,6 @@
         self.stale_heads
     }
 
-    /// What was heard of the peers.
-    #[must_use]
-    pub const fn heard(&self) -> &BTreeMap<NodeId, Heard> {
-        &self.heard
-    }
-
     /// The version of the head's row, if this node has the version that the head names.
     #[must_use]
     pub fn head_row(&self) -> Option<u64> {
@@ -324,23 +318,9 @@
     }
 
     /// Takes the version that a peer has in force.
-    pub fn peer_heard(
-        &mut self,
-        now: Time,
-        node: NodeId,
-        domain: DomainId,
-        version: u64,
-        out: &mut Vec<Want>,
-    ) {
+    pub fn peer_heard(&mut self, now: Time, node: NodeId, version: u64, out: &mut Vec<Want>) {
         let at = now;
-        self.heard.insert(
-            node,
-            Heard {
-                domain,
-                version,
-                at,
-            },
-        );
+        self.heard.insert(node, Heard { version, at });
         self.ask_peer(now, out);
     }
 
@@ -351,11 +331,14 @@
         if waits || !self.heard.values().any(|heard| heard.version > after) {
             return;
         }
-        // Each retry asks the peer that was heard last: one that has gone silent is not asked again.
+        // A peer that may have gone silent is asked twice in a row only if there is no other.
         let newer = self.heard.iter().filter(|(_, heard)| heard.version > after);
-        if let Some((node, _)) = newer.max_by_key(|(node, heard)| (heard.at, *node)) {
+        let rank = |(node, heard): &(&NodeId, &Heard)| (self.asked_last != Some(**node), heard.at);
+        if let Some((node, _)) = newer.max_by_key(rank) {
+            let node = *node;
             self.asked = Some(now);
-            out.push(Want::Peer { node: *node, after });
+            self.asked_last = Some(node);
+            out.push(Want::Peer { node, after });
         }
     }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -107,8 +107,13 @@
     /// Whether callers and operators may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let newest = self.members.newest_config();
-        self.config.is_known() && self.config.config().version() >= newest && !self.leaving
+        self.config.is_known() && !self.leaving
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &config::Config {
+        self.config.config()
     }
 
     /// Whether the node shuts down.
@@ -185,7 +190,9 @@
             Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, parts.config, id, req);
+                parts
+                    .operators
+                    .call(&mut cx, parts.config, parts.members, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request(offer) => {
@@ -225,7 +232,6 @@
         };
         let parts = Parts {
             config: &mut self.config,
-            me: &self.me,
             members: &mut self.members,
             view: &self.view,
             operators: &mut self.operators,
@@ -466,13 +472,9 @@
 
     fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
-        let domain = summary.domain;
-        for told in &summary.nodes {
-            let version = told.config_version;
-            parts
-                .config
-                .peer_version(&mut cx, told.node, domain, version);
-        }
+        // What it tells of other nodes is left out: they may be out of this node's reach.
+        let version = summary.config_version;
+        parts.config.peer_version(&mut cx, from, version);
         parts.members.summary(now, from, summary);
     }
 
@@ -481,10 +483,7 @@
             return;
         }
         let (mut cx, parts) = self.split(now, out);
-        let domain = parts.me.domain;
-        parts
-            .config
-            .peer_version(&mut cx, from, domain, msg.config_version);
+        parts.config.peer_version(&mut cx, from, msg.config_version);
         if let Some(views) = &mut self.views {
             let beat = Beat {
                 node: from,
@@ -571,7 +570,7 @@
             }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.rows_read(&mut cx, parts.config, id, result);
+                parts.operators.rows_read(&mut cx, id, result);
             }
             Purpose::Scheduler(generation, read) => {
                 let (mut cx, parts) = self.split(now, out);
@@ -725,7 +724,6 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
-    me: &'a Identity,
     members: &'a mut Members,
     view: &'a OwnView,
     operators: &'a mut Operators,
