--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,6 +1,6 @@
 //! What operators ask of a node, and its answers. They travel as JSON over HTTP.
 
-pub use config::{ItemChange, RecallTarget};
+pub use config::{ItemChange, ItemFate, RecallTarget};
 use model::{Attempt, DomainId, NodeId, Verdict, WorkerId};
 use serde::{Deserialize, Serialize};
 
