cli: all subcommands, help, JSON and exit codes, tested by table

Cause: the command line knew half of the design's commands and one help page. Change: a table of commands and options with a help page each; publish shows what changes, submits under an id that a resend keeps, and waits until nodes have it in force; usage faults exit 2 and each error says what to do next. Shown to fail: a publication before the node's own member row is written is accepted, but its batches are never submitted (seen with a real node; the test waits for the node's recovery, the fault is reported to the owner of the node). Conclusion: bad words, bad files, unreachable node, wrong token and lost answers by table; the whole path against a real node in one process.

--- /dev/null
+++ b/crates/cli/src/args/mod.rs
@@ -0,0 +1,299 @@
+//! The command line's words.
+
+mod spec;
+
+use std::{env, path::PathBuf};
+
+use cli::TryOptions;
+use fakes::FaultLevel;
+use getopts::{Matches, Options};
+use model::{DomainId, NodeId};
+use node::api::RecallTarget;
+
+use self::spec::{CommandSpec, OPTIONS};
+
+/// What to do, and where.
+#[derive(Clone, Debug)]
+pub(crate) struct Args {
+    pub(crate) node: String,
+    pub(crate) token: String,
+    pub(crate) json: bool,
+    pub(crate) command: Command,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    Check {
+        dir: PathBuf,
+    },
+    Try {
+        dir: PathBuf,
+        options: TryOptions,
+        log: bool,
+    },
+    Publish {
+        dir: PathBuf,
+        dry_run: bool,
+    },
+    Status {
+        name: Option<String>,
+    },
+    Cancel {
+        name: String,
+    },
+    Recalls,
+    Recall {
+        target: RecallTarget,
+    },
+    Lift {
+        target: RecallTarget,
+    },
+    Drain {
+        node: NodeId,
+    },
+    Evacuate {
+        domain: DomainId,
+        undo: bool,
+    },
+    Dump,
+}
+
+/// The outcome of parsing.
+#[derive(Clone, Debug)]
+pub(crate) enum Parsed {
+    /// A text to print, such as the help.
+    Text(String),
+    /// Something to do.
+    Run(Args),
+}
+
+/// Wrong usage.
+#[derive(Clone, Debug, thiserror::Error)]
+pub(crate) enum UsageError {
+    #[error("no command; `lacewing --help` lists them")]
+    NoCommand,
+    #[error("`{0}` is no command; `lacewing --help` lists them")]
+    UnknownCommand(String),
+    #[error("{0}; see `lacewing --help`")]
+    BadOption(String),
+    #[error("--{option} is no option of `{command}`; see `lacewing help {command}`")]
+    WrongOption {
+        option: &'static str,
+        command: &'static str,
+    },
+    #[error("usage: lacewing {command} {args}; see `lacewing help {command}`")]
+    WrongArguments {
+        command: &'static str,
+        args: &'static str,
+    },
+    #[error("--{option}: `{value}` is not {expected}")]
+    BadValue {
+        option: &'static str,
+        value: String,
+        expected: &'static str,
+    },
+    #[error("`{value}` is not {expected}")]
+    BadArgument {
+        value: String,
+        expected: &'static str,
+    },
+}
+
+/// Reads the words after the program's name.
+pub(crate) fn parse(words: &[String]) -> Result<Parsed, UsageError> {
+    let matches = options()
+        .parse(words)
+        .map_err(|e| UsageError::BadOption(e.to_string()))?;
+    if matches.opt_present("version") {
+        let version = env!("CARGO_PKG_VERSION");
+        return Ok(Parsed::Text(format!("lacewing {version}\n")));
+    }
+    let wants_help = matches.opt_present("help");
+    let Some(name) = matches.free.first() else {
+        return if wants_help {
+            Ok(Parsed::Text(spec::general_help()))
+        } else {
+            Err(UsageError::NoCommand)
+        };
+    };
+    let command = find(name)?;
+    if wants_help {
+        return Ok(Parsed::Text(spec::command_help(command)));
+    }
+    let args: Vec<&str> = matches.free[1..].iter().map(String::as_str).collect();
+    check(command, &matches, &args)?;
+    if command.name == "help" {
+        return help(&args);
+    }
+    run(command, &matches, &args)
+}
+
+fn options() -> Options {
+    let mut opts = Options::new();
+    for option in &OPTIONS {
+        let short = if option.name == "help" { "h" } else { "" };
+        if option.hint.is_empty() {
+            opts.optflag(short, option.name, option.about);
+        } else {
+            opts.optopt(short, option.name, option.about, option.hint);
+        }
+    }
+    opts.optflag("V", "version", "show the version");
+    opts
+}
+
+fn find(name: &str) -> Result<&'static CommandSpec, UsageError> {
+    spec::command(name).ok_or_else(|| UsageError::UnknownCommand(name.to_owned()))
+}
+
+fn help(args: &[&str]) -> Result<Parsed, UsageError> {
+    let text = match args {
+        [name] => spec::command_help(find(name)?),
+        _ => spec::general_help(),
+    };
+    Ok(Parsed::Text(text))
+}
+
+fn check(command: &CommandSpec, matches: &Matches, args: &[&str]) -> Result<(), UsageError> {
+    let wrong = |option: &&spec::OptionSpec| {
+        matches.opt_present(option.name) && !command.options.contains(&option.name)
+    };
+    let name = command.name;
+    if let Some(option) = OPTIONS.iter().find(wrong) {
+        return Err(UsageError::WrongOption {
+            option: option.name,
+            command: name,
+        });
+    }
+    let (least, most) = command.count;
+    if args.len() < least || args.len() > most {
+        return Err(UsageError::WrongArguments {
+            command: name,
+            args: command.args,
+        });
+    }
+    Ok(())
+}
+
+fn run(command: &CommandSpec, matches: &Matches, args: &[&str]) -> Result<Parsed, UsageError> {
+    let setting = |flag: &str, variable: &str| {
+        let value = matches.opt_str(flag).or_else(|| env::var(variable).ok());
+        value.unwrap_or_default()
+    };
+    let mut node = setting("node", "LACEWING_NODE");
+    if let ("dump", [address]) = (command.name, args) {
+        (*address).clone_into(&mut node);
+    }
+    Ok(Parsed::Run(Args {
+        node: with_scheme(&node),
+        token: setting("operator-token", "LACEWING_OPERATOR_TOKEN"),
+        json: matches.opt_present("json"),
+        command: read(command, matches, args)?,
+    }))
+}
+
+fn with_scheme(node: &str) -> String {
+    if node.is_empty() || node.contains("://") {
+        node.to_owned()
+    } else {
+        format!("http://{node}")
+    }
+}
+
+fn read(command: &CommandSpec, matches: &Matches, args: &[&str]) -> Result<Command, UsageError> {
+    let first = || args.first().copied().unwrap_or_default();
+    Ok(match command.name {
+        "check" => Command::Check {
+            dir: first().into(),
+        },
+        "try" => Command::Try {
+            dir: first().into(),
+            options: try_options(matches)?,
+            log: matches.opt_present("log"),
+        },
+        "publish" => Command::Publish {
+            dir: first().into(),
+            dry_run: matches.opt_present("dry-run"),
+        },
+        "status" => Command::Status {
+            name: args.first().map(|name| (*name).to_owned()),
+        },
+        "cancel" => Command::Cancel {
+            name: first().to_owned(),
+        },
+        "recall" if args.is_empty() => Command::Recalls,
+        "recall" => Command::Recall {
+            target: target(args)?,
+        },
+        "lift" => Command::Lift {
+            target: target(args)?,
+        },
+        "drain" => Command::Drain {
+            node: argument(first(), "a node's number, such as n3")?,
+        },
+        "evacuate" => Command::Evacuate {
+            domain: argument(first(), "a failure domain's name")?,
+            undo: matches.opt_present("undo"),
+        },
+        "dump" => Command::Dump,
+        other => return Err(UsageError::UnknownCommand(other.to_owned())),
+    })
+}
+
+fn target(args: &[&str]) -> Result<RecallTarget, UsageError> {
+    argument(
+        &args.join("/"),
+        "batch NAME, worker wN or setting SERVICE@VERSION",
+    )
+}
+
+fn argument<T: std::str::FromStr>(text: &str, expected: &'static str) -> Result<T, UsageError> {
+    text.parse().map_err(|_| UsageError::BadArgument {
+        value: text.replace('/', " "),
+        expected,
+    })
+}
+
+fn try_options(matches: &Matches) -> Result<TryOptions, UsageError> {
+    let defaults = TryOptions::default();
+    let faults = match matches.opt_str("faults").as_deref() {
+        None | Some("none") => FaultLevel::None,
+        Some("some") => FaultLevel::Some,
+        Some("many") => FaultLevel::Many,
+        Some(other) => return Err(bad_value("faults", other, "none, some or many")),
+    };
+    let workers = number(matches, "workers")?.unwrap_or(defaults.workers);
+    if !(1..=WORKERS_MAX).contains(&workers) {
+        let value = workers.to_string();
+        return Err(bad_value("workers", &value, "between 1 and 2000"));
+    }
+    Ok(TryOptions {
+        seed: number(matches, "seed")?.unwrap_or(defaults.seed),
+        workers,
+        faults,
+    })
+}
+
+/// The most workers of an embedded cell.
+const WORKERS_MAX: u32 = 2_000;
+
+fn number<T: std::str::FromStr>(
+    matches: &Matches,
+    option: &'static str,
+) -> Result<Option<T>, UsageError> {
+    let Some(text) = matches.opt_str(option) else {
+        return Ok(None);
+    };
+    text.parse()
+        .map(Some)
+        .map_err(|_| bad_value(option, &text, "a whole number in range"))
+}
+
+fn bad_value(option: &'static str, value: &str, expected: &'static str) -> UsageError {
+    UsageError::BadValue {
+        option,
+        value: value.to_owned(),
+        expected,
+    }
+}
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use model::Verdict;
 use node::api::{OperatorReq, OperatorResp};
 
-use crate::args::Args;
+use crate::{args::Args, exit::Exit};
 
 /// The longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -18,6 +17,9 @@
     /// No node is named.
     #[error("no node is named: give --node URL or set LACEWING_NODE")]
     NoNode,
+    /// The node's address is no address.
+    #[error("`{0}` is no address of a node; it looks like http://10.0.0.1:7000")]
+    BadNode(String),
     /// The node was not reached.
     #[error("{node} cannot be reached: {reason}; try another node")]
     Unreachable { node: String, reason: String },
@@ -32,11 +34,12 @@
 }
 
 impl ClientError {
-    /// Whether the call may have been done.
-    pub(crate) const fn verdict(&self) -> Verdict {
+    /// How the command ends because of it.
+    pub(crate) const fn exit(&self) -> Exit {
         match self {
-            Self::NoNode | Self::Unreachable { .. } | Self::Refused { .. } => Verdict::NotRun,
-            Self::Lost { .. } => Verdict::MayHaveRun,
+            Self::NoNode | Self::BadNode(_) => Exit::Usage,
+            Self::Unreachable { .. } | Self::Refused { .. } => Exit::Failed,
+            Self::Lost { .. } => Exit::Uncertain,
         }
     }
 }
@@ -102,6 +105,10 @@
             .map_err(|e| self.lost(e.to_string()))?;
         match status {
             200 => Ok(text),
+            401 => Err(self.refused(format!(
+                "{}; give --operator-token or set LACEWING_OPERATOR_TOKEN",
+                text.trim()
+            ))),
             400..500 => Err(self.refused(text.trim().to_owned())),
             _ => Err(self.lost(format!("status {status}"))),
         }
@@ -111,9 +118,9 @@
         let reason = e.to_string();
         let node = self.node.clone();
         match e {
+            ureq::Error::BadUri(_) | ureq::Error::Http(_) => ClientError::BadNode(node),
             ureq::Error::ConnectionFailed
             | ureq::Error::HostNotFound
-            | ureq::Error::BadUri(_)
             | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
                 ClientError::Unreachable { node, reason }
             }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,156 +2,135 @@
 
 mod args;
 mod client;
+mod exit;
+mod print;
+mod publish;
 
 use std::{env, path::Path, process::ExitCode};
 
-use cli::{TryOptions, collect, try_files};
-use model::Verdict;
-use node::api::{OperatorReq, OperatorResp, Submitter};
+use cli::{FilesError, TryOptions, collect, try_files};
+use model::{Catalog, SourceFile};
+use node::api::{FileText, OperatorReq, OperatorResp};
 
 use crate::{
     args::{Args, Command, Parsed},
     client::Client,
+    exit::{Exit, failed},
+    publish::{publish, submitter},
 };
 
-const EXIT_FAILED: u8 = 1;
-const EXIT_USAGE: u8 = 2;
-const EXIT_UNCERTAIN: u8 = 3;
-
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
     let words: Vec<String> = env::args().skip(1).collect();
-    match args::parse(&words) {
+    let exit = match args::parse(&words) {
         Ok(Parsed::Text(text)) => {
             print!("{text}");
-            ExitCode::SUCCESS
+            Exit::Done
         }
         Ok(Parsed::Run(args)) => run(&args),
-        Err(message) => {
-            eprintln!("lacewing: {message}");
-            eprintln!("Try `lacewing --help`.");
-            ExitCode::from(EXIT_USAGE)
-        }
-    }
+        Err(e) => failed(e, Exit::Usage),
+    };
+    exit.into()
 }
 
-fn run(args: &Args) -> ExitCode {
-    match &args.command {
-        Command::Check { dir } => check(dir),
-        Command::Try { dir, options } => try_dir(dir, *options),
-        Command::Publish { dir } => publish(args, dir),
-        Command::Status { name } => {
-            let name = name.clone();
-            call(args, &OperatorReq::Status { name })
+fn run(args: &Args) -> Exit {
+    let by = submitter;
+    match args.command.clone() {
+        Command::Check { dir } => check(&dir, args.json),
+        Command::Try { dir, options, log } => try_dir(&dir, options, log, args.json),
+        Command::Publish { dir, dry_run } => match checked(&dir) {
+            Ok((files, _)) => publish(&Client::new(args), &files, dry_run, args.json),
+            Err(exit) => exit,
+        },
+        Command::Status { name } => call(args, &OperatorReq::Status { name }),
+        Command::Cancel { name } => call(args, &OperatorReq::Cancel { by: by(), name }),
+        Command::Recalls => call(args, &OperatorReq::Recalls),
+        Command::Recall { target } => {
+            let targets = vec![target];
+            call(args, &OperatorReq::Recall { by: by(), targets })
+        }
+        Command::Lift { target } => {
+            let targets = vec![target];
+            call(args, &OperatorReq::Lift { by: by(), targets })
         }
-        Command::Cancel { name } => {
-            let name = name.clone();
-            let by = submitter();
-            call(args, &OperatorReq::Cancel { by, name })
+        Command::Drain { node } => call(args, &OperatorReq::Drain { node }),
+        Command::Evacuate { domain, undo } => {
+            let by = by();
+            call(args, &OperatorReq::Evacuate { by, domain, undo })
         }
         Command::Dump => match Client::new(args).dump() {
             Ok(text) => {
                 println!("{text}");
-                ExitCode::SUCCESS
+                Exit::Done
             }
-            Err(e) => failed(&e.to_string(), EXIT_FAILED),
+            Err(e) => failed(&e, e.exit()),
         },
     }
 }
 
-fn check(dir: &Path) -> ExitCode {
-    let files = match collect(dir) {
-        Ok(files) => files,
-        Err(e) => return failed(&e.to_string(), EXIT_USAGE),
-    };
-    let sources: Vec<model::SourceFile<'_>> = files
+/// The operator files of a folder, without a fault.
+fn checked(dir: &Path) -> Result<(Vec<FileText>, Catalog), Exit> {
+    let files = collect(dir).map_err(|e: FilesError| failed(e, Exit::Usage))?;
+    let sources: Vec<SourceFile<'_>> = files
         .iter()
-        .map(|file| model::SourceFile {
+        .map(|file| SourceFile {
             path: &file.path,
             text: &file.text,
         })
         .collect();
-    match model::Catalog::parse(&sources) {
-        Ok(catalog) => {
-            println!(
-                "{} files, {} units: no fault found",
-                files.len(),
-                catalog.units.len()
-            );
-            ExitCode::SUCCESS
-        }
-        Err(e) => failed(&e.to_string(), EXIT_USAGE),
-    }
+    let catalog = Catalog::parse(&sources).map_err(|e| failed(e, Exit::Usage))?;
+    Ok((files, catalog))
 }
 
-fn try_dir(dir: &Path, options: TryOptions) -> ExitCode {
-    let files = match collect(dir) {
-        Ok(files) => files,
-        Err(e) => return failed(&e.to_string(), EXIT_USAGE),
+fn check(dir: &Path, json: bool) -> Exit {
+    let (files, catalog) = match checked(dir) {
+        Ok(checked) => checked,
+        Err(exit) => return exit,
     };
-    let report = try_files(&files, options);
-    print!("{report}");
-    if report.is_ok() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_FAILED)
+    if json {
+        let units: Vec<_> = catalog.units.into_values().collect();
+        return print::json(&units);
     }
+    let units = catalog.units.len();
+    println!("{} files, {units} units: no fault found", files.len());
+    Exit::Done
 }
 
-fn publish(args: &Args, dir: &Path) -> ExitCode {
-    let files = match collect(dir) {
-        Ok(files) => files,
-        Err(e) => return failed(&e.to_string(), EXIT_USAGE),
-    };
-    let req = OperatorReq::Publish {
-        by: submitter(),
-        base: None,
-        files,
-        dry_run: false,
+fn try_dir(dir: &Path, options: TryOptions, log: bool, json: bool) -> Exit {
+    let files = match checked(dir) {
+        Ok((files, _)) => files,
+        Err(exit) => return exit,
     };
-    call(args, &req)
-}
-
-fn submitter() -> Submitter {
-    Submitter {
-        id: String::new(),
-        author: env::var("USER").unwrap_or_else(|_| "operator".to_owned()),
+    let report = try_files(&files, options);
+    if json {
+        print::json(&report);
+    } else {
+        for line in report.log.iter().filter(|_| log) {
+            println!("{line}");
+        }
+        print!("{report}");
+    }
+    if report.is_ok() {
+        Exit::Done
+    } else {
+        Exit::Failed
     }
 }
 
-fn call(args: &Args, req: &OperatorReq) -> ExitCode {
+fn call(args: &Args, req: &OperatorReq) -> Exit {
     match Client::new(args).operator(req) {
         Ok(OperatorResp::Done { message, .. }) => {
             println!("{message}");
-            ExitCode::SUCCESS
+            Exit::Done
         }
-        Ok(OperatorResp::Status(units)) => {
-            for unit in &units {
-                println!("{}", cli::unit_line(unit));
-            }
-            ExitCode::SUCCESS
-        }
-        Ok(
-            resp @ (OperatorResp::Changes { .. }
-            | OperatorResp::Recalls(_)
-            | OperatorResp::InForce { .. }),
-        ) => {
-            println!("{resp:?}");
-            ExitCode::SUCCESS
+        Ok(OperatorResp::Status(units)) if args.json => print::json(&units),
+        Ok(OperatorResp::Status(units)) => print::units(&units),
+        Ok(OperatorResp::Recalls(recalls)) if args.json => print::json(&recalls),
+        Ok(OperatorResp::Recalls(recalls)) => print::recalls(&recalls),
+        Ok(OperatorResp::Failed { verdict, message }) => failed(message, verdict),
+        Ok(resp @ (OperatorResp::Changes { .. } | OperatorResp::InForce { .. })) => {
+            print::unexpected(&resp)
         }
-        Ok(OperatorResp::Failed { verdict, message }) => failed(&message, exit_code(verdict)),
-        Err(e) => failed(&e.to_string(), exit_code(e.verdict())),
+        Err(e) => failed(&e, e.exit()),
     }
 }
-
-fn exit_code(verdict: Verdict) -> u8 {
-    match verdict {
-        Verdict::MayHaveRun => EXIT_UNCERTAIN,
-        Verdict::NotRun | Verdict::Ran => EXIT_FAILED,
-    }
-}
-
-fn failed(message: &str, code: u8) -> ExitCode {
-    eprintln!("lacewing: {message}");
-    ExitCode::from(code)
-}
--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,351 @@
+//! The command line by table: words, what a node answers, exit code, and what is printed.
+
+use std::{
+    io::Read as _,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Command, Output},
+    thread,
+    time::{Duration, Instant},
+};
+
+use fakes::{FakePlatform, PlatformSpec};
+use node::Settings;
+use tiny_http::{Response, Server};
+
+const TOKEN: &str = "the operators' token";
+/// A daemon answers within this time, or the test fails.
+const STARTS_WITHIN: Duration = Duration::from_secs(60);
+
+fn lacewing(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lacewing"))
+        .args(words)
+        .current_dir(root())
+        .env_remove("LACEWING_NODE")
+        .env_remove("LACEWING_OPERATOR_TOKEN")
+        .output()
+        .expect("the program can be run")
+}
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Runs the program and compares its exit code and a part of what it printed.
+fn expect(words: &[&str], code: i32, printed: &str) {
+    let output = lacewing(words);
+    let (out, err) = (text(&output.stdout), text(&output.stderr));
+    let stream = if code == 0 { &out } else { &err };
+    assert_eq!(output.status.code(), Some(code), "{words:?}: {out}{err}");
+    assert!(stream.contains(printed), "{words:?}: {out}{err}");
+    assert!(
+        code == 0 || err.starts_with("lacewing: "),
+        "{words:?}: {err}"
+    );
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+const WORDS: &[(&[&str], i32, &str)] = &[
+    (
+        &["--version"],
+        0,
+        concat!("lacewing ", env!("CARGO_PKG_VERSION")),
+    ),
+    (&["--help"], 0, "Usage: lacewing COMMAND"),
+    (
+        &["help", "recall"],
+        0,
+        "Usage: lacewing recall [batch|worker|setting ID] [OPTIONS]",
+    ),
+    (&["publish", "--help"], 0, "--dry-run"),
+    (&[], 2, "no command; `lacewing --help` lists them"),
+    (&["frob"], 2, "`frob` is no command"),
+    (&["help", "frob"], 2, "`frob` is no command"),
+    (
+        &["--frob"],
+        2,
+        "Unrecognized option: 'frob'; see `lacewing --help`",
+    ),
+    (&["check"], 2, "usage: lacewing check DIR"),
+    (&["check", "a", "b"], 2, "usage: lacewing check DIR"),
+    (
+        &["status", "--seed", "1"],
+        2,
+        "--seed is no option of `status`",
+    ),
+    (
+        &["try", "examples", "--seed", "x"],
+        2,
+        "--seed: `x` is not a whole number in range",
+    ),
+    (&["try", "examples", "--seed", "-1"], 2, "--seed"),
+    (
+        &["try", "examples", "--workers", "0"],
+        2,
+        "--workers: `0` is not between 1 and 2000",
+    ),
+    (
+        &["try", "examples", "--faults", "lots"],
+        2,
+        "`lots` is not none, some or many",
+    ),
+    (
+        &["recall", "batch"],
+        2,
+        "`batch` is not batch NAME, worker wN or setting SERVICE@VERSION",
+    ),
+    (
+        &["recall", "worker", "x"],
+        2,
+        "`worker x` is not batch NAME",
+    ),
+    (
+        &["recall", "setting", "a"],
+        2,
+        "`setting a` is not batch NAME",
+    ),
+    (&["drain", "x"], 2, "`x` is not a node's number, such as n3"),
+    (
+        &["evacuate", "no domain"],
+        2,
+        "`no domain` is not a failure domain's name",
+    ),
+    (
+        &["status"],
+        2,
+        "no node is named: give --node URL or set LACEWING_NODE",
+    ),
+    (
+        &["status", "--node", "http://a b"],
+        2,
+        "is no address of a node",
+    ),
+    (&["status", "--node", "127.0.0.1:1"], 1, "cannot be reached"),
+    (
+        &["dump", "127.0.0.1:1"],
+        1,
+        "http://127.0.0.1:1 cannot be reached",
+    ),
+    (&["check", "nowhere"], 2, "nowhere: "),
+    (
+        &["check", "crates/cli/src"],
+        2,
+        "no lacewing.toml in this folder or below it",
+    ),
+    (
+        &["publish", "nowhere", "--node", "127.0.0.1:1"],
+        2,
+        "nowhere: ",
+    ),
+    (
+        &["publish", "examples", "--node", "127.0.0.1:1"],
+        1,
+        "cannot be reached",
+    ),
+    (
+        &["check", "examples"],
+        0,
+        "2 files, 8 units: no fault found",
+    ),
+    (
+        &["check", "examples", "--json"],
+        0,
+        "\"name\": \"dealer-lookup\"",
+    ),
+];
+
+#[test]
+fn words_and_files() {
+    for (words, code, printed) in WORDS {
+        expect(words, *code, printed);
+    }
+}
+
+/// A node that gives one answer to every call.
+fn canned(status: u16, body: &'static str) -> SocketAddr {
+    let server = Server::http("127.0.0.1:0").expect("a free port");
+    let address = server.server_addr().to_ip().expect("an IP address");
+    thread::spawn(move || {
+        while let Ok(mut req) = server.recv() {
+            let mut sent = String::new();
+            let _ = req.as_reader().read_to_string(&mut sent);
+            let _ = req.respond(Response::from_string(body).with_status_code(status));
+        }
+    });
+    address
+}
+
+/// A node that takes a call and closes the connection without an answer.
+fn hangs_up() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut stream = stream;
+            let mut buf = [0; 1024];
+            let _ = stream.read(&mut buf);
+        }
+    });
+    address
+}
+
+const NOT_RUN: &str = r#"{"failed":{"verdict":"not-run","message":"another change came first"}}"#;
+const UNCERTAIN: &str = r#"{"failed":{"verdict":"may-have-run","message":"no answer in time"}}"#;
+const DONE: &str = r#"{"done":{"message":"it is done","version":3}}"#;
+const NO_RECALLS: &str = r#"{"recalls":[]}"#;
+
+const ANSWERS: &[(u16, &str, &[&str], i32, &str)] = &[
+    (200, DONE, &["cancel", "a"], 0, "it is done"),
+    (200, DONE, &["recall", "batch", "a"], 0, "it is done"),
+    (200, DONE, &["lift", "worker/w7"], 0, "it is done"),
+    (200, DONE, &["drain", "n3"], 0, "it is done"),
+    (200, DONE, &["evacuate", "d1"], 0, "it is done"),
+    (200, NO_RECALLS, &["recall"], 0, "nothing is recalled"),
+    (200, r#"{"status":[]}"#, &["status"], 0, "no units of work"),
+    (200, r#"{"status":[]}"#, &["status", "--json"], 0, "[]"),
+    (
+        200,
+        NOT_RUN,
+        &["cancel", "a"],
+        1,
+        "another change came first",
+    ),
+    (200, UNCERTAIN, &["cancel", "a"], 3, "no answer in time"),
+    (
+        200,
+        NO_RECALLS,
+        &["publish", "examples"],
+        3,
+        "is not understood",
+    ),
+    (
+        200,
+        NOT_RUN,
+        &["publish", "examples"],
+        1,
+        "another change came first",
+    ),
+    (
+        200,
+        UNCERTAIN,
+        &["publish", "examples"],
+        3,
+        "no answer in time",
+    ),
+    (
+        200,
+        "{",
+        &["cancel", "a"],
+        3,
+        "look at `lacewing status` before you try again",
+    ),
+    (
+        401,
+        "the token is wrong",
+        &["cancel", "a"],
+        1,
+        "give --operator-token",
+    ),
+    (
+        400,
+        "not a call",
+        &["cancel", "a"],
+        1,
+        "refused the call: not a call",
+    ),
+    (500, "", &["cancel", "a"], 3, "the answer of http://"),
+];
+
+#[test]
+fn answers() {
+    for (status, body, words, code, printed) in ANSWERS {
+        let node = canned(*status, body).to_string();
+        let words = [*words, &["--node", &node]].concat();
+        expect(&words, *code, printed);
+    }
+}
+
+#[test]
+fn a_lost_answer_is_uncertain() {
+    let node = hangs_up().to_string();
+    let hint = "look at `lacewing status` before you try again";
+    expect(&["cancel", "a", "--node", &node], 3, hint);
+}
+
+/// A node over a stand-in platform, in this process.
+fn real_node() -> String {
+    let spec = PlatformSpec {
+        domains: 1,
+        regions: 1,
+        workers: 4,
+        ..PlatformSpec::default()
+    };
+    let platform = fakes::serve("127.0.0.1:0", FakePlatform::new(&spec)).expect("a free port");
+    let settings = Settings {
+        node: "n1".parse().expect("a node"),
+        region: "r1".parse().expect("a region"),
+        domain: "d1".parse().expect("a domain"),
+        listen: free_port(),
+        peer_listen: free_port(),
+        platform: format!("http://{}", platform.address()),
+        operator_token: TOKEN.to_owned(),
+        peer_token: "the nodes' token".to_owned(),
+        metrics: None,
+    };
+    let address = settings.listen;
+    thread::spawn(move || node::run_daemon(&settings));
+    format!("http://{address}")
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Runs the program until it succeeds and prints what is expected.
+fn until(words: &[&str], printed: &str) -> String {
+    let limit = Instant::now() + STARTS_WITHIN;
+    loop {
+        let output = lacewing(words);
+        let out = text(&output.stdout);
+        if output.status.success() && out.contains(printed) {
+            return out;
+        }
+        let err = text(&output.stderr);
+        assert!(Instant::now() < limit, "{words:?}: {out}{err}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn a_real_node() {
+    let node = real_node();
+    let with = |words: &[&'static str]| -> Vec<String> {
+        let options = ["--node", &node, "--operator-token", TOKEN];
+        words
+            .iter()
+            .chain(&options)
+            .map(ToString::to_string)
+            .collect()
+    };
+    let run = |words: &[&'static str], printed: &str| {
+        let words = with(words);
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        until(&words, printed)
+    };
+    run(&["dump"], "\"recovered\":true");
+    run(&["publish", "examples/dealer-reminders"], "version 1");
+    run(&["status", "reminder-run"], "12 succeeded");
+    expect(&["status", "--node", &node], 1, "give --operator-token");
+    let wrong = [
+        "status",
+        "--node",
+        &node,
+        "--operator-token",
+        "a wrong token",
+    ];
+    expect(&wrong, 1, "refused the call");
+}
