--- a/crates/node/src/core/event.rs
+++ b/crates/node/src/core/event.rs
@@ -72,8 +72,6 @@
     Peer {
         /// The other node.
         to: NodeId,
-        /// Where it is reached.
-        address: String,
         /// Whether the message goes on a fresh connection, whose failure tells that nothing answers.
         fresh: bool,
         /// The message.
@@ -96,8 +94,6 @@
         req: ReqId,
         /// The other node.
         node: NodeId,
-        /// Where it is reached.
-        address: String,
         /// How long it may take.
         timeout: Duration,
     },
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -150,6 +150,19 @@
         })
     }
 
+    /// Where a node is reached.
+    pub(crate) fn address(&self, node: NodeId) -> Option<&str> {
+        self.known
+            .get(&node)
+            .map(|member| member.row.address.as_str())
+    }
+
+    /// The view that a node of this domain was last heard to have.
+    pub(crate) fn view_of(&self, node: NodeId) -> Option<ViewVersion> {
+        let member = self.known.get(&node)?;
+        (member.row.domain == self.me.domain).then_some(member.view)
+    }
+
     /// Counts a heartbeat to this node's own scheduler, which needs no message.
     pub(crate) fn own_beat(&mut self, now: Time) -> u64 {
         self.seq += 1;
@@ -325,8 +338,8 @@
             leaving: state.leaving,
             shares: state.shares.clone(),
         };
-        for (to, member) in self.in_domain() {
-            send(cx, to, member, PeerMsg::Heartbeat(heartbeat.clone()));
+        for (to, _) in self.in_domain() {
+            send(cx, to, PeerMsg::Heartbeat(heartbeat.clone()));
         }
     }
 
@@ -345,13 +358,16 @@
             if domain == self.me.domain {
                 continue;
             }
-            let nodes: Vec<(NodeId, &Member)> =
-                self.all().filter(|(_, m)| m.row.domain == domain).collect();
+            let nodes: Vec<NodeId> = self
+                .all()
+                .filter(|(_, m)| m.row.domain == domain)
+                .map(|(node, _)| node)
+                .collect();
             // Nodes of one domain begin at different places, so that each node of the other domain
             // is told by somebody in each round.
             let turn = self.turn + self.me.node.0 as usize;
-            if let Some((to, member)) = nodes.get(turn % nodes.len().max(1)) {
-                send(cx, *to, member, PeerMsg::Summary(summary.clone()));
+            if let Some(to) = nodes.get(turn % nodes.len().max(1)) {
+                send(cx, *to, PeerMsg::Summary(summary.clone()));
             }
         }
     }
@@ -437,10 +453,9 @@
     Time::ZERO + now.since(Time::ZERO).saturating_sub(age)
 }
 
-fn send(cx: &mut Cx<'_>, to: NodeId, member: &Member, msg: PeerMsg) {
+fn send(cx: &mut Cx<'_>, to: NodeId, msg: PeerMsg) {
     cx.out.push(Action::Peer {
         to,
-        address: member.row.address.clone(),
         fresh: false,
         msg,
     });
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,7 +7,6 @@
 mod dump;
 mod entry;
 mod event;
-mod jobs;
 mod members;
 mod operators;
 mod poll;
@@ -15,15 +14,14 @@
 mod scheduler;
 mod settings;
 mod views;
-mod workers;
 
 use std::collections::BTreeMap;
 
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time};
-use peer::{DomainView, Heartbeat, PeerMsg};
+use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
+use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
 use route::{GrantConfig, NodeShares, Offer};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
@@ -34,11 +32,13 @@
     members::{Members, SelfState, member_key},
     operators::Operators,
     rows::lease_key,
-    scheduler::Scheduler,
+    scheduler::{Generation, Policy, Scheduler},
     views::{Beat, OwnView, Views},
 };
+use crate::api::{OperatorReq, OperatorResp};
+
 pub use self::{
-    dump::{Dump, MemberDump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
     event::{Action, CallId, Event, OperatorId},
     settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
@@ -55,7 +55,10 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
+    generation: Generation,
     members: Members,
+    /// Where the lease's questions go, also to nodes that are no longer among the members.
+    lease_addresses: BTreeMap<NodeId, String>,
     /// The lease's questions to other nodes that are not answered, and when each was sent.
     questions: BTreeMap<(NodeId, Question), Time>,
     views: Option<Views>,
@@ -79,11 +82,13 @@
             calls: Calls::default(),
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
-            config: ConfigSync::new(cfg.config.clone()),
+            config: ConfigSync::new(&cfg.config),
             entry: Entry::new(cfg.route.clone()),
-            operators: Operators::default(),
+            operators: Operators::new(me.clone()),
             scheduler: None,
+            generation: Generation::default(),
             questions: BTreeMap::new(),
+            lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
             views: None,
             view: OwnView::default(),
@@ -106,6 +111,7 @@
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
+        let recalls = self.config.config().recalls().keys();
         Dump {
             node: self.me.node.to_string(),
             domain: self.me.domain.to_string(),
@@ -113,6 +119,8 @@
             uptime_ms: now.as_ms(),
             ready: self.is_ready(),
             config_version: self.config.config().version(),
+            stale_heads: self.config.stale_heads(),
+            recalls: recalls.map(ToString::to_string).collect(),
             unsettled_changes: self.commits.unsettled(),
             transactions: self.commits.transactions(),
             members: self.member_dumps(now),
@@ -140,6 +148,13 @@
         dumps.collect()
     }
 
+    /// Where another node is reached.
+    #[must_use]
+    pub fn address(&self, node: NodeId) -> Option<&str> {
+        let known = self.members.address(node);
+        known.or_else(|| self.lease_addresses.get(&node).map(String::as_str))
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -151,15 +166,16 @@
                 }
             }
             Event::Worker(call, worker, result) => {
-                if let Some(Purpose::Worker { sent, .. }) = self.calls.answered(call)
-                    && let Some(scheduler) = &mut self.scheduler
+                if let Some(Purpose::Worker { generation, sent }) = self.calls.answered(call)
+                    && let Some(scheduler) = current(&mut self.scheduler, generation)
                 {
                     scheduler.worker_answered(now, worker, sent, result);
                 }
             }
+            Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, id, req);
+                parts.operators.call(&mut cx, parts.config, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request {
@@ -200,6 +216,7 @@
         };
         let parts = Parts {
             config: &mut self.config,
+            me: &self.me,
             members: &mut self.members,
             view: &self.view,
             operators: &mut self.operators,
@@ -213,14 +230,13 @@
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
         let state = self.self_state(now);
+        let elsewhere = self.free_elsewhere(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
         parts.members.tick(&mut cx, &state, parts.view.services());
-        if parts.operators.waits_for_config() {
-            parts.config.poll_soon();
-        }
+        parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
-            scheduler.tick(&mut cx, valid_until);
+            scheduler.tick(&mut cx, valid_until, &elsewhere);
         }
         self.forget_members(now);
         self.refresh_views(now, out);
@@ -300,6 +316,15 @@
         }
     }
 
+    /// What other failure domains have free that take new work.
+    fn free_elsewhere(&self, now: Time) -> Vec<(DomainId, Size)> {
+        let config = self.config.config();
+        let domains = self.members.free_elsewhere(now);
+        domains
+            .filter(|(domain, _)| !config.is_evacuated(*domain))
+            .collect()
+    }
+
     fn node_shares(&self, now: Time) -> NodeShares {
         NodeShares {
             applied: self.view.applied(),
@@ -331,17 +356,11 @@
         let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
             return;
         };
-        let member = self.members.in_domain().find(|(node, _)| *node == to);
-        let Some((_, member)) = member else {
+        let Some(has) = self.members.view_of(to) else {
             return;
         };
-        if let Some(view) = views.view(now, to, member.view, scheduler.free()) {
-            out.push(Action::Peer {
-                to,
-                address: member.row.address.clone(),
-                fresh: false,
-                msg: PeerMsg::View(view),
-            });
+        if let Some(view) = views.view(now, to, has, scheduler.free()) {
+            send_peer(out, to, PeerMsg::View(view));
         }
     }
 
@@ -360,7 +379,7 @@
     fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
         match msg {
             PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
-            PeerMsg::Summary(summary) => self.members.summary(now, from, summary),
+            PeerMsg::Summary(summary) => self.summary(now, from, summary, out),
             PeerMsg::View(view) => {
                 if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
                     self.take_view(sent, &view);
@@ -378,7 +397,16 @@
                 }
             }
             PeerMsg::Drain => self.shutdown(now, out),
-            PeerMsg::ConfigWanted { .. } | PeerMsg::ConfigEntries(_) => {}
+            PeerMsg::ConfigWanted { after } => {
+                if let Some(news) = self.config.entries_after(after) {
+                    send_peer(out, from, PeerMsg::ConfigEntries(news));
+                }
+            }
+            PeerMsg::ConfigEntries(news) => {
+                if self.config.take_entries(news) {
+                    self.config_changed(now);
+                }
+            }
         }
     }
 
@@ -425,10 +453,27 @@
         }
     }
 
+    fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
+        let (mut cx, parts) = self.split(now, out);
+        let domain = summary.domain;
+        for told in &summary.nodes {
+            let version = told.config_version;
+            parts
+                .config
+                .peer_version(&mut cx, told.node, domain, version);
+        }
+        parts.members.summary(now, from, summary);
+    }
+
     fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
         if !self.members.heard(now, from, msg) {
             return;
         }
+        let (mut cx, parts) = self.split(now, out);
+        let domain = parts.me.domain;
+        parts
+            .config
+            .peer_version(&mut cx, from, domain, msg.config_version);
         if let Some(views) = &mut self.views {
             let beat = Beat {
                 node: from,
@@ -450,8 +495,6 @@
         let members = &self.members;
         self.entry
             .set_remotes(|service| members.remotes(now, service));
-        let addresses = members.all().map(|(node, m)| (node, m.row.address.clone()));
-        self.entry.set_addresses(addresses.collect());
     }
 
     fn table_answered(
@@ -482,11 +525,11 @@
             Purpose::ConfigHead => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.config.head_read(&mut cx, result);
-                parts.operators.config_changed(&mut cx, parts.config);
             }
             Purpose::ConfigEntries => {
-                if self.config.entries_read(result) {
-                    self.config_changed();
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.entries_read(&mut cx, result) {
+                    self.config_changed(now);
                 }
             }
             Purpose::Members => {
@@ -499,60 +542,63 @@
                     self.lease_step(now, Input::Members(members), out);
                 }
             }
+            Purpose::ConfigSnapshot => {
+                let (mut cx, parts) = self.split(now, out);
+                if parts.config.snapshot_read(&mut cx, result) {
+                    self.config_changed(now);
+                }
+            }
+            Purpose::ConfigCompact => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.config.compact(&mut cx, result);
+            }
+            Purpose::Publishing => {
+                let (mut cx, parts) = self.split(now, out);
+                parts
+                    .operators
+                    .publishing_read(&mut cx, parts.config, result);
+            }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, parts.config, id, result);
             }
-            Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
-                self.scheduler_answered(now, purpose, result, out);
+            Purpose::Scheduler(generation, read) => {
+                let (mut cx, parts) = self.split(now, out);
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.read(&mut cx, read, result);
+                }
             }
             Purpose::Worker { .. } => {}
         }
     }
 
-    fn scheduler_answered(
-        &mut self,
-        now: Time,
-        purpose: Purpose,
-        result: Result<TableResp, StoreError>,
-        out: &mut Vec<Action>,
-    ) {
-        let (mut cx, parts) = self.split(now, out);
-        let Some(scheduler) = parts.scheduler else {
-            return;
-        };
-        match purpose {
-            Purpose::StateScan => scheduler.rows_read(now, result),
-            Purpose::InboxScan => scheduler.inbox_read(&mut cx, result),
-            Purpose::InboxUnit(id, notice) => scheduler.unit_read(now, &id, notice, result),
-            _ => {}
-        }
-    }
-
     fn settled(&mut self, now: Time, owner: Owner, settlement: Settlement, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
         match owner {
             Owner::Nobody => {}
-            Owner::State(id) => {
-                if let Some(scheduler) = parts.scheduler {
-                    scheduler.state_settled(now, &id, settlement);
+            Owner::Scheduler(generation, change) => {
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.settled(now, change, settlement);
                 }
             }
-            Owner::Operator(id) => {
-                parts.operators.settled(&mut cx, id, settlement);
-                parts.config.poll_soon();
+            Owner::Publishing => {
+                let operators = parts.operators;
+                if operators.settled(&mut cx, parts.config, &settlement) {
+                    self.config_changed(now);
+                }
             }
         }
     }
 
-    fn config_changed(&mut self) {
+    fn config_changed(&mut self, now: Time) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
         self.entry.set_config(self.config.config());
         if let Some(scheduler) = &mut self.scheduler {
-            scheduler.set_teams(self.config.config().teams().values());
+            let policy = Policy::new(self.config.config(), self.me.domain);
+            scheduler.set_policy(now, policy);
             scheduler.read_inbox_soon();
         }
     }
@@ -593,9 +639,9 @@
                 if let Some(question) = msg.asks() {
                     self.questions.insert((to, question), now);
                 }
+                self.lease_addresses.insert(to, address);
                 out.push(Action::Peer {
                     to,
-                    address,
                     fresh: true,
                     msg: PeerMsg::Lease(msg),
                 });
@@ -620,13 +666,37 @@
     }
 
     fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
-        let cfg = self.cfg.scheduler.clone();
-        let place = self.cfg.place.clone();
-        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-        scheduler.set_teams(self.config.config().teams().values());
+        self.generation.0 += 1;
+        let mut scheduler = Scheduler::new(
+            now,
+            self.cfg.scheduler.clone(),
+            self.cfg.place.clone(),
+            self.me.domain,
+            epoch,
+            self.generation,
+        );
+        let policy = Policy::new(self.config.config(), self.me.domain);
+        scheduler.set_policy(now, policy);
         self.scheduler = Some(scheduler);
     }
 
+    /// Answers an operator's call to shut a node down gracefully.
+    fn drain(&mut self, now: Time, id: OperatorId, node: NodeId, out: &mut Vec<Action>) {
+        let resp = if node == self.me.node {
+            self.shutdown(now, out);
+            drain_answer(node)
+        } else if self.address(node).is_some() {
+            send_peer(out, node, PeerMsg::Drain);
+            drain_answer(node)
+        } else {
+            OperatorResp::Failed {
+                verdict: Verdict::NotRun,
+                message: format!("no node {node} is known; `lacewing dump` names the known ones"),
+            }
+        };
+        out.push(Action::Operator(id, resp));
+    }
+
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
@@ -637,6 +707,7 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
+    me: &'a Identity,
     members: &'a mut Members,
     view: &'a OwnView,
     operators: &'a mut Operators,
@@ -665,3 +736,31 @@
         Err(StoreError::Unreachable(_) | StoreError::Refused(_)) => WriteResult::NotWritten,
     }
 }
+
+fn drain_answer(node: NodeId) -> OperatorResp {
+    OperatorResp::Done {
+        message: format!("{node} is asked to shut down gracefully"),
+        version: 0,
+    }
+}
+
+fn send_peer(out: &mut Vec<Action>, to: NodeId, msg: PeerMsg) {
+    out.push(Action::Peer {
+        to,
+        fresh: false,
+        msg,
+    });
+}
+
+/// The present scheduler, if it is the one of this generation.
+fn current(scheduler: &mut Option<Scheduler>, generation: Generation) -> Option<&mut Scheduler> {
+    let present = scheduler.as_mut()?;
+    (present.generation() == generation).then_some(present)
+}
+
+/// A hash that is the same in every process (FNV-1a).
+fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -188,15 +188,9 @@
                 };
                 self.answer(req, answer);
             }
-            Action::Peer {
-                to,
-                address,
-                fresh,
-                msg,
-            } => self.send_peer(to, &address, fresh, msg),
-            Action::Forward {
-                req, node, address, ..
-            } => {
+            Action::Peer { to, fresh, msg } => self.send_peer(to, fresh, msg),
+            Action::Forward { req, node, .. } => {
+                let address = self.node.address(node).unwrap_or_default().to_owned();
                 let answer = RouteAnswer::Forward { req, node, address };
                 self.answer(req, answer);
             }
@@ -210,7 +204,8 @@
         }
     }
 
-    fn send_peer(&self, to: NodeId, address: &str, fresh: bool, msg: PeerMsg) {
+    fn send_peer(&self, to: NodeId, fresh: bool, msg: PeerMsg) {
+        let address = self.node.address(to).unwrap_or_default();
         let (Some(links), Ok(address)) = (&self.links, address.parse()) else {
             log::warn!("node: {to} has no address that can be used: {address}");
             return;
--- a/crates/place/src/config.rs
+++ b/crates/place/src/config.rs
@@ -29,7 +29,7 @@
 /// Settings of a [`Placer`](crate::Placer).
 #[derive(Clone, Debug)]
 pub struct PlaceConfig {
-    /// The most starts of one call of [`Placer::decide`](crate::Placer::decide). 1,000 by default.
+    /// The most starts of one call of [`Placer::decide`](crate::Placer::decide). 250 by default.
     pub batch_max: usize,
     /// How a worker is chosen. [`FitRule::Best`] by default.
     pub fit: FitRule,
@@ -46,8 +46,14 @@
     pub patience_standard: Duration,
     /// How long a bulk unit waits before room is kept for it. 60 s by default.
     pub patience_bulk: Duration,
-    /// The most units that room is kept for at a time, without urgent ones. 4 by default.
-    pub kept_units_max: usize,
+    /// How long room that is kept for an interactive or standard unit may drain by itself before
+    /// less urgent tasks there are checkpointed. Zero by default.
+    pub press_after: Duration,
+    /// The most bulk units that room is kept for at a time. 4 by default.
+    pub kept_bulk_max: usize,
+    /// The most interactive and standard units that room is kept for at a time, besides those that
+    /// preempted. 16 by default.
+    pub kept_urgent_max: usize,
     /// The most units of one team and class that a call looks at. 32 by default.
     pub scan_depth: usize,
     /// How long a task may take to checkpoint before it is stopped. 3 s by default.
@@ -73,7 +79,7 @@
 impl Default for PlaceConfig {
     fn default() -> Self {
         Self {
-            batch_max: 1_000,
+            batch_max: 250,
             fit: FitRule::default(),
             backfill: Backfill::default(),
             urgent_reserve_permille: 20,
@@ -81,7 +87,9 @@
             patience_interactive: Duration::from_millis(500),
             patience_standard: Duration::from_secs(5),
             patience_bulk: Duration::from_secs(60),
-            kept_units_max: 4,
+            press_after: Duration::ZERO,
+            kept_bulk_max: 4,
+            kept_urgent_max: 16,
             scan_depth: 32,
             checkpoint_timeout: Duration::from_secs(3),
             preemptions_max: 3,
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -11,6 +11,7 @@
 use crate::{
     Decision, Placer,
     fit::Slot,
+    teams::{Claim, TeamIx},
     units::{Hold, TaskKey, UnitIx},
 };
 
@@ -72,8 +73,12 @@
         self.next += 1;
     }
 
-    fn patient(&self) -> usize {
-        self.groups.values().filter(|group| !group.urgent).count()
+    /// How many units have waited for their kept room, of the bulk class or of the others.
+    fn patient(&self, bulk: bool) -> usize {
+        let groups = self.groups.values();
+        groups
+            .filter(|group| !group.urgent && (group.class == Class::Bulk) == bulk)
+            .count()
     }
 }
 
@@ -163,7 +168,7 @@
         if asked.at.is_none() {
             let slots: Vec<Slot> = group.rooms.keys().copied().collect();
             for slot in slots {
-                asked.victims.extend(self.in_the_way(slot, class));
+                asked.victims.extend(self.in_the_way(now, slot, class));
             }
             if asked.victims.is_empty() {
                 return;
@@ -197,37 +202,56 @@
         asked.at = (!asked.victims.is_empty()).then_some(now);
     }
 
-    /// Tasks on a worker that must make way for a unit of `class` whose room is overdue.
-    fn in_the_way(&self, slot: Slot, class: Class) -> Vec<TaskKey> {
-        let worker = self.workers.get(slot);
-        let must_go = |key: &&TaskKey| {
-            let placed = self.units.placed(**key);
-            let lower = self.units.get(key.0).is_some_and(|e| e.class() < class);
-            placed.is_some_and(|p| {
-                !p.ending && (p.hold == Hold::Revocable || (p.hold.is_preemptible() && lower))
-            })
-        };
-        worker.tasks.iter().filter(must_go).copied().collect()
+    /// Tasks on a worker that must make way for a unit of `class` whose room is overdue: as few as
+    /// will do, or all that may if they are not enough.
+    fn in_the_way(&self, now: Time, slot: Slot, class: Class) -> Vec<TaskKey> {
+        let held = Size::ZERO;
+        if let Some((_, victims)) = self.victims(now, slot, held, class) {
+            return victims;
+        }
+        let tasks = self.workers.get(slot).tasks.iter();
+        tasks
+            .filter(|key| self.may_preempt(class, **key))
+            .copied()
+            .collect()
     }
 
     /// Keeps room for the units that have waited too long, the longest wait first.
-    pub(crate) fn keep_for_patient(&mut self, now: Time) {
+    pub(crate) fn keep_for_patient(&mut self, now: Time, out: &mut Vec<Decision>) {
         if now < self.next_patience {
             return;
         }
         self.next_patience = now + PATIENCE_INTERVAL;
-        let room = self.cfg.kept_units_max.saturating_sub(self.kept.patient());
-        if room == 0 || self.queues.is_empty() {
+        self.teams.drop_claims();
+        if self.queues.is_empty() {
             return;
         }
         let mut overdue = Vec::new();
         for class in Class::URGENT_FIRST {
-            for team in self.queues.teams(class) {
-                self.overdue(now, class, team, &mut overdue);
+            let teams: Vec<TeamIx> = self.queues.teams(class).collect();
+            for team in teams {
+                self.overdue(now, class, team, &mut overdue, out);
             }
         }
         overdue.sort_unstable();
-        for (_, _, unit) in overdue.into_iter().take(room) {
+        self.keep_units(now, &overdue, true);
+        self.keep_units(now, &overdue, false);
+    }
+
+    fn keep_units(&mut self, now: Time, overdue: &[(Time, u64, UnitIx)], bulk: bool) {
+        let max = if bulk {
+            self.cfg.kept_bulk_max
+        } else {
+            self.cfg.kept_urgent_max
+        };
+        let room = max.saturating_sub(self.kept.patient(bulk));
+        let of_class = |unit: &UnitIx| {
+            let entry = self.units.get(*unit);
+            entry.is_some_and(|e| (e.class() == Class::Bulk) == bulk)
+        };
+        let units = overdue.iter().map(|(.., unit)| *unit);
+        let units: Vec<UnitIx> = units.filter(of_class).take(room).collect();
+        for unit in units {
             if !self.keep_unit(now, unit)
                 && let Some(entry) = self.units.get_mut(unit)
             {
@@ -236,12 +260,21 @@
         }
     }
 
+    /// Whether the unit's team may hold `size` more for it.
+    pub(crate) fn quota_allows(&self, unit: UnitIx, size: Size) -> bool {
+        let entry = self.units.get(unit);
+        entry.is_some_and(|e| self.teams.allows_unit(e.team, unit, e.class(), size))
+    }
+
+    /// Adds the first overdue unit of a line. Where the quota is used up, the next part of it that
+    /// becomes free is kept for the first such unit, so that smaller ones do not take it each time.
     fn overdue(
-        &self,
+        &mut self,
         now: Time,
         class: Class,
-        team: usize,
+        team: TeamIx,
         overdue: &mut Vec<(Time, u64, UnitIx)>,
+        out: &mut Vec<Decision>,
     ) {
         let mut from = 0;
         for _ in 0..HEADS_LOOKED_AT {
@@ -254,7 +287,15 @@
             };
             let at_once = self.at_once(unit);
             let due = entry.since + self.cfg.patience(class);
-            if now >= due.max(entry.keep_at) && self.teams.allows(team, at_once) {
+            if now < due {
+                continue;
+            }
+            let keep_at = entry.keep_at;
+            if !self.teams.allows(team, at_once) {
+                let size = at_once;
+                self.teams.claim(team, Claim { unit, class, size });
+                self.press_quota(team, class, size, out);
+            } else if now >= keep_at && self.quota_allows(unit, at_once) {
                 overdue.push((due, seq, unit));
                 return;
             }
@@ -302,6 +343,9 @@
             *group.rooms.entry(slot).or_default() += size;
             group.shadow = group.shadow.max(shadow);
         }
+        if class > Class::Bulk && self.cfg.preempts {
+            group.shadow = group.shadow.min(now + self.cfg.press_after);
+        }
         self.kept.push(group);
         true
     }
