Group commit: a change whose check depends on another's write waits for the next transaction

Ruled out: the table's checks, the void path. Change: a batch ends before a change that checks a row which the batch writes. Before: store/tests/same_key.rs settles both as committed; after: the second one conflicts.

--- a/crates/store/src/commit/queue.rs
+++ b/crates/store/src/commit/queue.rs
@@ -1,6 +1,9 @@
 //! The changes that wait for a transaction, and how long they have waited.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use model::Time;
 
@@ -42,10 +45,32 @@
         if let Some(single) = self.split.pop_front() {
             return vec![single];
         }
-        let n = self.waiting.len().min(max);
+        let n = self.independent(max);
         self.waiting.drain(..n).collect()
     }
 
+    /// How many changes from the front can go into one transaction. The table makes all checks of a
+    /// transaction before its writes, so a change whose check depends on an earlier one's write has to
+    /// wait for the next transaction: two changes that each make a row "unless there is one" would both
+    /// be made otherwise.
+    fn independent(&self, max: usize) -> usize {
+        let mut written = BTreeSet::new();
+        let mut n = 0;
+        for waiting in self.waiting.iter().take(max) {
+            let change = &waiting.change;
+            if change
+                .checks
+                .iter()
+                .any(|check| written.contains(check.key.as_str()))
+            {
+                break;
+            }
+            written.extend(change.writes.iter().map(|write| write.key.as_str()));
+            n += 1;
+        }
+        n
+    }
+
     /// Takes the changes that have waited for longer than `max`.
     pub(super) fn take_expired(&mut self, now: Time, max: Duration) -> Vec<Waiting> {
         let mut expired = Vec::new();
