A node that shuts down tells all nodes at once, and refuses for a while what still comes

Ruled out: requests in flight at the node itself. Change: leaving goes to all nodes of other domains with each summary, they take the node out of their choices at once, and a closed node refuses for 1 s before it exits.

--- a/crates/node/src/core/entry/mod.rs
+++ b/crates/node/src/core/entry/mod.rs
@@ -22,6 +22,8 @@
 
 /// How long a node that shuts down still takes requests.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// How long a node that has closed goes on refusing what still comes.
+const REFUSE_FOR: Duration = Duration::from_secs(1);
 
 /// The router of a node with its owner's part.
 #[derive(Clone, Debug)]
@@ -56,8 +58,12 @@
     }
 
     /// Whether nothing is cut off if the process ends now.
-    pub(crate) fn is_drained(&self) -> bool {
-        self.router.is_closed() && self.router.in_flight() == 0
+    ///
+    /// What other nodes pass on may still be on its way when the router closes: it is refused for a
+    /// while, so that its sender gets an answer in place of a broken connection.
+    pub(crate) fn is_drained(&self, now: Time) -> bool {
+        let closed_for_long = self.closes.is_some_and(|closes| now >= closes + REFUSE_FOR);
+        closed_for_long && self.router.is_closed() && self.router.in_flight() == 0
     }
 
     /// The longest deadline that requests have had.
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -90,6 +90,8 @@
     heartbeat_sent: Time,
     next_heartbeat: Time,
     next_summary: Time,
+    /// Whether the others were told that this node shuts down.
+    leaving: bool,
     turn: usize,
 }
 
@@ -107,6 +109,7 @@
             heartbeat_sent: Time::ZERO,
             next_heartbeat: Time::ZERO,
             next_summary: Time::ZERO,
+            leaving: false,
             turn: 0,
         }
     }
@@ -226,8 +229,9 @@
             }
             let same_region = domain.summary.region == self.me.region;
             for (node, told) in &domain.nodes {
-                let known = self.known.get(node).is_some_and(|m| m.row.domain == *id);
-                if known && now.since(told.heard) < late {
+                let member = self.known.get(node);
+                let serves = member.is_some_and(|m| m.row.domain == *id && !m.leaving);
+                if serves && now.since(told.heard) < late {
                     let node = *node;
                     remotes.push(Remote { node, same_region });
                 }
@@ -247,6 +251,11 @@
             };
             cx.table(Purpose::Members, req);
         }
+        if state.leaving && !self.leaving {
+            self.leaving = true;
+            self.next_heartbeat = cx.now;
+            self.next_summary = cx.now;
+        }
         if cx.now >= self.next_heartbeat {
             self.next_heartbeat = cx.now + self.cfg.heartbeat_interval;
             self.send_heartbeats(cx, state);
@@ -357,6 +366,13 @@
                 .filter(|(_, m)| m.row.domain == domain)
                 .map(|(node, _)| node)
                 .collect();
+            if state.leaving {
+                // All nodes that could pass a request on here are to know it.
+                for to in nodes {
+                    send(cx, to, PeerMsg::Summary(summary.clone()));
+                }
+                continue;
+            }
             // Nodes of one domain begin at different places, so that each node of the other domain
             // is told by somebody in each round.
             let turn = self.turn + self.me.node.0 as usize;
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -259,7 +259,7 @@
         self.refresh_remotes(now);
         let (mut cx, parts) = self.split(now, out);
         parts.entry.tick(&mut cx);
-        if self.leaving && self.entry.is_drained() && self.commits.unsettled() == 0 {
+        if self.leaving && self.entry.is_drained(now) && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
         }
         if self
@@ -471,6 +471,10 @@
     }
 
     fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
+        if summary.leaving {
+            // Nothing more is passed on to it.
+            self.next_remotes = now;
+        }
         let (mut cx, parts) = self.split(now, out);
         // What it tells of other nodes is left out: they may be out of this node's reach.
         let version = summary.config_version;
