--- a/crates/place/src/config.rs
+++ b/crates/place/src/config.rs
@@ -29,7 +29,7 @@
 /// Settings of a [`Placer`](crate::Placer).
 #[derive(Clone, Debug)]
 pub struct PlaceConfig {
-    /// The most starts of one call of [`Placer::decide`](crate::Placer::decide). 250 by default.
+    /// The most starts of one call of [`Placer::decide`](crate::Placer::decide). 128 by default.
     pub batch_max: usize,
     /// How a worker is chosen. [`FitRule::Best`] by default.
     pub fit: FitRule,
@@ -79,7 +79,7 @@
 impl Default for PlaceConfig {
     fn default() -> Self {
         Self {
-            batch_max: 250,
+            batch_max: 128,
             fit: FitRule::default(),
             backfill: Backfill::default(),
             urgent_reserve_permille: 20,
--- a/crates/place/src/fit.rs
+++ b/crates/place/src/fit.rs
@@ -15,6 +15,9 @@
 /// Candidates weighed per step of free processors.
 const CANDIDATES_PER_STEP: usize = 2;
 
+/// Candidates weighed per search.
+const CANDIDATES_MAX: usize = 24;
+
 /// One whole, for shares of a worker.
 const MILLION: u64 = 1_000_000;
 
@@ -67,16 +70,21 @@
         let least = step(size.milli_processors);
         let mut best: Option<(S, Slot)> = None;
         let mut level = size.accelerators;
+        let mut weighed_in_all = 0;
         for ((accelerators, step), set) in self.steps.range((size.accelerators, least)..) {
             if *accelerators != level {
                 if best.is_some() {
                     break;
                 }
+                weighed_in_all = 0;
                 level = *accelerators;
             }
             if *step < least {
                 continue;
             }
+            if weighed_in_all >= CANDIDATES_MAX {
+                break;
+            }
             let mut weighed = 0;
             for (memory, processors, slot) in set.range((size.memory_mb, 0, 0)..) {
                 if *processors < size.milli_processors {
@@ -90,6 +98,7 @@
                     best = Some((score, *slot));
                 }
                 weighed += 1;
+                weighed_in_all += 1;
                 if weighed >= CANDIDATES_PER_STEP {
                     break;
                 }
