--- a/crates/place/src/explain.rs
+++ b/crates/place/src/explain.rs
@@ -2,7 +2,7 @@
 
 use model::{Class, Kind, Size};
 
-use crate::{Decision, Placer, Unplaceable, units::UnitIx};
+use crate::{Decision, Placer, Unplaceable, failed::Failed, units::UnitIx};
 
 impl Placer {
     /// Whether a unit can run at all on the workers and under the quota that there are.
@@ -56,6 +56,9 @@
         if !std::mem::take(&mut self.recheck) {
             return;
         }
+        self.no_room
+            .values_mut()
+            .for_each(|failed| *failed = Failed::default());
         let waits = self
             .units
             .iter()
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Decision, Placer,
+    failed::Failed,
     fit::Slot,
     teams::{Claim, TeamIx},
     units::{Hold, TaskKey, UnitIx},
@@ -276,12 +277,9 @@
         overdue: &mut Vec<(Time, u64, UnitIx)>,
         out: &mut Vec<Decision>,
     ) {
-        let mut from = 0;
-        for _ in 0..HEADS_LOOKED_AT {
-            let Some((seq, unit)) = self.queues.next(class, team, from) else {
-                return;
-            };
-            from = seq + 1;
+        let heads = self.queues.line(class, team, 0).take(HEADS_LOOKED_AT);
+        let heads: Vec<(u64, UnitIx)> = heads.map(|(seq, unit, _)| (seq, unit)).collect();
+        for (seq, unit) in heads {
             let Some(entry) = self.units.get(unit) else {
                 continue;
             };
@@ -347,6 +345,7 @@
             group.shadow = group.shadow.min(now + self.cfg.press_after);
         }
         self.kept.push(group);
+        self.no_room.values_mut().for_each(Failed::more_kept);
         true
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -41,6 +41,7 @@
 mod ends;
 mod error;
 mod explain;
+mod failed;
 mod fit;
 mod growth;
 mod health;
--- a/crates/place/src/pass.rs
+++ b/crates/place/src/pass.rs
@@ -8,7 +8,9 @@
 use crate::{
     Decision, Placer,
     config::Backfill,
+    failed::{Failed, Need},
     fit::Slot,
+    queues::Queued,
     teams::TeamIx,
     units::{Entry, TaskKey, UnitIx},
 };
@@ -19,37 +21,12 @@
 /// A gang that found no room is tried again after this time, if anything has changed.
 const GANG_RETRY: Duration = Duration::from_millis(200);
 
-/// Sizes without room that are remembered within a pass.
-const FAILED_REMEMBERED: usize = 16;
-
-/// Sizes for which this pass has found no room. Room only shrinks within a pass.
-#[derive(Debug, Default)]
-struct Failed {
-    sizes: Vec<(bool, Size)>,
-}
-
-impl Failed {
-    fn covers(&self, service: bool, size: Size) -> bool {
-        let mut sizes = self.sizes.iter();
-        sizes.any(|(s, failed)| *s == service && failed.fits(&size))
-    }
-
-    fn add(&mut self, service: bool, size: Size) {
-        self.sizes
-            .retain(|(s, failed)| *s != service || !size.fits(failed));
-        if self.sizes.len() < FAILED_REMEMBERED {
-            self.sizes.push((service, size));
-        }
-    }
-}
-
 /// A team's turn: its share, itself, where its line goes on, and how many units were passed over.
 type Turn = (u64, TeamIx, u64, usize);
 
 /// What one pass remembers.
 #[derive(Debug, Default)]
 struct Pass {
-    no_room: Failed,
     not_preemptible: Failed,
     preemptions: u32,
     /// The length of `out` at which the pass ends.
@@ -64,8 +41,12 @@
             limit: out.len() + self.cfg.batch_max,
             ..Pass::default()
         };
+        for room in self.workers.take_grown() {
+            self.no_room
+                .values_mut()
+                .for_each(|failed| failed.grown(room));
+        }
         for class in Class::URGENT_FIRST {
-            pass.no_room = Failed::default();
             self.pass_class(now, class, &mut pass, out);
             if out.len() >= pass.limit {
                 self.dirty = true;
@@ -83,20 +64,44 @@
             if out.len() >= pass.limit {
                 return;
             }
-            let Some((seq, unit)) = self.queues.next(class, team, from) else {
+            let Some((seq, unit, passed_over)) = self.next_unit(class, team, from, passed_over)
+            else {
                 continue;
             };
             let turn = if self.start_next(now, unit, pass, out) {
                 (self.teams.share(team), team, seq, passed_over)
-            } else if passed_over < self.cfg.scan_depth {
-                (self.teams.share(team), team, seq + 1, passed_over + 1)
             } else {
-                continue;
+                (self.teams.share(team), team, seq + 1, passed_over + 1)
             };
             turns.insert(turn);
         }
     }
 
+    /// The next unit of a line for which there may be room, and how many were passed over before it.
+    fn next_unit(
+        &self,
+        class: Class,
+        team: TeamIx,
+        from: u64,
+        mut passed_over: usize,
+    ) -> Option<(u64, UnitIx, usize)> {
+        let no_room = &self.no_room[&class];
+        // Interactive work is looked at in any case: it may preempt.
+        let hopeless = |queued: &Queued| {
+            class != Class::Interactive && no_room.covers(queued.need, queued.size)
+        };
+        for (seq, unit, queued) in self.queues.line(class, team, from) {
+            if passed_over > self.cfg.scan_depth {
+                return None;
+            }
+            if !hopeless(queued) {
+                return Some((seq, unit, passed_over));
+            }
+            passed_over += 1;
+        }
+        None
+    }
+
     /// Starts the next task of a unit, or all tasks of a gang, and returns whether it did.
     fn start_next(
         &mut self,
@@ -109,7 +114,7 @@
             return false;
         };
         if entry.is_gang() {
-            return self.start_gang(now, unit, pass, out);
+            return self.start_gang(now, unit, out);
         }
         let Some(index) = entry.waiting.first().copied() else {
             return false;
@@ -118,15 +123,15 @@
         if !self.quota_allows(unit, size) {
             return false;
         }
-        let (service, class) = (entry.is_service(), entry.class());
-        if !pass.no_room.covers(service, size) {
+        let (need, class) = (entry.need(), entry.class());
+        if !self.no_room[&class].covers(need, size) {
             if let Some((slot, revocable)) = self.find(now, unit, index, size) {
                 self.put(now, (unit, index), slot, size, revocable);
                 self.announce((unit, index), out);
                 return true;
             }
             if !self.avoids(entry, index) {
-                pass.no_room.add(service, size);
+                self.no_room.entry(class).or_default().add(need, size);
             }
         }
         class == Class::Interactive && self.preempt(now, (unit, index), size, pass, out)
@@ -141,25 +146,19 @@
         out: &mut Vec<Decision>,
     ) -> bool {
         let exhausted = pass.preemptions >= PREEMPTIONS_PER_PASS;
-        if !self.cfg.preempts || exhausted || pass.not_preemptible.covers(false, size) {
+        if !self.cfg.preempts || exhausted || pass.not_preemptible.covers(Need::Firm, size) {
             return false;
         }
         if self.keep_by_preemption(now, key, size, out) {
             pass.preemptions += 1;
             return true;
         }
-        pass.not_preemptible.add(false, size);
+        pass.not_preemptible.add(Need::Firm, size);
         false
     }
 
     /// Reserves room for all tasks of a gang, then starts them; or holds nothing.
-    fn start_gang(
-        &mut self,
-        now: Time,
-        unit: UnitIx,
-        pass: &mut Pass,
-        out: &mut Vec<Decision>,
-    ) -> bool {
+    fn start_gang(&mut self, now: Time, unit: UnitIx, out: &mut Vec<Decision>) -> bool {
         let size = self.size_of(unit);
         let at_once = self.at_once(unit);
         let Some(entry) = self.units.get(unit) else {
@@ -171,7 +170,7 @@
         }
         let hopeless = !self.quota_allows(unit, at_once)
             || !at_once.fits(&self.workers.free())
-            || pass.no_room.covers(false, size);
+            || self.no_room[&entry.class()].covers(entry.need(), size);
         if hopeless {
             return false;
         }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,11 +1,12 @@
 //! The placer: what it is told, and its bookkeeping.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use model::{Kind, Size, TaskId, Team, Time, Unit, UnitId, WorkerId};
+use model::{Class, Kind, Size, TaskId, Team, Time, Unit, UnitId, WorkerId};
 
 use crate::{
     Decision, PlaceConfig, Unplaceable, Waiting, WorkerSpec,
+    failed::Failed,
     fit::Slot,
     growth::Growth,
     health::Trust,
@@ -33,6 +34,8 @@
     pub(crate) kept: Kept,
     pub(crate) growths: Vec<Growth>,
     pub(crate) pending: Vec<Decision>,
+    /// Sizes without room, by class.
+    pub(crate) no_room: BTreeMap<Class, Failed>,
     pub(crate) dirty: bool,
     pub(crate) recheck: bool,
     pub(crate) next_patience: Time,
@@ -56,6 +59,9 @@
             kept: Kept::default(),
             growths: Vec::new(),
             pending: Vec::new(),
+            no_room: Class::URGENT_FIRST
+                .map(|class| (class, Failed::default()))
+                .into(),
             dirty: false,
             recheck: false,
             next_patience: Time::ZERO,
@@ -349,7 +355,7 @@
     /// Brings the queues in step with a unit.
     pub(crate) fn file(&mut self, ix: UnitIx) {
         if let Some(entry) = self.units.get(ix) {
-            self.queues.file(ix, entry);
+            self.queues.file(ix, entry, self.size_of(ix));
         }
     }
 
--- a/crates/place/src/queues.rs
+++ b/crates/place/src/queues.rs
@@ -2,15 +2,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use model::{Class, Time};
+use model::{Class, Size, Time};
 
 use crate::{
+    failed::Need,
     teams::TeamIx,
     units::{Entry, TaskKey, UnitIx},
 };
 
 /// The units of one class and team in order of arrival.
-type Line = BTreeSet<(u64, UnitIx)>;
+type Line = BTreeMap<(u64, UnitIx), Queued>;
+
+/// What a unit in a queue was last known to need for a task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Queued {
+    pub(crate) need: Need,
+    pub(crate) size: Size,
+}
 
 /// All queues.
 #[derive(Clone, Debug, Default)]
@@ -21,13 +29,14 @@
 
 impl Queues {
     /// Brings the queue in step with a unit.
-    pub(crate) fn file(&mut self, ix: UnitIx, entry: &Entry) {
+    pub(crate) fn file(&mut self, ix: UnitIx, entry: &Entry, size: Size) {
         if !entry.queued() {
             self.remove(ix, entry);
             return;
         }
         let line = self.lines.entry((entry.class(), entry.team)).or_default();
-        line.insert((entry.seq, ix));
+        let need = entry.need();
+        line.insert((entry.seq, ix), Queued { need, size });
     }
 
     pub(crate) fn remove(&mut self, ix: UnitIx, entry: &Entry) {
@@ -50,10 +59,16 @@
         lines.map(|((_, team), _)| *team)
     }
 
-    /// The first unit of a line that arrived no earlier than `seq`.
-    pub(crate) fn next(&self, class: Class, team: TeamIx, seq: u64) -> Option<(u64, UnitIx)> {
-        let line = self.lines.get(&(class, team))?;
-        line.range((seq, 0)..).next().copied()
+    /// The units of a line that arrived no earlier than `seq`, in order.
+    pub(crate) fn line(
+        &self,
+        class: Class,
+        team: TeamIx,
+        seq: u64,
+    ) -> impl Iterator<Item = (u64, UnitIx, &Queued)> {
+        let line = self.lines.get(&(class, team)).into_iter();
+        line.flat_map(move |line| line.range((seq, 0)..))
+            .map(|((seq, ix), queued)| (*seq, *ix, queued))
     }
 
     pub(crate) fn delay(&mut self, until: Time, key: TaskKey) {
--- a/crates/place/src/units.rs
+++ b/crates/place/src/units.rs
@@ -4,7 +4,7 @@
 
 use model::{Class, Kind, RackId, Repeat, Size, TaskId, Time, Unit, UnitId};
 
-use crate::{Unplaceable, fit::Slot, teams::TeamIx};
+use crate::{Unplaceable, failed::Need, fit::Slot, teams::TeamIx};
 
 /// A unit's number within one placer.
 pub(crate) type UnitIx = u32;
@@ -150,6 +150,17 @@
             && (self.delayed == 0 || !self.is_gang())
     }
 
+    /// Which room its tasks may use.
+    pub(crate) const fn need(&self) -> Need {
+        if self.is_service() {
+            Need::Lasting
+        } else if self.may_interrupt() {
+            Need::Movable
+        } else {
+            Need::Firm
+        }
+    }
+
     pub(crate) fn task_id(&self, index: u32) -> TaskId {
         TaskId::new(&self.id, index)
     }
--- a/crates/place/src/workers.rs
+++ b/crates/place/src/workers.rs
@@ -108,6 +108,8 @@
     plain_added: u32,
     open: u32,
     free: Size,
+    /// Room that workers have come to have since this was last taken.
+    grown: Vec<Size>,
 }
 
 impl Workers {
@@ -259,6 +261,7 @@
         self.count_shape(slot, false);
         change(self.get_mut(slot));
         self.count_shape(slot, true);
+        self.note_grown(slot);
         self.refile(slot, cfg);
     }
 
@@ -290,6 +293,7 @@
             worker.preemptible -= placed.size;
         }
         worker.tasks.remove(&key);
+        self.note_grown(placed.slot);
         self.refile(placed.slot, cfg);
     }
 
@@ -302,6 +306,7 @@
     /// Gives kept room back.
     pub(crate) fn unhold(&mut self, slot: Slot, size: Size, cfg: &PlaceConfig) {
         self.get_mut(slot).held -= size;
+        self.note_grown(slot);
         self.refile(slot, cfg);
     }
 
@@ -313,6 +318,7 @@
         {
             worker.health.trust = Trust::Probing { busy: false };
         }
+        self.note_grown(slot);
         self.refile(slot, cfg);
     }
 
@@ -323,11 +329,29 @@
         change: impl FnOnce(&mut Health) -> R,
         cfg: &PlaceConfig,
     ) -> R {
+        let before = self.get(slot).health.trust;
         let result = change(&mut self.get_mut(slot).health);
+        if self.get(slot).health.trust != before {
+            self.note_grown(slot);
+        }
         self.refile(slot, cfg);
         result
     }
 
+    /// Notes that a worker has more room than before, which may be of use to tasks that wait.
+    fn note_grown(&mut self, slot: Slot) {
+        let worker = self.get(slot);
+        let room = worker.spec.size - worker.used;
+        if worker.open && room != Size::ZERO {
+            self.grown.push(room);
+        }
+    }
+
+    /// The room that workers have come to have since the last call.
+    pub(crate) fn take_grown(&mut self) -> Vec<Size> {
+        std::mem::take(&mut self.grown)
+    }
+
     /// Brings the indexes in step with a worker.
     fn refile(&mut self, slot: Slot, cfg: &PlaceConfig) {
         let worker = &self.list[slot as usize];
