--- a/crates/place/src/ends.rs
+++ b/crates/place/src/ends.rs
@@ -5,7 +5,7 @@
 use crate::{
     Next, Placer, TaskEnd,
     health::{Health, Trust},
-    units::{Placed, TaskKey, remember},
+    units::{Entry, Placed, TaskKey, remember},
 };
 
 impl Placer {
@@ -75,6 +75,10 @@
 
     /// Queues a task again after its attempt has ended, at once or after a backoff.
     fn wait_again(&mut self, now: Time, key: TaskKey, end: TaskEnd, counted: bool) -> Next {
+        if self.units.get(key.0).is_some_and(Entry::is_gang) {
+            // Room that is kept for some of its tasks is no longer room for all that wait.
+            self.drop_groups(|group| group.unit == key.0);
+        }
         let Some(entry) = self.units.get_mut(key.0) else {
             return Next::Done;
         };
--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -139,11 +139,17 @@
         }
     }
 
+    /// Whether the room of a group is free beside that of the older groups. Without regard to these,
+    /// a row of younger groups could use up room for which an older one waits.
     fn group_is_free(&self, id: u64) -> bool {
         let rooms = &self.kept.groups[&id].rooms;
-        rooms
-            .iter()
-            .all(|(slot, size)| self.workers.get(*slot).fits_beside_running(*size))
+        rooms.iter().all(|(slot, size)| {
+            let older = self.kept.groups.range(..id);
+            let held = older.filter_map(|(_, group)| group.rooms.get(slot));
+            let held = held.fold(Size::ZERO, |sum, size| sum + *size);
+            let worker = self.workers.get(*slot);
+            worker.fits_beside_running(*size + held)
+        })
     }
 
     fn start_group(&mut self, now: Time, id: u64, out: &mut Vec<Decision>) {
@@ -253,6 +259,10 @@
         let units = overdue.iter().map(|(.., unit)| *unit);
         let units: Vec<UnitIx> = units.filter(of_class).take(room).collect();
         for unit in units {
+            // Those before it may have used up its team's quota.
+            if !self.quota_allows(unit, self.at_once(unit)) {
+                continue;
+            }
             if !self.keep_unit(now, unit)
                 && let Some(entry) = self.units.get_mut(unit)
             {
