Requests: loopback tests of the proxy, and a proxy with fixed backend servers for them

Cause: the proxy's promises were checked by reading only. Change: FixedProxy runs the daemon's own intake, carriers and answers with a router of fixed grants; the requests that wait for a decision have a type of their own, which the node's actor shares. Eight tests: whole answers, bodies by method and framing, headers of one connection, cut answers, refused connections, silent servers, a request that must run once, requests out of bounds. Conclusion: verdicts hold on these paths on loopback.

--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -6,14 +6,14 @@
     time::{Duration, Instant},
 };
 
-use model::{NodeId, Time, Verdict};
+use model::{NodeId, Time};
 use peer::{Links, PeerMsg};
-use route::{AttemptEnd, Offer, Outcome, Reason, Refuse, ReqId};
+use route::{AttemptEnd, Offer, ReqId};
 use stakker::{CX, after, stop, sync::ChannelGuard};
 
 use super::{
     platform::{Job, Pool},
-    proxy::{Exchange, Proxy},
+    proxy::{Exchange, Proxy, Waiting},
 };
 use crate::{
     Action, Dump, Event, Identity, Node, NodeConfig, OperatorId,
@@ -54,9 +54,7 @@
     /// Keeps the channel from other threads open.
     channel: Option<ChannelGuard>,
     operators: BTreeMap<OperatorId, Sender<OperatorResp>>,
-    /// Requests that wait for a decision.
-    requests: BTreeMap<ReqId, Exchange>,
-    proxy: Option<Proxy>,
+    waiting: Option<Waiting>,
     last_id: u64,
 }
 
@@ -73,8 +71,7 @@
             links: None,
             channel: None,
             operators: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            proxy: None,
+            waiting: None,
             last_id: 0,
         })
     }
@@ -87,7 +84,7 @@
         proxy: Proxy,
         guard: ChannelGuard,
     ) {
-        self.proxy = Some(proxy);
+        self.waiting = Some(Waiting::new(proxy));
         self.pool = Some(pool);
         self.links = Some(links);
         self.channel = Some(guard);
@@ -109,10 +106,17 @@
             }
             Incoming::Request { offer, exchange } => {
                 let req = ReqId(self.next_id());
-                self.requests.insert(req, exchange);
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.add(req, exchange);
+                }
                 self.event(cx, Event::Request(Offer { req, ..offer }));
             }
-            Incoming::Finished { end, exchange } => self.finished(cx, end, exchange),
+            Incoming::Finished { end, exchange } => {
+                if let (Some(exchange), Some(waiting)) = (exchange, &mut self.waiting) {
+                    waiting.take_back(&end, exchange);
+                }
+                self.event(cx, Event::Finished(end));
+            }
             // The asker may have given up waiting.
             Incoming::Dump(reply) => drop(reply.send(self.node.dump(self.now(cx)))),
             Incoming::Ready(reply) => drop(reply.send(self.node.is_ready())),
@@ -123,8 +127,8 @@
         let mut actions = Vec::new();
         let now = self.now(cx);
         self.node.handle(now, event, &mut actions);
-        if let Some(proxy) = self.proxy.as_ref().filter(|_| self.node.is_leaving()) {
-            proxy.close_connections();
+        if let Some(waiting) = self.waiting.as_ref().filter(|_| self.node.is_leaving()) {
+            waiting.close_connections();
         }
         for action in actions {
             self.act(cx, action);
@@ -144,30 +148,26 @@
                 }
             }
             Action::Dispatch(dispatch) => {
-                let (req, attempt) = (dispatch.req, dispatch.attempt);
-                let carry = |proxy: &Proxy, exchange| proxy.dispatch(exchange, dispatch);
-                self.attempt(cx, req, attempt, carry);
+                let lost = self.waiting.as_mut().and_then(|w| w.dispatch(dispatch));
+                self.attempt_lost(cx, lost);
             }
             Action::Forward(forward) => {
-                let address = self
-                    .node
-                    .address(forward.node)
-                    .unwrap_or_default()
-                    .to_owned();
-                let (req, attempt) = (forward.req, forward.attempt);
-                let links = self.links.clone();
-                let carry = |proxy: &Proxy, exchange| {
-                    if let Some(links) = links {
-                        proxy.forward(&links, exchange, forward, address);
-                    }
-                };
-                self.attempt(cx, req, attempt, carry);
+                let address = self.node.address(forward.node);
+                let address = address.and_then(|address| address.parse().ok());
+                if let (Some(links), Some(waiting)) = (&self.links, &mut self.waiting) {
+                    let lost = waiting.forward(links, forward, address);
+                    self.attempt_lost(cx, lost);
+                }
             }
             Action::Answer(req, answer) => {
-                self.answer(req, |proxy, exchange| proxy.answer(exchange, answer));
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.answer(req, answer);
+                }
             }
             Action::Refuse(refuse) => {
-                self.answer(refuse.req, |proxy, exchange| proxy.refuse(exchange, refuse));
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.refuse(refuse);
+                }
             }
             Action::Peer { to, fresh, msg } => self.send_peer(to, fresh, msg),
             Action::Exit => stop!(cx),
@@ -193,48 +193,13 @@
         }
     }
 
-    /// Carries out an attempt. A request that was lost with its thread can't be sent any more.
-    fn attempt(
-        &mut self,
-        cx: CX![],
-        req: ReqId,
-        attempt: u32,
-        carry: impl FnOnce(&Proxy, Exchange),
-    ) {
-        if self.requests.contains_key(&req) {
-            self.answer(req, carry);
-        } else {
-            let end = AttemptEnd::new(req, attempt, Outcome::CallerGone);
+    /// An attempt could not begin.
+    fn attempt_lost(&mut self, cx: CX![], lost: Option<AttemptEnd>) {
+        if let Some(end) = lost {
             self.event(cx, Event::Finished(end));
         }
     }
 
-    /// Hands a request over to be answered or sent.
-    fn answer(&mut self, req: ReqId, carry: impl FnOnce(&Proxy, Exchange)) {
-        if let (Some(exchange), Some(proxy)) = (self.requests.remove(&req), &self.proxy) {
-            carry(proxy, exchange);
-        }
-    }
-
-    fn finished(&mut self, cx: CX![], end: AttemptEnd, exchange: Option<Exchange>) {
-        let req = end.req;
-        let gone = end.outcome == Outcome::CallerGone;
-        if let Some(exchange) = exchange {
-            self.requests.insert(req, exchange);
-        }
-        self.event(cx, Event::Finished(end));
-        // The caller's own body has failed: what came of the request is not known.
-        if gone {
-            let refuse = Refuse {
-                req,
-                verdict: Verdict::MayHaveRun,
-                reason: Reason::AnswerLost,
-                retry_after: None,
-            };
-            self.answer(req, |proxy, exchange| proxy.refuse(exchange, refuse));
-        }
-    }
-
     fn now(&self, cx: CX![]) -> Time {
         let ms = cx.now().duration_since(self.start).as_millis();
         Time::from_ms(u64::try_from(ms).unwrap_or(u64::MAX))
--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -46,7 +46,18 @@
         channel: &Channel<Incoming>,
         proxy: &Proxy,
     ) -> io::Result<Self> {
-        let server = Server::http(settings.listen).map_err(io::Error::other)?;
+        let token = settings.operator_token.clone();
+        Self::listen(settings.listen, token, channel, proxy)
+    }
+
+    /// Listens with a token of operators, who are all refused if it is empty.
+    pub(super) fn listen(
+        listen: SocketAddr,
+        operator_token: String,
+        channel: &Channel<Incoming>,
+        proxy: &Proxy,
+    ) -> io::Result<Self> {
+        let server = Server::http(listen).map_err(io::Error::other)?;
         let address = server
             .server_addr()
             .to_ip()
@@ -55,7 +66,7 @@
         let shared = Arc::new(Shared {
             channel: channel.clone(),
             proxy: proxy.clone(),
-            operator_token: settings.operator_token.clone(),
+            operator_token,
         });
         for _ in 0..THREADS {
             let server = Arc::clone(&server);
@@ -102,7 +113,8 @@
 fn authorised(shared: &Shared, req: Request) -> Option<Request> {
     let given = header(&req, "authorization").unwrap_or_default();
     let given = given.strip_prefix("Bearer ").unwrap_or_default();
-    if token::equal(given, &shared.operator_token) {
+    let known = !shared.operator_token.is_empty();
+    if known && token::equal(given, &shared.operator_token) {
         return Some(req);
     }
     log::warn!("http: an operator's call without the right token was refused");
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The actors and threads that join a node's decisions to the world.
 
 mod actor;
+mod fixed;
 mod http;
 mod links;
 mod platform;
@@ -17,6 +18,7 @@
 use stakker::{Stakker, actor, call, fwd_to, ret_shutdown, sync::Channel};
 use store::HttpPlatformConfig;
 
+pub use self::fixed::{FixedProxy, FixedService};
 use self::{actor::NodeActor, http::Faces, links::Inbox, platform::Pool, proxy::Proxy};
 use crate::{Identity, NodeConfig, settings::Settings};
 
--- a/crates/node/src/daemon/proxy/attempt.rs
+++ b/crates/node/src/daemon/proxy/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io::{self, Read},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -222,12 +223,10 @@
     links: &Links,
     mut exchange: Exchange,
     forward: &Forward,
-    address: &str,
+    address: SocketAddr,
 ) -> Ended {
     let mut end = AttemptEnd::new(forward.req, forward.attempt, Outcome::NotSent);
-    let address = address.parse();
-    let uri = exchange.url.parse::<Uri>();
-    let (Ok(address), Ok(uri)) = (address, uri) else {
+    let Ok(uri) = exchange.url.parse::<Uri>() else {
         return (end, Some(exchange));
     };
     let mut headers = exchange.headers.clone();
--- a/crates/node/src/daemon/proxy/mod.rs
+++ b/crates/node/src/daemon/proxy/mod.rs
@@ -14,18 +14,22 @@
 mod exchange;
 mod headers;
 mod intake;
-
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+mod waiting;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use peer::{ForwardedRequest, Links};
 use route::{AttemptEnd, Dispatch, Forward, Offer, Outcome, Refuse, StoredAnswer};
 use stakker::sync::Channel;
 
-pub(super) use self::exchange::Exchange;
 use self::{attempt::Agents, carriers::Carriers};
+pub(super) use self::{exchange::Exchange, waiting::Waiting};
 use super::actor::Incoming;
 
 /// How many attempts run at a time. More than the router lets be on their way, so that none waits.
@@ -98,13 +102,19 @@
     }
 
     /// Passes a request to another node.
-    pub(super) fn forward(&self, links: &Links, exchange: Exchange, forward: Forward, to: String) {
+    pub(super) fn forward(
+        &self,
+        links: &Links,
+        exchange: Exchange,
+        forward: Forward,
+        to: SocketAddr,
+    ) {
         let proxy = self.clone();
         let links = links.clone();
         self.attempts.run(move || {
             let end = AttemptEnd::new(forward.req, forward.attempt, Outcome::CallerGone);
             let telling = proxy.telling(end);
-            telling.tell(attempt::forward(&links, exchange, &forward, &to));
+            telling.tell(attempt::forward(&links, exchange, &forward, to));
         });
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,6 @@
         Action, CallId, ConfigSyncConfig, Dump, Event, Identity, MemberDump, MembersConfig, Node,
         NodeConfig, OperatorId, SchedulerConfig, SchedulerDump,
     },
-    daemon::run as run_daemon,
+    daemon::{FixedProxy, FixedService, run as run_daemon},
     settings::{CommandLine, Settings, SettingsError, parse as parse_settings, parse_with},
 };
--- /dev/null
+++ b/crates/node/tests/requests_proxy.rs
@@ -0,0 +1,304 @@
+//! The proxy on loopback: whole answers pass, cut ones are never taken for whole, and each refusal says
+//! whether the request may have run.
+
+use std::{
+    collections::BTreeMap,
+    io::{Read, Write},
+    net::TcpListener,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use model::{Class, Repeat};
+use node::{FixedProxy, FixedService};
+use route::{RouteConfig, ServicePolicy};
+use tiny_http::{Header, Response, Server};
+use ureq::{Agent, SendBody, http};
+
+const LARGE: usize = 1 << 20;
+
+/// A backend server that answers by path, and how many requests it ran.
+fn backend() -> (String, Arc<AtomicU32>) {
+    let server = Server::http("127.0.0.1:0").unwrap();
+    let endpoint = format!("http://{}", server.server_addr().to_ip().unwrap());
+    let runs = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&runs);
+    thread::spawn(move || {
+        for mut req in server.incoming_requests() {
+            let run = counter.fetch_add(1, Ordering::SeqCst);
+            let mut body = Vec::new();
+            req.as_reader().read_to_end(&mut body).unwrap();
+            let _ = match req.url() {
+                "/large" => req.respond(Response::from_data(vec![7; LARGE])),
+                "/chunked" => {
+                    let data = std::io::Cursor::new(vec![7; LARGE]);
+                    req.respond(Response::new(200.into(), Vec::new(), data, None, None))
+                }
+                "/empty" => req.respond(Response::empty(204)),
+                "/headers" => {
+                    let names = req.headers().iter().map(|h| h.field.to_string());
+                    let names: Vec<String> = names.collect();
+                    let kept = Header::from_bytes("X-Kept", "yes").unwrap();
+                    let text = names.join(" ").to_lowercase();
+                    req.respond(Response::from_string(text).with_header(kept))
+                }
+                "/echo" => {
+                    let sum: u64 = body.iter().map(|b| u64::from(*b)).sum();
+                    let text = format!("{} {} {sum}", req.method(), body.len());
+                    req.respond(Response::from_string(text))
+                }
+                path => {
+                    let text = format!("run {run} of {path}");
+                    req.respond(Response::from_string(text))
+                }
+            };
+        }
+    });
+    (endpoint, runs)
+}
+
+/// A backend server that sends some bytes and closes, or stays silent for good.
+fn faulty(bytes: Vec<u8>, silent: bool) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head);
+            let _ = stream.write_all(&bytes);
+            if silent {
+                kept.push(stream);
+            }
+        }
+    });
+    endpoint
+}
+
+fn cut(length: usize, sent: usize) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n").into_bytes();
+    bytes.resize(bytes.len() + sent, 7);
+    bytes
+}
+
+/// One process has one proxy: each case has a service of its own.
+struct Setup {
+    url: String,
+    runs: BTreeMap<&'static str, Arc<AtomicU32>>,
+}
+
+fn setup() -> &'static Setup {
+    static SETUP: OnceLock<Setup> = OnceLock::new();
+    SETUP.get_or_init(|| {
+        let refused = TcpListener::bind("127.0.0.1:0").unwrap();
+        let refused_endpoint = format!("http://{}", refused.local_addr().unwrap());
+        drop(refused);
+        let unclear = b"HTTP/1.0 200 OK\r\n\r\nhalf of".to_vec();
+        let mut services = vec![
+            service("short", Repeat::Safe, faulty(cut(100, 50), false)),
+            service("long", Repeat::Safe, faulty(cut(LARGE, LARGE / 2), false)),
+            service("unclear", Repeat::Safe, faulty(unclear, false)),
+            service("refused", Repeat::Safe, refused_endpoint.clone()),
+            service("refused-once", Repeat::Never, refused_endpoint),
+            service("silent", Repeat::Safe, faulty(Vec::new(), true)),
+            service("silent-once", Repeat::Never, faulty(Vec::new(), true)),
+            service("stalled", Repeat::Safe, faulty(cut(100, 50), true)),
+        ];
+        let mut runs = BTreeMap::new();
+        for (name, repeat) in [
+            ("whole", Repeat::Safe),
+            ("bodies", Repeat::Safe),
+            ("headers", Repeat::Safe),
+            ("bounds", Repeat::Safe),
+            ("once", Repeat::Never),
+        ] {
+            let (endpoint, counter) = backend();
+            runs.insert(name, counter);
+            services.push(service(name, repeat, endpoint));
+        }
+        let proxy = FixedProxy::start(RouteConfig::default(), services).unwrap();
+        let url = format!("http://{}/s", proxy.address());
+        Setup { url, runs }
+    })
+}
+
+fn service(name: &str, repeat: Repeat, endpoint: String) -> FixedService {
+    FixedService {
+        name: name.to_owned(),
+        policy: ServicePolicy {
+            class: Class::Interactive,
+            repeat,
+            deadline: Duration::from_secs(2),
+            ..ServicePolicy::default()
+        },
+        endpoints: vec![endpoint],
+        slots: 8,
+    }
+}
+
+fn url(service: &str) -> String {
+    format!("{}/{service}", setup().url)
+}
+
+fn client() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(20)))
+        .build()
+        .new_agent()
+}
+
+/// The status, the verdict and the body; the body's error if it was cut.
+fn get(url: &str) -> (u16, String, Result<Vec<u8>, ureq::Error>) {
+    read(client().get(url).call().unwrap())
+}
+
+fn read(mut resp: http::Response<ureq::Body>) -> (u16, String, Result<Vec<u8>, ureq::Error>) {
+    let verdict = resp.headers().get("lacewing-verdict");
+    let verdict = verdict.map_or("", |v| v.to_str().unwrap()).to_owned();
+    let body = resp.body_mut().read_to_vec();
+    (resp.status().as_u16(), verdict, body)
+}
+
+#[test]
+fn whole_answers_pass() {
+    let url = url("whole");
+    for (path, status, body) in [
+        ("large", 200, vec![7; LARGE]),
+        ("chunked", 200, vec![7; LARGE]),
+        ("empty", 204, Vec::new()),
+        ("a/b?c=d", 200, b"run 3 of /a/b?c=d".to_vec()),
+    ] {
+        let (got, verdict, answer) = get(&format!("{url}/{path}"));
+        assert_eq!((got, verdict.as_str()), (status, "ran"), "{path}");
+        assert!(answer.unwrap() == body, "{path}");
+    }
+    let resp = client().head(format!("{url}/head")).call().unwrap();
+    assert_eq!(resp.headers()["content-length"], "14");
+}
+
+#[test]
+fn bodies_pass_with_every_method_and_framing() {
+    let url = url("bodies") + "/echo";
+    for size in [1_usize, 5_000, 300_000] {
+        let data = vec![1; size];
+        for method in ["POST", "PUT", "PATCH", "DELETE"] {
+            let (with_length, chunked) = match method {
+                "DELETE" => (client().delete(&url).force_send_body(), None),
+                "PUT" => (client().put(&url), Some(client().put(&url))),
+                "PATCH" => (client().patch(&url), Some(client().patch(&url))),
+                _ => (client().post(&url), Some(client().post(&url))),
+            };
+            let expected = format!("{method} {size} {size}").into_bytes();
+            let (_, verdict, body) = read(with_length.send(&data).unwrap());
+            assert_eq!((verdict.as_str(), body.unwrap()), ("ran", expected.clone()));
+            if let Some(chunked) = chunked {
+                let mut reader = &data[..];
+                let body = SendBody::from_reader(&mut reader);
+                let (_, verdict, body) = read(chunked.send(body).unwrap());
+                assert_eq!((verdict.as_str(), body.unwrap()), ("ran", expected));
+            }
+        }
+    }
+}
+
+#[test]
+fn headers_of_one_connection_are_dropped() {
+    let url = url("headers") + "/headers";
+    let req = client().get(&url).header("connection", "x-mine");
+    let req = req.header("x-mine", "1").header("x-other", "2");
+    let resp = req.header("lacewing-token", "guess").call().unwrap();
+    assert_eq!(resp.headers()["x-kept"], "yes");
+    let (_, _, body) = read(resp);
+    let names = String::from_utf8(body.unwrap()).unwrap();
+    assert!(names.contains("x-other") && names.contains("lacewing-attempt"));
+    assert!(!names.contains("x-mine") && !names.contains("lacewing-token"));
+}
+
+#[test]
+fn a_cut_answer_is_never_taken_for_whole() {
+    // Nothing of a short one was passed on; the end of one without a length can't be told from a cut.
+    for name in ["short", "unclear"] {
+        let (status, verdict, _) = get(&url(name));
+        assert_eq!((status, verdict.as_str()), (502, "may-have-run"), "{name}");
+    }
+    // The head of a long one was passed on: the caller sees the cut.
+    let (status, _, body) = get(&url("long"));
+    assert_eq!(status, 200);
+    assert!(body.is_err());
+}
+
+#[test]
+fn refused_connections_are_not_run() {
+    for name in ["refused", "refused-once"] {
+        let req = client().get(url(name)).header("idempotency-key", "k1");
+        let resp = req.call().unwrap();
+        assert!(resp.headers().contains_key("retry-after"));
+        let (status, verdict, _) = read(resp);
+        assert_eq!((status, verdict.as_str()), (503, "not-run"), "{name}");
+    }
+}
+
+#[test]
+fn silent_servers_are_given_up_at_the_deadline() {
+    for name in ["silent", "silent-once", "stalled"] {
+        let req = client().get(url(name)).header("idempotency-key", "k1");
+        let (status, verdict, _) = read(req.call().unwrap());
+        assert_eq!((status, verdict.as_str()), (502, "may-have-run"), "{name}");
+    }
+}
+
+#[test]
+fn a_request_that_must_not_be_repeated_runs_once() {
+    let url = url("once");
+    let (status, verdict, body) = get(&format!("{url}/send"));
+    assert_eq!((status, verdict.as_str()), (400, "not-run"));
+    assert!(
+        String::from_utf8(body.unwrap())
+            .unwrap()
+            .contains("Idempotency-Key")
+    );
+    for _ in 0..3 {
+        let req = client().post(format!("{url}/send"));
+        let resp = req.header("idempotency-key", "reminder-7").send("text");
+        let (status, verdict, body) = read(resp.unwrap());
+        assert_eq!((status, verdict.as_str()), (200, "ran"));
+        assert_eq!(body.unwrap(), b"run 0 of /send");
+    }
+    assert_eq!(setup().runs["once"].load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn requests_out_of_bounds_are_not_run() {
+    let url = url("bounds");
+    let long = "a".repeat(9_000);
+    let long_header = "b".repeat(40_000);
+    let cases = [
+        (client().get(format!("{url}/{long}")), 414),
+        (client().get(&url).header("x-long", &long_header), 431),
+        (
+            client().get(&url).header("idempotency-key", "two words"),
+            400,
+        ),
+    ];
+    for (req, expected) in cases {
+        let (status, verdict, _) = read(req.call().unwrap());
+        assert_eq!((status, verdict.as_str()), (expected, "not-run"));
+    }
+    let both = "POST /s/bounds/x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\
+                transfer-encoding: chunked\r\nconnection: close\r\n\r\n0\r\n\r\n";
+    let host = url.trim_start_matches("http://").split('/').next().unwrap();
+    let mut stream = std::net::TcpStream::connect(host).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    stream.write_all(both.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("not-run"));
+    assert_eq!(setup().runs["bounds"].load(Ordering::SeqCst), 0);
+}
