--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,6 +1,6 @@
 //! What operators ask of a node, and its answers. They travel as JSON over HTTP.
 
-pub use config::{ItemChange, RecallTarget};
+pub use config::{ItemChange, ItemFate, RecallTarget};
 use model::{Attempt, DomainId, NodeId, Verdict, WorkerId};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submitter {
     /// Chosen by the submitter, and the same in each resend of one call. Without one (empty), a
-    /// resend counts as another call.
+    /// resend counts as another call. A node keeps the newest 1,024 ids.
     #[serde(default)]
     pub id: String,
     /// Who calls.
@@ -206,4 +206,6 @@
     pub attempt: Attempt,
     /// How many attempts have failed.
     pub failures: u32,
+    /// Names what the newest attempt was started with; 0 if that is not known.
+    pub content: u32,
 }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -2,14 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
+use model::{Incarnation, NodeId, Time};
 use route::ReqId;
 use store::{
     Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, ObjectReq, Settlement,
     StoreError, TableReq, TableResp, WorkerCall, Write,
 };
 
-use super::event::{Action, CallId, OperatorId};
+use super::{
+    event::{Action, CallId, OperatorId},
+    scheduler::{Change, Generation, Read},
+};
 
 /// What a call to the table is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,16 +25,14 @@
     Members,
     ConfigSnapshot,
     ConfigCompact,
-    StateScan,
-    InboxScan,
-    InboxUnit(UnitId, (String, u64)),
+    Scheduler(Generation, Read),
     Operator(OperatorId),
     /// The row or object of a request's claim.
     Claim(ReqId),
     /// Rows that the configuration's next entry depends on.
     Publishing,
     Worker {
-        worker: WorkerId,
+        generation: Generation,
         sent: Time,
     },
 }
@@ -41,7 +42,7 @@
 pub(crate) enum Owner {
     /// Nobody: the change is made again if it matters.
     Nobody,
-    State(UnitId),
+    Scheduler(Generation, Change),
     /// A request that must not be repeated.
     Claim(ReqId),
     /// The configuration's next entry.
@@ -66,9 +67,15 @@
         out.push(Action::Object(call, req));
     }
 
-    pub(crate) fn worker(&mut self, now: Time, req: WorkerCall, out: &mut Vec<Action>) {
-        let worker = req.worker;
-        let call = self.add(Purpose::Worker { worker, sent: now });
+    pub(crate) fn worker(
+        &mut self,
+        generation: Generation,
+        now: Time,
+        req: WorkerCall,
+        out: &mut Vec<Action>,
+    ) {
+        let sent = now;
+        let call = self.add(Purpose::Worker { generation, sent });
         out.push(Action::Worker(call, req));
     }
 
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,7 +7,6 @@
 mod dump;
 mod entry;
 mod event;
-mod jobs;
 mod members;
 mod operators;
 mod poll;
@@ -16,14 +15,13 @@
 mod scheduler;
 mod settings;
 mod views;
-mod workers;
 
 use std::collections::BTreeMap;
 
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time, Verdict};
+use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
 use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
 use route::{GrantConfig, NodeShares, RouteConfig};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
@@ -35,13 +33,13 @@
     members::{Members, SelfState, member_key},
     operators::Operators,
     rows::lease_key,
-    scheduler::Scheduler,
+    scheduler::{Generation, Policy, Scheduler},
     views::{Beat, OwnView, Views},
 };
 use crate::api::{OperatorReq, OperatorResp};
 
 pub use self::{
-    dump::{Dump, MemberDump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
     event::{Action, CallId, Event, OperatorId},
     requests::RequestNode,
     settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
@@ -59,6 +57,7 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
+    generation: Generation,
     members: Members,
     /// Where the lease's questions go, also to nodes that are no longer among the members.
     lease_addresses: BTreeMap<NodeId, String>,
@@ -92,6 +91,7 @@
             }),
             operators: Operators::new(me.clone()),
             scheduler: None,
+            generation: Generation::default(),
             questions: BTreeMap::new(),
             lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
@@ -109,8 +109,13 @@
     /// Whether callers and operators may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let newest = self.members.newest_config();
-        self.config.is_known() && self.config.config().version() >= newest && !self.leaving
+        self.config.is_known() && !self.leaving
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &config::Config {
+        self.config.config()
     }
 
     /// Whether the node shuts down.
@@ -178,8 +183,8 @@
                 }
             }
             Event::Worker(call, worker, result) => {
-                if let Some(Purpose::Worker { sent, .. }) = self.calls.answered(call)
-                    && let Some(scheduler) = &mut self.scheduler
+                if let Some(Purpose::Worker { generation, sent }) = self.calls.answered(call)
+                    && let Some(scheduler) = current(&mut self.scheduler, generation)
                 {
                     scheduler.worker_answered(now, worker, sent, result);
                 }
@@ -187,7 +192,9 @@
             Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, parts.config, id, req);
+                parts
+                    .operators
+                    .call(&mut cx, parts.config, parts.members, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
             Event::Request(offer) => {
@@ -227,7 +234,6 @@
         };
         let parts = Parts {
             config: &mut self.config,
-            me: &self.me,
             members: &mut self.members,
             view: &self.view,
             operators: &mut self.operators,
@@ -242,12 +248,13 @@
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
         let state = self.self_state(now);
+        let elsewhere = self.free_elsewhere(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
         parts.members.tick(&mut cx, &state, parts.view.services());
         parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
-            scheduler.tick(&mut cx, valid_until);
+            scheduler.tick(&mut cx, valid_until, &elsewhere);
         }
         self.forget_members(now);
         self.refresh_views(now, out);
@@ -328,6 +335,15 @@
         }
     }
 
+    /// What other failure domains have free that take new work.
+    fn free_elsewhere(&self, now: Time) -> Vec<(DomainId, Size)> {
+        let config = self.config.config();
+        let domains = self.members.free_elsewhere(now);
+        domains
+            .filter(|(domain, _)| !config.is_evacuated(*domain))
+            .collect()
+    }
+
     fn node_shares(&self, now: Time) -> NodeShares {
         NodeShares {
             applied: self.view.applied(),
@@ -458,13 +474,9 @@
 
     fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
-        let domain = summary.domain;
-        for told in &summary.nodes {
-            let version = told.config_version;
-            parts
-                .config
-                .peer_version(&mut cx, told.node, domain, version);
-        }
+        // What it tells of other nodes is left out: they may be out of this node's reach.
+        let version = summary.config_version;
+        parts.config.peer_version(&mut cx, from, version);
         parts.members.summary(now, from, summary);
     }
 
@@ -473,10 +485,7 @@
             return;
         }
         let (mut cx, parts) = self.split(now, out);
-        let domain = parts.me.domain;
-        parts
-            .config
-            .peer_version(&mut cx, from, domain, msg.config_version);
+        parts.config.peer_version(&mut cx, from, msg.config_version);
         if let Some(views) = &mut self.views {
             let beat = Beat {
                 node: from,
@@ -563,10 +572,13 @@
             }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.rows_read(&mut cx, parts.config, id, result);
+                parts.operators.rows_read(&mut cx, id, result);
             }
-            Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
-                self.scheduler_answered(now, purpose, result, out);
+            Purpose::Scheduler(generation, read) => {
+                let (mut cx, parts) = self.split(now, out);
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.read(&mut cx, read, result);
+                }
             }
             Purpose::Claim(req) => {
                 let (mut cx, parts) = self.split(now, out);
@@ -576,32 +588,13 @@
         }
     }
 
-    fn scheduler_answered(
-        &mut self,
-        now: Time,
-        purpose: Purpose,
-        result: Result<TableResp, StoreError>,
-        out: &mut Vec<Action>,
-    ) {
-        let (mut cx, parts) = self.split(now, out);
-        let Some(scheduler) = parts.scheduler else {
-            return;
-        };
-        match purpose {
-            Purpose::StateScan => scheduler.rows_read(now, result),
-            Purpose::InboxScan => scheduler.inbox_read(&mut cx, result),
-            Purpose::InboxUnit(id, notice) => scheduler.unit_read(now, &id, notice, result),
-            _ => {}
-        }
-    }
-
     fn settled(&mut self, now: Time, owner: Owner, settlement: Settlement, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
         match owner {
             Owner::Nobody => {}
-            Owner::State(id) => {
-                if let Some(scheduler) = parts.scheduler {
-                    scheduler.state_settled(now, &id, settlement);
+            Owner::Scheduler(generation, change) => {
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.settled(now, change, settlement);
                 }
             }
             Owner::Publishing => {
@@ -622,7 +615,8 @@
         let (mut cx, parts) = self.split(now, out);
         parts.entry.set_config(&mut cx, parts.config.config());
         if let Some(scheduler) = &mut self.scheduler {
-            scheduler.set_teams(self.config.config().teams().values());
+            let policy = Policy::new(self.config.config(), self.me.domain);
+            scheduler.set_policy(now, policy);
             scheduler.read_inbox_soon();
         }
     }
@@ -690,10 +684,17 @@
     }
 
     fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
-        let cfg = self.cfg.scheduler.clone();
-        let place = self.cfg.place.clone();
-        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-        scheduler.set_teams(self.config.config().teams().values());
+        self.generation.0 += 1;
+        let mut scheduler = Scheduler::new(
+            now,
+            self.cfg.scheduler.clone(),
+            self.cfg.place.clone(),
+            self.me.domain,
+            epoch,
+            self.generation,
+        );
+        let policy = Policy::new(self.config.config(), self.me.domain);
+        scheduler.set_policy(now, policy);
         self.scheduler = Some(scheduler);
     }
 
@@ -725,7 +726,6 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
-    me: &'a Identity,
     members: &'a mut Members,
     view: &'a OwnView,
     operators: &'a mut Operators,
@@ -770,3 +770,16 @@
         msg,
     });
 }
+
+/// The present scheduler, if it is the one of this generation.
+fn current(scheduler: &mut Option<Scheduler>, generation: Generation) -> Option<&mut Scheduler> {
+    let present = scheduler.as_mut()?;
+    (present.generation() == generation).then_some(present)
+}
+
+/// A hash that is the same in every process (FNV-1a).
+fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/node/src/core/operators/views.rs
+++ b/crates/node/src/core/operators/views.rs
@@ -1,14 +1,9 @@
 //! What operators are told of recalls and of the versions that nodes have in force.
 
-use std::collections::BTreeMap;
-
 use config::Config;
-use model::{NodeId, Time};
-use store::{Row, decode};
+use model::Time;
 
-use super::super::{
-    config_sync::ConfigSync, members::MemberRow, rows::last_part, settings::Identity,
-};
+use super::super::{config_sync::ConfigSync, members::Members, settings::Identity};
 use crate::api::{MemberVersion, RecallView};
 
 /// The recalls in force.
@@ -23,43 +18,30 @@
         .collect()
 }
 
-/// Which nodes have a version in force: this one, those that were heard, and those that the table
-/// names as members but that were never heard.
+/// Which nodes have a version in force: this one first, then the others that are known.
 pub(super) fn in_force(
     now: Time,
     me: &Identity,
     config: &ConfigSync,
+    members: &Members,
     version: u64,
-    rows: &[Row],
 ) -> Vec<MemberVersion> {
-    let mut members: BTreeMap<NodeId, MemberVersion> = rows
-        .iter()
-        .filter_map(member_of_row)
-        .map(|member| (member.node, member))
-        .collect();
-    for member in config.members(now, version) {
-        members.insert(member.node, member);
-    }
     let own = config.config().version();
-    let own = MemberVersion {
+    let mut views = vec![MemberVersion {
         node: me.node,
         domain: me.domain,
         version: Some(own),
         age_ms: Some(0),
         in_force: own >= version,
-    };
-    members.insert(me.node, own);
-    members.into_values().collect()
-}
-
-fn member_of_row(row: &Row) -> Option<MemberVersion> {
-    let node = last_part(&row.key).parse().ok()?;
-    let member: MemberRow = decode(&row.value).ok()?;
-    Some(MemberVersion {
-        node,
-        domain: member.domain,
-        version: None,
-        age_ms: None,
-        in_force: false,
-    })
+    }];
+    for (node, (domain, has, age)) in members.config_versions(now) {
+        views.push(MemberVersion {
+            node,
+            domain,
+            version: age.map(|_| has),
+            age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+            in_force: age.is_some() && has >= version,
+        });
+    }
+    views
 }
