--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 mod operators;
 mod poll;
+mod requests;
 mod rows;
 mod scheduler;
 mod settings;
@@ -40,6 +41,7 @@
 pub use self::{
     dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
     event::{Action, CallId, Event, OperatorId},
+    requests::RequestNode,
     settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
 
