--- a/crates/cli/src/cell/traffic.rs
+++ b/crates/cli/src/cell/traffic.rs
@@ -188,6 +188,15 @@
         Some((attempt, origin))
     }
 
+    /// The backend server has done with a request, whether or not its node reads the answer.
+    fn backend_done(&mut self, sent: &Sent) {
+        let hop = self.hops.get_mut(&sent.req);
+        let hop = hop.filter(|hop| hop.attempt == sent.attempt);
+        if let Some(worker) = hop.and_then(|hop| hop.worker.take()) {
+            self.closed(worker);
+        }
+    }
+
     /// Ends the wait for an attempt's answer. `None` if it comes too late.
     fn arrived(&mut self, req: ReqId, attempt: u32) -> Option<Hop> {
         let hop = self.hops.get_mut(&req)?;
@@ -214,6 +223,7 @@
             TrafficStep::ArrivesForwarded { req, child } => self.arrives_forwarded(req, child),
             TrafficStep::AtBackend { sent } => self.at_backend(sent),
             TrafficStep::BackendDone { sent, deaths, how } => {
+                self.traffic.backend_done(&sent);
                 let died = self.traffic.deaths(sent.worker) != deaths;
                 let how = if died { Outcome::CutShort } else { how };
                 let body = (how == Outcome::Answered).then_some(sent.origin);
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use fakes::{FakePlatform, PlatformSpec};
+use fakes::{FakePlatform, PlatformSpec, RunPlan};
 use node::Settings;
 use tiny_http::{Response, Server};
 
@@ -281,6 +281,10 @@
         domains: 1,
         regions: 1,
         workers: 4,
+        plan: RunPlan {
+            max: Duration::from_secs(2),
+            ..RunPlan::default()
+        },
         ..PlatformSpec::default()
     };
     let platform = fakes::serve("127.0.0.1:0", FakePlatform::new(&spec)).expect("a free port");
--- /dev/null
+++ b/crates/cli/tests/session/mod.rs
@@ -0,0 +1,186 @@
+//! A session on an embedded cell for tests of failures: files published, callers that call, faults
+//! at points in time, and a judgement at the end.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
+
+use cli::{Cell, CellConfig, Fault, Load, unit_line};
+use fakes::{PlatformSpec, RunPlan};
+use model::{DomainId, NodeId, Repeat, Time, WorkerId};
+use node::api::{FileText, OperatorReq, OperatorResp, Submitter, TaskPhase, UnitStatus};
+
+/// When the files are published, in milliseconds.
+pub const PUBLISHED_MS: u64 = 3_000;
+
+pub struct Session {
+    pub cell: Cell,
+}
+
+pub fn n(node: u32) -> NodeId {
+    NodeId(node)
+}
+
+pub fn w(worker: u32) -> WorkerId {
+    WorkerId(worker)
+}
+
+pub fn d(domain: u32) -> DomainId {
+    format!("d{domain}").parse().expect("a short name is valid")
+}
+
+pub fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+pub fn by(author: &str) -> Submitter {
+    Submitter {
+        id: format!("{author}-1"),
+        author: author.to_owned(),
+    }
+}
+
+pub fn files(text: &str) -> Vec<FileText> {
+    vec![FileText {
+        path: "desk/lacewing.toml".to_owned(),
+        text: text.to_owned(),
+    }]
+}
+
+pub fn publish(text: &str) -> OperatorReq {
+    OperatorReq::Publish {
+        by: by("desk"),
+        base: None,
+        files: files(text),
+        dry_run: false,
+    }
+}
+
+pub const DESK: &str = include_str!("../testdata/lacewing.toml");
+
+impl Session {
+    /// A cell of three domains with two nodes and four workers each, and nothing published.
+    pub fn empty(seed: u64) -> Self {
+        let declared = [("rebuild", 30), ("posting", 20), ("study", 25)];
+        let declared: BTreeMap<String, Duration> = declared
+            .map(|(name, run_time)| (name.to_owned(), secs(run_time)))
+            .into();
+        let plan = RunPlan {
+            declared,
+            seed,
+            ..RunPlan::default()
+        };
+        let cell = Cell::new(&CellConfig {
+            seed,
+            platform: PlatformSpec {
+                plan,
+                ..PlatformSpec::default()
+            },
+            ..CellConfig::default()
+        });
+        Self { cell }
+    }
+
+    /// The same with the desk's files published, and callers of its lookups.
+    pub fn new(seed: u64) -> Self {
+        let mut session = Self::empty(seed);
+        session.run_to(PUBLISHED_MS / 1_000);
+        let resp = session.cell.operator(n(1), publish(DESK));
+        assert!(matches!(resp, Some(OperatorResp::Done { .. })), "{resp:?}");
+        session.call("lookup", Repeat::Safe, 800);
+        session
+    }
+
+    /// The same with callers of the sender too, whose requests must not be repeated.
+    pub fn with_sender(seed: u64) -> Self {
+        let mut session = Self::new(seed);
+        session.call("sender", Repeat::Never, 3_000);
+        session
+    }
+
+    pub fn call(&mut self, service: &str, repeat: Repeat, deadline_ms: u64) {
+        self.cell.load(Load {
+            service: service.to_owned(),
+            repeat,
+            deadline: Duration::from_millis(deadline_ms),
+            every: Duration::from_millis(50),
+            from: self.cell.now() + secs(4),
+            ..Load::default()
+        });
+    }
+
+    pub fn faults(&mut self, faults: &[(u64, Fault)]) {
+        for (ms, fault) in faults {
+            self.cell.at(*ms, fault.clone());
+        }
+    }
+
+    /// Runs up to a point in virtual time, in seconds.
+    pub fn run_to(&mut self, seconds: u64) {
+        self.cell.run_until(secs(seconds));
+    }
+
+    /// Runs up to a point in virtual time, and lets the last requests have their answers.
+    pub fn finish(&mut self, seconds: u64) {
+        self.run_to(seconds);
+        self.cell.stop_load();
+        self.run_to(seconds + 15);
+    }
+
+    pub fn units(&mut self) -> Vec<UnitStatus> {
+        let node = self
+            .cell
+            .ready_nodes()
+            .first()
+            .copied()
+            .expect("a ready node");
+        let resp = self.cell.operator(node, OperatorReq::Status { name: None });
+        match resp {
+            Some(OperatorResp::Status(units)) => units,
+            other => panic!("no status: {other:?}"),
+        }
+    }
+
+    /// The promises that were broken, and the work that is neither over nor, if a service, whole.
+    pub fn complaints(&mut self) -> Vec<String> {
+        let mut lines = self.cell.broken_promises();
+        for unit in self.units() {
+            let is_service = unit.id.contains('@');
+            let good = unit.tasks.iter().all(|task| match task.phase {
+                TaskPhase::Waiting => false,
+                TaskPhase::Running { .. } => is_service,
+                _ => true,
+            });
+            if !good {
+                lines.push(format!("not over: {}", unit_line(&unit)));
+            }
+        }
+        lines
+    }
+
+    /// The session's log, the outcome of each unit, and what was broken.
+    pub fn golden(&mut self) -> String {
+        let mut text = String::new();
+        for unit in self.units() {
+            let _ = writeln!(text, "{}", unit_line(&unit));
+        }
+        let complaints = self.complaints();
+        let mut golden = self.cell.log().join("\n");
+        golden.push_str("\n---\n");
+        golden.push_str(&text);
+        for line in complaints {
+            let _ = writeln!(golden, "BROKEN: {line}");
+        }
+        golden
+    }
+
+    /// How many requests were answered whole.
+    pub fn requests_ran(&self) -> usize {
+        let records = self.cell.records();
+        let ran = |t: &&cli::Try| t.answers.iter().any(|a| a.whole);
+        records.tries.iter().filter(ran).count()
+    }
+
+    pub fn now(&self) -> Time {
+        self.cell.now()
+    }
+}
