--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -345,24 +345,15 @@
             Action::Vms => self.call_vms(node, start),
             Action::Operator(id, resp) => self.operator_answered(node, id, resp),
             Action::Peer { to, fresh, msg, .. } => self.send_peer(node, start, to, fresh, msg),
-            Action::Dispatch {
-                req,
-                worker,
-                timeout,
-                ..
-            } => self.dispatch(req, worker, timeout),
-            Action::Forward {
-                req,
-                node: to,
-                timeout,
-                ..
-            } => self.forward(req, to, timeout),
-            Action::Refuse {
-                req,
-                verdict,
-                reason,
-                retry_after,
-            } => self.refuse(req, verdict, reason, retry_after),
+            Action::Dispatch(dispatch) => {
+                self.dispatch(dispatch.req, dispatch.worker, dispatch.timeout);
+            }
+            Action::Forward(forward) => self.forward(forward.req, forward.node, forward.timeout),
+            Action::Answer(req, answer) => self.answer_kept(req, &answer),
+            Action::Refuse(refuse) => {
+                let reason = refuse.reason.as_str();
+                self.refuse(refuse.req, refuse.verdict, reason, refuse.retry_after);
+            }
             Action::Exit => self.exit(node, start),
         }
     }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use model::{Incarnation, NodeId, Time};
+use route::ReqId;
 use store::{
-    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, Settlement, StoreError,
-    TableReq, TableResp, WorkerCall, Write,
+    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, ObjectReq, Settlement,
+    StoreError, TableReq, TableResp, WorkerCall, Write,
 };
 
 use super::{
@@ -26,6 +27,8 @@
     ConfigCompact,
     Scheduler(Generation, Read),
     Operator(OperatorId),
+    /// The row or object of a request's claim.
+    Claim(ReqId),
     /// Rows that the configuration's next entry depends on.
     Publishing,
     Worker {
@@ -40,6 +43,8 @@
     /// Nobody: the change is made again if it matters.
     Nobody,
     Scheduler(Generation, Change),
+    /// A request that must not be repeated.
+    Claim(ReqId),
     /// The configuration's next entry.
     Publishing,
 }
@@ -57,6 +62,11 @@
         out.push(Action::Table(call, req));
     }
 
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq, out: &mut Vec<Action>) {
+        let call = self.add(purpose);
+        out.push(Action::Object(call, req));
+    }
+
     pub(crate) fn worker(
         &mut self,
         generation: Generation,
@@ -126,6 +136,19 @@
         Ok(())
     }
 
+    /// Takes back the newest change of an owner, if it was surely not made. It is then never made.
+    pub(crate) fn withdraw(&mut self, owner: &Owner) -> bool {
+        let tag = self.owners.iter().rev().find(|(_, other)| *other == owner);
+        let Some(tag) = tag.map(|(tag, _)| *tag) else {
+            return false;
+        };
+        let withdrawn = self.group.withdraw(tag);
+        if withdrawn {
+            self.owners.remove(&tag);
+        }
+        withdrawn
+    }
+
     /// Makes the next call if one is due, and returns what was given up.
     pub(crate) fn poll(
         &mut self,
@@ -183,4 +206,8 @@
     pub(crate) fn table(&mut self, purpose: Purpose, req: TableReq) {
         self.calls.table(purpose, req, self.out);
     }
+
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq) {
+        self.calls.object(purpose, req, self.out);
+    }
 }
--- a/crates/node/src/core/config_sync.rs
+++ b/crates/node/src/core/config_sync.rs
@@ -1,7 +1,7 @@
 //! The configuration in force at a node: the follower's reads as calls to the table and to peers.
 
 use config::{Config, Entry, Follower, FollowerConfig, Head, News, Snapshot, Want};
-use model::{DomainId, NodeId, Time};
+use model::{NodeId, Time};
 use peer::PeerMsg;
 use serde::{Deserialize, Serialize};
 use store::{Check, Row, StoreError, TableReq, TableResp, Write, decode, encode};
@@ -11,7 +11,6 @@
     event::Action,
     settings::ConfigSyncConfig,
 };
-use crate::api::MemberVersion;
 
 const HEAD_KEY: &str = "config/head";
 const ENTRY_PREFIX: &str = "config/entry/";
@@ -132,16 +131,10 @@
         })
     }
 
-    /// Takes the version that a peer has in force, as its heartbeat tells.
-    pub(crate) fn peer_version(
-        &mut self,
-        cx: &mut Cx<'_>,
-        node: NodeId,
-        domain: DomainId,
-        version: u64,
-    ) {
+    /// Takes the version that a peer has in force, as its heartbeat or summary tells.
+    pub(crate) fn peer_version(&mut self, cx: &mut Cx<'_>, node: NodeId, version: u64) {
         self.follow(cx, |follower, now, wants| {
-            follower.peer_heard(now, node, domain, version, wants);
+            follower.peer_heard(now, node, version, wants);
         });
     }
 
@@ -227,20 +220,6 @@
         let _ = cx.commits.push(cx.now, Owner::Nobody, vec![check], writes);
     }
 
-    /// The versions of the nodes that were heard, without this one.
-    pub(crate) fn members(&self, now: Time, version: u64) -> Vec<MemberVersion> {
-        let heard = self.follower.heard().iter();
-        heard
-            .map(|(node, heard)| MemberVersion {
-                node: *node,
-                domain: heard.domain,
-                version: Some(heard.version),
-                age_ms: u64::try_from(now.since(heard.at).as_millis()).ok(),
-                in_force: heard.version >= version,
-            })
-            .collect()
-    }
-
     /// Lets the follower do something, and carries out what it then wants.
     fn follow<T>(
         &mut self,
@@ -257,15 +236,12 @@
 }
 
 fn carry_out(cx: &mut Cx<'_>, want: Want) {
+    let get = |key: &str| TableReq::Get {
+        key: key.to_owned(),
+    };
     match want {
-        Want::Head => {
-            let key = HEAD_KEY.to_owned();
-            cx.table(Purpose::ConfigHead, TableReq::Get { key });
-        }
-        Want::Snapshot => {
-            let key = SNAPSHOT_KEY.to_owned();
-            cx.table(Purpose::ConfigSnapshot, TableReq::Get { key });
-        }
+        Want::Head => cx.table(Purpose::ConfigHead, get(HEAD_KEY)),
+        Want::Snapshot => cx.table(Purpose::ConfigSnapshot, get(SNAPSHOT_KEY)),
         Want::Entries { after, limit } => {
             let req = TableReq::Scan {
                 prefix: ENTRY_PREFIX.to_owned(),
@@ -274,14 +250,11 @@
             };
             cx.table(Purpose::ConfigEntries, req);
         }
-        Want::Peer { node, after } => {
-            let msg = PeerMsg::ConfigWanted { after };
-            cx.out.push(Action::Peer {
-                to: node,
-                fresh: false,
-                msg,
-            });
-        }
+        Want::Peer { node, after } => cx.out.push(Action::Peer {
+            to: node,
+            fresh: false,
+            msg: PeerMsg::ConfigWanted { after },
+        }),
     }
 }
 
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -176,12 +176,6 @@
         (seq == self.seq).then_some(self.heartbeat_sent)
     }
 
-    /// The newest version of the configuration that any node was heard to have.
-    pub(crate) fn newest_config(&self) -> u64 {
-        let members = self.known.values().map(|member| member.config_version);
-        members.max().unwrap_or(0)
-    }
-
     /// The failure domains that have nodes, this node's own included.
     pub(crate) fn domains(&self) -> Vec<DomainId> {
         let mut domains: Vec<DomainId> = self.known.values().map(|m| m.row.domain).collect();
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -22,7 +22,7 @@
 };
 use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
 use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
-use route::{GrantConfig, NodeShares, Offer};
+use route::{GrantConfig, NodeShares, RouteConfig};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -83,7 +83,10 @@
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
             config: ConfigSync::new(&cfg.config),
-            entry: Entry::new(cfg.route.clone()),
+            entry: Entry::new(RouteConfig {
+                seed: cfg.route.seed ^ me.incarnation.0 ^ u64::from(me.node.0),
+                ..cfg.route.clone()
+            }),
             operators: Operators::new(me.clone()),
             scheduler: None,
             generation: Generation::default(),
@@ -104,8 +107,19 @@
     /// Whether callers and operators may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let newest = self.members.newest_config();
-        self.config.is_known() && self.config.config().version() >= newest && !self.leaving
+        self.config.is_known() && !self.leaving
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &config::Config {
+        self.config.config()
+    }
+
+    /// Whether the node shuts down.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
     }
 
     /// The node's state as an operator sees it.
@@ -130,6 +144,7 @@
                 .free_elsewhere(now)
                 .map(|(domain, free)| (domain.to_string(), free))
                 .collect(),
+            requests: self.entry.dump(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
@@ -175,30 +190,31 @@
             Event::Operator(id, OperatorReq::Drain { node }) => self.drain(now, id, node, out),
             Event::Operator(id, req) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.call(&mut cx, parts.config, id, req);
+                parts
+                    .operators
+                    .call(&mut cx, parts.config, parts.members, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
-            Event::Request {
-                req,
-                service,
-                key,
-                forwarded,
-            } => {
-                let offer = Offer {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.entry.offer(now, &offer, out);
+            Event::Request(offer) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.offer(&mut cx, &offer);
+            }
+            Event::Finished(end) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.finished(&mut cx, &end);
+            }
+            Event::Object(call, result) => {
+                if let Some(Purpose::Claim(req)) = self.calls.answered(call) {
+                    let (mut cx, parts) = self.split(now, out);
+                    parts.entry.claim_object(&mut cx, req, result);
+                }
             }
-            Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
             Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
                 if let Some(question) = msg.asks() {
                     self.question_failed(now, to, question, out);
                 }
             }
-            Event::Object(..) | Event::PeerFailed(..) => {}
+            Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         let given_up = self.commits.poll(now, &mut self.calls, out);
@@ -216,11 +232,11 @@
         };
         let parts = Parts {
             config: &mut self.config,
-            me: &self.me,
             members: &mut self.members,
             view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
+            entry: &mut self.entry,
         };
         (cx, parts)
     }
@@ -241,8 +257,9 @@
         self.forget_members(now);
         self.refresh_views(now, out);
         self.refresh_remotes(now);
-        self.entry.tick(now, out);
-        if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.tick(&mut cx);
+        if self.leaving && self.entry.is_drained() && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
         }
         if self
@@ -404,7 +421,7 @@
             }
             PeerMsg::ConfigEntries(news) => {
                 if self.config.take_entries(news) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
         }
@@ -455,13 +472,9 @@
 
     fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
-        let domain = summary.domain;
-        for told in &summary.nodes {
-            let version = told.config_version;
-            parts
-                .config
-                .peer_version(&mut cx, told.node, domain, version);
-        }
+        // What it tells of other nodes is left out: they may be out of this node's reach.
+        let version = summary.config_version;
+        parts.config.peer_version(&mut cx, from, version);
         parts.members.summary(now, from, summary);
     }
 
@@ -470,10 +483,7 @@
             return;
         }
         let (mut cx, parts) = self.split(now, out);
-        let domain = parts.me.domain;
-        parts
-            .config
-            .peer_version(&mut cx, from, domain, msg.config_version);
+        parts.config.peer_version(&mut cx, from, msg.config_version);
         if let Some(views) = &mut self.views {
             let beat = Beat {
                 node: from,
@@ -529,7 +539,7 @@
             Purpose::ConfigEntries => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.entries_read(&mut cx, result) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
             Purpose::Members => {
@@ -545,7 +555,7 @@
             Purpose::ConfigSnapshot => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.snapshot_read(&mut cx, result) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
             Purpose::ConfigCompact => {
@@ -560,7 +570,7 @@
             }
             Purpose::Operator(id) => {
                 let (mut cx, parts) = self.split(now, out);
-                parts.operators.rows_read(&mut cx, parts.config, id, result);
+                parts.operators.rows_read(&mut cx, id, result);
             }
             Purpose::Scheduler(generation, read) => {
                 let (mut cx, parts) = self.split(now, out);
@@ -568,6 +578,10 @@
                     scheduler.read(&mut cx, read, result);
                 }
             }
+            Purpose::Claim(req) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.claim_read(&mut cx, req, result);
+            }
             Purpose::Worker { .. } => {}
         }
     }
@@ -584,18 +598,20 @@
             Owner::Publishing => {
                 let operators = parts.operators;
                 if operators.settled(&mut cx, parts.config, &settlement) {
-                    self.config_changed(now);
+                    self.config_changed(now, out);
                 }
             }
+            Owner::Claim(req) => parts.entry.claim_settled(&mut cx, req, &settlement),
         }
     }
 
-    fn config_changed(&mut self, now: Time) {
+    fn config_changed(&mut self, now: Time, out: &mut Vec<Action>) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
-        self.entry.set_config(self.config.config());
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.set_config(&mut cx, parts.config.config());
         if let Some(scheduler) = &mut self.scheduler {
             let policy = Policy::new(self.config.config(), self.me.domain);
             scheduler.set_policy(now, policy);
@@ -700,6 +716,7 @@
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
+            self.entry.leave(now);
             self.lease_step(now, Input::HandOver, out);
         }
     }
@@ -707,11 +724,11 @@
 
 struct Parts<'a> {
     config: &'a mut ConfigSync,
-    me: &'a Identity,
     members: &'a mut Members,
     view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
+    entry: &'a mut Entry,
 }
 
 fn row_state(result: Result<TableResp, StoreError>) -> RowState {
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -198,6 +198,28 @@
         Ok(())
     }
 
+    /// Takes back a change that was surely not made. Returns whether it was taken back: it is then never
+    /// made and never settled.
+    pub fn withdraw(&mut self, tag: u64) -> bool {
+        if self.queue.remove(tag) {
+            return true;
+        }
+        let under_way = self.phase == Phase::Committing;
+        let Some(batch) = self.batch.as_mut().filter(|_| !under_way) else {
+            return false;
+        };
+        if batch.uncertain || batch.failed.is_some() {
+            return false;
+        }
+        let before = batch.changes.len();
+        batch.changes.retain(|waiting| waiting.change.tag != tag);
+        let withdrawn = batch.changes.len() < before;
+        if batch.changes.is_empty() {
+            self.batch = None;
+        }
+        withdrawn
+    }
+
     /// How many changes are not settled.
     #[must_use]
     pub fn unsettled(&self) -> usize {
