--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -56,6 +56,16 @@
     (links, rx)
 }
 
+/// The node to which the next message failed.
+fn failed(seen: &Receiver<Seen>) -> Result<NodeId, String> {
+    match seen.recv_timeout(WAIT) {
+        Ok(Seen::Failed(to)) => Ok(to),
+        Ok(Seen::Message(from, msg)) => Err(format!("{from} sent {msg:?}")),
+        Ok(Seen::Forwarded(req)) => Err(format!("{req:?}")),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
 #[test]
 fn messages_arrive_with_their_sender() {
     let (a, _) = node(1, "secret-secret");
@@ -72,10 +82,7 @@
     let (a, failures) = node(1, "wrong-secret!");
     let (b, rx) = node(2, "secret-secret");
     a.send(NodeId(2), b.address(), PeerMsg::InboxNews);
-    assert!(matches!(
-        failures.recv_timeout(WAIT),
-        Ok(Seen::Failed(NodeId(2)))
-    ));
+    assert_eq!(failed(&failures), Ok(NodeId(2)));
     assert!(rx.try_recv().is_err());
 }
 
@@ -85,10 +92,7 @@
     let address = silent.local_addr().expect("it has an address");
     let (a, failures) = node(1, "secret-secret");
     a.send_fresh(NodeId(2), address, PeerMsg::InboxNews);
-    assert!(matches!(
-        failures.recv_timeout(WAIT),
-        Ok(Seen::Failed(NodeId(2)))
-    ));
+    assert_eq!(failed(&failures), Ok(NodeId(2)));
 }
 
 #[test]
@@ -171,5 +175,5 @@
     let e: LinkError = a
         .forward(NodeId(2), address, req)
         .expect_err("nothing listens");
-    assert_eq!(e.verdict(), Verdict::NotRun);
+    assert_eq!(e.verdict(), Verdict::NotRun, "{e}");
 }
