Metrics by cadence; threads of their own for the table, the objects and the workers

Cause: silent workers could fill the one pool of threads, and keep the domain's lease from being renewed.

--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -12,6 +12,7 @@
 use stakker::{CX, after, stop, sync::ChannelGuard};
 
 use super::{
+    metrics::Metrics,
     platform::{Job, Pool},
     proxy::{Exchange, Proxy, Waiting},
 };
@@ -22,6 +23,8 @@
 
 /// How often the node's clock ticks.
 const TICK: Duration = Duration::from_millis(25);
+/// How often metrics are sent.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
 /// What other threads send to the actor.
 pub(super) enum Incoming {
@@ -51,6 +54,7 @@
     start: Instant,
     pool: Option<Pool>,
     links: Option<Links>,
+    metrics: Option<Metrics>,
     /// Keeps the channel from other threads open.
     channel: Option<ChannelGuard>,
     operators: BTreeMap<OperatorId, Sender<OperatorResp>>,
@@ -69,6 +73,7 @@
             start: cx.now(),
             pool: None,
             links: None,
+            metrics: None,
             channel: None,
             operators: BTreeMap::new(),
             waiting: None,
@@ -82,13 +87,24 @@
         pool: Pool,
         links: Links,
         proxy: Proxy,
+        metrics: Option<Metrics>,
         guard: ChannelGuard,
     ) {
+        self.metrics = metrics;
         self.waiting = Some(Waiting::new(proxy));
         self.pool = Some(pool);
         self.links = Some(links);
         self.channel = Some(guard);
         self.tick(cx);
+        self.report(cx);
+    }
+
+    fn report(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        if let Some(metrics) = &mut self.metrics {
+            metrics.report(&self.node.dump(now));
+            after!(REPORT_INTERVAL, [cx], report());
+        }
     }
 
     fn tick(&mut self, cx: CX![]) {
--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -9,11 +9,12 @@
 };
 
 use model::Verdict;
+use peer::secrets_equal;
 use serde::{Serialize, de::DeserializeOwned};
 use stakker::sync::Channel;
 use tiny_http::{Header, Method, Request, Response, Server};
 
-use super::{actor::Incoming, proxy::Proxy, token};
+use super::{actor::Incoming, proxy::Proxy};
 use crate::{
     api::{OperatorReq, OperatorResp},
     settings::Settings,
@@ -114,7 +115,7 @@
     let given = header(&req, "authorization").unwrap_or_default();
     let given = given.strip_prefix("Bearer ").unwrap_or_default();
     let known = !shared.operator_token.is_empty();
-    if known && token::equal(given, &shared.operator_token) {
+    if known && secrets_equal(given.as_bytes(), shared.operator_token.as_bytes()) {
         return Some(req);
     }
     log::warn!("http: an operator's call without the right token was refused");
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -4,9 +4,9 @@
 mod fixed;
 mod http;
 mod links;
+mod metrics;
 mod platform;
 mod proxy;
-mod token;
 
 use std::{
     io, process, thread,
@@ -19,7 +19,9 @@
 use store::HttpPlatformConfig;
 
 pub use self::fixed::{FixedProxy, FixedService};
-use self::{actor::NodeActor, http::Faces, links::Inbox, platform::Pool, proxy::Proxy};
+use self::{
+    actor::NodeActor, http::Faces, links::Inbox, metrics::Metrics, platform::Pool, proxy::Proxy,
+};
 use crate::{Identity, NodeConfig, settings::Settings};
 
 /// The longest sleep of the main thread.
@@ -65,7 +67,11 @@
     let faces = Faces::start(settings, &channel, &proxy)?;
     watch_signals(&channel)?;
     log::info!("node: {} listens on {}", settings.node, faces.address());
-    call!([node], connect(pool, links, proxy, guard));
+    let metrics = match settings.metrics {
+        Some(to) => Some(Metrics::new(to, &settings.node.to_string())?),
+        None => None,
+    };
+    call!([node], connect(pool, links, proxy, metrics, guard));
 
     let mut pending = stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
--- a/crates/node/src/daemon/platform.rs
+++ b/crates/node/src/daemon/platform.rs
@@ -18,8 +18,12 @@
 use super::actor::Incoming;
 use crate::{CallId, Event};
 
-/// How many calls are made at a time.
-const THREADS: usize = 16;
+/// How many calls to the table and the VM list are made at a time.
+const TABLE_THREADS: usize = 8;
+/// How many calls to the object store are made at a time.
+const OBJECT_THREADS: usize = 4;
+/// How many calls to workers are made at a time.
+const WORKER_THREADS: usize = 16;
 
 /// A call to make.
 #[derive(Clone, Debug)]
@@ -31,8 +35,13 @@
 }
 
 /// The pool. Its threads end when it is dropped.
+///
+/// Each part of the platform has threads of its own: workers that give no answer must not keep a lease
+/// from being renewed in the table.
 pub(super) struct Pool {
-    jobs: Sender<Job>,
+    table: Sender<Job>,
+    objects: Sender<Job>,
+    workers: Sender<Job>,
 }
 
 impl Pool {
@@ -41,22 +50,41 @@
         domain: DomainId,
         channel: &Channel<Incoming>,
     ) -> Self {
-        let (jobs, rx) = mpsc::channel();
-        let rx = Arc::new(Mutex::new(rx));
         let platform = HttpPlatform::new(cfg);
-        for _ in 0..THREADS {
-            let rx = Arc::clone(&rx);
-            let channel = channel.clone();
-            let platform = platform.clone();
-            thread::spawn(move || work(&rx, domain, platform, &channel));
+        let start = |threads| start_threads(threads, domain, &platform, channel);
+        Self {
+            table: start(TABLE_THREADS),
+            objects: start(OBJECT_THREADS),
+            workers: start(WORKER_THREADS),
         }
-        Self { jobs }
     }
 
     pub(super) fn send(&self, job: Job) {
+        let jobs = match &job {
+            Job::Table(..) | Job::Vms => &self.table,
+            Job::Object(..) => &self.objects,
+            Job::Worker(..) => &self.workers,
+        };
         // The threads outlive the pool, so the send does not fail.
-        let _ = self.jobs.send(job);
+        let _ = jobs.send(job);
+    }
+}
+
+fn start_threads(
+    threads: usize,
+    domain: DomainId,
+    platform: &HttpPlatform,
+    channel: &Channel<Incoming>,
+) -> Sender<Job> {
+    let (jobs, rx) = mpsc::channel();
+    let rx = Arc::new(Mutex::new(rx));
+    for _ in 0..threads {
+        let rx = Arc::clone(&rx);
+        let channel = channel.clone();
+        let platform = platform.clone();
+        thread::spawn(move || work(&rx, domain, platform, &channel));
     }
+    jobs
 }
 
 fn work(
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -48,5 +48,5 @@
         BackendView, DomainSummary, DomainView, GrantView, Heartbeat, NodeSummary, PeerMsg,
         ViewContent, ViewVersion,
     },
-    server::ForwardedRequest,
+    server::{ForwardedRequest, secrets_equal},
 };
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -97,7 +97,7 @@
 /// The sender, if it has the nodes' token.
 fn authorised(cfg: &LinksConfig, parts: &request::Parts) -> Option<NodeId> {
     let given = parts.headers.get(TOKEN_HEADER)?.as_bytes();
-    if !equal(given, cfg.token.as_bytes()) {
+    if !secrets_equal(given, cfg.token.as_bytes()) {
         return None;
     }
     let node = parts.headers.get(NODE_HEADER)?.to_str().ok()?;
@@ -105,7 +105,15 @@
 }
 
 /// Whether two secrets are equal, in a time that depends on their lengths alone.
-fn equal(a: &[u8], b: &[u8]) -> bool {
+///
+/// # Examples
+///
+/// ```
+/// assert!(peer::secrets_equal(b"one secret", b"one secret"));
+/// assert!(!peer::secrets_equal(b"one secret", b"two secret"));
+/// ```
+#[must_use]
+pub fn secrets_equal(a: &[u8], b: &[u8]) -> bool {
     if a.len() != b.len() {
         return false;
     }
