--- /dev/null
+++ b/crates/place/tests/rules.rs
@@ -0,0 +1,408 @@
+//! One rule of placement per test, on small clusters.
+
+mod world;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use model::{Class, Repeat, Size, TaskId, Time, Unit, UnitId, Usage, WorkerId};
+use place::{Decision, Next, PlaceConfig, TaskEnd, Unplaceable};
+
+use world::{World, batch, gang, service, size, unit};
+
+const TICK: Duration = Duration::from_millis(100);
+const WHOLE: Size = Size::new(16_000, 64 * 1_024, 0);
+
+fn world(workers: u32) -> World {
+    World::new(PlaceConfig::default(), workers, WHOLE)
+}
+
+fn of_team(unit: Unit, team: &str) -> Unit {
+    Unit {
+        team: team.into(),
+        ..unit
+    }
+}
+
+fn task(unit: &str, index: u32) -> TaskId {
+    TaskId::new(&UnitId::new(unit), index)
+}
+
+fn workers_of(world: &World, name: &str) -> Vec<u32> {
+    let running = world.running_of(name);
+    running.iter().map(|(_, r)| r.worker.0).collect()
+}
+
+#[test]
+fn replicas_are_spread_over_racks() {
+    let mut world = world(16);
+    let web = unit("web", Class::Standard, service(4), size(2, 2, 0));
+    world.submit(&web).unwrap();
+    world.decide();
+    let racks: BTreeSet<u32> = workers_of(&world, "web").iter().map(|w| w / 4).collect();
+    assert_eq!(racks.len(), 4);
+    // A lost replica comes back in the rack that is without one.
+    let lost = world.running_of("web")[2].0.clone();
+    let rack = world.running[&lost].worker.0 / 4;
+    world.end(&lost, TaskEnd::Lost);
+    world.decide();
+    assert_eq!(world.running[&lost].worker.0 / 4, rack);
+}
+
+#[test]
+fn work_without_accelerators_stays_off_their_hosts() {
+    let mut world = World::new(PlaceConfig::default(), 0, WHOLE);
+    world.worker(0, size(16, 64, 4));
+    world.worker(1, size(16, 64, 4));
+    world.worker(2, size(16, 64, 0));
+    let cases = [
+        ("service", Class::Standard, service(8)),
+        ("firm", Class::Standard, batch(8)),
+    ];
+    for (name, class, kind) in cases {
+        world
+            .submit(&unit(name, class, kind, size(2, 2, 0)))
+            .unwrap();
+    }
+    world.decide();
+    assert_eq!(workers_of(&world, "service"), [2; 8]);
+    // Half of a host's part per free accelerator is kept.
+    let firm = workers_of(&world, "firm");
+    assert!(firm.len() == 8 && firm.iter().all(|w| *w != 2), "{firm:?}");
+    world
+        .submit(&unit("model", Class::Standard, batch(2), size(2, 2, 4)))
+        .unwrap();
+    world.decide();
+    assert_eq!(workers_of(&world, "model").len(), 2);
+}
+
+#[test]
+fn urgent_work_checkpoints_the_victim_that_loses_least() {
+    let mut world = world(2);
+    let mut add = |name: &str, wait: u64| {
+        let mut bulk = unit(name, Class::Bulk, batch(1), size(16, 8, 0));
+        bulk.run_time = Duration::from_secs(600);
+        world.submit(&bulk).unwrap();
+        world.step(Duration::from_secs(wait));
+    };
+    add("old", 30);
+    add("young", 30);
+    let urgent = unit("urgent", Class::Interactive, batch(1), size(1, 1, 0));
+    world.submit(&urgent).unwrap();
+    let asked = world.now;
+    let out = world.decide();
+    let victim = task("young", 0);
+    assert!(
+        matches!(&out[..], [Decision::Checkpoint { task, .. }] if *task == victim),
+        "{out:?}"
+    );
+    world.run(Duration::from_secs(2));
+    let waited = world.started("urgent").unwrap() - asked;
+    assert!(waited <= Duration::from_secs(8), "{waited:?}");
+    assert!(world.running_of("old").len() == 1);
+}
+
+#[test]
+fn a_checkpoint_that_takes_too_long_becomes_a_stop() {
+    let mut world = world(1);
+    let bulk = unit("bulk", Class::Bulk, batch(1), WHOLE);
+    world.submit(&bulk).unwrap();
+    world.decide();
+    let urgent = unit("urgent", Class::Interactive, batch(1), size(1, 1, 0));
+    world.submit(&urgent).unwrap();
+    let mut out = Vec::new();
+    world.placer.decide(world.now, &mut out);
+    assert!(matches!(out[..], [Decision::Checkpoint { .. }]));
+    let late = world.now + PlaceConfig::default().checkpoint_timeout;
+    assert_eq!(world.placer.next_wake(), Some(late));
+    out.clear();
+    world.placer.decide(late, &mut out);
+    assert!(matches!(out[..], [Decision::Stop { .. }]), "{out:?}");
+}
+
+#[test]
+fn a_task_is_preempted_a_bounded_number_of_times() {
+    let mut world = world(1);
+    let mut bulk = unit("bulk", Class::Bulk, batch(1), WHOLE);
+    bulk.run_time = Duration::from_secs(50);
+    world.submit(&bulk).unwrap();
+    for n in 0..200 {
+        let mut urgent = unit(
+            &format!("u{n}"),
+            Class::Interactive,
+            batch(1),
+            size(1, 1, 0),
+        );
+        urgent.run_time = Duration::from_secs(1);
+        world.submit(&urgent).unwrap();
+        world.run(Duration::from_secs(10));
+    }
+    let checkpoints = world.count(|d| matches!(d, Decision::Checkpoint { .. }));
+    assert_eq!(checkpoints, 3);
+    assert!(world.over.contains(&task("bulk", 0)));
+}
+
+#[test]
+fn growth_takes_free_room_or_is_throttled_or_ends_the_lowest_class() {
+    let whole = |p, gb: u64| Usage {
+        milli_processors: p,
+        memory_mb: gb * 1_024,
+    };
+    let mut world = world(1);
+    let cases = [("low", Class::Bulk), ("high", Class::Standard)];
+    for (name, class) in cases {
+        world
+            .submit(&unit(name, class, batch(1), size(6, 24, 0)))
+            .unwrap();
+    }
+    world.decide();
+    let (low, high) = (task("low", 0), task("high", 0));
+    world.placer.usage(world.now, &high, whole(8_000, 32));
+    assert!(world.decide().is_empty());
+    assert_eq!(world.placer.reserved(&high), Some(size(8, 32, 0)));
+    world.placer.usage(world.now, &high, whole(12_000, 32));
+    let out = world.decide();
+    assert!(
+        matches!(&out[..], [Decision::Throttle { task, milli_processors: 8_000, .. }] if *task == high),
+        "{out:?}"
+    );
+    world.placer.usage(world.now, &high, whole(8_000, 50));
+    let out = world.decide();
+    assert!(
+        matches!(&out[..], [Decision::Checkpoint { task, .. }] if *task == low),
+        "{out:?}"
+    );
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.placer.reserved(&high), Some(size(8, 50, 0)));
+    // What was learned is reserved for the next attempt of the same name.
+    world.end(&high, TaskEnd::Lost);
+    world.step(TICK);
+    assert_eq!(
+        world.placer.reserved(&high),
+        Some(Size::new(12_000, 50 * 1_024, 0))
+    );
+}
+
+#[test]
+fn a_bad_worker_is_told_apart_from_a_bad_task() {
+    let mut world = world(8);
+    world.bad.insert(WorkerId(0));
+    let mut bad = unit("bad", Class::Bulk, batch(4), size(2, 2, 0));
+    bad.command[0] = "fail".into();
+    world.submit(&bad).unwrap();
+    for n in 0..6 {
+        let mut good = unit(&format!("good{n}"), Class::Bulk, batch(60), size(2, 2, 0));
+        good.run_time = Duration::from_secs(5);
+        world.submit(&good).unwrap();
+    }
+    world.run(Duration::from_secs(40));
+    assert!(world.placer.is_quarantined(WorkerId(0)));
+    assert!((1..8).all(|w| !world.placer.is_quarantined(WorkerId(w))));
+    world.run(Duration::from_secs(300));
+    let given_up: BTreeSet<&str> = world.given_up.keys().map(|t| t.unit.as_str()).collect();
+    assert_eq!(given_up, BTreeSet::from(["bad"]));
+    // The worker is mended; a probe opens it again.
+    world.bad.clear();
+    let mut late = unit("late", Class::Bulk, batch(400), size(2, 2, 0));
+    late.run_time = Duration::from_secs(5);
+    world.submit(&late).unwrap();
+    world.run(Duration::from_secs(600));
+    assert!(!world.placer.is_quarantined(WorkerId(0)));
+    let back = |d: &Decision| matches!(d, Decision::Start { task, worker: WorkerId(0), .. } if task.unit.as_str() == "late");
+    assert!(world.count(back) > 0);
+}
+
+#[test]
+fn attempts_are_bounded_and_wait_longer_each_time() {
+    let mut world = world(8);
+    let mut bad = unit("bad", Class::Bulk, batch(1), size(2, 2, 0));
+    bad.command[0] = "fail".into();
+    bad.attempts = 5;
+    world.submit(&bad).unwrap();
+    world.run(Duration::from_secs(60));
+    let starts = world.log.iter().filter_map(|(at, d)| match d {
+        Decision::Start { worker, .. } => Some((*at, *worker)),
+        _ => None,
+    });
+    let starts: Vec<(Time, WorkerId)> = starts.collect();
+    assert_eq!(starts.len(), 5);
+    let gaps: Vec<u64> = starts
+        .windows(2)
+        .map(|w| (w[1].0 - w[0].0).as_secs())
+        .collect();
+    assert_eq!(gaps, [1, 2, 4, 8]);
+    assert_ne!(starts[0].1, starts[1].1, "not twice on one worker");
+}
+
+#[test]
+fn work_that_can_never_run_is_told_why() {
+    let mut world = world(2);
+    world.team("small", size(8, 100, 0));
+    let cases = [
+        (
+            unit("wide", Class::Bulk, batch(1), size(17, 1, 0)),
+            "no worker holds",
+        ),
+        (
+            unit("gpu", Class::Bulk, batch(1), size(1, 1, 1)),
+            "no worker holds",
+        ),
+        (
+            unit("gang", Class::Bulk, gang(5), size(6, 1, 0)),
+            "workers together",
+        ),
+        (
+            of_team(unit("q", Class::Bulk, batch(1), size(9, 1, 0)), "small"),
+            "quota",
+        ),
+        (
+            of_team(unit("n", Class::Bulk, batch(1), size(1, 1, 0)), "none"),
+            "not known",
+        ),
+    ];
+    for (unit, reason) in cases {
+        let e = world.submit(&unit).unwrap_err();
+        assert!(e.to_string().contains(reason), "{e}");
+    }
+    assert!(world.decide().is_empty());
+}
+
+#[test]
+fn a_reason_comes_with_a_change_and_clears_with_the_next() {
+    let mut world = world(1);
+    world.worker(1, size(32, 64, 0));
+    world
+        .submit(&unit("first", Class::Bulk, batch(1), size(32, 1, 0)))
+        .unwrap();
+    world.decide();
+    let big = unit("big", Class::Bulk, batch(1), size(20, 1, 0));
+    world.submit(&big).unwrap();
+    world.decide();
+    world.set_open(1, false);
+    let out = world.decide();
+    let told = |reason| Decision::Explain {
+        unit: UnitId::new("big"),
+        reason,
+    };
+    let reason = Unplaceable::TooLarge(size(20, 1, 0));
+    assert_eq!(out, [told(Some(reason))]);
+    world.set_open(1, true);
+    assert_eq!(world.decide(), [told(None)]);
+    world.run(Duration::from_secs(70));
+    assert!(world.started("big").is_some());
+}
+
+#[test]
+fn a_wave_of_cancellations_is_one_pass_with_paced_stops() {
+    let mut world = World::new(PlaceConfig::default(), 200, WHOLE);
+    world
+        .submit(&unit("wave", Class::Bulk, batch(5_000), size(1, 1, 0)))
+        .unwrap();
+    world
+        .submit(&unit("next", Class::Bulk, batch(10), size(1, 1, 0)))
+        .unwrap();
+    world.run(Duration::from_secs(5));
+    let running = world.running_of("wave").len();
+    assert!(running > 3_000);
+    let mut most = world.cancel("wave");
+    for _ in 0..100 {
+        let out = world.step(TICK);
+        let stops = out.iter().filter(|d| matches!(d, Decision::Stop { .. }));
+        most = most.max(stops.count());
+    }
+    assert!(most <= 50, "{most} stops at a time");
+    assert_eq!(world.count(|d| matches!(d, Decision::Stop { .. })), running);
+    assert!(world.running_of("wave").is_empty());
+    assert_eq!(
+        world
+            .started_at
+            .keys()
+            .filter(|t| t.unit.as_str() == "next")
+            .count(),
+        10
+    );
+}
+
+#[test]
+fn teams_share_alike_by_their_quotas() {
+    let mut world = world(10);
+    for (team, processors) in [("a", 160), ("b", 160), ("c", 80)] {
+        world.team(team, size(processors, 1_000, 0));
+        let many = unit(
+            &format!("many-{team}"),
+            Class::Bulk,
+            batch(500),
+            size(1, 1, 0),
+        );
+        world.submit(&of_team(many, team)).unwrap();
+    }
+    world.decide();
+    world.run(Duration::from_secs(1));
+    let held = ["many-a", "many-b", "many-c"].map(|name| world.running_of(name).len());
+    assert_eq!(held, [64, 64, 32]);
+}
+
+#[test]
+fn what_must_not_be_repeated_is_given_up_after_an_uncertain_end() {
+    let cases = [
+        (TaskEnd::Lost, true),
+        (TaskEnd::Failed, true),
+        (TaskEnd::Stopped, true),
+        (TaskEnd::Checkpointed, true),
+        (TaskEnd::StartFailed, false),
+        (TaskEnd::NotStarted, false),
+    ];
+    for (end, expected) in cases {
+        let mut world = world(1);
+        let mut once = unit("once", Class::Bulk, batch(1), size(1, 1, 0));
+        once.repeat = Repeat::Never;
+        world.submit(&once).unwrap();
+        world.decide();
+        let next = world.end(&task("once", 0), end);
+        assert_eq!(matches!(next, Next::GivenUp { .. }), expected, "{end:?}");
+    }
+}
+
+#[test]
+fn two_gangs_that_fit_one_at_a_time_both_run() {
+    let mut world = world(4);
+    for name in ["a", "b"] {
+        let mut gang = unit(name, Class::Standard, gang(3), size(16, 1, 0));
+        gang.run_time = Duration::from_secs(20);
+        world.submit(&gang).unwrap();
+    }
+    world.run(Duration::from_secs(60));
+    assert!(world.over.len() == 6, "{:?}", world.over);
+}
+
+#[test]
+fn backfill_does_not_delay_what_room_is_kept_for() {
+    let start_of_large = |with_small: bool| {
+        let mut world = world(2);
+        let mut long = unit("long", Class::Bulk, batch(2), size(8, 1, 0));
+        long.run_time = Duration::from_secs(200);
+        world.submit(&long).unwrap();
+        world.step(TICK);
+        world
+            .submit(&unit("large", Class::Bulk, gang(2), WHOLE))
+            .unwrap();
+        world.run(Duration::from_secs(90));
+        if with_small {
+            let mut small = unit("small", Class::Bulk, batch(6), size(4, 1, 0));
+            small.run_time = Duration::from_secs(30);
+            world.submit(&small).unwrap();
+            // Runs five times as long as it says.
+            let mut liar = unit("liar", Class::Bulk, batch(1), size(4, 1, 0));
+            liar.run_time = Duration::from_secs(40);
+            world.submit(&liar).unwrap();
+            world.step(TICK);
+            if let Some(running) = world.running.get_mut(&task("liar", 0)) {
+                running.ends = world.now + Duration::from_secs(200);
+            }
+        }
+        world.run(Duration::from_secs(160));
+        assert_eq!(world.started("small").is_some(), with_small);
+        world.started("large").unwrap()
+    };
+    let margin = Duration::from_secs(2);
+    assert!(start_of_large(true) <= start_of_large(false) + margin);
+}
