Replicas apart from each other; urgent work takes free room that is kept for bulk

Change: a replica goes to a worker without one; room that is kept for bulk units and is free already is given up for interactive tasks.

--- a/crates/place/src/pass.rs
+++ b/crates/place/src/pass.rs
@@ -149,6 +149,11 @@
         if !self.cfg.preempts || exhausted || pass.not_preemptible.covers(Need::Firm, size) {
             return false;
         }
+        if let Some(slot) = self.take_from_bulk(size) {
+            self.put(now, key, slot, size, false);
+            self.announce(key, out);
+            return true;
+        }
         if self.keep_by_preemption(now, key, size, out) {
             pass.preemptions += 1;
             return true;
@@ -214,7 +219,7 @@
         if let Some(slot) = self.find_probe(entry, size) {
             return Some((slot, false));
         }
-        if let Some(slot) = self.find_free(entry, index, size) {
+        if let Some(slot) = self.find_free((unit, index), entry, size) {
             return Some((slot, false));
         }
         let may_backfill = entry.may_interrupt() && self.cfg.backfill == Backfill::Revocable;
@@ -237,7 +242,8 @@
             .copied()
     }
 
-    fn find_free(&self, entry: &Entry, index: u32, size: Size) -> Option<Slot> {
+    fn find_free(&self, key: TaskKey, entry: &Entry, size: Size) -> Option<Slot> {
+        let (unit, index) = key;
         let failed_on = match entry.tasks.get(&index) {
             Some(task) if self.avoids(entry, index) => task.failed_on.as_slice(),
             _ => &[],
@@ -252,7 +258,7 @@
             return workers.accelerated().best(size, score);
         }
         if entry.is_service()
-            && let Some(slot) = self.find_spread(entry, size, score)
+            && let Some(slot) = self.find_spread(unit, entry, size, score)
         {
             return Some(slot);
         }
@@ -276,9 +282,10 @@
         plain.or_else(beside).or_else(reserve).or_else(scarce)
     }
 
-    /// A worker in a rack with as few replicas as any.
+    /// A worker without a replica, in a rack with as few of them as any.
     fn find_spread(
         &self,
+        unit: UnitIx,
         entry: &Entry,
         size: Size,
         score: impl Fn(Slot, Size) -> Option<u64>,
@@ -292,10 +299,11 @@
             let rack = self.workers.get(slot).spec.rack;
             entry.racks.get(&rack).copied().unwrap_or(0)
         };
+        let alone = |slot: Slot| !self.workers.get(slot).runs_any_of(unit);
         (fewest..=fewest + 1).find_map(|most| {
             let spread = |slot, room| {
-                let few = in_rack(slot) <= most;
-                few.then(|| score(slot, room))?
+                let apart = in_rack(slot) <= most && alone(slot);
+                apart.then(|| score(slot, room))?
             };
             self.workers.plain().best(size, spread)
         })
--- a/crates/place/src/preempt.rs
+++ b/crates/place/src/preempt.rs
@@ -25,6 +25,25 @@
 const LOSS_UNKNOWN: u64 = u64::MAX;
 
 impl Placer {
+    /// Gives up room that is kept for bulk units, but free already, for an urgent task. These units go
+    /// on waiting, and room is kept for them elsewhere.
+    pub(crate) fn take_from_bulk(&mut self, size: Size) -> Option<Slot> {
+        let mut bulk: BTreeMap<Slot, Size> = BTreeMap::new();
+        for group in self.kept.groups.values().filter(|g| g.class == Class::Bulk) {
+            for (slot, room) in &group.rooms {
+                *bulk.entry(*slot).or_default() += *room;
+            }
+        }
+        let (slot, _) = bulk.into_iter().find(|(slot, room)| {
+            let worker = self.workers.get(*slot);
+            let others = worker.held - *room;
+            let scarce = worker.spec.size.accelerators > 0 && size.accelerators == 0;
+            !scarce && worker.fits_beside_running(size + others)
+        })?;
+        self.drop_groups(|group| group.class == Class::Bulk && group.rooms.contains_key(&slot));
+        Some(slot)
+    }
+
     /// Keeps room for an urgent task where the least is lost, and interrupts what runs there.
     pub(crate) fn keep_by_preemption(
         &mut self,
--- a/crates/place/src/workers.rs
+++ b/crates/place/src/workers.rs
@@ -9,7 +9,7 @@
     decision::WorkerSpec,
     fit::{RoomIndex, Slot},
     health::{Health, Trust},
-    units::{Hold, Placed, TaskKey},
+    units::{Hold, Placed, TaskKey, UnitIx},
 };
 
 /// One worker.
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Whether a task of a unit runs here.
+    pub(crate) fn runs_any_of(&self, unit: UnitIx) -> bool {
+        let mut tasks = self.tasks.range((unit, 0)..=(unit, u32::MAX));
+        tasks.next().is_some()
+    }
+
     fn takes_work(&self) -> bool {
         self.open && self.health.trust == Trust::Full
     }
