--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Waiting times and packing are on virtual time; the cost of decisions is on the real clock. A line
 //! `figure NAME VALUE UNIT` is printed for each value, `NAME` ending in the load and the policy but
-//! for the placer at target size.
+//! for the placer at target size. With the argument `variants`, the placer alone is run with other
+//! settings; words after it choose some.
 
 #![expect(
     clippy::cast_precision_loss,
@@ -15,6 +16,8 @@
 mod drive;
 mod load;
 
+use std::time::Duration;
+
 use model::Class;
 use place::{Backfill, FitRule, PlaceConfig, Placer};
 
@@ -130,101 +133,45 @@
     ours
 }
 
-/// Other settings on one load, for the choices that the design page weighs.
+/// A change of the settings.
+type Change = fn(&mut PlaceConfig);
+
+/// The choices that the design page weighs.
+const VARIANTS: [(&str, Change); 15] = [
+    ("base", |_| {}),
+    ("fit_alignment", |cfg| cfg.fit = FitRule::Alignment),
+    ("fit_balance", |cfg| cfg.fit = FitRule::Balance),
+    ("no_backfill", |cfg| cfg.backfill = Backfill::None),
+    ("depth_8", |cfg| cfg.scan_depth = 8),
+    ("patience_bulk_120s", |cfg| {
+        cfg.patience_bulk = Duration::from_secs(120)
+    }),
+    ("batch_256", |cfg| cfg.batch_max = 256),
+    ("press_30s", |cfg| cfg.press_after = Duration::from_secs(30)),
+    ("kept_bulk_16", |cfg| cfg.kept_bulk_max = 16),
+    ("kept_urgent_4", |cfg| cfg.kept_urgent_max = 4),
+    ("no_kept_room", |cfg| {
+        cfg.kept_bulk_max = 0;
+        cfg.kept_urgent_max = 0;
+    }),
+    ("no_reserve", |cfg| cfg.urgent_reserve_permille = 0),
+    ("no_preemption", |cfg| cfg.preempts = false),
+    ("accelerator_share_0", |cfg| {
+        cfg.accelerator_share_permille = 0
+    }),
+    ("accelerator_share_1000", |cfg| {
+        cfg.accelerator_share_permille = 1_000
+    }),
+];
+
+/// Runs one load with other settings: all, or those whose names contain a word of `only`.
 fn variants(load: &Load, only: &[String]) {
-    let base = PlaceConfig::default;
-    let variants = [
-        ("base", base()),
-        (
-            "fit_alignment",
-            PlaceConfig {
-                fit: FitRule::Alignment,
-                ..base()
-            },
-        ),
-        (
-            "fit_balance",
-            PlaceConfig {
-                fit: FitRule::Balance,
-                ..base()
-            },
-        ),
-        (
-            "no_backfill",
-            PlaceConfig {
-                backfill: Backfill::None,
-                ..base()
-            },
-        ),
-        (
-            "depth_8",
-            PlaceConfig {
-                scan_depth: 8,
-                ..base()
-            },
-        ),
-        (
-            "press_30s",
-            PlaceConfig {
-                press_after: std::time::Duration::from_secs(30),
-                ..base()
-            },
-        ),
-        (
-            "kept_bulk_16",
-            PlaceConfig {
-                kept_bulk_max: 16,
-                ..base()
-            },
-        ),
-        (
-            "kept_urgent_4",
-            PlaceConfig {
-                kept_urgent_max: 4,
-                ..base()
-            },
-        ),
-        (
-            "no_kept_room",
-            PlaceConfig {
-                kept_bulk_max: 0,
-                kept_urgent_max: 0,
-                ..base()
-            },
-        ),
-        (
-            "no_reserve",
-            PlaceConfig {
-                urgent_reserve_permille: 0,
-                ..base()
-            },
-        ),
-        (
-            "no_preemption",
-            PlaceConfig {
-                preempts: false,
-                ..base()
-            },
-        ),
-        (
-            "accelerator_share_0",
-            PlaceConfig {
-                accelerator_share_permille: 0,
-                ..base()
-            },
-        ),
-        (
-            "accelerator_share_1000",
-            PlaceConfig {
-                accelerator_share_permille: 1_000,
-                ..base()
-            },
-        ),
-    ];
-    for (name, cfg) in variants {
+    for (name, change) in VARIANTS {
         if !only.is_empty() && !only.iter().any(|arg| name.contains(arg.as_str())) {
             continue;
         }
+        let mut cfg = PlaceConfig::default();
+        change(&mut cfg);
         let outcome = run(Placer::new(cfg), load);
         report(&format!("_{}_{name}", load.spec.name), &outcome);
     }
--- a/crates/place/src/learn.rs
+++ b/crates/place/src/learn.rs
@@ -1,9 +1,15 @@
 //! Sizes and run times as learned from reports, by the name of the unit.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use model::{Size, Usage};
 
+/// Names that are remembered beyond those in use.
+const NAMES_REMEMBERED: usize = 10_000;
+
 /// Run times that are remembered per name.
 const RUNS_REMEMBERED: usize = 16;
 
@@ -71,30 +77,78 @@
     }
 }
 
-/// The learned values of all names.
+/// What is known of a name.
+#[derive(Clone, Debug, Default)]
+struct Known {
+    name: String,
+    /// Units that have this name now.
+    units: u32,
+    /// When the last of them went, as a count.
+    idle_since: u64,
+    learned: Learned,
+}
+
+/// The learned values of all names. Those that were not used for longest make way for new ones.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Learning {
     by_name: HashMap<String, usize>,
-    learned: Vec<Learned>,
+    known: Vec<Known>,
+    /// Names without a unit, longest unused first.
+    idle: BTreeSet<(u64, usize)>,
+    released: u64,
 }
 
 impl Learning {
-    /// The number that stands for a name.
-    pub(crate) fn name(&mut self, name: &str) -> usize {
-        if let Some(ix) = self.by_name.get(name) {
-            return *ix;
-        }
-        let ix = self.learned.len();
-        self.learned.push(Learned::default());
+    /// The number that stands for a name, for one more unit of it.
+    pub(crate) fn acquire(&mut self, name: &str) -> usize {
+        let ix = match self.by_name.get(name) {
+            Some(ix) => *ix,
+            None => self.insert(name),
+        };
+        let known = &mut self.known[ix];
+        known.units += 1;
+        self.idle.remove(&(known.idle_since, ix));
+        ix
+    }
+
+    fn insert(&mut self, name: &str) -> usize {
+        let known = Known {
+            name: name.to_owned(),
+            ..Known::default()
+        };
+        let reused = if self.known.len() < NAMES_REMEMBERED {
+            None
+        } else {
+            self.idle.pop_first()
+        };
+        let ix = if let Some((_, ix)) = reused {
+            self.by_name.remove(&self.known[ix].name);
+            self.known[ix] = known;
+            ix
+        } else {
+            self.known.push(known);
+            self.known.len() - 1
+        };
         self.by_name.insert(name.to_owned(), ix);
         ix
     }
 
+    /// Takes a unit of a name out.
+    pub(crate) fn release(&mut self, ix: usize) {
+        self.released += 1;
+        let known = &mut self.known[ix];
+        known.units -= 1;
+        if known.units == 0 {
+            known.idle_since = self.released;
+            self.idle.insert((self.released, ix));
+        }
+    }
+
     pub(crate) fn of(&self, name: usize) -> &Learned {
-        &self.learned[name]
+        &self.known[name].learned
     }
 
     pub(crate) fn of_mut(&mut self, name: usize) -> &mut Learned {
-        &mut self.learned[name]
+        &mut self.known[name].learned
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -48,6 +48,7 @@
 mod kept;
 mod learn;
 mod pass;
+mod patience;
 mod placer;
 mod preempt;
 mod queues;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -116,8 +116,8 @@
     /// Tasks beyond a lowered number are dropped or stopped.
     pub fn add_unit(&mut self, id: &UnitId, unit: &Unit) {
         let team = self.teams.index(&unit.team);
-        let name = self.learning.name(&unit.name);
         let Some(ix) = self.units.find(id) else {
+            let name = self.learning.acquire(&unit.name);
             let entry = Entry::new(id, unit, team, name, self.next_seq);
             self.next_seq += 1;
             self.units.insert(entry);
@@ -127,8 +127,10 @@
             return;
         }
         self.drop_groups(|group| group.unit == ix);
+        let name = self.learning.acquire(&unit.name);
         if let Some(entry) = self.units.get_mut(ix) {
             self.queues.remove(ix, entry);
+            self.learning.release(entry.name);
             entry.unit = unit.clone();
             entry.team = team;
             entry.name = name;
@@ -182,7 +184,9 @@
         for index in running {
             self.release((ix, index));
         }
-        self.units.remove(ix);
+        if let Some(entry) = self.units.remove(ix) {
+            self.learning.release(entry.name);
+        }
     }
 
     /// Counts a task that was found running on a worker, also where it exceeds what the worker holds.
