--- a/crates/cli/src/cell/traffic.rs
+++ b/crates/cli/src/cell/traffic.rs
@@ -5,7 +5,7 @@
 use fakes::{FaultLevel, Rng};
 use model::{NodeId, Time, Verdict, WorkerId};
 use node::Event;
-use route::{Outcome, ReqId};
+use route::{AttemptEnd, Offer, Outcome, ReqId, StoredAnswer};
 
 use super::{
     Cell, Happening,
@@ -188,6 +188,15 @@
         Some((attempt, origin))
     }
 
+    /// The backend server has done with a request, whether or not its node reads the answer.
+    fn backend_done(&mut self, sent: &Sent) {
+        let hop = self.hops.get_mut(&sent.req);
+        let hop = hop.filter(|hop| hop.attempt == sent.attempt);
+        if let Some(worker) = hop.and_then(|hop| hop.worker.take()) {
+            self.closed(worker);
+        }
+    }
+
     /// Ends the wait for an attempt's answer. `None` if it comes too late.
     fn arrived(&mut self, req: ReqId, attempt: u32) -> Option<Hop> {
         let hop = self.hops.get_mut(&req)?;
@@ -214,6 +223,7 @@
             TrafficStep::ArrivesForwarded { req, child } => self.arrives_forwarded(req, child),
             TrafficStep::AtBackend { sent } => self.at_backend(sent),
             TrafficStep::BackendDone { sent, deaths, how } => {
+                self.traffic.backend_done(&sent);
                 let died = self.traffic.deaths(sent.worker) != deaths;
                 let how = if died { Outcome::CutShort } else { how };
                 let body = (how == Outcome::Answered).then_some(sent.origin);
@@ -252,13 +262,14 @@
 
     fn request_event(&mut self, req: ReqId, node: NodeId, start: u64, id: TryId, forwarded: bool) {
         if let Some((service, key, _)) = self.service_of(id) {
-            let event = Event::Request {
+            let offer = Offer {
                 req,
                 service,
                 key,
                 forwarded,
+                ..Offer::default()
             };
-            self.event(node, start, event);
+            self.event(node, start, Event::Request(offer));
         }
     }
 
@@ -390,7 +401,21 @@
             self.traffic.hops.remove(&req);
             self.answered(&hop, body);
         }
-        self.event(hop.node, hop.start, Event::Finished(req, outcome));
+        let kept = body.filter(|_| outcome == Outcome::Answered);
+        let end = AttemptEnd {
+            answer: kept.map(kept_answer),
+            ..AttemptEnd::new(req, attempt, outcome)
+        };
+        self.event(hop.node, hop.start, Event::Finished(end));
+    }
+
+    /// A node answers with what was kept of an earlier request with the same key.
+    pub(crate) fn answer_kept(&mut self, req: ReqId, answer: &StoredAnswer) {
+        let Some(hop) = self.traffic.hops.remove(&req) else {
+            return;
+        };
+        let body = answer.body.as_slice().try_into().ok();
+        self.answered(&hop, body.map(|bytes| TryId(u64::from_be_bytes(bytes))));
     }
 
     /// Passes a whole answer back towards its caller.
@@ -490,6 +515,15 @@
     }
 }
 
+/// What is kept of a whole answer: which try it answers.
+fn kept_answer(body: TryId) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.0.to_be_bytes().to_vec(),
+    }
+}
+
 const fn hop(node: NodeId, start: u64, origin: TryId, parent: Option<ReqId>) -> Hop {
     Hop {
         node,
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,6 +1,6 @@
 //! What operators ask of a node, and its answers. They travel as JSON over HTTP.
 
-pub use config::{ItemChange, RecallTarget};
+pub use config::{ItemChange, ItemFate, RecallTarget};
 use model::{Attempt, DomainId, NodeId, Verdict, WorkerId};
 use serde::{Deserialize, Serialize};
 
@@ -206,4 +206,6 @@
     pub attempt: Attempt,
     /// How many attempts have failed.
     pub failures: u32,
+    /// Names what the newest attempt was started with; 0 if that is not known.
+    pub content: u32,
 }
--- a/crates/node/src/core/calls.rs
+++ b/crates/node/src/core/calls.rs
@@ -2,13 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use model::{Incarnation, NodeId, Time, UnitId, WorkerId};
+use model::{Incarnation, NodeId, Time};
+use route::ReqId;
 use store::{
-    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, Settlement, StoreError,
-    TableReq, TableResp, WorkerCall, Write,
+    Check, CommitChange, CommitConfig, CommitOutput, GroupCommit, NotTaken, ObjectReq, Settlement,
+    StoreError, TableReq, TableResp, WorkerCall, Write,
 };
 
-use super::event::{Action, CallId, OperatorId};
+use super::{
+    event::{Action, CallId, OperatorId},
+    scheduler::{Change, Generation, Read},
+};
 
 /// What a call to the table is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,14 +25,14 @@
     Members,
     ConfigSnapshot,
     ConfigCompact,
-    StateScan,
-    InboxScan,
-    InboxUnit(UnitId, (String, u64)),
+    Scheduler(Generation, Read),
     Operator(OperatorId),
+    /// The row or object of a request's claim.
+    Claim(ReqId),
     /// Rows that the configuration's next entry depends on.
     Publishing,
     Worker {
-        worker: WorkerId,
+        generation: Generation,
         sent: Time,
     },
 }
@@ -38,7 +42,9 @@
 pub(crate) enum Owner {
     /// Nobody: the change is made again if it matters.
     Nobody,
-    State(UnitId),
+    Scheduler(Generation, Change),
+    /// A request that must not be repeated.
+    Claim(ReqId),
     /// The configuration's next entry.
     Publishing,
 }
@@ -56,9 +62,20 @@
         out.push(Action::Table(call, req));
     }
 
-    pub(crate) fn worker(&mut self, now: Time, req: WorkerCall, out: &mut Vec<Action>) {
-        let worker = req.worker;
-        let call = self.add(Purpose::Worker { worker, sent: now });
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq, out: &mut Vec<Action>) {
+        let call = self.add(purpose);
+        out.push(Action::Object(call, req));
+    }
+
+    pub(crate) fn worker(
+        &mut self,
+        generation: Generation,
+        now: Time,
+        req: WorkerCall,
+        out: &mut Vec<Action>,
+    ) {
+        let sent = now;
+        let call = self.add(Purpose::Worker { generation, sent });
         out.push(Action::Worker(call, req));
     }
 
@@ -119,6 +136,19 @@
         Ok(())
     }
 
+    /// Takes back the newest change of an owner, if it was surely not made. It is then never made.
+    pub(crate) fn withdraw(&mut self, owner: &Owner) -> bool {
+        let tag = self.owners.iter().rev().find(|(_, other)| *other == owner);
+        let Some(tag) = tag.map(|(tag, _)| *tag) else {
+            return false;
+        };
+        let withdrawn = self.group.withdraw(tag);
+        if withdrawn {
+            self.owners.remove(&tag);
+        }
+        withdrawn
+    }
+
     /// Makes the next call if one is due, and returns what was given up.
     pub(crate) fn poll(
         &mut self,
@@ -176,4 +206,8 @@
     pub(crate) fn table(&mut self, purpose: Purpose, req: TableReq) {
         self.calls.table(purpose, req, self.out);
     }
+
+    pub(crate) fn object(&mut self, purpose: Purpose, req: ObjectReq) {
+        self.calls.object(purpose, req, self.out);
+    }
 }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,24 +7,23 @@
 mod dump;
 mod entry;
 mod event;
-mod jobs;
 mod members;
 mod operators;
 mod poll;
+mod requests;
 mod rows;
 mod scheduler;
 mod settings;
 mod views;
-mod workers;
 
 use std::collections::BTreeMap;
 
 use lease::{
     Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
 };
-use model::{Epoch, NodeId, Time, Verdict};
+use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
 use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
-use route::{GrantConfig, NodeShares, Offer};
+use route::{GrantConfig, NodeShares, RouteConfig};
 use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
 
 use self::{
@@ -34,14 +33,15 @@
     members::{Members, SelfState, member_key},
     operators::Operators,
     rows::lease_key,
-    scheduler::Scheduler,
+    scheduler::{Generation, Policy, Scheduler},
     views::{Beat, OwnView, Views},
 };
 use crate::api::{OperatorReq, OperatorResp};
 
 pub use self::{
-    dump::{Dump, MemberDump, SchedulerDump},
+    dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
     event::{Action, CallId, Event, OperatorId},
+    requests::RequestNode,
     settings::{ConfigSyncConfig, Identity, MembersConfig, NodeConfig, SchedulerConfig},
 };
 
@@ -57,6 +57,7 @@
     entry: Entry,
     operators: Operators,
     scheduler: Option<Scheduler>,
+    generation: Generation,
     members: Members,
     /// Where the lease's questions go, also to nodes that are no longer among the members.
     lease_addresses: BTreeMap<NodeId, String>,
@@ -84,9 +85,13 @@
             commits: Commits::new(cfg.commit.clone(), me.node, me.incarnation),
             lease: LeaseMachine::new(cfg.lease.clone(), holder),
             config: ConfigSync::new(&cfg.config),
-            entry: Entry::new(cfg.route.clone()),
+            entry: Entry::new(RouteConfig {
+                seed: cfg.route.seed ^ me.incarnation.0 ^ u64::from(me.node.0),
+                ..cfg.route.clone()
+            }),
             operators: Operators::new(me.clone()),
             scheduler: None,
+            generation: Generation::default(),
             questions: BTreeMap::new(),
             lease_addresses: BTreeMap::new(),
             members: Members::new(cfg.members.clone(), me.clone()),
@@ -113,6 +118,12 @@
         self.config.config()
     }
 
+    /// Whether the node shuts down.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// The node's state as an operator sees it.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
@@ -135,6 +146,7 @@
                 .free_elsewhere(now)
                 .map(|(domain, free)| (domain.to_string(), free))
                 .collect(),
+            requests: self.entry.dump(),
             scheduler: self.scheduler.as_ref().map(Scheduler::dump),
         }
     }
@@ -171,8 +183,8 @@
                 }
             }
             Event::Worker(call, worker, result) => {
-                if let Some(Purpose::Worker { sent, .. }) = self.calls.answered(call)
-                    && let Some(scheduler) = &mut self.scheduler
+                if let Some(Purpose::Worker { generation, sent }) = self.calls.answered(call)
+                    && let Some(scheduler) = current(&mut self.scheduler, generation)
                 {
                     scheduler.worker_answered(now, worker, sent, result);
                 }
@@ -185,27 +197,26 @@
                     .call(&mut cx, parts.config, parts.members, id, req);
             }
             Event::Peer(from, msg) => self.peer(now, from, msg, out),
-            Event::Request {
-                req,
-                service,
-                key,
-                forwarded,
-            } => {
-                let offer = Offer {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.entry.offer(now, &offer, out);
+            Event::Request(offer) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.offer(&mut cx, &offer);
+            }
+            Event::Finished(end) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.finished(&mut cx, &end);
+            }
+            Event::Object(call, result) => {
+                if let Some(Purpose::Claim(req)) = self.calls.answered(call) {
+                    let (mut cx, parts) = self.split(now, out);
+                    parts.entry.claim_object(&mut cx, req, result);
+                }
             }
-            Event::Finished(req, outcome) => self.entry.finished(now, req, outcome, out),
             Event::PeerFailed(to, PeerMsg::Lease(msg)) => {
                 if let Some(question) = msg.asks() {
                     self.question_failed(now, to, question, out);
                 }
             }
-            Event::Object(..) | Event::PeerFailed(..) => {}
+            Event::PeerFailed(..) => {}
             Event::Shutdown => self.shutdown(now, out),
         }
         let given_up = self.commits.poll(now, &mut self.calls, out);
@@ -227,6 +238,7 @@
             view: &self.view,
             operators: &mut self.operators,
             scheduler: &mut self.scheduler,
+            entry: &mut self.entry,
         };
         (cx, parts)
     }
@@ -236,18 +248,20 @@
         self.lease_step(now, Input::Tick, out);
         let valid_until = self.lease.valid_until(now);
         let state = self.self_state(now);
+        let elsewhere = self.free_elsewhere(now);
         let (mut cx, parts) = self.split(now, out);
         parts.config.tick(&mut cx);
         parts.members.tick(&mut cx, &state, parts.view.services());
         parts.operators.tick(&mut cx, parts.config);
         if let (Some(scheduler), Some(valid_until)) = (parts.scheduler, valid_until) {
-            scheduler.tick(&mut cx, valid_until);
+            scheduler.tick(&mut cx, valid_until, &elsewhere);
         }
         self.forget_members(now);
         self.refresh_views(now, out);
         self.refresh_remotes(now);
-        self.entry.tick(now, out);
-        if self.leaving && self.entry.in_flight() == 0 && self.commits.unsettled() == 0 {
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.tick(&mut cx);
+        if self.leaving && self.entry.is_drained(now) && self.commits.unsettled() == 0 {
             out.push(Action::Exit);
         }
         if self
@@ -321,6 +335,15 @@
         }
     }
 
+    /// What other failure domains have free that take new work.
+    fn free_elsewhere(&self, now: Time) -> Vec<(DomainId, Size)> {
+        let config = self.config.config();
+        let domains = self.members.free_elsewhere(now);
+        domains
+            .filter(|(domain, _)| !config.is_evacuated(*domain))
+            .collect()
+    }
+
     fn node_shares(&self, now: Time) -> NodeShares {
         NodeShares {
             applied: self.view.applied(),
@@ -400,7 +423,7 @@
             }
             PeerMsg::ConfigEntries(news) => {
                 if self.config.take_entries(news) {
-                    self.config_changed();
+                    self.config_changed(now, out);
                 }
             }
         }
@@ -450,6 +473,10 @@
     }
 
     fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
+        if summary.leaving {
+            // Nothing more is passed on to it.
+            self.next_remotes = now;
+        }
         let (mut cx, parts) = self.split(now, out);
         // What it tells of other nodes is left out: they may be out of this node's reach.
         let version = summary.config_version;
@@ -518,7 +545,7 @@
             Purpose::ConfigEntries => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.entries_read(&mut cx, result) {
-                    self.config_changed();
+                    self.config_changed(now, out);
                 }
             }
             Purpose::Members => {
@@ -534,7 +561,7 @@
             Purpose::ConfigSnapshot => {
                 let (mut cx, parts) = self.split(now, out);
                 if parts.config.snapshot_read(&mut cx, result) {
-                    self.config_changed();
+                    self.config_changed(now, out);
                 }
             }
             Purpose::ConfigCompact => {
@@ -551,58 +578,49 @@
                 let (mut cx, parts) = self.split(now, out);
                 parts.operators.rows_read(&mut cx, id, result);
             }
-            Purpose::StateScan | Purpose::InboxScan | Purpose::InboxUnit(..) => {
-                self.scheduler_answered(now, purpose, result, out);
+            Purpose::Scheduler(generation, read) => {
+                let (mut cx, parts) = self.split(now, out);
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.read(&mut cx, read, result);
+                }
+            }
+            Purpose::Claim(req) => {
+                let (mut cx, parts) = self.split(now, out);
+                parts.entry.claim_read(&mut cx, req, result);
             }
             Purpose::Worker { .. } => {}
         }
     }
 
-    fn scheduler_answered(
-        &mut self,
-        now: Time,
-        purpose: Purpose,
-        result: Result<TableResp, StoreError>,
-        out: &mut Vec<Action>,
-    ) {
-        let (mut cx, parts) = self.split(now, out);
-        let Some(scheduler) = parts.scheduler else {
-            return;
-        };
-        match purpose {
-            Purpose::StateScan => scheduler.rows_read(now, result),
-            Purpose::InboxScan => scheduler.inbox_read(&mut cx, result),
-            Purpose::InboxUnit(id, notice) => scheduler.unit_read(now, &id, notice, result),
-            _ => {}
-        }
-    }
-
     fn settled(&mut self, now: Time, owner: Owner, settlement: Settlement, out: &mut Vec<Action>) {
         let (mut cx, parts) = self.split(now, out);
         match owner {
             Owner::Nobody => {}
-            Owner::State(id) => {
-                if let Some(scheduler) = parts.scheduler {
-                    scheduler.state_settled(now, &id, settlement);
+            Owner::Scheduler(generation, change) => {
+                if let Some(scheduler) = current(parts.scheduler, generation) {
+                    scheduler.settled(now, change, settlement);
                 }
             }
             Owner::Publishing => {
                 let operators = parts.operators;
                 if operators.settled(&mut cx, parts.config, &settlement) {
-                    self.config_changed();
+                    self.config_changed(now, out);
                 }
             }
+            Owner::Claim(req) => parts.entry.claim_settled(&mut cx, req, &settlement),
         }
     }
 
-    fn config_changed(&mut self) {
+    fn config_changed(&mut self, now: Time, out: &mut Vec<Action>) {
         log::info!(
             "config: version {} is in force",
             self.config.config().version()
         );
-        self.entry.set_config(self.config.config());
+        let (mut cx, parts) = self.split(now, out);
+        parts.entry.set_config(&mut cx, parts.config.config());
         if let Some(scheduler) = &mut self.scheduler {
-            scheduler.set_teams(self.config.config().teams().values());
+            let policy = Policy::new(self.config.config(), self.me.domain);
+            scheduler.set_policy(now, policy);
             scheduler.read_inbox_soon();
         }
     }
@@ -670,10 +688,17 @@
     }
 
     fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
-        let cfg = self.cfg.scheduler.clone();
-        let place = self.cfg.place.clone();
-        let mut scheduler = Scheduler::new(now, cfg, place, self.me.domain, epoch);
-        scheduler.set_teams(self.config.config().teams().values());
+        self.generation.0 += 1;
+        let mut scheduler = Scheduler::new(
+            now,
+            self.cfg.scheduler.clone(),
+            self.cfg.place.clone(),
+            self.me.domain,
+            epoch,
+            self.generation,
+        );
+        let policy = Policy::new(self.config.config(), self.me.domain);
+        scheduler.set_policy(now, policy);
         self.scheduler = Some(scheduler);
     }
 
@@ -697,6 +722,7 @@
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
+            self.entry.leave(now);
             self.lease_step(now, Input::HandOver, out);
         }
     }
@@ -708,6 +734,7 @@
     view: &'a OwnView,
     operators: &'a mut Operators,
     scheduler: &'a mut Option<Scheduler>,
+    entry: &'a mut Entry,
 }
 
 fn row_state(result: Result<TableResp, StoreError>) -> RowState {
@@ -747,3 +774,16 @@
         msg,
     });
 }
+
+/// The present scheduler, if it is the one of this generation.
+fn current(scheduler: &mut Option<Scheduler>, generation: Generation) -> Option<&mut Scheduler> {
+    let present = scheduler.as_mut()?;
+    (present.generation() == generation).then_some(present)
+}
+
+/// A hash that is the same in every process (FNV-1a).
+fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/node/src/daemon/actor.rs
+++ b/crates/node/src/daemon/actor.rs
@@ -6,12 +6,15 @@
     time::{Duration, Instant},
 };
 
-use model::{NodeId, Time, Verdict};
+use model::{NodeId, Time};
 use peer::{Links, PeerMsg};
-use route::{Outcome, ReqId};
+use route::{AttemptEnd, Offer, ReqId};
 use stakker::{CX, after, stop, sync::ChannelGuard};
 
-use super::platform::{Job, Pool};
+use super::{
+    platform::{Job, Pool},
+    proxy::{Exchange, Proxy, Waiting},
+};
 use crate::{
     Action, Dump, Event, Identity, Node, NodeConfig, OperatorId,
     api::{OperatorReq, OperatorResp},
@@ -20,29 +23,6 @@
 /// How often the node's clock ticks.
 const TICK: Duration = Duration::from_millis(25);
 
-/// What is to be done with a caller's request.
-#[derive(Clone, Debug)]
-pub(super) enum RouteAnswer {
-    /// Send it to a backend server.
-    Dispatch {
-        req: ReqId,
-        endpoint: String,
-        timeout: Duration,
-    },
-    /// Pass it to another node.
-    Forward {
-        req: ReqId,
-        node: NodeId,
-        address: String,
-    },
-    /// Answer the caller at once.
-    Refuse {
-        verdict: Verdict,
-        reason: &'static str,
-        retry_after: Option<Duration>,
-    },
-}
-
 /// What other threads send to the actor.
 pub(super) enum Incoming {
     /// Something for the node itself.
@@ -53,14 +33,12 @@
         reply: Sender<OperatorResp>,
     },
     /// A caller's request.
-    Request {
-        service: String,
-        key: Option<String>,
-        forwarded: bool,
-        reply: Sender<RouteAnswer>,
+    Request { offer: Offer, exchange: Exchange },
+    /// The end of an attempt, and the request if it is not answered.
+    Finished {
+        end: AttemptEnd,
+        exchange: Option<Exchange>,
     },
-    /// What became of a caller's request.
-    Finished(ReqId, Outcome),
     /// Asks for the node's state.
     Dump(Sender<Dump>),
     /// Asks whether callers may be sent here.
@@ -76,7 +54,7 @@
     /// Keeps the channel from other threads open.
     channel: Option<ChannelGuard>,
     operators: BTreeMap<OperatorId, Sender<OperatorResp>>,
-    requests: BTreeMap<ReqId, Sender<RouteAnswer>>,
+    waiting: Option<Waiting>,
     last_id: u64,
 }
 
@@ -93,12 +71,20 @@
             links: None,
             channel: None,
             operators: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            waiting: None,
             last_id: 0,
         })
     }
 
-    pub(super) fn connect(&mut self, cx: CX![], pool: Pool, links: Links, guard: ChannelGuard) {
+    pub(super) fn connect(
+        &mut self,
+        cx: CX![],
+        pool: Pool,
+        links: Links,
+        proxy: Proxy,
+        guard: ChannelGuard,
+    ) {
+        self.waiting = Some(Waiting::new(proxy));
         self.pool = Some(pool);
         self.links = Some(links);
         self.channel = Some(guard);
@@ -118,23 +104,19 @@
                 self.operators.insert(id, reply);
                 self.event(cx, Event::Operator(id, req));
             }
-            Incoming::Request {
-                service,
-                key,
-                forwarded,
-                reply,
-            } => {
+            Incoming::Request { offer, exchange } => {
                 let req = ReqId(self.next_id());
-                self.requests.insert(req, reply);
-                let event = Event::Request {
-                    req,
-                    service,
-                    key,
-                    forwarded,
-                };
-                self.event(cx, event);
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.add(req, exchange);
+                }
+                self.event(cx, Event::Request(Offer { req, ..offer }));
+            }
+            Incoming::Finished { end, exchange } => {
+                if let (Some(exchange), Some(waiting)) = (exchange, &mut self.waiting) {
+                    waiting.take_back(&end, exchange);
+                }
+                self.event(cx, Event::Finished(end));
             }
-            Incoming::Finished(req, outcome) => self.event(cx, Event::Finished(req, outcome)),
             // The asker may have given up waiting.
             Incoming::Dump(reply) => drop(reply.send(self.node.dump(self.now(cx)))),
             Incoming::Ready(reply) => drop(reply.send(self.node.is_ready())),
@@ -145,6 +127,9 @@
         let mut actions = Vec::new();
         let now = self.now(cx);
         self.node.handle(now, event, &mut actions);
+        if let Some(waiting) = self.waiting.as_ref().filter(|_| self.node.is_leaving()) {
+            waiting.close_connections();
+        }
         for action in actions {
             self.act(cx, action);
         }
@@ -162,38 +147,29 @@
                     let _ = reply.send(resp);
                 }
             }
-            Action::Dispatch {
-                req,
-                endpoint,
-                timeout,
-                ..
-            } => {
-                let answer = RouteAnswer::Dispatch {
-                    req,
-                    endpoint,
-                    timeout,
-                };
-                self.answer(req, answer);
+            Action::Dispatch(dispatch) => {
+                let lost = self.waiting.as_mut().and_then(|w| w.dispatch(dispatch));
+                self.attempt_lost(cx, lost);
             }
-            Action::Refuse {
-                req,
-                verdict,
-                reason,
-                retry_after,
-            } => {
-                let answer = RouteAnswer::Refuse {
-                    verdict,
-                    reason,
-                    retry_after,
-                };
-                self.answer(req, answer);
+            Action::Forward(forward) => {
+                let address = self.node.address(forward.node);
+                let address = address.and_then(|address| address.parse().ok());
+                if let (Some(links), Some(waiting)) = (&self.links, &mut self.waiting) {
+                    let lost = waiting.forward(links, forward, address);
+                    self.attempt_lost(cx, lost);
+                }
             }
-            Action::Peer { to, fresh, msg } => self.send_peer(to, fresh, msg),
-            Action::Forward { req, node, .. } => {
-                let address = self.node.address(node).unwrap_or_default().to_owned();
-                let answer = RouteAnswer::Forward { req, node, address };
-                self.answer(req, answer);
+            Action::Answer(req, answer) => {
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.answer(req, answer);
+                }
+            }
+            Action::Refuse(refuse) => {
+                if let Some(waiting) = &mut self.waiting {
+                    waiting.refuse(refuse);
+                }
             }
+            Action::Peer { to, fresh, msg } => self.send_peer(to, fresh, msg),
             Action::Exit => stop!(cx),
         }
     }
@@ -217,10 +193,10 @@
         }
     }
 
-    fn answer(&mut self, req: ReqId, answer: RouteAnswer) {
-        if let Some(reply) = self.requests.remove(&req) {
-            // The caller may have gone away.
-            let _ = reply.send(answer);
+    /// An attempt could not begin.
+    fn attempt_lost(&mut self, cx: CX![], lost: Option<AttemptEnd>) {
+        if let Some(end) = lost {
+            self.event(cx, Event::Finished(end));
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,8 +27,8 @@
 pub use crate::{
     core::{
         Action, CallId, ConfigSyncConfig, Dump, Event, Identity, MemberDump, MembersConfig, Node,
-        NodeConfig, OperatorId, SchedulerConfig, SchedulerDump,
+        NodeConfig, OperatorId, RequestNode, SchedulerConfig, SchedulerDump, WorkerDump,
     },
-    daemon::run as run_daemon,
+    daemon::{FixedProxy, FixedService, run as run_daemon},
     settings::{CommandLine, Settings, SettingsError, parse as parse_settings, parse_with},
 };
--- /dev/null
+++ b/crates/place/benches/place/main.rs
@@ -0,0 +1,261 @@
+//! Measures the placer against its baselines, each on the same seeded load in the same run.
+//!
+//! Waiting times and packing are on virtual time; the cost of decisions is on the real clock. A line
+//! `figure NAME VALUE UNIT` is printed for each value, `NAME` ending in the load and the policy but
+//! for the placer at target size.
+
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures are rounded for print"
+)]
+
+mod baselines;
+mod drive;
+mod load;
+
+use model::Class;
+use place::{Backfill, FitRule, PlaceConfig, Placer};
+
+use crate::{
+    baselines::{Rule, Scan},
+    drive::{Outcome, run},
+    load::{Load, LoadSpec},
+};
+
+/// Waits are measured in steps of this; shorter ones count as one step in quotients.
+const RESOLUTION_S: f64 = 0.05;
+
+/// Runs per size from which the cost of a decision is taken.
+const COST_RUNS: u32 = 3;
+
+fn quantile(values: &[f64], q: f64) -> f64 {
+    let mut values = values.to_vec();
+    values.sort_by(f64::total_cmp);
+    let rank = ((values.len() as f64 * q) as usize).min(values.len().saturating_sub(1));
+    values.get(rank).copied().unwrap_or(0.0)
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn figure(name: &str, suffix: &str, value: f64, unit: &str) {
+    println!("figure {name}{suffix} {value:.3} {unit}");
+}
+
+fn cost_us(outcome: &Outcome) -> f64 {
+    outcome.busy.as_secs_f64() * 1e6 / outcome.decisions as f64
+}
+
+fn packing(outcome: &Outcome) -> f64 {
+    outcome.bulk_processor_s / outcome.worker_s_in_use
+}
+
+fn waits(outcome: &Outcome, class: Class) -> &[f64] {
+    outcome.waits.get(&class).map_or(&[], Vec::as_slice)
+}
+
+fn report(suffix: &str, o: &Outcome) {
+    let urgent = waits(o, Class::Interactive);
+    figure("urgent_wait_mean_s", suffix, mean(urgent), "s");
+    figure("urgent_wait_p99_s", suffix, quantile(urgent, 0.99), "s");
+    figure("urgent_wait_max_s", suffix, quantile(urgent, 1.0), "s");
+    let standard = waits(o, Class::Standard);
+    figure("standard_wait_mean_s", suffix, mean(standard), "s");
+    figure("standard_wait_p99_s", suffix, quantile(standard, 0.99), "s");
+    figure("bulk_wait_mean_s", suffix, mean(waits(o, Class::Bulk)), "s");
+    if !o.gang_waits.is_empty() {
+        figure("gang_wait_mean_s", suffix, mean(&o.gang_waits), "s");
+        figure(
+            "gang_wait_p99_s",
+            suffix,
+            quantile(&o.gang_waits, 0.99),
+            "s",
+        );
+    }
+    figure("packing", suffix, packing(o), "processors");
+    let loaded = o.loaded.0 / o.loaded.1;
+    figure("packing_while_loaded", suffix, loaded, "processors");
+    figure("makespan_s", suffix, o.makespan_s, "s");
+    figure("reserved_processors", suffix, o.reserved.0 * 100.0, "%");
+    figure("reserved_memory", suffix, o.reserved.1 * 100.0, "%");
+    let overloaded = o.overloaded_worker_s;
+    figure("overloaded", suffix, overloaded, "worker_s");
+    let wrongly = o.given_up_wrongly as f64;
+    figure("given_up_wrongly", suffix, wrongly, "tasks");
+    figure("violations", suffix, o.violations as f64, "times");
+    figure("checkpoints", suffix, o.checkpoints as f64, "tasks");
+    figure(
+        "stops_in_call_max",
+        suffix,
+        o.stops_in_tick_max as f64,
+        "tasks",
+    );
+    figure("running_max", suffix, o.running_max as f64, "tasks");
+    figure("starts", suffix, o.starts as f64, "tasks");
+    let rate = o.decisions as f64 / o.busy.as_secs_f64();
+    figure("decisions_per_s", suffix, rate, "1/s");
+    let p99 = quantile(&o.latency_us, 0.99);
+    figure("decision_p99_us", suffix, p99, "us");
+    figure("decision_cost_us", suffix, cost_us(o), "us");
+}
+
+/// The placer and all baselines on one load.
+fn compare(load: &Load, plain_names: bool) -> Outcome {
+    let name = load.spec.name;
+    let suffix = if plain_names {
+        String::new()
+    } else {
+        format!("_{name}")
+    };
+    let ours = run(Placer::new(PlaceConfig::default()), load);
+    report(&suffix, &ours);
+    let rules = [
+        ("first_fit", Rule::FirstFit),
+        ("least_loaded", Rule::LeastLoaded),
+        ("previous", Rule::Previous),
+    ];
+    for (rule_name, rule) in rules {
+        let theirs = run(Scan::new(rule), load);
+        let both = format!("{suffix}_{rule_name}");
+        report(&both, &theirs);
+        let times = mean(waits(&theirs, Class::Interactive))
+            / mean(waits(&ours, Class::Interactive)).max(RESOLUTION_S);
+        figure("urgent_wait_gain", &both, times, "times");
+        let gain = packing(&ours) / packing(&theirs);
+        figure("packing_gain", &both, gain, "times");
+    }
+    ours
+}
+
+/// Other settings on one load, for the choices that the design page weighs.
+fn variants(load: &Load, only: &[String]) {
+    let base = PlaceConfig::default;
+    let variants = [
+        ("base", base()),
+        (
+            "fit_alignment",
+            PlaceConfig {
+                fit: FitRule::Alignment,
+                ..base()
+            },
+        ),
+        (
+            "fit_balance",
+            PlaceConfig {
+                fit: FitRule::Balance,
+                ..base()
+            },
+        ),
+        (
+            "no_backfill",
+            PlaceConfig {
+                backfill: Backfill::None,
+                ..base()
+            },
+        ),
+        (
+            "depth_8",
+            PlaceConfig {
+                scan_depth: 8,
+                ..base()
+            },
+        ),
+        (
+            "press_30s",
+            PlaceConfig {
+                press_after: std::time::Duration::from_secs(30),
+                ..base()
+            },
+        ),
+        (
+            "kept_bulk_16",
+            PlaceConfig {
+                kept_bulk_max: 16,
+                ..base()
+            },
+        ),
+        (
+            "kept_urgent_4",
+            PlaceConfig {
+                kept_urgent_max: 4,
+                ..base()
+            },
+        ),
+        (
+            "no_kept_room",
+            PlaceConfig {
+                kept_bulk_max: 0,
+                kept_urgent_max: 0,
+                ..base()
+            },
+        ),
+        (
+            "no_reserve",
+            PlaceConfig {
+                urgent_reserve_permille: 0,
+                ..base()
+            },
+        ),
+        (
+            "no_preemption",
+            PlaceConfig {
+                preempts: false,
+                ..base()
+            },
+        ),
+        (
+            "accelerator_share_0",
+            PlaceConfig {
+                accelerator_share_permille: 0,
+                ..base()
+            },
+        ),
+        (
+            "accelerator_share_1000",
+            PlaceConfig {
+                accelerator_share_permille: 1_000,
+                ..base()
+            },
+        ),
+    ];
+    for (name, cfg) in variants {
+        if !only.is_empty() && !only.iter().any(|arg| name.contains(arg.as_str())) {
+            continue;
+        }
+        let outcome = run(Placer::new(cfg), load);
+        report(&format!("_{}_{name}", load.spec.name), &outcome);
+    }
+}
+
+/// The cost of a decision at target size over that on an eighth of the workers and of the load. Each
+/// is run several times, and the least cost counts: the machine may be shared.
+fn cost_growth() {
+    let cost = |spec: LoadSpec| {
+        let load = Load::new(spec);
+        let costs =
+            (0..COST_RUNS).map(|_| cost_us(&run(Placer::new(PlaceConfig::default()), &load)));
+        costs.fold(f64::INFINITY, f64::min)
+    };
+    let eighth = cost(LoadSpec::eighth());
+    let target = cost(LoadSpec::target());
+    figure("decision_cost_us", "_eighth_least", eighth, "us");
+    figure("decision_cost_us", "_target_least", target, "us");
+    figure("decision_cost_growth", "", target / eighth, "times");
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().filter(|arg| arg != "--bench").collect();
+    if args.get(1).is_some_and(|arg| arg == "variants") {
+        for spec in [LoadSpec::target(), LoadSpec::blue_mahoe()] {
+            variants(&Load::new(spec), &args[2..]);
+        }
+        return;
+    }
+    cost_growth();
+    compare(&Load::new(LoadSpec::target()), true);
+    compare(&Load::new(LoadSpec::hatirlat()), false);
+    compare(&Load::new(LoadSpec::blue_mahoe()), false);
+}
