--- a/crates/config/benches/audit.rs
+++ b/crates/config/benches/audit.rs
@@ -48,7 +48,7 @@
     reads: u64,
     violations: u64,
     bursts: u64,
-    bursts_found: u64,
+    detected: u64,
     /// The sum of the delays from a burst's begin to its first violation, in slots.
     delay: f64,
 }
@@ -58,7 +58,7 @@
         let figure = |what: &str, value: f64, unit: &str| {
             println!("figure audit_{name}_{what} {value:.4} {unit}");
         };
-        let found = as_f64(self.bursts_found.max(1));
+        let found = as_f64(self.detected.max(1));
         let slot = SLOT.as_secs_f64();
         figure(
             "reads_per_s",
@@ -72,7 +72,7 @@
         );
         figure(
             "bursts_found",
-            as_f64(self.bursts_found) / as_f64(self.bursts),
+            as_f64(self.detected) / as_f64(self.bursts),
             "share",
         );
         figure("first_delay_s", self.delay / found * slot, "s");
@@ -140,7 +140,7 @@
     let mut table = StaleTable::new(seed);
     // The bursts are the same for all auditors of a seed.
     let mut bursts = Rng::new(seed + 1_000);
-    let (mut burst_end, mut burst_start, mut seen) = (0, 0, true);
+    let (mut burst_end, mut burst_start, mut spotted) = (0, 0, true);
     let mut reads = BASE_READS;
     let mut newest = 0;
     for slot in 0..SLOTS {
@@ -150,7 +150,7 @@
         }
         let begins = bursts.chance(BURSTS_PER_MILLE);
         if begins && slot >= burst_end {
-            (burst_start, burst_end, seen) = (slot, slot + BURST_SLOTS, false);
+            (burst_start, burst_end, spotted) = (slot, slot + BURST_SLOTS, false);
             found.bursts += 1;
         }
         let n = match rate {
@@ -163,9 +163,9 @@
             found.reads += 1;
             if version < newest {
                 violations += 1;
-                if !seen {
-                    seen = true;
-                    found.bursts_found += 1;
+                if !spotted {
+                    spotted = true;
+                    found.detected += 1;
                     found.delay += as_f64(slot - burst_start) + as_f64(i + 1) / as_f64(n);
                 }
             }
