--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -144,7 +144,7 @@
     ("no_backfill", |cfg| cfg.backfill = Backfill::None),
     ("depth_8", |cfg| cfg.scan_depth = 8),
     ("patience_bulk_120s", |cfg| {
-        cfg.patience_bulk = Duration::from_secs(120)
+        cfg.patience_bulk = Duration::from_secs(120);
     }),
     ("batch_256", |cfg| cfg.batch_max = 256),
     ("press_30s", |cfg| cfg.press_after = Duration::from_secs(30)),
@@ -157,10 +157,10 @@
     ("no_reserve", |cfg| cfg.urgent_reserve_permille = 0),
     ("no_preemption", |cfg| cfg.preempts = false),
     ("accelerator_share_0", |cfg| {
-        cfg.accelerator_share_permille = 0
+        cfg.accelerator_share_permille = 0;
     }),
     ("accelerator_share_1000", |cfg| {
-        cfg.accelerator_share_permille = 1_000
+        cfg.accelerator_share_permille = 1_000;
     }),
 ];
 
