cli: attempts as the node names them, silent backend servers, and requests still on their way

Attempts were counted by the cell, not taken from the node's own numbers. Change: only requests that have arrived count; dispatches carry attempt, silence bound and freshness. Traffic is split into two files.

--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod fault;
 mod faults;
+mod hops;
 mod links;
 mod log;
 mod peers;
@@ -28,13 +29,14 @@
 use self::{
     callers::Callers,
     calls::PlatformCall,
+    hops::Traffic,
     links::{Links, Place},
     log::Log,
     peers::Letter,
     process::Process,
     queue::Queue,
     records::{VersionSeen, WorkerPeak},
-    traffic::{Traffic, TrafficStep},
+    traffic::TrafficStep,
 };
 pub use self::{
     config::{CellConfig, Load},
@@ -345,10 +347,8 @@
             Action::Vms => self.call_vms(node, start),
             Action::Operator(id, resp) => self.operator_answered(node, id, resp),
             Action::Peer { to, fresh, msg, .. } => self.send_peer(node, start, to, fresh, msg),
-            Action::Dispatch(dispatch) => {
-                self.dispatch(dispatch.req, dispatch.worker, dispatch.timeout);
-            }
-            Action::Forward(forward) => self.forward(forward.req, forward.node, forward.timeout),
+            Action::Dispatch(dispatch) => self.dispatch(&dispatch),
+            Action::Forward(forward) => self.forward(&forward),
             Action::Answer(req, answer) => self.answer_kept(req, &answer),
             Action::Refuse(refuse) => {
                 let reason = refuse.reason.as_str();
--- a/crates/cli/src/cell/traffic.rs
+++ b/crates/cli/src/cell/traffic.rs
@@ -1,27 +1,20 @@
 //! Requests on their way through nodes to backend servers, and their answers on the way back.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
-use fakes::{FaultLevel, Rng};
-use model::{NodeId, Time, Verdict, WorkerId};
+use model::{NodeId, Verdict};
 use node::Event;
-use route::{AttemptEnd, Offer, Outcome, ReqId, StoredAnswer};
+use route::{AttemptEnd, Dispatch, Forward, Offer, Outcome, ReqId, StoredAnswer};
 
 use super::{
     Cell, Happening,
     callers::{CALLER_LATENCY, Errand},
+    hops::{Hop, Sent, hop},
     records::{Execution, TryId},
 };
 
 /// The time between a node and a backend server of its domain.
 const BACKEND_LATENCY: Duration = Duration::from_millis(1);
-/// The shortest time that a backend server takes.
-const SERVICE_MIN: Duration = Duration::from_millis(5);
-/// The longest time that a backend server takes as a rule.
-const SERVICE_MAX: Duration = Duration::from_millis(40);
-/// The longest time that a backend server takes now and then, past any deadline.
-const SERVICE_LATE: Duration = Duration::from_secs(12);
-
 /// A step of a request's way.
 #[derive(Clone, Debug)]
 pub(crate) enum TrafficStep {
@@ -52,167 +45,6 @@
     },
 }
 
-/// A request that was sent to a backend server.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Sent {
-    req: ReqId,
-    attempt: u32,
-    worker: WorkerId,
-    origin: TryId,
-}
-
-/// A request at one node.
-#[derive(Clone, Debug)]
-struct Hop {
-    node: NodeId,
-    start: u64,
-    origin: TryId,
-    /// The request at the node that passed it on.
-    parent: Option<ReqId>,
-    /// Counts how often the node sent it somewhere; answers of earlier attempts come too late.
-    attempt: u32,
-    /// Where it is, if its answer is still awaited.
-    worker: Option<WorkerId>,
-    awaited: bool,
-}
-
-/// All requests on their way.
-#[derive(Clone, Debug)]
-pub(crate) struct Traffic {
-    rng: Rng,
-    lost_per_mille: u32,
-    late_per_mille: u32,
-    cut_short_per_mille: u32,
-    hops: BTreeMap<ReqId, Hop>,
-    last_req: u64,
-    errands: BTreeMap<TryId, Errand>,
-    open: BTreeMap<WorkerId, (u32, u32)>,
-    deaths: BTreeMap<WorkerId, u32>,
-    silent: BTreeMap<WorkerId, Time>,
-}
-
-impl Traffic {
-    pub(crate) fn new(seed: u64, level: FaultLevel) -> Self {
-        let (lost_per_mille, late_per_mille, cut_short_per_mille) = match level {
-            FaultLevel::None => (0, 0, 0),
-            FaultLevel::Some => (2, 2, 2),
-            FaultLevel::Many => (15, 10, 10),
-        };
-        Self {
-            rng: Rng::new(seed ^ 0x7472_6166),
-            lost_per_mille,
-            late_per_mille,
-            cut_short_per_mille,
-            hops: BTreeMap::new(),
-            last_req: 0,
-            errands: BTreeMap::new(),
-            open: BTreeMap::new(),
-            deaths: BTreeMap::new(),
-            silent: BTreeMap::new(),
-        }
-    }
-
-    pub(crate) fn remember(&mut self, id: TryId, errand: Errand) {
-        self.errands.insert(id, errand);
-    }
-
-    pub(crate) fn take(&mut self, id: TryId) -> Option<Errand> {
-        self.errands.remove(&id)
-    }
-
-    pub(crate) fn forget(&mut self, id: TryId) {
-        self.errands.remove(&id);
-    }
-
-    pub(crate) fn is_open(&self) -> bool {
-        !(self.hops.is_empty() && self.errands.is_empty())
-    }
-
-    pub(crate) fn loses_answer(&mut self) -> bool {
-        self.rng.chance(self.lost_per_mille)
-    }
-
-    /// The most requests that nodes had open at a backend server at a time.
-    pub(crate) fn peak_open(&self, worker: WorkerId) -> u32 {
-        self.open.get(&worker).map_or(0, |(_, peak)| *peak)
-    }
-
-    pub(crate) fn worker_died(&mut self, worker: WorkerId) {
-        *self.deaths.entry(worker).or_default() += 1;
-    }
-
-    pub(crate) fn silence(&mut self, worker: WorkerId, until: Time) {
-        self.silent.insert(worker, until);
-    }
-
-    fn deaths(&self, worker: WorkerId) -> u32 {
-        self.deaths.get(&worker).copied().unwrap_or_default()
-    }
-
-    fn add(&mut self, hop: Hop) -> ReqId {
-        self.last_req += 1;
-        let req = ReqId(self.last_req);
-        self.hops.insert(req, hop);
-        req
-    }
-
-    fn opened(&mut self, worker: WorkerId) {
-        let (open, peak) = self.open.entry(worker).or_default();
-        *open += 1;
-        *peak = (*peak).max(*open);
-    }
-
-    fn closed(&mut self, worker: WorkerId) {
-        let (open, _) = self.open.entry(worker).or_default();
-        *open = open.saturating_sub(1);
-    }
-
-    fn service_time(&mut self) -> Duration {
-        if self.rng.chance(self.late_per_mille) {
-            self.rng.span(SERVICE_MAX, SERVICE_LATE)
-        } else {
-            self.rng.span(SERVICE_MIN, SERVICE_MAX)
-        }
-    }
-
-    /// Marks a hop as sent somewhere, and returns its attempt.
-    fn sent(&mut self, req: ReqId, worker: Option<WorkerId>) -> Option<(u32, TryId)> {
-        let hop = self.hops.get_mut(&req)?;
-        hop.attempt += 1;
-        hop.awaited = true;
-        hop.worker = worker;
-        let (attempt, origin) = (hop.attempt, hop.origin);
-        if let Some(worker) = worker {
-            self.opened(worker);
-        }
-        Some((attempt, origin))
-    }
-
-    /// The backend server has done with a request, whether or not its node reads the answer.
-    fn backend_done(&mut self, sent: &Sent) {
-        let hop = self.hops.get_mut(&sent.req);
-        let hop = hop.filter(|hop| hop.attempt == sent.attempt);
-        if let Some(worker) = hop.and_then(|hop| hop.worker.take()) {
-            self.closed(worker);
-        }
-    }
-
-    /// Ends the wait for an attempt's answer. `None` if it comes too late.
-    fn arrived(&mut self, req: ReqId, attempt: u32) -> Option<Hop> {
-        let hop = self.hops.get_mut(&req)?;
-        if hop.attempt != attempt || !hop.awaited {
-            return None;
-        }
-        hop.awaited = false;
-        let worker = hop.worker.take();
-        let hop = hop.clone();
-        if let Some(worker) = worker {
-            self.closed(worker);
-        }
-        Some(hop)
-    }
-}
-
 impl Cell {
     pub(crate) fn traffic_step(&mut self, step: TrafficStep) {
         match step {
@@ -261,6 +93,9 @@
     }
 
     fn request_event(&mut self, req: ReqId, node: NodeId, start: u64, id: TryId, forwarded: bool) {
+        if let Some(hop) = self.traffic.hops.get_mut(&req) {
+            hop.arrived = true;
+        }
         if let Some((service, key, _)) = self.service_of(id) {
             let offer = Offer {
                 req,
@@ -274,8 +109,9 @@
     }
 
     /// A node sends a request to a backend server.
-    pub(crate) fn dispatch(&mut self, req: ReqId, worker: WorkerId, timeout: Duration) {
-        let Some((attempt, origin)) = self.traffic.sent(req, Some(worker)) else {
+    pub(crate) fn dispatch(&mut self, dispatch: &Dispatch) {
+        let (req, attempt, worker) = (dispatch.req, dispatch.attempt, dispatch.worker);
+        let Some(origin) = self.traffic.sent(req, attempt, Some(worker)) else {
             return;
         };
         let sent = Sent {
@@ -283,17 +119,23 @@
             attempt,
             worker,
             origin,
+            fresh: dispatch.fresh,
         };
         self.step(BACKEND_LATENCY, TrafficStep::AtBackend { sent });
-        self.times_out(req, attempt, timeout);
+        if dispatch.silence < dispatch.timeout {
+            self.ends_after(dispatch.silence, req, attempt, Outcome::Silent);
+        } else {
+            self.ends_after(dispatch.timeout, req, attempt, Outcome::CutShort);
+        }
     }
 
     /// A node passes a request on to another node.
-    pub(crate) fn forward(&mut self, req: ReqId, to: NodeId, timeout: Duration) {
-        let Some((attempt, origin)) = self.traffic.sent(req, None) else {
+    pub(crate) fn forward(&mut self, forward: &Forward) {
+        let (req, attempt, to) = (forward.req, forward.attempt, forward.node);
+        let Some(origin) = self.traffic.sent(req, attempt, None) else {
             return;
         };
-        self.times_out(req, attempt, timeout);
+        self.ends_after(forward.timeout, req, attempt, Outcome::CutShort);
         let from = self.traffic.hops.get(&req).map(|hop| hop.node);
         let (Some(a), Some(b)) = (
             from.and_then(|from| self.places.get(&from).copied()),
@@ -307,37 +149,28 @@
         let latency = self.links.latency(&a, &b);
         let start = self.start_of(to);
         if start == 0 || !self.links.connects(self.now, &a, &b) {
-            let outcome = Outcome::NotSent;
-            let body = None;
-            self.step(
-                latency * 2,
-                TrafficStep::Finished {
-                    req,
-                    attempt,
-                    outcome,
-                    body,
-                },
-            );
+            self.ends_after(latency * 2, req, attempt, Outcome::NotSent);
             return;
         }
         let child = self.traffic.add(hop(to, start, origin, Some(req)));
         self.step(latency, TrafficStep::ArrivesForwarded { req, child });
     }
 
-    fn times_out(&mut self, req: ReqId, attempt: u32, timeout: Duration) {
+    /// An attempt ends without a body, if it has not ended by then.
+    fn ends_after(&mut self, after: Duration, req: ReqId, attempt: u32, outcome: Outcome) {
         let step = TrafficStep::Finished {
             req,
             attempt,
-            outcome: Outcome::CutShort,
+            outcome,
             body: None,
         };
-        self.step(timeout, step);
+        self.step(after, step);
     }
 
     fn at_backend(&mut self, sent: Sent) {
         let worker = sent.worker;
         let silent_until = self.traffic.silent.get(&worker).copied();
-        if silent_until.is_some_and(|until| self.now < until) {
+        if !sent.fresh && silent_until.is_some_and(|until| self.now < until) {
             return;
         }
         if self.is_worker_paused(worker) {
@@ -352,13 +185,7 @@
         self.platform.advance(self.now);
         let fake = self.platform.worker_mut(worker);
         if !fake.is_some_and(|fake| !fake.is_dead() && fake.serves(&service)) {
-            let step = TrafficStep::Finished {
-                req: sent.req,
-                attempt: sent.attempt,
-                outcome: Outcome::NotSent,
-                body: None,
-            };
-            self.step(BACKEND_LATENCY, step);
+            self.ends_after(BACKEND_LATENCY, sent.req, sent.attempt, Outcome::NotSent);
             return;
         }
         self.records.executions.push(Execution {
@@ -506,8 +333,9 @@
 
     /// The requests that a node has not answered yet.
     pub(crate) fn open_tries_of(&self, node: NodeId) -> Vec<TryId> {
-        let hops = self.traffic.hops.values().filter(|hop| hop.node == node);
-        hops.map(|hop| hop.origin).collect()
+        let hops = self.traffic.hops.values();
+        let open = hops.filter(|hop| hop.node == node && hop.arrived);
+        open.map(|hop| hop.origin).collect()
     }
 
     fn step(&mut self, after: Duration, step: TrafficStep) {
@@ -523,15 +351,3 @@
         body: body.0.to_be_bytes().to_vec(),
     }
 }
-
-const fn hop(node: NodeId, start: u64, origin: TryId, parent: Option<ReqId>) -> Hop {
-    Hop {
-        node,
-        start,
-        origin,
-        parent,
-        attempt: 0,
-        worker: None,
-        awaited: false,
-    }
-}
