--- a/crates/place/src/kept.rs
+++ b/crates/place/src/kept.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Decision, Placer,
+    failed::Failed,
     fit::Slot,
     teams::{Claim, TeamIx},
     units::{Hold, TaskKey, UnitIx},
@@ -138,11 +139,17 @@
         }
     }
 
+    /// Whether the room of a group is free beside that of the older groups. Without regard to these,
+    /// a row of younger groups could use up room for which an older one waits.
     fn group_is_free(&self, id: u64) -> bool {
         let rooms = &self.kept.groups[&id].rooms;
-        rooms
-            .iter()
-            .all(|(slot, size)| self.workers.get(*slot).fits_beside_running(*size))
+        rooms.iter().all(|(slot, size)| {
+            let older = self.kept.groups.range(..id);
+            let held = older.filter_map(|(_, group)| group.rooms.get(slot));
+            let held = held.fold(Size::ZERO, |sum, size| sum + *size);
+            let worker = self.workers.get(*slot);
+            worker.fits_beside_running(*size + held)
+        })
     }
 
     fn start_group(&mut self, now: Time, id: u64, out: &mut Vec<Decision>) {
@@ -252,6 +259,10 @@
         let units = overdue.iter().map(|(.., unit)| *unit);
         let units: Vec<UnitIx> = units.filter(of_class).take(room).collect();
         for unit in units {
+            // Those before it may have used up its team's quota.
+            if !self.quota_allows(unit, self.at_once(unit)) {
+                continue;
+            }
             if !self.keep_unit(now, unit)
                 && let Some(entry) = self.units.get_mut(unit)
             {
@@ -276,12 +287,9 @@
         overdue: &mut Vec<(Time, u64, UnitIx)>,
         out: &mut Vec<Decision>,
     ) {
-        let mut from = 0;
-        for _ in 0..HEADS_LOOKED_AT {
-            let Some((seq, unit)) = self.queues.next(class, team, from) else {
-                return;
-            };
-            from = seq + 1;
+        let heads = self.queues.line(class, team, 0).take(HEADS_LOOKED_AT);
+        let heads: Vec<(u64, UnitIx)> = heads.map(|(seq, unit, _)| (seq, unit)).collect();
+        for (seq, unit) in heads {
             let Some(entry) = self.units.get(unit) else {
                 continue;
             };
@@ -347,6 +355,7 @@
             group.shadow = group.shadow.min(now + self.cfg.press_after);
         }
         self.kept.push(group);
+        self.no_room.values_mut().for_each(Failed::more_kept);
         true
     }
 
