--- a/crates/node/src/core/requests.rs
+++ b/crates/node/src/core/requests.rs
@@ -103,7 +103,7 @@
                 entry.claim_settled(&mut cx, req, &settlement);
             }
         }
-        if entry.is_drained() && cx.commits.unsettled() == 0 {
+        if entry.is_drained(cx.now) && cx.commits.unsettled() == 0 {
             cx.out.push(Action::Exit);
         }
     }
