Leases of a silent worker lapse; lost commands are given again; parts of a service move from a dead domain

Commands of a call without an answer were lost. Failure tests with a dead rack left replicas waiting in a domain without workers. Ruled out: the list of missing attempts, the move of jobs. Change: a worker that did not answer is only read until it does; commands of a failed call stay queued; a service's part moves like a batch's, and a publication keeps the home of a part that is known.

--- a/crates/node/src/core/operators/homes.rs
+++ b/crates/node/src/core/operators/homes.rs
@@ -40,7 +40,7 @@
                     for (id, part, home) in parts {
                         let row = UnitRow {
                             unit: part,
-                            home,
+                            home: self.kept_home(&id, &mut checks).unwrap_or(home),
                             cancelled: false,
                         };
                         add_unit(&id, &row, &mut writes);
@@ -59,6 +59,19 @@
         (checks, writes)
     }
 
+    /// The home of a part that is known already. It may have been moved since it was published first,
+    /// and its tasks may still run there: only that home's scheduler may start them.
+    fn kept_home(&self, id: &UnitId, checks: &mut Vec<Check>) -> Option<DomainId> {
+        let key = unit_key(id);
+        let row = self.rows.iter().find(|row| row.key == key)?;
+        let old = decode::<UnitRow>(&row.value).ok()?;
+        checks.push(Check {
+            key,
+            version: Some(row.version),
+        });
+        Some(old.home)
+    }
+
     /// Cancels the rows of a unit at the homes that they name, wherever these are by now.
     fn cancel(
         &self,
@@ -91,11 +104,8 @@
 
 /// What the keys begin with of the rows that an entry's changes remove or replace.
 pub(super) fn prefixes(entry: &Entry, before: &Config) -> Vec<String> {
-    let names = entry.changes().filter_map(|change| match change {
-        Change::SetUnit(unit) => {
-            let old = before.units().get(&unit.name)?;
-            old.kind.is_service().then_some(old)
-        }
+    let units = entry.changes().filter_map(|change| match change {
+        Change::SetUnit(unit) => unit.kind.is_service().then_some(unit),
         Change::RemoveUnit(name) => before.units().get(name),
         _ => None,
     });
@@ -103,7 +113,7 @@
         let mark = if unit.kind.is_service() { '@' } else { '.' };
         format!("{UNIT_PREFIX}{}{mark}", unit.name)
     };
-    names.map(prefix).collect()
+    units.map(prefix).collect()
 }
 
 fn add_unit(id: &UnitId, row: &UnitRow, writes: &mut Vec<Write>) {
--- a/crates/node/src/core/scheduler/fleet.rs
+++ b/crates/node/src/core/scheduler/fleet.rs
@@ -133,7 +133,7 @@
         let silent: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| now >= worker.leases_until && !worker.expected.is_empty())
+            .filter(|worker| now >= worker.leases_until && worker.has_sent())
             .map(|worker| worker.spec.id)
             .collect();
         for id in silent {
--- a/crates/node/src/core/scheduler/jobs.rs
+++ b/crates/node/src/core/scheduler/jobs.rs
@@ -122,12 +122,12 @@
         !self.held && !self.row.reason.is_empty() && !self.waiting().is_empty()
     }
 
-    /// Whether the unit can be moved to another domain: no task of it has run here for a time.
+    /// Whether the unit can be moved to another domain: no task of it has run here for a time. A part of
+    /// a service moves too where a domain has lost all its workers.
     pub(crate) fn may_move(&self, now: Time, patience: Duration) -> bool {
         let settled = self.is_recorded() && !self.held && !self.moving && !self.row.cancelled;
         let idle = self.ran.is_some_and(|ran| now.since(ran) >= patience);
-        let is_service = self.row.unit.kind.is_service();
-        settled && idle && !is_service && !self.runs() && !self.waiting().is_empty()
+        settled && idle && !self.runs() && !self.waiting().is_empty()
     }
 
     /// Notes whether a task of the unit runs now.
--- a/crates/node/src/core/scheduler/workers.rs
+++ b/crates/node/src/core/scheduler/workers.rs
@@ -76,7 +76,11 @@
     clock: Option<ClockSample>,
     starts: Vec<PendingStart>,
     commands: Vec<Command>,
-    calling: bool,
+    /// The commands of the call under way, to be given again if it is not answered.
+    calling: Option<Vec<Command>>,
+    /// Whether the last call was not answered. A call that only reads does not extend any lease, so the
+    /// leases of a worker that stays silent lapse in the end.
+    silent: bool,
     next_call: Time,
 }
 
@@ -94,7 +98,8 @@
             clock: None,
             starts: Vec::new(),
             commands: Vec::new(),
-            calling: false,
+            calling: None,
+            silent: false,
             next_call: Time::ZERO,
         }
     }
@@ -152,6 +157,11 @@
         self.stopping.remove(task);
     }
 
+    /// Whether a task may run here.
+    pub(crate) fn has_sent(&self) -> bool {
+        self.expected.values().any(|expected| expected.sent)
+    }
+
     /// Takes back all starts that were not sent.
     pub(crate) fn take_unsent(&mut self) -> Vec<TaskId> {
         let starts = std::mem::take(&mut self.starts);
@@ -199,14 +209,15 @@
         valid_until: Time,
         cfg: &SchedulerConfig,
     ) -> Option<WorkerCall> {
-        let urgent = self.known && !(self.starts.is_empty() && self.commands.is_empty());
-        if self.calling || !(urgent || now >= self.next_call) {
+        let pending = !(self.starts.is_empty() && self.commands.is_empty());
+        let urgent = pending && self.known && !self.silent;
+        if self.calling.is_some() || !(urgent || now >= self.next_call) {
             return None;
         }
-        self.calling = true;
         self.next_call = now + cfg.worker_interval;
         let mut commands = std::mem::take(&mut self.commands);
-        if let Some(sample) = self.clock.filter(|_| self.known) {
+        self.calling = Some(commands.clone());
+        if let Some(sample) = self.clock.filter(|_| self.known && !self.silent) {
             let lease_until = sample.clock + now.since(sample.sent) + cfg.task_lease;
             self.add_renewal(lease_until, &mut commands);
             self.add_starts(now, valid_until, sample, lease_until, cfg, &mut commands);
@@ -263,7 +274,8 @@
 
     /// Takes a report: the worker's clock, and that it answers.
     pub(crate) fn reported(&mut self, now: Time, sent: Time, report: &WorkerReport) {
-        self.calling = false;
+        self.calling = None;
+        self.silent = false;
         self.known = true;
         self.clock = Some(ClockSample {
             sent,
@@ -272,9 +284,12 @@
         });
     }
 
-    /// Takes the failure of a call.
+    /// Takes the failure of a call. Its commands are given again: doing one twice does no harm.
     pub(crate) fn not_reported(&mut self, now: Time, retry: Duration) {
-        self.calling = false;
+        self.silent = true;
+        let mut commands = self.calling.take().unwrap_or_default();
+        commands.append(&mut self.commands);
+        self.commands = commands;
         self.next_call = now + retry;
     }
 
