--- a/crates/place/benches/place/baselines.rs
+++ b/crates/place/benches/place/baselines.rs
@@ -14,6 +14,8 @@
     fn usage(&mut self, now: Time, task: &TaskId, usage: Usage);
     fn cancel(&mut self, now: Time, id: &UnitId, out: &mut Vec<Decision>);
     fn decide(&mut self, now: Time, out: &mut Vec<Decision>);
+    /// Whether the last call of `decide` left something to do at once.
+    fn has_more(&self) -> bool;
 }
 
 pub(crate) fn waiting(unit: &Unit) -> Vec<Waiting> {
@@ -54,6 +56,10 @@
     fn decide(&mut self, now: Time, out: &mut Vec<Decision>) {
         Self::decide(self, now, out);
     }
+
+    fn has_more(&self) -> bool {
+        self.next_wake() == Some(Time::ZERO)
+    }
 }
 
 /// How a [`Scan`] chooses its worker and orders its units.
@@ -248,4 +254,8 @@
         }
         self.order.retain(|id| !self.units[id].waiting.is_empty());
     }
+
+    fn has_more(&self) -> bool {
+        false
+    }
 }
--- a/crates/place/benches/place/drive.rs
+++ b/crates/place/benches/place/drive.rs
@@ -16,6 +16,8 @@
 
 /// Virtual time between two calls of `decide`.
 const TICK_MS: u64 = 50;
+/// The most calls of `decide` at one point in time.
+const CALLS_PER_TICK: u32 = 8;
 /// From a stop command to the report of the end.
 const STOP: Duration = Duration::from_millis(400);
 /// From a checkpoint command to the report of the end.
@@ -130,7 +132,12 @@
             next += 1;
         }
         drive.events_until(now);
-        drive.decide(now);
+        for _ in 0..CALLS_PER_TICK {
+            drive.decide(now);
+            if !drive.policy.has_more() {
+                break;
+            }
+        }
         drive.observe(now);
         now += Duration::from_millis(TICK_MS);
     }
