--- a/crates/place/benches/place/main.rs
+++ b/crates/place/benches/place/main.rs
@@ -196,7 +196,11 @@
 fn main() {
     let args: Vec<String> = std::env::args().filter(|arg| arg != "--bench").collect();
     if args.get(1).is_some_and(|arg| arg == "variants") {
-        for spec in [LoadSpec::target(), LoadSpec::blue_mahoe()] {
+        for spec in [
+            LoadSpec::target(),
+            LoadSpec::hatirlat(),
+            LoadSpec::blue_mahoe(),
+        ] {
             variants(&Load::new(spec), &args[2..]);
         }
         return;
