--- /dev/null
+++ b/crates/place/src/answers.rs
@@ -0,0 +1,62 @@
+//! What a placer can be asked.
+
+use model::{Size, TaskId, Time, WorkerId};
+
+use crate::{Placer, health::Trust};
+
+impl Placer {
+    /// What is reserved for a task that runs or is being started.
+    #[must_use]
+    pub fn reserved(&self, task: &TaskId) -> Option<Size> {
+        let ix = self.units.find(&task.unit)?;
+        Some(self.units.placed((ix, task.index))?.size)
+    }
+
+    /// How many failures count against a task. Those that its workers are blamed for do not.
+    #[must_use]
+    pub fn failures(&self, task: &TaskId) -> u32 {
+        let entry = self
+            .units
+            .find(&task.unit)
+            .and_then(|ix| self.units.get(ix));
+        let task = entry.and_then(|entry| entry.tasks.get(&task.index));
+        task.map_or(0, |task| task.failures)
+    }
+
+    /// Whether a worker gets no work because everything failed there.
+    #[must_use]
+    pub fn is_quarantined(&self, id: WorkerId) -> bool {
+        let worker = self.workers.slot(id).map(|slot| self.workers.get(slot));
+        worker.is_some_and(|worker| worker.health.trust != Trust::Full)
+    }
+
+    /// The room of all workers that take work, summed over them.
+    #[must_use]
+    pub const fn free(&self) -> Size {
+        self.workers.free()
+    }
+
+    /// When [`Self::decide`] is due at the latest, if nothing else is told before. A point that has
+    /// passed means at once.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.dirty || self.recheck || !self.pending.is_empty() {
+            return Some(Time::ZERO);
+        }
+        let timeout = self.cfg.checkpoint_timeout;
+        let groups = self.kept.groups.values();
+        let groups = groups.map(|g| g.asked.at.map_or(g.shadow, |at| at + timeout));
+        let quarantine = self.quarantined.first().map(|(until, _)| *until);
+        let patience = (!self.queues.is_empty()).then_some(self.next_patience);
+        let gangs = (self.retry_gangs_at < Time::MAX).then_some(self.retry_gangs_at);
+        let others = [
+            self.queues.first_delay(),
+            self.stops.next(),
+            self.growth_deadline(),
+            quarantine,
+            patience,
+            gangs,
+        ];
+        groups.chain(others.into_iter().flatten()).min()
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -35,6 +35,7 @@
 //! assert_eq!(out.len(), 2);
 //! ```
 
+mod answers;
 mod cancel;
 mod config;
 mod decision;
@@ -55,6 +56,7 @@
 mod stops;
 mod teams;
 mod units;
+mod worker;
 mod workers;
 
 pub use crate::{
