--- a/crates/lease/tests/domain/explorer.rs
+++ b/crates/lease/tests/domain/explorer.rs
@@ -218,6 +218,14 @@
     });
 }
 
+#[test]
+fn members_that_do_not_know_each_other_are_found_unsafe() {
+    assert_unsafe(&Search {
+        mutation: Mutation::TableOnly,
+        ..whole(2, 2, 16)
+    });
+}
+
 #[test]
 fn a_term_without_drift_margin_is_found_unsafe() {
     let cfg = LeaseConfig {
--- a/crates/lease/tests/domain/world.rs
+++ b/crates/lease/tests/domain/world.rs
@@ -23,6 +23,8 @@
     SkipAsking,
     /// The holder counts its term from the answer that completes a renewal.
     FromReply,
+    /// The members do not know each other.
+    TableOnly,
 }
 
 /// One node. Its clock counts the steps that it was not made to miss.
@@ -96,6 +98,7 @@
     /// Faults of this step.
     faults: Vec<Fault>,
     pub writes: u64,
+    pub messages: u64,
     pub log: Vec<String>,
     /// Nothing is logged.
     pub quiet: bool,
@@ -131,6 +134,7 @@
             ready: VecDeque::new(),
             faults: Vec::new(),
             writes: 0,
+            messages: 0,
             log: Vec::new(),
             quiet: false,
             two_holders: false,
@@ -144,7 +148,12 @@
     }
 
     fn start(&self, i: usize, n: usize, incarnation: u64) -> Proc {
-        let list = (0..n).map(|j| holder(j, 0)).collect();
+        let known = if self.mutation == Mutation::TableOnly {
+            0
+        } else {
+            n
+        };
+        let list = (0..known).map(|j| holder(j, 0)).collect();
         Proc {
             machine: LeaseMachine::new(self.cfg.clone(), holder(i, incarnation)),
             alive: true,
@@ -363,6 +372,7 @@
     }
 
     fn send(&mut self, i: usize, to: NodeId, msg: LeaseMsg) {
+        self.messages += 1;
         let from = NodeId(u32::try_from(i).unwrap());
         let j = to.0 as usize;
         if let Some(question) = msg.asks() {
