--- a/crates/lease/tests/domain/world.rs
+++ b/crates/lease/tests/domain/world.rs
@@ -23,6 +23,8 @@
     SkipAsking,
     /// The holder counts its term from the answer that completes a renewal.
     FromReply,
+    /// The members do not know each other.
+    TableOnly,
 }
 
 /// One node. Its clock counts the steps that it was not made to miss.
@@ -96,7 +98,10 @@
     /// Faults of this step.
     faults: Vec<Fault>,
     pub writes: u64,
+    pub messages: u64,
     pub log: Vec<String>,
+    /// Nothing is logged.
+    pub quiet: bool,
     pub two_holders: bool,
     /// A message was lost or delayed.
     troubled: bool,
@@ -129,7 +134,9 @@
             ready: VecDeque::new(),
             faults: Vec::new(),
             writes: 0,
+            messages: 0,
             log: Vec::new(),
+            quiet: false,
             two_holders: false,
             troubled: false,
         };
@@ -141,7 +148,12 @@
     }
 
     fn start(&self, i: usize, n: usize, incarnation: u64) -> Proc {
-        let list = (0..n).map(|j| holder(j, 0)).collect();
+        let known = if self.mutation == Mutation::TableOnly {
+            0
+        } else {
+            n
+        };
+        let list = (0..known).map(|j| holder(j, 0)).collect();
         Proc {
             machine: LeaseMachine::new(self.cfg.clone(), holder(i, incarnation)),
             alive: true,
@@ -296,9 +308,9 @@
             return;
         }
         match &input {
-            Input::PeerFailed { to, .. } => self.note(i, &format!("has no answer from {to}")),
+            Input::PeerFailed { to, .. } => self.note(i, || format!("has no answer from {to}")),
             Input::RowWritten { result, .. } if !matches!(result, WriteResult::Written(_)) => {
-                self.note(i, &format!("writes the row: {result:?}"));
+                self.note(i, || format!("writes the row: {result:?}"));
             }
             _ => {}
         }
@@ -335,13 +347,17 @@
                 self.request(i, call, Some((expected, row)));
             }
             Output::Send { to, msg, .. } => self.send(i, to, msg),
-            Output::Activated(epoch) => self.note(i, &format!("holds {epoch}")),
-            Output::Stopped(epoch) => self.note(i, &format!("stops {epoch}")),
+            Output::Activated(epoch) => self.note(i, || format!("holds {epoch}")),
+            Output::Stopped(epoch) => self.note(i, || format!("stops {epoch}")),
         }
         self.check();
     }
 
-    fn note(&mut self, i: usize, what: &str) {
+    fn note(&mut self, i: usize, what: impl Fn() -> String) {
+        if self.quiet {
+            return;
+        }
+        let what = what();
         let ms = u128::from(self.now) * self.quantum.as_millis();
         let at = Time::ZERO + Duration::from_millis(u64::try_from(ms).unwrap());
         let what = format!(" n{i} {what}");
@@ -356,6 +372,7 @@
     }
 
     fn send(&mut self, i: usize, to: NodeId, msg: LeaseMsg) {
+        self.messages += 1;
         let from = NodeId(u32::try_from(i).unwrap());
         let j = to.0 as usize;
         if let Some(question) = msg.asks() {
@@ -375,10 +392,10 @@
         }
         match &msg {
             LeaseMsg::Ask { purpose, .. } if *purpose == Purpose::Renew => {}
-            LeaseMsg::Ask { epoch, .. } => self.note(i, &format!("to n{j}: claims {epoch}")),
+            LeaseMsg::Ask { epoch, .. } => self.note(i, || format!("to n{j}: claims {epoch}")),
             LeaseMsg::Answer { reply, .. } if *reply == Reply::Confirmed => {}
-            LeaseMsg::Answer { reply, .. } => self.note(i, &format!("to n{j}: {reply:?}")),
-            LeaseMsg::HandedOver { epoch } => self.note(i, &format!("to n{j}: gave up {epoch}")),
+            LeaseMsg::Answer { reply, .. } => self.note(i, || format!("to n{j}: {reply:?}")),
+            LeaseMsg::HandedOver { epoch } => self.note(i, || format!("to n{j}: gave up {epoch}")),
         }
         let incarnation = self.procs[j].incarnation;
         let input = Input::Peer { from, msg };
