--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Read},
-    net::SocketAddr,
+    net::{Ipv4Addr, Ipv6Addr, SocketAddr, TcpStream},
     sync::{Arc, mpsc},
     thread,
     time::Duration,
@@ -19,6 +19,8 @@
     settings::Settings,
 };
 
+/// The interval of nudges, see [`nudge`].
+const NUDGE_INTERVAL: Duration = Duration::from_millis(50);
 /// How many requests are handled at a time.
 const THREADS: usize = 64;
 /// The largest body of an operator's call, in bytes.
@@ -77,6 +79,7 @@
                 }
             });
         }
+        thread::spawn(move || nudge(address));
         Ok(Self { address })
     }
 
@@ -85,6 +88,26 @@
     }
 }
 
+/// Connects to the server again and again, and closes at once.
+///
+/// `tiny_http` counts a thread as idle until it has woken up. Of two connections that come while one
+/// thread is idle, the second is queued and waits for a thread for as long as the others keep their
+/// connections open. Each further connection makes a thread look at the queue.
+fn nudge(mut address: SocketAddr) {
+    if address.ip().is_unspecified() {
+        address.set_ip(match address {
+            SocketAddr::V4(_) => Ipv4Addr::LOCALHOST.into(),
+            SocketAddr::V6(_) => Ipv6Addr::LOCALHOST.into(),
+        });
+    }
+    loop {
+        thread::sleep(NUDGE_INTERVAL);
+        if let Err(e) = TcpStream::connect_timeout(&address, STATE_TIMEOUT) {
+            log::debug!("http: the server cannot be nudged: {e}");
+        }
+    }
+}
+
 fn handle(shared: &Shared, req: Request) {
     let url = req.url().to_owned();
     let method = req.method().clone();
