--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -337,6 +337,42 @@
         .iter()
         .filter_map(|row| row.key.split('@').next())
         .collect();
-    assert_eq!(runs.len(), 2, "the run after the lift is another one");
+    assert_eq!(
+        runs.len(),
+        2,
+        "the run after the lift is another one, in each domain"
+    );
     insta::assert_snapshot!(session.log);
 }
+
+/// Entries are deleted behind a snapshot, and a node that starts after hundreds of versions reads the
+/// snapshot and the few entries after it.
+#[test]
+fn old_entries_are_compacted() {
+    let mut session = Session::new();
+    let fleet = &mut session.fleet;
+    for version in 1..=330 {
+        let req = publish("ayla", "", None, &service("desk", version % 9 + 1));
+        let answer = fleet.call(version % 6 + 1, req);
+        assert!(
+            answer.starts_with(&format!("done: version {version},")),
+            "{answer}"
+        );
+    }
+    fleet.run(SECOND * 2);
+    let entries = fleet.rows("config/entry/");
+    assert!(
+        (128..=192).contains(&entries),
+        "{entries} entries are in the table"
+    );
+    let before = fleet.used;
+    fleet.gossip = false;
+    fleet.start(NodeId(6), domain(3), 2);
+    fleet.run(SECOND);
+    assert_eq!(
+        fleet.versions(),
+        "n1=330 n2=330 n3=330 n4=330 n5=330 n6=330 (not ready)"
+    );
+    let reads = fleet.used.table_reads - before.table_reads;
+    assert!(reads <= 12, "{reads} reads, polls of the others included");
+}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -166,6 +166,19 @@
         }
     }
 
+    /// How many rows the table has with this prefix.
+    pub fn rows(&mut self, prefix: &str) -> usize {
+        let req = TableReq::Scan {
+            prefix: prefix.to_owned(),
+            after: String::new(),
+            limit: 10_000,
+        };
+        match self.table.call(&req) {
+            TableResp::Rows(rows) => rows.len(),
+            other => panic!("{other:?}"),
+        }
+    }
+
     pub fn node(&self, node: u32) -> &Node {
         &self.nodes[&NodeId(node)].1
     }
