cli: work is judged to be over by what workers saw, not by the node's books

Cause: a session counted a replica as running when the status said so, and tasks of a domain's part (name.hash@domain) were taken for replicas, so their second runs were not counted. Change: running and succeeded tasks are counted from the workers' records, in try as in the failure tests; the check of tasks that must not be repeated covers the parts again. Seen: the tasks of a worker that dies are never given up. Ruled out: a fault of gangs alone (the first sight was a job): batches and services do the same.

--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -17,7 +17,10 @@
 mod records;
 mod traffic;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use fakes::{FakePlatform, FakeWorker, Faults, Rng};
 use model::{Catalog, Kind, NodeId, Repeat, SourceFile, Time};
@@ -26,6 +29,8 @@
     api::{FileText, OperatorReq, OperatorResp},
 };
 
+use store::TaskPhase;
+
 use self::{
     callers::Callers,
     calls::PlatformCall,
@@ -259,6 +264,24 @@
         records
     }
 
+    /// How many attempts of a unit run now, as its workers see it.
+    #[must_use]
+    pub fn running(&self, unit: &str) -> usize {
+        let runs = self.platform.workers().flat_map(FakeWorker::runs);
+        let open = runs.filter(|run| run.ended.is_none() && run.task.unit.as_str() == unit);
+        open.count()
+    }
+
+    /// How many tasks of a unit have an attempt that ended well, as its workers see it.
+    #[must_use]
+    pub fn succeeded(&self, unit: &str) -> usize {
+        let runs = self.platform.workers().flat_map(FakeWorker::runs);
+        let of_unit = runs.filter(|run| run.task.unit.as_str() == unit);
+        let ended = of_unit.filter(|run| run.phase == TaskPhase::Succeeded);
+        let tasks: BTreeSet<u32> = ended.map(|run| run.task.index).collect();
+        tasks.len()
+    }
+
     /// The promises that did not hold, as workers, backend servers, callers and operators saw it.
     #[must_use]
     pub fn broken_promises(&self) -> Vec<String> {
--- a/crates/cli/src/cell/promises.rs
+++ b/crates/cli/src/cell/promises.rs
@@ -131,7 +131,8 @@
     for run in &records.runs {
         let unit = run.task.unit.as_str();
         let name = unit.split_once('.').map_or(unit, |(name, _)| name);
-        if records.once.contains(name) && !unit.contains('@') {
+        // A service's replicas, `name@domain`, are replaced; other work is `name.hash@domain`.
+        if records.once.contains(name) && unit.contains('.') {
             *tasks.entry(&run.task).or_default() += 1;
         }
     }
--- a/crates/cli/src/try_run/mod.rs
+++ b/crates/cli/src/try_run/mod.rs
@@ -84,7 +84,7 @@
     let records = cell.records();
     TryReport {
         published: message,
-        settled: !units.is_empty() && units.iter().all(is_settled),
+        settled: !units.is_empty() && units.iter().all(|unit| is_settled(&cell, unit)),
         figures: Figures::of(&records, &catalog, published, cell.costs()),
         broken: crate::broken(&records),
         seconds: cell.now().since(Time::ZERO).as_secs(),
@@ -204,7 +204,7 @@
         let listed = services
             .iter()
             .all(|name| units.iter().any(|unit| unit.name == **name));
-        let settled = listed && units.iter().all(is_settled);
+        let settled = listed && units.iter().all(|unit| is_settled(cell, unit));
         let spent = cell.now().since(Time::ZERO);
         if settled && spent >= min || spent >= RUN_MAX {
             return units;
@@ -212,13 +212,18 @@
     }
 }
 
-/// Whether a service runs whole, or other work is over.
-fn is_settled(unit: &UnitStatus) -> bool {
-    let running = |phase| matches!(phase, TaskPhase::Running { .. });
-    let is_service = unit.id.contains('@');
-    unit.tasks.iter().all(|task| match task.phase {
-        TaskPhase::Waiting => false,
-        phase if running(phase) => is_service,
-        _ => true,
-    })
+/// Whether a service runs whole, or other work is over, in the books and as workers see it.
+fn is_settled(cell: &Cell, unit: &UnitStatus) -> bool {
+    let count = |wanted: fn(TaskPhase) -> bool| {
+        let phases = unit.tasks.iter().map(|task| task.phase);
+        phases.filter(|phase| wanted(*phase)).count()
+    };
+    let running = count(|phase| matches!(phase, TaskPhase::Running { .. }));
+    // A service's parts are `name@domain`; other work is `name.hash@domain`.
+    if !unit.id.contains('.') {
+        return running == unit.tasks.len() && cell.running(&unit.id) == running;
+    }
+    let waiting = count(|phase| phase == TaskPhase::Waiting);
+    let succeeded = count(|phase| phase == TaskPhase::Succeeded);
+    running + waiting == 0 && cell.succeeded(&unit.id) >= succeeded
 }
--- a/crates/cli/tests/failures.rs
+++ b/crates/cli/tests/failures.rs
@@ -222,3 +222,16 @@
     }
     assert_none(&found);
 }
+
+#[test]
+fn a_worker_that_dies_at_any_time_leaves_no_task_behind() {
+    let mut found = Vec::new();
+    for worker in 1..=12 {
+        for at_ms in [9_000, 20_000, 26_000, 31_500] {
+            for line in complaints(7, &[(at_ms, Fault::WorkerDies(w(worker)))]) {
+                found.push(format!("w{worker} at {at_ms} ms: {line}"));
+            }
+        }
+    }
+    assert_none(&found);
+}
--- a/crates/cli/tests/promises.rs
+++ b/crates/cli/tests/promises.rs
@@ -202,6 +202,16 @@
         |r| r.runs = vec![run("sender.0a", 1, 0, 10), run("sender.0a", 1, 20, 30)],
         "sender.0a/0 must not be repeated",
     ),
+    (
+        "a task of a domain's part that ran twice",
+        |r| {
+            r.runs = vec![
+                run("sender.0a@d1", 1, 0, 10),
+                run("sender.0a@d1", 1, 20, 30),
+            ];
+        },
+        "sender.0a@d1/0 must not be repeated",
+    ),
     (
         "a replica that was replaced",
         |r| r.runs = vec![run("sender@d1", 1, 0, 10), run("sender@d1", 1, 20, 30)],
--- a/crates/cli/tests/session/mod.rs
+++ b/crates/cli/tests/session/mod.rs
@@ -144,14 +144,13 @@
     pub fn complaints(&mut self) -> Vec<String> {
         let mut lines = self.cell.broken_promises();
         for unit in self.units() {
-            let is_service = unit.id.contains('@');
-            let good = unit.tasks.iter().all(|task| match task.phase {
-                TaskPhase::Waiting => false,
-                TaskPhase::Running { .. } => is_service,
-                _ => true,
-            });
-            if !good {
-                lines.push(format!("not over: {}", unit_line(&unit)));
+            let seen = if unit.id.contains('.') {
+                self.cell.succeeded(&unit.id)
+            } else {
+                self.cell.running(&unit.id)
+            };
+            if !is_settled(&unit, seen) {
+                lines.push(format!("not over: {} (seen: {seen})", unit_line(&unit)));
             }
         }
         lines
@@ -184,3 +183,20 @@
         self.cell.now()
     }
 }
+
+/// Whether a service's replicas all run, or other work is over; `seen` is how many tasks workers saw
+/// run or succeed.
+fn is_settled(unit: &UnitStatus, seen: usize) -> bool {
+    let count = |wanted: fn(TaskPhase) -> bool| {
+        let phases = unit.tasks.iter().map(|task| task.phase);
+        phases.filter(|phase| wanted(*phase)).count()
+    };
+    let running = count(|phase| matches!(phase, TaskPhase::Running { .. }));
+    let waiting = count(|phase| phase == TaskPhase::Waiting);
+    let succeeded = count(|phase| phase == TaskPhase::Succeeded);
+    if unit.id.contains('.') {
+        running + waiting == 0 && seen >= succeeded
+    } else {
+        running == unit.tasks.len() && seen == running
+    }
+}
