--- a/crates/cli/src/try_run/mod.rs
+++ b/crates/cli/src/try_run/mod.rs
@@ -220,10 +220,10 @@
     };
     let running = count(|phase| matches!(phase, TaskPhase::Running { .. }));
     // A service's parts are `name@domain`; other work is `name.hash@domain`.
+    let waiting = count(|phase| phase == TaskPhase::Waiting);
     if !unit.id.contains('.') {
-        return running == unit.tasks.len() && cell.running(&unit.id) == running;
+        return waiting == 0 && running > 0 && cell.running(&unit.id) == running;
     }
-    let waiting = count(|phase| phase == TaskPhase::Waiting);
     let succeeded = count(|phase| phase == TaskPhase::Succeeded);
     running + waiting == 0 && cell.succeeded(&unit.id) >= succeeded
 }
