Reports of changes, renewals of all tasks, lists of services told when they change

Cause: a scheduler took 88 KB/s at the target's size, 68 of it in calls to workers, whose whole task list came with each answer and whose tasks were named in each renewal; each node sent and took 10 KB/s of lists of services. Change: a worker reports what has changed since a change that the call names (and all of it to a caller that does not know its start), a renewal names no tasks, ended attempts are dropped with the next call that is due, summaries carry the services for some rounds after a change.

--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -35,6 +35,8 @@
     usage: Usage,
     service: String,
     run: Option<usize>,
+    /// The number of its newest change.
+    changed: u64,
 }
 
 /// A worker in memory. Its clock is the time that its callers pass in.
@@ -49,6 +51,10 @@
     runs: Vec<Run>,
     used: Size,
     peak: Size,
+    /// Counts the VM's starts.
+    boot: u64,
+    /// Counts the changes of the task list.
+    newest: u64,
     dead: bool,
     paused_until: Time,
 }
@@ -67,6 +73,8 @@
             runs: Vec::new(),
             used: Size::ZERO,
             peak: Size::ZERO,
+            boot: 1,
+            newest: 0,
             dead: false,
             paused_until: Time::ZERO,
         }
@@ -108,6 +116,7 @@
     /// Brings a dead worker's VM back. It knows nothing of its earlier tasks.
     pub fn come_back(&mut self) {
         self.dead = false;
+        self.boot += 1;
         self.highest_epoch = Epoch::default();
     }
 
@@ -187,35 +196,40 @@
         for command in &call.commands {
             self.command(now, call.epoch, command);
         }
+        self.show_usage(now);
+        let whole = call.since == 0 || call.boot != self.boot;
+        let since = if whole { 0 } else { call.since };
+        let changed = self.tasks.values().filter(|a| a.changed > since);
         WorkerReport {
             worker: self.id,
             clock: now,
             highest_epoch: self.highest_epoch,
-            tasks: self.views(now),
+            boot: self.boot,
+            newest: self.newest,
+            whole,
+            tasks: changed.map(|attempted| attempted.view.clone()).collect(),
         }
     }
 
-    /// The task list. Usage is shown only once an attempt has run for as long as reports lag.
-    fn views(&self, now: Time) -> Vec<TaskView> {
-        let view = |attempted: &Attempted| {
-            let mut view = attempted.view.clone();
-            if now.since(attempted.began) >= self.plan.usage_lag {
-                view.usage = attempted.usage;
+    /// Usage is shown only once an attempt has run for as long as reports lag.
+    fn show_usage(&mut self, now: Time) {
+        for attempted in self.tasks.values_mut() {
+            let due = now.since(attempted.began) >= self.plan.usage_lag;
+            if due && attempted.view.usage != attempted.usage {
+                attempted.view.usage = attempted.usage;
+                self.newest += 1;
+                attempted.changed = self.newest;
             }
-            view
-        };
-        self.tasks.values().map(view).collect()
+        }
     }
 
     fn command(&mut self, now: Time, epoch: Epoch, command: &Command) {
         match command {
             Command::Start(start) => self.start(now, epoch, start),
-            Command::Renew { tasks, lease_until } => {
-                for key in tasks {
-                    if let Some(attempted) = self.tasks.get_mut(key) {
-                        let lease = &mut attempted.view.lease_until;
-                        *lease = (*lease).max(*lease_until);
-                    }
+            Command::Renew { lease_until } => {
+                for attempted in self.tasks.values_mut() {
+                    let lease = &mut attempted.view.lease_until;
+                    *lease = (*lease).max(*lease_until);
                 }
             }
             Command::Checkpoint { task, attempt } => {
@@ -283,7 +297,9 @@
             usage: self.plan.usage(start),
             service: start.service.clone(),
             run: (!late).then_some(self.runs.len()),
+            changed: self.newest + 1,
         };
+        self.newest += 1;
         self.tasks.insert(key, attempted);
         if !late {
             self.used += start.size;
@@ -308,6 +324,8 @@
             return;
         }
         attempted.view.phase = phase;
+        self.newest += 1;
+        attempted.changed = self.newest;
         self.used -= attempted.view.size;
         if let Some(run) = attempted.run.and_then(|i| self.runs.get_mut(i)) {
             run.ended = Some(at);
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -26,6 +26,11 @@
 /// The most rows that are read at a time; the target has 80 nodes.
 const ROWS_PER_READ: u32 = 1_000;
 
+/// For how many rounds of summaries a changed list of services is told.
+const TELL_ROUNDS: usize = 8;
+/// Every which round of summaries has the list of services in any case.
+const TELL_EVERY: usize = 8;
+
 /// The row `member/<node>`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MemberRow {
@@ -52,6 +57,7 @@
 struct Domain {
     summary: DomainSummary,
     heard: Time,
+    services: Vec<String>,
     nodes: BTreeMap<NodeId, NodeVersion>,
 }
 
@@ -93,6 +99,9 @@
     /// Whether the others were told that this node shuts down.
     leaving: bool,
     turn: usize,
+    /// The list of services that was told last, and the round up to which it is told each time.
+    told_services: Vec<String>,
+    tell_until: usize,
 }
 
 impl Members {
@@ -111,6 +120,8 @@
             next_summary: Time::ZERO,
             leaving: false,
             turn: 0,
+            told_services: Vec::new(),
+            tell_until: 0,
         }
     }
 
@@ -223,7 +234,7 @@
         let late = self.cfg.live_for * 2;
         let mut remotes = Vec::new();
         for (id, domain) in &self.domains {
-            let serves = domain.summary.services.iter().any(|name| name == service);
+            let serves = domain.services.iter().any(|name| name == service);
             if !serves || now.since(domain.heard) >= late {
                 continue;
             }
@@ -348,13 +359,20 @@
 
     fn send_summaries(&mut self, cx: &mut Cx<'_>, state: &SelfState, services: &[String]) {
         self.turn += 1;
+        // The list is long and seldom changes: it is told for some rounds after a change, and now and
+        // then in case a node has missed it.
+        if services != self.told_services {
+            self.told_services = services.to_vec();
+            self.tell_until = self.turn + TELL_ROUNDS;
+        }
+        let tell = self.turn <= self.tell_until || self.turn.is_multiple_of(TELL_EVERY);
         let summary = DomainSummary {
             domain: self.me.domain,
             region: self.me.region,
             config_version: state.config_version,
             nodes: self.own_nodes(cx.now, state),
             free: state.free,
-            services: services.to_vec(),
+            services: tell.then(|| services.to_vec()),
             leaving: state.leaving,
         };
         for domain in self.domains() {
@@ -430,6 +448,7 @@
             .or_insert_with(|| Domain {
                 summary: summary.clone(),
                 heard: now,
+                services: Vec::new(),
                 nodes: BTreeMap::new(),
             });
         domain.heard = now;
@@ -440,6 +459,9 @@
             };
             domain.nodes.insert(told.node, version);
         }
+        if let Some(services) = &summary.services {
+            domain.services.clone_from(services);
+        }
         domain.summary = summary;
     }
 
--- a/crates/node/src/core/scheduler/recovery.rs
+++ b/crates/node/src/core/scheduler/recovery.rs
@@ -99,6 +99,7 @@
                     attempt: task.attempt,
                     start_limit: now,
                     sent: true,
+                    seen: false,
                 };
                 let task = TaskId::new(&id, index);
                 self.placer.adopt(now, &task, worker, state.unit.size);
--- a/crates/node/src/core/scheduler/reports.rs
+++ b/crates/node/src/core/scheduler/reports.rs
@@ -99,6 +99,7 @@
             attempt: view.attempt,
             start_limit: now,
             sent: true,
+            seen: true,
         };
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.expected.insert(view.task.clone(), expected);
--- a/crates/node/src/core/scheduler/workers.rs
+++ b/crates/node/src/core/scheduler/workers.rs
@@ -15,6 +15,8 @@
 
 use crate::core::settings::SchedulerConfig;
 
+/// How often a worker's whole list is read.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(300);
 /// How often the tasks of a worker that is being emptied are told to end.
 const STOP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -44,6 +46,8 @@
     pub(crate) start_limit: Time,
     /// Whether the start command was sent.
     pub(crate) sent: bool,
+    /// Whether the worker has listed the attempt.
+    pub(crate) seen: bool,
 }
 
 /// A worker that takes no new work.
@@ -74,6 +78,11 @@
     /// Where its replicas take requests.
     pub(crate) endpoints: BTreeMap<TaskId, String>,
     clock: Option<ClockSample>,
+    /// The worker's start, and the newest change of its list, that were last reported.
+    boot: u64,
+    newest: u64,
+    /// When the whole list is read again, should a change have been missed.
+    next_whole: Time,
     starts: Vec<PendingStart>,
     commands: Vec<Command>,
     /// The commands of the call under way, to be given again if it is not answered.
@@ -96,6 +105,9 @@
             leases_until,
             endpoints: BTreeMap::new(),
             clock: None,
+            boot: 0,
+            newest: 0,
+            next_whole: Time::ZERO,
             starts: Vec::new(),
             commands: Vec::new(),
             calling: None,
@@ -178,6 +190,7 @@
             attempt: start.attempt,
             start_limit: Time::MAX,
             sent: false,
+            seen: false,
         };
         self.expected.insert(start.task.clone(), expected);
         self.starts.push(start);
@@ -209,7 +222,8 @@
         valid_until: Time,
         cfg: &SchedulerConfig,
     ) -> Option<WorkerCall> {
-        let pending = !(self.starts.is_empty() && self.commands.is_empty());
+        let waits = |command: &Command| matches!(command, Command::Forget { .. });
+        let pending = !(self.starts.is_empty() && self.commands.iter().all(waits));
         let urgent = pending && self.known && !self.silent;
         if self.calling.is_some() || !(urgent || now >= self.next_call) {
             return None;
@@ -224,20 +238,24 @@
             let lapses = sample.received + lease_until.since(sample.clock) + cfg.drift_margin;
             self.leases_until = self.leases_until.max(lapses);
         }
+        if now >= self.next_whole {
+            self.newest = 0;
+            self.next_whole = now + WHOLE_INTERVAL;
+        }
         Some(WorkerCall {
             worker: self.spec.id,
             epoch,
+            boot: self.boot,
+            since: self.newest,
             commands,
         })
     }
 
+    /// Renews what runs on the worker. All of it is known: the whole list was read, and what was not this
+    /// scheduler's was told to stop.
     fn add_renewal(&self, lease_until: Time, commands: &mut Vec<Command>) {
-        let sent = self.expected.iter().filter(|(_, expected)| expected.sent);
-        let tasks: Vec<(TaskId, Attempt)> = sent
-            .map(|(task, expected)| (task.clone(), expected.attempt))
-            .collect();
-        if !tasks.is_empty() {
-            commands.push(Command::Renew { tasks, lease_until });
+        if self.has_sent() {
+            commands.push(Command::Renew { lease_until });
         }
     }
 
@@ -277,6 +295,15 @@
         self.calling = None;
         self.silent = false;
         self.known = true;
+        self.boot = report.boot;
+        self.newest = report.newest;
+        for view in &report.tasks {
+            if let Some(expected) = self.expected.get_mut(&view.task)
+                && expected.attempt == view.attempt
+            {
+                expected.seen = true;
+            }
+        }
         self.clock = Some(ClockSample {
             sent,
             received: now,
@@ -294,7 +321,8 @@
     }
 
     /// The expected attempts that a report of a call sent at `sent` should list, but which the
-    /// worker does not know and surely will not start any more.
+    /// worker does not know and surely will not start any more. A list of changes says nothing of an
+    /// attempt that was listed before.
     pub(crate) fn missing(&self, sent: Time, report: &WorkerReport) -> Vec<TaskId> {
         let listed = |task: &TaskId, attempt: Attempt| {
             let mut views = report.tasks.iter();
@@ -303,6 +331,7 @@
         self.expected
             .iter()
             .filter(|(_, expected)| expected.sent && sent > expected.start_limit)
+            .filter(|(_, expected)| report.whole || !expected.seen)
             .filter(|(task, expected)| !listed(task, expected.attempt))
             .map(|(task, _)| task.clone())
             .collect()
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -84,8 +84,8 @@
     pub nodes: Vec<NodeSummary>,
     /// What the domain's workers have free.
     pub free: Size,
-    /// The services with backend servers there.
-    pub services: Vec<String>,
+    /// The services with backend servers there; `None` if they are as told before.
+    pub services: Option<Vec<String>>,
     /// Whether the sender shuts down.
     pub leaving: bool,
 }
--- a/crates/store/src/worker.rs
+++ b/crates/store/src/worker.rs
@@ -28,10 +28,8 @@
 pub enum Command {
     /// Starts a task. A worker starts an attempt that it has seen before no second time.
     Start(TaskStart),
-    /// Renews the leases of tasks; a lapsed lease stays lapsed.
+    /// Renews the leases of all tasks that run on the worker; a lapsed lease stays lapsed.
     Renew {
-        /// The tasks to renew, by attempt.
-        tasks: Vec<(TaskId, Attempt)>,
         /// The point on the worker's clock at which their leases lapse, if not renewed again.
         lease_until: Time,
     },
@@ -74,6 +72,10 @@
     pub worker: WorkerId,
     /// The epoch of the scheduler that calls.
     pub epoch: Epoch,
+    /// The worker's start that the caller knows; 0 for none. With another one the whole list is wanted.
+    pub boot: u64,
+    /// The newest change that the caller knows; 0 to get the whole list.
+    pub since: u64,
     /// The commands, done in order. May be empty: the call then only reads.
     pub commands: Vec<Command>,
 }
@@ -113,14 +115,16 @@
     /// What is reserved for it.
     pub size: Size,
     /// What it was last seen to use; lags.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub usage: Usage,
     /// Where a service's replica takes requests, such as `http://10.0.0.7:8080`; empty otherwise.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub endpoint: String,
     /// The point on the worker's clock at which its lease lapses, if it is not renewed.
     pub lease_until: Time,
 }
 
-/// A worker's answer: its whole task list after the commands were done.
+/// A worker's answer: its task list after the commands were done, or what has changed in it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker.
@@ -130,6 +134,18 @@
     pub clock: Time,
     /// The highest epoch that has commanded this worker.
     pub highest_epoch: Epoch,
-    /// All attempts it knows.
+    /// The worker's start. A worker that starts anew knows nothing of its earlier tasks.
+    pub boot: u64,
+    /// The newest change of the list, to be named in the next call.
+    pub newest: u64,
+    /// Whether the list is whole. If not, it has the attempts that have changed since the change that the
+    /// call named.
+    pub whole: bool,
+    /// The attempts.
     pub tasks: Vec<TaskView>,
 }
+
+/// Whether a field need not be sent.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
