--- a/crates/place/src/fit.rs
+++ b/crates/place/src/fit.rs
@@ -16,7 +16,7 @@
 const CANDIDATES_PER_STEP: usize = 2;
 
 /// Candidates weighed per search.
-const CANDIDATES_MAX: usize = 12;
+const CANDIDATES_MAX: usize = 24;
 
 /// One whole, for shares of a worker.
 const MILLION: u64 = 1_000_000;
