lease: a question names the attempt, so that a late failure ends no later one

Cause: both attempts of a question had the same number. A connection whose failure was told after the second question was sent (a link's own timeout of 2 s against ask_timeout of 1 s) counted as the failure of the second connection, and the member as unreachable after one attempt. Change: Question::attempt; a failure counts for its own attempt, an answer for any of the round. Tests: one machine with its peers played by the test. Shown red with the check of the attempt loosened.

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -248,7 +248,7 @@
             Role::Holding(held) => held.round.as_mut(),
         };
         if let Some(round) = round.filter(|round| round.is(question)) {
-            round.failed(to, self.cfg.ask_attempts, out);
+            round.failed(to, question, self.cfg.ask_attempts, out);
         }
     }
 
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -5,13 +5,16 @@
 
 use crate::Holder;
 
-/// Names one round of questions, so that a late or duplicated answer is matched to nothing else.
+/// Names one question of a round, so that a late or duplicated answer is matched to nothing else.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Question {
     /// The asking node's start.
     pub incarnation: Incarnation,
     /// Counts the rounds of that start.
     pub round: u64,
+    /// Counts the fresh connections on which this member was asked in this round, from 0. The answer
+    /// to any of them counts; a failure ends the one that it names.
+    pub attempt: u32,
 }
 
 /// What a question is for.
--- a/crates/lease/src/round.rs
+++ b/crates/lease/src/round.rs
@@ -53,6 +53,7 @@
             question: Question {
                 incarnation: from.incarnation,
                 round: number,
+                attempt: 0,
             },
             purpose,
             from: from.clone(),
@@ -61,14 +62,17 @@
             asked: targets.map(begun).collect(),
         };
         for (node, asked) in &round.asked {
-            out.push(round.ask(*node, &asked.address));
+            out.push(round.ask(*node, &asked.address, 0));
         }
         round
     }
 
-    fn ask(&self, to: NodeId, address: &str) -> Output {
+    fn ask(&self, to: NodeId, address: &str, attempt: u32) -> Output {
         let msg = LeaseMsg::Ask {
-            question: self.question,
+            question: Question {
+                attempt,
+                ..self.question
+            },
             purpose: self.purpose,
             from: self.from.clone(),
             epoch: self.epoch,
@@ -88,8 +92,9 @@
         self.epoch
     }
 
+    /// Whether a question is of this round.
     pub(crate) fn is(&self, question: Question) -> bool {
-        self.question == question
+        (self.question.incarnation, self.question.round) == (question.incarnation, question.round)
     }
 
     pub(crate) fn confirmed(&mut self, node: NodeId) {
@@ -99,13 +104,23 @@
     }
 
     /// A fresh connection has failed: tries another one, or counts the member as unreachable.
-    pub(crate) fn failed(&mut self, node: NodeId, attempts: u32, out: &mut Vec<Output>) {
+    pub(crate) fn failed(
+        &mut self,
+        node: NodeId,
+        question: Question,
+        attempts: u32,
+        out: &mut Vec<Output>,
+    ) {
         let Some(asked) = self.asked.get_mut(&node) else {
             return;
         };
         let Progress::Asked { failures } = asked.progress else {
             return;
         };
+        if question.attempt != failures {
+            // The failure of an earlier connection, told late.
+            return;
+        }
         let failures = failures + 1;
         if failures >= attempts {
             asked.progress = Progress::Unreachable;
@@ -113,7 +128,7 @@
         }
         asked.progress = Progress::Asked { failures };
         let address = asked.address.clone();
-        out.push(self.ask(node, &address));
+        out.push(self.ask(node, &address, failures));
     }
 
     /// Whether every member has confirmed or is unreachable.
--- a/crates/lease/tests/domain/main.rs
+++ b/crates/lease/tests/domain/main.rs
@@ -2,4 +2,5 @@
 
 mod explorer;
 mod sessions;
+mod single;
 mod world;
--- /dev/null
+++ b/crates/lease/tests/domain/single.rs
@@ -0,0 +1,117 @@
+//! One machine, whose peers and table are played by the test.
+
+use std::time::Duration;
+
+use lease::{
+    Holder, Input, LeaseConfig, LeaseMachine, LeaseMsg, Output, Purpose, Question, Reply, RowState,
+    WriteResult,
+};
+use model::{Epoch, Incarnation, NodeId, Time};
+
+const EPOCH: Epoch = Epoch { table: 1, local: 0 };
+
+fn holder(node: u32, incarnation: u64) -> Holder {
+    Holder {
+        node: NodeId(node),
+        incarnation: Incarnation(incarnation),
+        address: format!("10.0.0.{node}:7101"),
+    }
+}
+
+fn step(machine: &mut LeaseMachine, ms: u64, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    machine.step(Time::from_ms(ms), input, &mut out);
+    out
+}
+
+/// Node 1, which asks node 2 about its first claim.
+fn claimant() -> (LeaseMachine, Question) {
+    let mut machine = LeaseMachine::new(LeaseConfig::default(), holder(1, 5));
+    step(&mut machine, 0, Input::Members(vec![holder(2, 0)]));
+    let state = RowState::Absent;
+    let out = step(&mut machine, 1, Input::RowRead { call: 1, state });
+    (machine, asked(&out))
+}
+
+fn asked(out: &[Output]) -> Question {
+    let asks = out.iter().find_map(|output| match output {
+        Output::Send { msg, .. } => msg.asks(),
+        _ => None,
+    });
+    asks.expect("a question is sent")
+}
+
+fn answer(question: Question, reply: Reply) -> Input {
+    let msg = LeaseMsg::Answer { question, reply };
+    let from = NodeId(2);
+    Input::Peer { from, msg }
+}
+
+/// Node 1 as the holder.
+fn active() -> LeaseMachine {
+    let (mut machine, question) = claimant();
+    step(&mut machine, 2, answer(question, Reply::Confirmed));
+    let result = WriteResult::Written(1);
+    step(&mut machine, 3, Input::RowWritten { call: 2, result });
+    assert_eq!(machine.active(Time::from_ms(3)), Some(EPOCH));
+    machine
+}
+
+#[test]
+fn a_late_failure_of_the_first_connection_does_not_end_the_second() {
+    let (mut machine, first) = claimant();
+    let to = NodeId(2);
+    let failed = |question| Input::PeerFailed { to, question };
+    let second = asked(&step(&mut machine, 500, failed(first)));
+    assert_ne!(first, second);
+    let mut undisturbed = machine.clone();
+    step(&mut undisturbed, 600, Input::Tick);
+    step(&mut machine, 600, failed(first));
+    assert_eq!(machine, undisturbed);
+    // Its answer on the second connection counts, and so does one on the first.
+    let out = step(&mut machine, 700, answer(first, Reply::Confirmed));
+    assert!(matches!(out[..], [Output::WriteRow { .. }]), "{out:?}");
+}
+
+#[test]
+fn a_higher_epoch_at_a_worker_stops_the_holder() {
+    let mut machine = active();
+    assert_eq!(step(&mut machine, 4, Input::EpochSeen(EPOCH)), []);
+    let higher = Epoch { table: 1, local: 1 };
+    let out = step(&mut machine, 5, Input::EpochSeen(higher));
+    assert_eq!(out[0], Output::Stopped(EPOCH));
+}
+
+#[test]
+fn an_earlier_start_of_a_node_is_told_that_it_is_stale() {
+    let mut machine = active();
+    for (incarnation, expected) in [(7, Reply::Holding(EPOCH)), (6, Reply::Stale)] {
+        let question = Question {
+            incarnation: Incarnation(incarnation),
+            round: 1,
+            attempt: 0,
+        };
+        let msg = LeaseMsg::Ask {
+            question,
+            purpose: Purpose::Claim,
+            from: holder(2, incarnation),
+            epoch: Epoch { table: 2, local: 0 },
+        };
+        let from = NodeId(2);
+        let out = step(&mut machine, 10, Input::Peer { from, msg });
+        let reply = LeaseMsg::Answer {
+            question,
+            reply: expected,
+        };
+        assert!(matches!(&out[0], Output::Send { msg, .. } if *msg == reply));
+    }
+}
+
+/// The term counts from before the questions were sent, to the millisecond.
+#[test]
+fn the_term_ends_on_the_holders_own_clock() {
+    let machine = active();
+    let end = Time::from_ms(1) + Duration::from_secs(6);
+    assert_eq!(machine.valid_until(Time::from_ms(3)), Some(end));
+    assert_eq!(machine.active(end), None);
+}
