--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -5,7 +5,7 @@
 
 use crate::Holder;
 
-/// Names one question of a round, so that a late or duplicated answer is matched to nothing else.
+/// Names one round of questions, so that a late or duplicated answer is matched to nothing else.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Question {
     /// The asking node's start.
