--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -23,6 +23,9 @@
     pub incarnation: Incarnation,
     /// Counts the rounds of that start.
     pub round: u64,
+    /// Counts the fresh connections on which this member was asked in this round, from 0. The answer
+    /// to any of them counts; a failure ends the one that it names.
+    pub attempt: u32,
 }
 
 /// What a question is for.
--- a/crates/lease/tests/domain/world.rs
+++ b/crates/lease/tests/domain/world.rs
@@ -320,15 +320,19 @@
         } = &input
         {
             let open = &mut self.procs[i].open;
-            open.retain(|(_, to, q)| (to, q) != (from, question));
+            open.retain(|(_, to, q)| (to, q.round) != (from, question.round));
         }
         let proc = &mut self.procs[i];
         let clock = proc.clock;
         let before = proc.machine.valid_until(clock);
         let mut out = Vec::new();
         proc.machine.step(clock, input, &mut out);
-        if proc.machine.valid_until(clock) > before {
+        let after = proc.machine.valid_until(clock);
+        if after > before {
             proc.trusted_until = clock + self.cfg.term;
+        } else if after.is_none() && before.is_some() {
+            // It has stopped on its own.
+            proc.trusted_until = clock;
         }
         for output in out {
             self.output(i, output);
