Requests: smaller modules for passing answers on and for the ends of requests

Change: pass_on has a module with a step for each case; the router's ends and timers have one. Checked: tests of node, route and store twice; lints.

--- a/crates/node/src/daemon/proxy/attempt.rs
+++ b/crates/node/src/daemon/proxy/attempt.rs
@@ -1,29 +1,21 @@
 //! One attempt at a backend server or another node.
 
-use std::{
-    io::{self, Read},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{io, net::SocketAddr, time::Duration};
 
 use model::Verdict;
 use peer::{LinkError, Links};
-use route::{AttemptEnd, Dispatch, Forward, Outcome, StoredAnswer};
+use route::{AttemptEnd, Dispatch, Forward, Outcome};
 use ureq::{
     SendBody, Timeout,
     http::{HeaderMap, HeaderValue, Method, Request, Response, Uri},
 };
 
 use super::{
-    answer::{self, Streamed},
     exchange::Exchange,
     headers,
+    pass_on::{Ended, Passing, pass_on},
 };
 
-/// How much of an answer is read before its head is passed on, in bytes.
-const ANSWER_FIRST_BYTES: usize = 64 << 10;
-/// The longest answer that is kept for resends, in bytes.
-const KEPT_MAX_BYTES: usize = 1 << 20;
 /// The longest head of an answer, in bytes.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 /// The longest wait for a connection to a backend server.
@@ -75,9 +67,6 @@
         .new_agent()
 }
 
-/// The end of an attempt, and the request if it is not answered.
-type Ended = (AttemptEnd, Option<Exchange>);
-
 /// Sends a request to a backend server and its answer back.
 pub(super) fn dispatch(agents: &Agents, mut exchange: Exchange, dispatch: &Dispatch) -> Ended {
     let mut end = AttemptEnd::new(dispatch.req, dispatch.attempt, Outcome::NotSent);
@@ -92,7 +81,12 @@
             let keep = dispatch.keep_answer;
             let (parts, body) = resp.into_parts();
             let resp = Response::from_parts(parts, body.into_reader());
-            pass_on(exchange, end, resp, keep, Verdict::Ran)
+            let passing = Passing {
+                verdict: Verdict::Ran,
+                from_backend: true,
+                keep,
+            };
+            pass_on(exchange, end, resp, passing)
         }
         Err(outcome) => {
             end.outcome = outcome;
@@ -245,24 +239,23 @@
     let asker_failed = source.failed;
     match result {
         Ok(resp) => {
-            let verdict = headers::text(resp.headers(), &headers::VERDICT);
-            let declined = verdict.as_deref() == Some(Verdict::NotRun.as_str());
-            let verdict = match verdict.as_deref() {
-                Some("may-have-run") => Verdict::MayHaveRun,
-                _ => Verdict::Ran,
-            };
+            let verdict = verdict_of(resp.headers());
             let temporary = is_temporary(resp.status().as_u16());
             if temporary && verdict == Verdict::MayHaveRun {
                 end.outcome = Outcome::CutShort;
                 end.replayable = exchange.body.is_replayable();
                 return (end, Some(exchange));
             }
-            if temporary && declined && exchange.body.is_replayable() {
+            if temporary && verdict == Verdict::NotRun && exchange.body.is_replayable() {
                 end.outcome = Outcome::Declined;
                 return (end, Some(exchange));
             }
-            let verdict = if declined { Verdict::NotRun } else { verdict };
-            pass_on(exchange, end, resp, false, verdict)
+            let passing = Passing {
+                verdict,
+                from_backend: false,
+                keep: false,
+            };
+            pass_on(exchange, end, resp, passing)
         }
         Err(e) => {
             log::debug!("http: {}: {e}", forward.node);
@@ -277,132 +270,17 @@
     }
 }
 
-/// Whether another node may do better.
-const fn is_temporary(status: u16) -> bool {
-    status == 503 || status == 502
-}
-
-/// Passes an answer on.
-fn pass_on(
-    exchange: Exchange,
-    mut end: AttemptEnd,
-    resp: Response<impl Read>,
-    keep: bool,
-    verdict: Verdict,
-) -> Ended {
-    let (parts, body) = resp.into_parts();
-    let status = parts.status.as_u16();
-    let length = headers::content_length(&parts.headers);
-    let chunked = parts.headers.contains_key("transfer-encoding");
-    let bodyless = exchange.is_bodyless(status);
-    let from_backend = verdict == Verdict::Ran && !parts.headers.contains_key(headers::VERDICT);
-    if says_not_run(&parts.headers) && verdict == Verdict::Ran {
-        end.outcome = Outcome::Declined;
-        end.replayable = exchange.body.is_replayable();
-        return (end, Some(exchange));
-    }
-    // An answer that ends with its connection cannot be told from one that is cut.
-    let unclear = from_backend && !bodyless && length.is_none() && !chunked;
-    let mut body = Counted { body, read: 0 };
-    let mut first = Vec::new();
-    let most = ANSWER_FIRST_BYTES as u64 + 1;
-    let read = if bodyless {
-        Ok(0)
-    } else {
-        body.by_ref().take(most).read_to_end(&mut first)
-    };
-    let long = first.len() > ANSWER_FIRST_BYTES;
-    let short_of = !long && !bodyless && length.is_some_and(|length| length != body.read);
-    let cannot_stream = long && !answer::can_stream(&exchange, length);
-    if read.is_err() || unclear || short_of || cannot_stream {
-        end.outcome = Outcome::CutShort;
-        end.replayable = exchange.body.is_replayable();
-        end.bytes += body.read;
-        return (end, Some(exchange));
-    }
-    let mut headers = parts.headers;
-    headers::drop_link_headers(&mut headers);
-    headers.insert(headers::VERDICT, HeaderValue::from_static(verdict.as_str()));
-    let whole = if status >= 500 {
-        Outcome::Faulty
-    } else {
-        Outcome::Answered
-    };
-    if !long {
-        end.bytes += body.read;
-        end.answer = keep.then(|| stored(status, &headers, first.clone()));
-        let taken = answer::short(exchange, status, &headers, &first);
-        end.outcome = if taken { whole } else { Outcome::CallerGone };
-        return (end, None);
-    }
-    let mut tee = Tee {
-        kept: (keep && length.is_none_or(|n| n <= KEPT_MAX_BYTES as u64)).then(|| first.clone()),
-        body: &mut body,
-        ended: false,
-    };
-    let streamed = answer::stream(exchange, status, &headers, length, first.chain(&mut tee));
-    let (kept, ended) = (tee.kept.take(), tee.ended);
-    end.bytes += body.read;
-    end.answer = kept
-        .filter(|_| ended)
-        .map(|body| stored(status, &headers, body));
-    end.outcome = match streamed {
-        Streamed::Whole => whole,
-        Streamed::Cut => Outcome::Broken,
-        Streamed::AskerGone => Outcome::CallerGone,
-    };
-    (end, None)
-}
-
-/// Whether a backend server says that it did not run the request.
-fn says_not_run(headers: &HeaderMap) -> bool {
+/// The verdict of another node's answer.
+fn verdict_of(headers: &HeaderMap) -> Verdict {
     let verdict = headers::text(headers, &headers::VERDICT);
-    verdict.as_deref() == Some(Verdict::NotRun.as_str())
-}
-
-fn stored(status: u16, headers: &HeaderMap, body: Vec<u8>) -> StoredAnswer {
-    let text = headers.iter().filter_map(|(name, value)| {
-        let value = value.to_str().ok()?;
-        Some((name.to_string(), value.to_owned()))
-    });
-    StoredAnswer {
-        status,
-        headers: text.filter(|(name, _)| name != "content-length").collect(),
-        body,
+    match verdict.as_deref() {
+        Some("not-run") => Verdict::NotRun,
+        Some("may-have-run") => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
     }
 }
 
-/// Counts what is read.
-struct Counted<R> {
-    body: R,
-    read: u64,
-}
-
-impl<R: Read> Read for Counted<R> {
-    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        let n = self.body.read(buf)?;
-        self.read += n as u64;
-        Ok(n)
-    }
-}
-
-/// Keeps a copy of what is read, up to a bound.
-struct Tee<R> {
-    body: R,
-    kept: Option<Vec<u8>>,
-    ended: bool,
-}
-
-impl<R: Read> Read for Tee<R> {
-    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        let n = self.body.read(buf)?;
-        self.ended |= n == 0 && !buf.is_empty();
-        if let Some(kept) = &mut self.kept {
-            kept.extend_from_slice(&buf[..n]);
-            if kept.len() > KEPT_MAX_BYTES {
-                self.kept = None;
-            }
-        }
-        Ok(n)
-    }
+/// Whether another node may do better.
+const fn is_temporary(status: u16) -> bool {
+    status == 503 || status == 502
 }
--- a/crates/node/src/daemon/proxy/mod.rs
+++ b/crates/node/src/daemon/proxy/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod headers;
 mod intake;
+mod pass_on;
 mod waiting;
 
 use std::{
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -36,6 +36,7 @@
 mod claims;
 mod config;
 mod counters;
+mod ending;
 mod fair;
 mod grants;
 mod health;
