--- /dev/null
+++ b/crates/config/benches/recall.rs
@@ -0,0 +1,107 @@
+//! How soon a recall stops 5,000 running tasks, on the embedded cell: 160 workers in 10 failure domains.
+//! The baseline is a plain cancellation of the same batch. Both are run again with one domain cut off from
+//! the platform, which learns of a recall from its peers but not of a cancellation.
+
+use std::time::Duration;
+
+use cli::{Cell, CellConfig, Fault};
+use fakes::{PlatformSpec, RunPlan};
+use model::{NodeId, Time};
+use node::api::{FileText, OperatorReq, OperatorResp, RecallTarget, Submitter};
+
+const DOMAINS: u32 = 10;
+const WORKERS: u32 = 160;
+const TASKS: usize = 5_000;
+/// When the batch is published, a domain is cut off, the batch is recalled, and all is last looked at.
+const PUBLISH: Duration = Duration::from_secs(20);
+const CUT: Duration = Duration::from_secs(140);
+const STOP: Duration = Duration::from_secs(150);
+const END: Duration = Duration::from_secs(200);
+const FILE: &str = r#"
+[team]
+name = "t"
+quota = { processors = 100000, memory_mb = 100000000 }
+
+[[batch]]
+name = "faulty"
+team = "t"
+command = ["faulty"]
+size = { processors = 1, memory_mb = 64 }
+class = "standard"
+tasks = 5000
+repeat = "safe"
+run_time_s = 3600
+"#;
+
+fn main() {
+    for (suffix, cut) in [("", false), ("_one_domain_cut", true)] {
+        let by = Submitter::default;
+        let targets = vec![RecallTarget::Batch("faulty".to_owned())];
+        let recall = OperatorReq::Recall { by: by(), targets };
+        run(&format!("recall{suffix}"), recall, cut);
+        let name = "faulty".to_owned();
+        let cancel = OperatorReq::Cancel { by: by(), name };
+        run(&format!("cancel{suffix}"), cancel, cut);
+    }
+}
+
+fn run(name: &str, stop: OperatorReq, cut: bool) {
+    let hour = Duration::from_secs(3_600);
+    let plan = RunPlan {
+        min: hour,
+        max: hour,
+        ..RunPlan::default()
+    };
+    let platform = PlatformSpec {
+        domains: DOMAINS,
+        workers: WORKERS,
+        plan,
+        ..PlatformSpec::default()
+    };
+    let mut cell = Cell::new(&CellConfig {
+        platform,
+        ..CellConfig::default()
+    });
+    cell.run_until(PUBLISH);
+    let publish = OperatorReq::Publish {
+        by: Submitter::default(),
+        base: None,
+        files: vec![FileText {
+            path: "lacewing.toml".to_owned(),
+            text: FILE.to_owned(),
+        }],
+        dry_run: false,
+    };
+    expect_done(cell.operator(NodeId(1), publish).as_ref());
+    cell.run_until(CUT);
+    if cut {
+        let domain = format!("d{DOMAINS}")
+            .parse()
+            .expect("a short name is valid");
+        let ms = u64::try_from(CUT.as_millis()).expect("a few minutes");
+        cell.at(ms, Fault::CutFromPlatform(domain, END));
+    }
+    cell.run_until(STOP);
+    let called = cell.now();
+    expect_done(cell.operator(NodeId(1), stop).as_ref());
+    let answered = cell.now();
+    cell.run_until(END);
+    let runs = cell.records().runs;
+    let ran_then = |began: Time, ended: Option<Time>| {
+        began <= called && ended.is_none_or(|ended| ended > called)
+    };
+    let running = runs.iter().filter(|run| ran_then(run.began, run.ended));
+    let late = runs.iter().filter(|run| run.began > answered).count();
+    let still = runs.iter().filter(|run| run.ended.is_none()).count();
+    let last = runs.iter().filter_map(|run| run.ended).max();
+    let span = last.map_or(f64::NAN, |last| last.since(called).as_secs_f64());
+    println!("figure {name}_running_tasks {} tasks", running.count());
+    println!("figure {name}_last_stop_s {span:.3} s");
+    println!("figure {name}_never_stopped {still} tasks");
+    println!("figure {name}_started_after_answer {late} tasks");
+    assert!(runs.len() >= TASKS, "only {} tasks have run", runs.len());
+}
+
+fn expect_done(resp: Option<&OperatorResp>) {
+    assert!(matches!(resp, Some(OperatorResp::Done { .. })), "{resp:?}");
+}
