config: a single change is merged without a copy of the state; smaller modules

Change: the copy is made only once a second submission joins an entry. The follower's messages and the texts of submissions move to modules of their own.

--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -9,9 +9,8 @@
 };
 
 use model::{NodeId, Time};
-use serde::{Deserialize, Serialize};
 
-use crate::{Config, Entry};
+use crate::{Config, Entry, Head, News, Snapshot, Want};
 
 /// A peer that was not heard for this long is forgotten.
 const PEER_FORGOTTEN_AFTER: Duration = Duration::from_secs(600);
@@ -47,56 +46,6 @@
     }
 }
 
-/// The table's head as it was read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Head {
-    /// The version of the configuration that it names.
-    pub version: u64,
-    /// The version of the head's row in the table.
-    pub row_version: u64,
-}
-
-/// The whole state at one version, as it is stored for new nodes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The entries up to this version are no longer in the table.
-    pub deleted_to: u64,
-    /// The state.
-    pub config: Config,
-}
-
-/// What one node tells another about the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum News {
-    /// The entries after the version that was asked for, oldest first.
-    Entries(Vec<Entry>),
-    /// The whole state: the entries are no longer at hand.
-    Whole(Box<Config>),
-}
-
-/// What a [`Follower`] wants done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Want {
-    /// Read the head, then call [`Follower::head_read`].
-    Head,
-    /// Read the snapshot, then call [`Follower::snapshot_read`].
-    Snapshot,
-    /// Read entries, then call [`Follower::entries_read`].
-    Entries {
-        /// Only entries after this version.
-        after: u64,
-        /// The most entries to read.
-        limit: u32,
-    },
-    /// Ask a peer for its news, and hand its answer to [`Follower::take_news`].
-    Peer {
-        /// The peer.
-        node: NodeId,
-        /// The version that this node has.
-        after: u64,
-    },
-}
-
 /// What was last heard of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Heard {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod follower;
 mod history;
+mod news;
 mod prepare;
 mod state;
 mod target;
@@ -30,8 +31,9 @@
     change::{Change, Entry, Submission},
     diff::{ItemChange, ItemFate, KeyChange},
     error::{ApplyError, ChangeError, Conflict, TargetError},
-    follower::{Follower, FollowerConfig, Head, News, Snapshot, Want},
+    follower::{Follower, FollowerConfig},
     history::Setting,
+    news::{Head, News, Snapshot, Want},
     prepare::{Merge, Outcome, Proposal},
     state::{Config, Recall},
     target::RecallTarget,
--- a/crates/config/src/prepare.rs
+++ b/crates/config/src/prepare.rs
@@ -52,18 +52,27 @@
     #[must_use]
     pub fn merge(&self, proposals: &[Proposal]) -> Merge {
         let version = self.version() + 1;
-        let mut scratch = self.clone();
+        // A copy of the state is dear: the first submission of the entry needs none.
+        let mut scratch: Option<Self> = None;
         let mut submissions: Vec<Submission> = Vec::new();
         let mut changes = 0;
         let mut outcomes = Vec::new();
         for proposal in proposals {
-            let outcome = match scratch.prepare(proposal) {
+            if let Some(first) = submissions.first()
+                && scratch.is_none()
+            {
+                let copy = scratch.insert(self.clone());
+                copy.apply_submission(version, first);
+            }
+            let outcome = match scratch.as_ref().unwrap_or(self).prepare(proposal) {
                 Ok(prepared) => {
                     let n = prepared.changes.len();
                     if changes > 0 && changes + n > CHANGES_PER_ENTRY {
                         Outcome::NextEntry
                     } else {
-                        scratch.apply_submission(version, &prepared);
+                        if let Some(scratch) = &mut scratch {
+                            scratch.apply_submission(version, &prepared);
+                        }
                         submissions.push(prepared);
                         changes += n;
                         Outcome::Joined
--- a/crates/node/src/core/operators/mod.rs
+++ b/crates/node/src/core/operators/mod.rs
@@ -3,6 +3,7 @@
 mod homes;
 mod listing;
 mod publishing;
+mod submitted;
 mod views;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -20,6 +20,7 @@
     ROWS_PER_READ, done, homes,
     homes::Homes,
     member_domains, refuse,
+    submitted::{evacuates_last, message},
 };
 
 /// A change that is not decided after this time is answered: refused where it is not on its way to
@@ -383,34 +384,6 @@
     }
 }
 
-/// What was done, in a line. A recall's effects on units are named.
-fn message(version: u64, made: &Submission) -> String {
-    let is_recall = |change: &Change| matches!(change, Change::Recall(_));
-    if !made.changes.iter().any(is_recall) {
-        return format!("version {version}, {} changes", made.changes.len());
-    }
-    let texts: Vec<String> = made
-        .changes
-        .iter()
-        .map(|change| match change {
-            Change::Recall(target) => format!("{target} is recalled"),
-            Change::SetUnit(unit) => format!("{} returns to its last good content", unit.name),
-            Change::RemoveUnit(name) => format!("{name} is removed"),
-            other => other.item(),
-        })
-        .collect();
-    format!("version {version}: {}", texts.join(", "))
-}
-
-/// Whether a submission would leave no domain that takes work.
-fn evacuates_last(submission: &Submission, current: &config::Config, members: &[DomainId]) -> bool {
-    let leaves = |domain: &DomainId| {
-        current.is_evacuated(*domain) || submission.changes.contains(&Change::Evacuate(*domain))
-    };
-    let evacuates = |change: &Change| matches!(change, Change::Evacuate(_));
-    submission.changes.iter().any(evacuates) && members.iter().all(leaves)
-}
-
 fn scan(cx: &mut Cx<'_>, prefix: &str, after: String) {
     let req = TableReq::Scan {
         prefix: prefix.to_owned(),
--- /dev/null
+++ b/crates/node/src/core/operators/submitted.rs
@@ -0,0 +1,36 @@
+//! Submissions as operators read them, and what no submission may do.
+
+use config::{Change, Config, Submission};
+use model::DomainId;
+
+/// What was done, in a line. A recall's effects on units are named.
+pub(super) fn message(version: u64, made: &Submission) -> String {
+    let is_recall = |change: &Change| matches!(change, Change::Recall(_));
+    if !made.changes.iter().any(is_recall) {
+        return format!("version {version}, {} changes", made.changes.len());
+    }
+    let texts: Vec<String> = made
+        .changes
+        .iter()
+        .map(|change| match change {
+            Change::Recall(target) => format!("{target} is recalled"),
+            Change::SetUnit(unit) => format!("{} returns to its last good content", unit.name),
+            Change::RemoveUnit(name) => format!("{name} is removed"),
+            other => other.item(),
+        })
+        .collect();
+    format!("version {version}: {}", texts.join(", "))
+}
+
+/// Whether a submission would leave no domain that takes work.
+pub(super) fn evacuates_last(
+    submission: &Submission,
+    current: &Config,
+    members: &[DomainId],
+) -> bool {
+    let leaves = |domain: &DomainId| {
+        current.is_evacuated(*domain) || submission.changes.contains(&Change::Evacuate(*domain))
+    };
+    let evacuates = |change: &Change| matches!(change, Change::Evacuate(_));
+    submission.changes.iter().any(evacuates) && members.iter().all(leaves)
+}
