cli: changes of the configuration under seeded faults; a double run after a takeover, shown

Cause: seeded runs changed the configuration once, before any fault, so that its promises were idle. Change: every 8 s two operators publish at once with faults; two scripted sessions.

--- a/crates/cli/src/cell/chaos.rs
+++ b/crates/cli/src/cell/chaos.rs
@@ -4,6 +4,7 @@
 
 use fakes::{FaultLevel, Rng};
 use model::{DomainId, NodeId, WorkerId};
+use node::api::{FileText, OperatorReq, Submitter};
 
 use super::{Cell, Fault};
 
@@ -11,6 +12,8 @@
 const FIRST: Duration = Duration::from_secs(6);
 /// No fault happens later.
 const LAST: Duration = Duration::from_secs(200);
+/// The mean time between two changes of the configuration.
+const CHANGE_EVERY: Duration = Duration::from_secs(8);
 /// The most workers that are lost for good, as a share of all.
 const LOST_SHARE: u32 = 6;
 
@@ -28,6 +31,7 @@
         workers: cell.platform.worker_ids(),
         may_lose: cell.cfg.platform.workers / LOST_SHARE,
     };
+    schedule_changes(cell, &mut draw);
     let mut at = FIRST;
     while at < LAST {
         if let Some(fault) = draw.fault() {
@@ -38,6 +42,43 @@
     }
 }
 
+/// Schedules changes of the configuration that harm no work, each by two operators at a time.
+fn schedule_changes(cell: &mut Cell, draw: &mut Draw) {
+    let mut at = FIRST;
+    let mut number = 0;
+    while at < LAST {
+        number += 1;
+        for author in ["first", "second"] {
+            let Some(node) = pick(&mut draw.rng, &draw.nodes) else {
+                return;
+            };
+            let ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+            cell.operator_at(ms, node, spare_team(author, number));
+        }
+        at += draw.rng.span(CHANGE_EVERY / 2, CHANGE_EVERY * 3 / 2);
+    }
+}
+
+/// A team without work, whose quota each operator sets in their own way.
+fn spare_team(author: &str, number: u32) -> OperatorReq {
+    let quota = number * 10 + u32::from(author == "first");
+    let text = format!(
+        "[team]\nname = \"spare\"\nquota = {{ processors = {quota}.0, memory_mb = 1000 }}\n"
+    );
+    OperatorReq::Publish {
+        by: Submitter {
+            id: format!("{author}-{number}"),
+            author: author.to_owned(),
+        },
+        base: None,
+        files: vec![FileText {
+            path: "spare/lacewing.toml".to_owned(),
+            text,
+        }],
+        dry_run: false,
+    }
+}
+
 struct Draw {
     rng: Rng,
     nodes: Vec<NodeId>,
--- a/crates/cli/tests/failures.rs
+++ b/crates/cli/tests/failures.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cli::Fault;
-use session::{Session, d, n, secs, w};
+use session::{DESK, Session, d, n, publish_as, secs, w};
 
 /// When the first fault happens, in milliseconds: work runs, waits and is called by then.
 const FIRST_MS: u64 = 14_000;
@@ -222,6 +222,55 @@
     assert_none(&found);
 }
 
+/// Tasks are started again on a worker that restarted, the table does not learn of it, and a new
+/// scheduler reads the old attempts from the table while the newer ones run.
+#[test]
+fn a_newer_attempt_than_the_table_knows_is_not_run_beside() {
+    let mut found = Vec::new();
+    for down_ms in (9_900..=10_000).step_by(10) {
+        let mut session = Session::new(8);
+        session.faults(&[
+            (17_000, Fault::WorkerRestarts(w(1))),
+            (25_000, Fault::TableDown(Duration::from_millis(down_ms))),
+            (28_000, Fault::Pause(n(1), Duration::from_millis(11_400))),
+        ]);
+        session.run_to(60);
+        let lines = session.cell.broken_promises();
+        found.extend(
+            lines
+                .iter()
+                .map(|line| format!("down for {down_ms} ms: {line}")),
+        );
+    }
+    assert_none(&found);
+}
+
+/// A version is accepted while a domain hears of it from the table alone, and the replies to its
+/// first reads are lost.
+#[test]
+fn a_version_is_in_force_within_seconds_when_replies_were_lost() {
+    let mut found = Vec::new();
+    for lost_ms in [0, 300, 600, 900] {
+        let mut session = Session::new(9);
+        session.faults(&[
+            (20_000, Fault::CutFromPeers(d(1), secs(30))),
+            (20_900 + lost_ms, Fault::TableRepliesLost(secs(1))),
+        ]);
+        let smaller = DESK.replacen("replicas = 6", "replicas = 3", 1);
+        session
+            .cell
+            .operator_at(20_700, n(3), publish_as("chief", &smaller));
+        session.run_to(40);
+        let lines = session.cell.broken_promises();
+        found.extend(
+            lines
+                .iter()
+                .map(|line| format!("lost after {lost_ms} ms: {line}")),
+        );
+    }
+    assert_none(&found);
+}
+
 #[test]
 fn requests_that_must_not_be_repeated() {
     let mut found = Vec::new();
--- a/crates/cli/tests/session/mod.rs
+++ b/crates/cli/tests/session/mod.rs
@@ -47,8 +47,12 @@
 }
 
 pub fn publish(text: &str) -> OperatorReq {
+    publish_as("desk", text)
+}
+
+pub fn publish_as(author: &str, text: &str) -> OperatorReq {
     OperatorReq::Publish {
-        by: by("desk"),
+        by: by(author),
         base: None,
         files: files(text),
         dry_run: false,
