--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,7 +10,7 @@
 
 use cli::{FilesError, TryOptions, collect, try_files};
 use model::{Catalog, SourceFile};
-use node::api::{FileText, OperatorReq, OperatorResp};
+use node::api::{FileText, OperatorReq, OperatorResp, UnitStatus};
 
 use crate::{
     args::{Args, Command, Parsed},
@@ -123,8 +123,7 @@
             println!("{message}");
             Exit::Done
         }
-        Ok(OperatorResp::Status(units)) if args.json => print::json(&units),
-        Ok(OperatorResp::Status(units)) => print::units(&units),
+        Ok(OperatorResp::Status(units)) => status(args, req, &units),
         Ok(OperatorResp::Recalls(recalls)) if args.json => print::json(&recalls),
         Ok(OperatorResp::Recalls(recalls)) => print::recalls(&recalls),
         Ok(OperatorResp::Failed { verdict, message }) => failed(message, verdict),
@@ -134,3 +133,14 @@
         Err(e) => failed(&e, e.exit()),
     }
 }
+
+fn status(args: &Args, req: &OperatorReq, units: &[UnitStatus]) -> Exit {
+    match req {
+        OperatorReq::Status { name: Some(name) } if units.is_empty() => {
+            let message = format!("there is no unit `{name}`; `lacewing status` lists all");
+            failed(message, Exit::Failed)
+        }
+        _ if args.json => print::json(&units),
+        _ => print::units(units),
+    }
+}
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -63,20 +63,6 @@
     };
     let (base, changes) = match client.operator(&request(None, true)) {
         Ok(OperatorResp::Changes { version, changes }) => (Some(version), changes),
-        // A node of an earlier release does not know of dry runs, and has published already.
-        Ok(OperatorResp::Done { message, version }) => {
-            let nodes = wait(client, version, Instant::now());
-            let seconds = 0.0;
-            let changes = Vec::new();
-            let done = Published {
-                message,
-                version,
-                changes,
-                nodes,
-                seconds,
-            };
-            return report(&done, json);
-        }
         Ok(OperatorResp::Failed { verdict, message }) => return failed(message, verdict),
         Ok(other) => return print::unexpected(&other),
         Err(e) => return failed(&e, e.exit()),
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -206,6 +206,13 @@
     (200, NO_RECALLS, &["recall"], 0, "nothing is recalled"),
     (200, r#"{"status":[]}"#, &["status"], 0, "no units of work"),
     (200, r#"{"status":[]}"#, &["status", "--json"], 0, "[]"),
+    (
+        200,
+        r#"{"status":[]}"#,
+        &["status", "a"],
+        1,
+        "there is no unit `a`",
+    ),
     (
         200,
         NOT_RUN,
@@ -341,7 +348,19 @@
         until(&words, printed)
     };
     run(&["dump"], "\"recovered\":true");
-    run(&["publish", "examples/dealer-reminders"], "version 1");
+    run(
+        &["publish", "examples/dealer-reminders", "--dry-run"],
+        "+ unit/dealer-lookup",
+    );
+    run(
+        &["publish", "examples/dealer-reminders"],
+        "version 1 is in force on 1 of 1 nodes",
+    );
+    run(&["publish", "examples/dealer-reminders"], "nothing changes");
+    run(&["recall", "worker", "w4"], "worker/w4 is recalled");
+    run(&["recall"], "worker/w4");
+    run(&["lift", "worker/w4"], "version 3");
+    run(&["recall"], "nothing is recalled");
     run(&["status", "reminder-run"], "12 succeeded");
     expect(&["status", "--node", &node], 1, "give --operator-token");
     let wrong = [
--- /dev/null
+++ b/crates/fakes/tests/over_http.rs
@@ -0,0 +1,106 @@
+//! The stand-ins over HTTP: admin faults, and replicas that echo what they are sent.
+
+use fakes::{FakePlatform, PlatformSpec, serve};
+use model::{Attempt, Epoch, Size, TaskId, Time, UnitId, WorkerId};
+use store::{
+    Command, HttpPlatform, HttpPlatformConfig, StoreError, Table, TableReq, TaskStart, VmList,
+    WorkerCall, Workers,
+};
+
+/// Longer than a test runs.
+const LONG_MS: &str = "600000";
+
+struct Stand {
+    url: String,
+}
+
+impl Stand {
+    fn new() -> Self {
+        let platform = FakePlatform::new(&PlatformSpec::default());
+        let server = serve("127.0.0.1:0", platform).expect("a free port");
+        let url = format!("http://{}", server.address());
+        Self { url }
+    }
+
+    /// The platform as the nodes of a domain call it.
+    fn from(&self, domain: &str) -> HttpPlatform {
+        HttpPlatform::new(HttpPlatformConfig {
+            url: format!("{}/from/{domain}", self.url),
+            ..HttpPlatformConfig::default()
+        })
+    }
+
+    fn get(&self, path: &str) -> String {
+        let call = ureq::get(format!("{}{path}", self.url)).call();
+        let mut resp = call.expect("the stand-in answers");
+        resp.body_mut().read_to_string().expect("a whole answer")
+    }
+}
+
+fn read() -> TableReq {
+    TableReq::Get {
+        key: "a".to_owned(),
+    }
+}
+
+fn start_replica(platform: &mut HttpPlatform) -> Result<(), StoreError> {
+    let start = Command::Start(TaskStart {
+        task: TaskId::new(&UnitId::new("desk@d1"), 0),
+        attempt: Attempt(1),
+        size: Size::new(1_000, 1_000, 0),
+        command: Vec::new(),
+        service: "desk".to_owned(),
+        start_by: Time::MAX,
+        lease_until: Time::MAX,
+    });
+    let call = WorkerCall {
+        worker: WorkerId(1),
+        epoch: Epoch::default(),
+        commands: vec![start],
+    };
+    platform.worker(&call).map(|_| ())
+}
+
+#[test]
+fn cuts_hold_for_whom_they_name() {
+    let stand = Stand::new();
+    let (mut d1, mut d2) = (stand.from("d1"), stand.from("d2"));
+    assert!(d1.table(&read()).is_ok());
+    stand.get(&format!("/admin/cut-domain/d1/{LONG_MS}"));
+    assert!(matches!(d1.table(&read()), Err(StoreError::Unreachable(_))));
+    let vms = d1.vms("d1".parse().expect("a name"));
+    assert!(matches!(vms, Err(StoreError::Unreachable(_))));
+    assert!(
+        start_replica(&mut d1).is_ok(),
+        "its own workers are reached"
+    );
+    assert!(d2.table(&read()).is_ok());
+    stand.get(&format!("/admin/cut-workers/d1/{LONG_MS}"));
+    assert!(start_replica(&mut d1).is_err());
+    stand.get(&format!("/admin/lose-replies/{LONG_MS}"));
+    assert!(matches!(d2.table(&read()), Err(StoreError::Lost(_))));
+    stand.get(&format!("/admin/cut-table/{LONG_MS}"));
+    assert!(matches!(d2.table(&read()), Err(StoreError::Unreachable(_))));
+}
+
+#[test]
+fn a_replica_echoes_and_is_recorded() {
+    let stand = Stand::new();
+    let url = format!("{}/backend/1/desk/dealers/7?due=1", stand.url);
+    let post = || {
+        let req = ureq::post(&url).header("x-request-id", "r1");
+        req.header("idempotency-key", "k1").send("oil change")
+    };
+    assert!(post().is_err(), "no replica runs yet");
+    start_replica(&mut stand.from("d1")).expect("the worker is reached");
+    let mut resp = post().expect("the replica answers");
+    let echo = resp.body_mut().read_to_string().expect("a whole answer");
+    for part in ["POST", "/dealers/7?due=1", "oil change", "r1", "k1"] {
+        assert!(echo.contains(part), "{part}: {echo}");
+    }
+    let requests = stand.get("/admin/requests");
+    assert_eq!(requests.matches("\"key\":\"k1\"").count(), 1, "{requests}");
+    assert!(stand.get("/admin/runs").contains("desk@d1/0"));
+    stand.get("/admin/worker/1/die");
+    assert!(post().is_err(), "the worker is dead");
+}
