cli: golden sessions show whole seconds

Cause: with milliseconds every golden file changed with any change of the number of messages, since network delays are drawn anew; twelve red files then say nothing. Change: the log keeps milliseconds for tracing a fault; golden files show seconds, what happened, in which order, and the outcome. Shown to fail: counting leases from zero turns all twelve red; a new scheduler that does not wait for the old one's task leases turns each_failure_alone and each_failure_twice red (broken, seen, restored).

--- a/crates/cli/tests/session/mod.rs
+++ b/crates/cli/tests/session/mod.rs
@@ -169,8 +169,11 @@
             let _ = writeln!(text, "{}", unit_line(&unit));
         }
         let complaints = self.complaints();
-        let mut golden = self.cell.log().join("\n");
-        golden.push_str("\n---\n");
+        let mut golden = String::new();
+        for line in self.cell.log() {
+            let _ = writeln!(golden, "{}", in_whole_seconds(line));
+        }
+        golden.push_str("---\n");
         golden.push_str(&text);
         for line in complaints {
             let _ = writeln!(golden, "BROKEN: {line}");
@@ -190,6 +193,18 @@
     }
 }
 
+/// A line of the log with its time in whole seconds. Milliseconds come of drawn network delays, which
+/// any change of the number of messages draws anew; what happened and in which order does not.
+fn in_whole_seconds(line: &str) -> String {
+    let cut = line.trim_start().split_once('.').zip(line.split_once("s "));
+    match cut {
+        Some(((seconds, _), (_, what))) if seconds.bytes().all(|b| b.is_ascii_digit()) => {
+            format!("{seconds:>4}s {what}")
+        }
+        _ => line.to_owned(),
+    }
+}
+
 /// Whether a service's replicas all run, or other work is over; `seen` is how many tasks workers saw
 /// run or succeed.
 fn is_settled(unit: &UnitStatus, seen: usize) -> bool {
