--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -20,6 +20,8 @@
 pub struct FollowerConfig {
     /// The interval at which the table's head is read. 1 s by default.
     pub poll_interval: Duration,
+    /// How long a read of the table may take before another one is made. 1 s by default.
+    pub read_patience: Duration,
     /// The wait before a peer is asked again for what it has not sent. 500 ms by default.
     pub ask_retry: Duration,
     /// How long a node that has just started waits to hear from its peers before it serves what the
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             poll_interval: Duration::from_secs(1),
+            read_patience: Duration::from_secs(1),
             ask_retry: Duration::from_millis(500),
             start_wait: Duration::from_millis(1_500),
             peer_timeout: Duration::from_secs(10),
@@ -73,6 +76,8 @@
     /// The newest entries, oldest first, without a gap up to the present version.
     kept: VecDeque<Entry>,
     reading: Reading,
+    /// When the read under way, or the last one, began.
+    read_at: Time,
     next_poll: Time,
     polls: u64,
     /// The newest poll after which this node had the version that the head named.
@@ -99,6 +104,7 @@
             config: Config::default(),
             kept: VecDeque::new(),
             reading: Reading::Nothing,
+            read_at: Time::ZERO,
             next_poll: Time::ZERO,
             polls: 0,
             caught_up: 0,
@@ -158,9 +164,15 @@
     /// Makes the reads that are due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Want>) {
         let started = *self.started.get_or_insert(now);
+        if self.reading != Reading::Nothing && now.since(self.read_at) >= self.cfg.read_patience {
+            // Its reply may be lost. An answer that comes after all is taken for that of the next read:
+            // it can name an older head only, which changes nothing.
+            self.reading = Reading::Nothing;
+        }
         if self.reading == Reading::Nothing && now >= self.next_poll {
             self.next_poll = now + self.cfg.poll_interval;
             self.polls += 1;
+            self.read_at = now;
             self.reading = Reading::Head;
             out.push(Want::Head);
         }
--- a/crates/node/src/core/scheduler/mod.rs
+++ b/crates/node/src/core/scheduler/mod.rs
@@ -171,18 +171,24 @@
     pub(crate) fn backends(&self) -> Vec<BackendView> {
         let open = self.workers.values().filter(|worker| worker.serves());
         open.flat_map(|worker| {
-            worker.endpoints.iter().filter_map(|(task, endpoint)| {
-                let job = self.jobs.get(&task.unit)?;
-                Some(BackendView {
-                    service: job.row.unit.name.clone(),
-                    worker: worker.spec.id,
-                    endpoint: endpoint.clone(),
-                })
+            worker.endpoints.iter().map(|(task, endpoint)| BackendView {
+                service: self.service_of(task),
+                worker: worker.spec.id,
+                endpoint: endpoint.clone(),
             })
         })
         .collect()
     }
 
+    /// The service of a replica. The name stands before the part's domain in the unit's id, should the
+    /// unit's state not be known yet.
+    fn service_of(&self, task: &TaskId) -> String {
+        let id = task.unit.as_str();
+        let name = id.split_once('@').map_or(id, |(name, _)| name);
+        let job = self.jobs.get(&task.unit);
+        job.map_or(name, |job| &job.row.unit.name).to_owned()
+    }
+
     /// Does all that is due. `valid_until` is the end of this scheduler's lease, `elsewhere` what other
     /// domains have free.
     pub(crate) fn tick(
--- a/crates/node/src/core/scheduler/workers.rs
+++ b/crates/node/src/core/scheduler/workers.rs
@@ -11,7 +11,7 @@
 
 use model::{Attempt, Epoch, Size, TaskId, Time};
 use place::WorkerSpec;
-use store::{Command, TaskStart, WorkerCall, WorkerReport};
+use store::{Command, TaskPhase, TaskStart, WorkerCall, WorkerReport};
 
 use crate::core::settings::SchedulerConfig;
 
@@ -60,6 +60,18 @@
     next_stop: Time,
 }
 
+/// How a worker took the last call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// It answered, or was not called yet.
+    Answers,
+    /// It answered before the units' states could be read: all that runs there is renewed.
+    BeforeStates,
+    /// It did not answer. A call that only reads extends no lease, so the leases of a worker that stays
+    /// silent lapse in the end.
+    Silent,
+}
+
 /// One worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -87,9 +99,7 @@
     commands: Vec<Command>,
     /// The commands of the call under way, to be given again if it is not answered.
     calling: Option<Vec<Command>>,
-    /// Whether the last call was not answered. A call that only reads does not extend any lease, so the
-    /// leases of a worker that stays silent lapse in the end.
-    silent: bool,
+    reach: Reach,
     next_call: Time,
 }
 
@@ -111,14 +121,15 @@
             starts: Vec::new(),
             commands: Vec::new(),
             calling: None,
-            silent: false,
+            reach: Reach::Answers,
             next_call: Time::ZERO,
         }
     }
 
     /// Whether its replicas take new requests.
-    pub(crate) const fn serves(&self) -> bool {
-        self.known && self.closed.is_none()
+    pub(crate) fn serves(&self) -> bool {
+        let answers = self.known || self.reach == Reach::BeforeStates;
+        answers && self.closed.is_none()
     }
 
     pub(crate) fn close(&mut self, now: Time, recalled: bool) {
@@ -224,14 +235,16 @@
     ) -> Option<WorkerCall> {
         let waits = |command: &Command| matches!(command, Command::Forget { .. });
         let pending = !(self.starts.is_empty() && self.commands.iter().all(waits));
-        let urgent = pending && self.known && !self.silent;
+        let urgent = pending && self.known && self.reach != Reach::Silent;
         if self.calling.is_some() || !(urgent || now >= self.next_call) {
             return None;
         }
         self.next_call = now + cfg.worker_interval;
         let mut commands = std::mem::take(&mut self.commands);
         self.calling = Some(commands.clone());
-        if let Some(sample) = self.clock.filter(|_| self.known && !self.silent) {
+        let renews = self.known || self.reach == Reach::BeforeStates;
+        let renews = renews && self.reach != Reach::Silent;
+        if let Some(sample) = self.clock.filter(|_| renews) {
             let lease_until = sample.clock + now.since(sample.sent) + cfg.task_lease;
             self.add_renewal(lease_until, &mut commands);
             self.add_starts(now, valid_until, sample, lease_until, cfg, &mut commands);
@@ -254,7 +267,7 @@
     /// Renews what runs on the worker. All of it is known: the whole list was read, and what was not this
     /// scheduler's was told to stop.
     fn add_renewal(&self, lease_until: Time, commands: &mut Vec<Command>) {
-        if self.has_sent() {
+        if self.reach == Reach::BeforeStates || self.has_sent() {
             commands.push(Command::Renew { lease_until });
         }
     }
@@ -293,8 +306,12 @@
     /// Takes a report: the worker's clock, and that it answers.
     pub(crate) fn reported(&mut self, now: Time, sent: Time, report: &WorkerReport) {
         self.calling = None;
-        self.silent = false;
         self.known = true;
+        if self.reach == Reach::BeforeStates {
+            // From here on the attempts that the scheduler knows count.
+            self.endpoints.clear();
+        }
+        self.reach = Reach::Answers;
         self.boot = report.boot;
         self.newest = report.newest;
         for view in &report.tasks {
@@ -311,9 +328,27 @@
         });
     }
 
+    /// Takes a report that came before the units' states could be read. Whatever runs is renewed; nothing
+    /// is judged by it.
+    pub(crate) fn seen_before_states(&mut self, now: Time, sent: Time, report: &WorkerReport) {
+        self.calling = None;
+        self.reach = Reach::BeforeStates;
+        self.clock = Some(ClockSample {
+            sent,
+            received: now,
+            clock: report.clock,
+        });
+        for view in &report.tasks {
+            if view.phase == TaskPhase::Running && !view.endpoint.is_empty() {
+                let endpoint = view.endpoint.clone();
+                self.endpoints.insert(view.task.clone(), endpoint);
+            }
+        }
+    }
+
     /// Takes the failure of a call. Its commands are given again: doing one twice does no harm.
     pub(crate) fn not_reported(&mut self, now: Time, retry: Duration) {
-        self.silent = true;
+        self.reach = Reach::Silent;
         let mut commands = self.calling.take().unwrap_or_default();
         commands.append(&mut self.commands);
         self.commands = commands;
