--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -3,6 +3,10 @@
 //! A [`LeaseMachine`] takes an [`Input`] and the present time, and returns [`Output`]s for its owner
 //! to carry out. It does no I/O and reads no clock.
 //!
+//! The members of a domain confirm each claim and each renewal on fresh connections; the platform's table
+//! orders takeovers while it can be reached. `docs/design/ownership.md` has the protocol, the assumption
+//! that it rests on and the ways weighed.
+//!
 //! # Example
 //!
 //! ```
