Requests: a caller that does not read holds no slot past its deadline; a panic ends no intake thread

Cause: a caller that reads a long answer slowly kept the backend server's slot until TCP gave up. Change: long answers are written on a thread of their own; at the deadline the backend server's connection and the slot are given up. Shown to fail: without the deadline the eight slots are held for good. Conclusion: what is left of it is a thread for each such caller, until TCP gives up.

--- a/crates/node/src/daemon/http.rs
+++ b/crates/node/src/daemon/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read},
     net::{Ipv4Addr, Ipv6Addr, SocketAddr, TcpStream},
+    panic::{self, AssertUnwindSafe},
     sync::{Arc, mpsc},
     thread,
     time::Duration,
@@ -76,7 +77,11 @@
             let shared = Arc::clone(&shared);
             thread::spawn(move || {
                 while let Ok(req) = server.recv() {
-                    handle(&shared, req);
+                    // The thread goes on, whatever becomes of one request.
+                    let handling = AssertUnwindSafe(|| handle(&shared, req));
+                    if panic::catch_unwind(handling).is_err() {
+                        log::error!("http: a thread has panicked over a request");
+                    }
                 }
             });
         }
--- a/crates/node/src/daemon/proxy/answer.rs
+++ b/crates/node/src/daemon/proxy/answer.rs
@@ -3,6 +3,9 @@
 use std::{
     fmt::Write as _,
     io::{self, Cursor, Read, Write},
+    sync::mpsc::{self, SyncSender, TrySendError},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use model::Verdict;
@@ -20,6 +23,14 @@
 const BUFFER_BYTES: usize = 64 << 10;
 /// No chunk begins with these bytes: a caller that reads them knows that the answer is cut.
 const BROKEN_CHUNK: &[u8] = b"!cut\r\n\r\n";
+/// The end of a body in chunks.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// How many parts of a long answer wait for a slow caller.
+const PARTS_MAX: usize = 4;
+/// How often a part is offered to a slow caller again.
+const WRITER_POLL: Duration = Duration::from_millis(1);
+/// The stack of a thread that writes to a caller, in bytes.
+const WRITER_STACK_BYTES: usize = 128 << 10;
 
 /// How an answer with a long body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,6 +107,7 @@
     headers: &HeaderMap,
     length: Option<u64>,
     mut body: impl Read,
+    until: Instant,
 ) -> Streamed {
     match exchange.asker {
         Asker::Caller { req, close } => {
@@ -109,7 +121,7 @@
                 _ => head.push_str("transfer-encoding: chunked\r\n\r\n"),
             }
             let chunked = framing != Some(Framing::Length);
-            stream_to_caller(req, head.as_bytes(), chunked, body)
+            stream_to_caller(req, head.into_bytes(), chunked, body, until)
         }
         Asker::Node { answer, .. } => {
             let mut watch = Watch {
@@ -129,42 +141,99 @@
     }
 }
 
+/// Writes on a thread of its own: a caller that reads slowly must not keep the backend server's
+/// connection open past `until`.
 fn stream_to_caller(
     req: tiny_http::Request,
-    head: &[u8],
+    head: Vec<u8>,
     chunked: bool,
     mut body: impl Read,
+    until: Instant,
 ) -> Streamed {
-    let mut writer = req.into_writer();
-    if writer.write_all(head).is_err() {
+    let Some(mut caller) = SlowWriter::start(req.into_writer(), until) else {
         return Streamed::AskerGone;
-    }
+    };
+    let mut next = head;
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let read = body.read(&mut buf);
-        let written = match &read {
-            Ok(0) if chunked => writer.write_all(b"0\r\n\r\n"),
-            Ok(n) if chunked => write_chunk(&mut writer, &buf[..*n]),
-            Ok(n) => writer.write_all(&buf[..*n]),
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-            Err(_) if chunked => writer.write_all(BROKEN_CHUNK),
-            // The connection closes before the length is reached.
-            Err(_) => Ok(()),
-        };
-        let flushed = written.and_then(|()| writer.flush());
-        match read {
-            Err(_) => return Streamed::Cut,
-            _ if flushed.is_err() => return Streamed::AskerGone,
-            Ok(0) => return Streamed::Whole,
-            Ok(_) => {}
+        if !caller.write(next) {
+            return Streamed::AskerGone;
         }
+        next = match body.read(&mut buf) {
+            Ok(0) => break,
+            Ok(n) if chunked => chunk(&buf[..n]),
+            Ok(n) => buf[..n].to_vec(),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Vec::new(),
+            Err(_) => {
+                // Without chunks the connection closes before the length is reached.
+                if chunked {
+                    caller.write(BROKEN_CHUNK.to_vec());
+                }
+                return Streamed::Cut;
+            }
+        };
     }
+    let last = if chunked { LAST_CHUNK } else { b"" };
+    if caller.write(last.to_vec()) && caller.finish() {
+        Streamed::Whole
+    } else {
+        Streamed::AskerGone
+    }
+}
+
+fn chunk(data: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
+/// Writes to a caller on a thread of its own, which ends when the caller has taken all or goes away.
+struct SlowWriter {
+    tx: SyncSender<Vec<u8>>,
+    written: JoinHandle<io::Result<()>>,
+    until: Instant,
 }
 
-fn write_chunk(writer: &mut impl Write, data: &[u8]) -> io::Result<()> {
-    write!(writer, "{:x}\r\n", data.len())?;
-    writer.write_all(data)?;
-    writer.write_all(b"\r\n")
+impl SlowWriter {
+    fn start(mut writer: Box<dyn Write + Send>, until: Instant) -> Option<Self> {
+        let (tx, rx) = mpsc::sync_channel::<Vec<u8>>(PARTS_MAX);
+        let write_all = move || {
+            for part in rx {
+                writer.write_all(&part)?;
+                writer.flush()?;
+            }
+            Ok(())
+        };
+        let thread = thread::Builder::new().stack_size(WRITER_STACK_BYTES);
+        let written = thread.spawn(write_all).ok()?;
+        Some(Self { tx, written, until })
+    }
+
+    /// Hands a part over. Returns false if the caller does not take it in time, or has gone away.
+    fn write(&mut self, mut part: Vec<u8>) -> bool {
+        loop {
+            match self.tx.try_send(part) {
+                Ok(()) => return true,
+                Err(TrySendError::Disconnected(_)) => return false,
+                Err(TrySendError::Full(_)) if Instant::now() >= self.until => return false,
+                Err(TrySendError::Full(back)) => part = back,
+            }
+            thread::sleep(WRITER_POLL);
+        }
+    }
+
+    /// Whether the caller has taken all in time.
+    fn finish(self) -> bool {
+        drop(self.tx);
+        while !self.written.is_finished() {
+            if Instant::now() >= self.until {
+                return false;
+            }
+            thread::sleep(WRITER_POLL);
+        }
+        matches!(self.written.join(), Ok(Ok(())))
+    }
 }
 
 /// Sees how the reading of a body ends.
--- a/crates/node/src/daemon/proxy/attempt.rs
+++ b/crates/node/src/daemon/proxy/attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt at a backend server or another node.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::Verdict;
 use peer::{LinkError, Links};
@@ -70,6 +74,7 @@
 /// Sends a request to a backend server and its answer back.
 pub(super) fn dispatch(agents: &Agents, mut exchange: Exchange, dispatch: &Dispatch) -> Ended {
     let mut end = AttemptEnd::new(dispatch.req, dispatch.attempt, Outcome::NotSent);
+    let until = Instant::now() + dispatch.timeout;
     let agent = if dispatch.fresh {
         &agents.fresh
     } else {
@@ -85,6 +90,7 @@
                 verdict: Verdict::Ran,
                 from_backend: true,
                 keep,
+                until,
             };
             pass_on(exchange, end, resp, passing)
         }
@@ -220,6 +226,7 @@
     address: SocketAddr,
 ) -> Ended {
     let mut end = AttemptEnd::new(forward.req, forward.attempt, Outcome::NotSent);
+    let until = Instant::now() + forward.timeout;
     let Ok(uri) = exchange.url.parse::<Uri>() else {
         return (end, Some(exchange));
     };
@@ -254,6 +261,7 @@
                 verdict,
                 from_backend: false,
                 keep: false,
+                until,
             };
             pass_on(exchange, end, resp, passing)
         }
--- a/crates/node/src/daemon/proxy/pass_on.rs
+++ b/crates/node/src/daemon/proxy/pass_on.rs
@@ -1,6 +1,9 @@
 //! Passing an answer on to the asker.
 
-use std::io::{self, Read};
+use std::{
+    io::{self, Read},
+    time::Instant,
+};
 
 use model::Verdict;
 use route::{AttemptEnd, Outcome, StoredAnswer};
@@ -31,6 +34,8 @@
     pub(super) from_backend: bool,
     /// Whether it is handed back for keeping.
     pub(super) keep: bool,
+    /// When the attempt's time is over.
+    pub(super) until: Instant,
 }
 
 /// Passes an answer on, unless it is cut short within its first part: the request then comes back.
@@ -73,7 +78,7 @@
         length,
     };
     if long {
-        pass_long(exchange, end, &head, &first, body, passing.keep)
+        pass_long(exchange, end, &head, &first, body, passing)
     } else {
         end.bytes += body.read;
         pass_short(exchange, end, &head, first, passing.keep)
@@ -138,16 +143,18 @@
     head: &Head,
     first: &[u8],
     mut body: Counted<impl Read>,
-    keep: bool,
+    passing: Passing,
 ) -> Ended {
-    let keep = keep && head.length.is_none_or(|n| n <= KEPT_MAX_BYTES as u64);
+    let keep = passing.keep && head.length.is_none_or(|n| n <= KEPT_MAX_BYTES as u64);
     let mut tee = Tee {
         kept: keep.then(|| first.to_vec()),
         body: &mut body,
         ended: false,
     };
     let source = first.chain(&mut tee);
-    let streamed = answer::stream(exchange, head.status, &head.headers, head.length, source);
+    let (status, length) = (head.status, head.length);
+    let until = passing.until;
+    let streamed = answer::stream(exchange, status, &head.headers, length, source, until);
     let (kept, ended) = (tee.kept.take(), tee.ended);
     end.bytes += body.read;
     end.answer = kept.filter(|_| ended).map(|body| head.stored(body));
--- a/crates/node/tests/requests_proxy.rs
+++ b/crates/node/tests/requests_proxy.rs
@@ -28,39 +28,44 @@
     let runs = Arc::new(AtomicU32::new(0));
     let counter = Arc::clone(&runs);
     thread::spawn(move || {
-        for mut req in server.incoming_requests() {
+        for req in server.incoming_requests() {
             let run = counter.fetch_add(1, Ordering::SeqCst);
-            let mut body = Vec::new();
-            req.as_reader().read_to_end(&mut body).unwrap();
-            let _ = match req.url() {
-                "/large" => req.respond(Response::from_data(vec![7; LARGE])),
-                "/chunked" => {
-                    let data = std::io::Cursor::new(vec![7; LARGE]);
-                    req.respond(Response::new(200.into(), Vec::new(), data, None, None))
-                }
-                "/empty" => req.respond(Response::empty(204)),
-                "/headers" => {
-                    let names = req.headers().iter().map(|h| h.field.to_string());
-                    let names: Vec<String> = names.collect();
-                    let kept = Header::from_bytes("X-Kept", "yes").unwrap();
-                    let text = names.join(" ").to_lowercase();
-                    req.respond(Response::from_string(text).with_header(kept))
-                }
-                "/echo" => {
-                    let sum: u64 = body.iter().map(|b| u64::from(*b)).sum();
-                    let text = format!("{} {} {sum}", req.method(), body.len());
-                    req.respond(Response::from_string(text))
-                }
-                path => {
-                    let text = format!("run {run} of {path}");
-                    req.respond(Response::from_string(text))
-                }
-            };
+            thread::spawn(move || answer(req, run));
         }
     });
     (endpoint, runs)
 }
 
+fn answer(mut req: tiny_http::Request, run: u32) {
+    let mut body = Vec::new();
+    req.as_reader().read_to_end(&mut body).unwrap();
+    let _ = match req.url() {
+        "/large" => req.respond(Response::from_data(vec![7; LARGE])),
+        "/chunked" => {
+            let data = std::io::Cursor::new(vec![7; LARGE]);
+            req.respond(Response::new(200.into(), Vec::new(), data, None, None))
+        }
+        "/huge" => req.respond(Response::from_data(vec![7; 64 * LARGE])),
+        "/empty" => req.respond(Response::empty(204)),
+        "/headers" => {
+            let names = req.headers().iter().map(|h| h.field.to_string());
+            let names: Vec<String> = names.collect();
+            let kept = Header::from_bytes("X-Kept", "yes").unwrap();
+            let text = names.join(" ").to_lowercase();
+            req.respond(Response::from_string(text).with_header(kept))
+        }
+        "/echo" => {
+            let sum: u64 = body.iter().map(|b| u64::from(*b)).sum();
+            let text = format!("{} {} {sum}", req.method(), body.len());
+            req.respond(Response::from_string(text))
+        }
+        path => {
+            let text = format!("run {run} of {path}");
+            req.respond(Response::from_string(text))
+        }
+    };
+}
+
 /// A backend server that sends some bytes and closes, or stays silent for good.
 fn faulty(bytes: Vec<u8>, silent: bool) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -115,6 +120,7 @@
             ("headers", Repeat::Safe),
             ("bounds", Repeat::Safe),
             ("together", Repeat::Safe),
+            ("slow-caller", Repeat::Safe),
             ("once", Repeat::Never),
         ] {
             let (endpoint, counter) = backend();
@@ -328,3 +334,32 @@
         kept.push(streams);
     }
 }
+
+#[test]
+fn a_caller_that_does_not_read_holds_no_slot_past_the_deadline() {
+    let url = url("slow-caller");
+    let host = url.trim_start_matches("http://").split('/').next().unwrap();
+    // More than the buffers of both connections hold.
+    let request = "GET /s/slow-caller/huge HTTP/1.1\r\nhost: h\r\n\r\n";
+    let mut streams = Vec::new();
+    for _ in 0..8 {
+        let mut stream = std::net::TcpStream::connect(host).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        streams.push(stream);
+    }
+    for stream in &mut streams {
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 200");
+    }
+    // All slots are held for now; a request that is refused comes back.
+    for _ in 0..20 {
+        let (status, verdict, _) = get(&format!("{url}/x"));
+        if status == 200 {
+            return;
+        }
+        assert_eq!(verdict, "not-run");
+        thread::sleep(Duration::from_millis(200));
+    }
+    panic!("the slots are held for good");
+}
