--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -113,13 +113,17 @@
 
 #[test]
 fn a_scheduler_crashes() {
-    insta::assert_snapshot!(session(1, &[(15_000, Fault::Crash(n(1)))], 110));
+    let golden = session(1, &[(15_000, Fault::Crash(n(1)))], 110);
+    assert!(!golden.contains("stopped"), "work was stopped:\n{golden}");
+    insta::assert_snapshot!(golden);
 }
 
 #[test]
 fn a_scheduler_is_paused_past_its_term_and_returns() {
     let script = [(15_000, Fault::Pause(n(1), secs(20)))];
-    insta::assert_snapshot!(session(1, &script, 110));
+    let golden = session(1, &script, 110);
+    assert!(!golden.contains("stopped"), "work was stopped:\n{golden}");
+    insta::assert_snapshot!(golden);
 }
 
 #[test]
--- a/crates/fakes/tests/over_http.rs
+++ b/crates/fakes/tests/over_http.rs
@@ -56,6 +56,8 @@
     let call = WorkerCall {
         worker: WorkerId(1),
         epoch: Epoch::default(),
+        boot: 0,
+        since: 0,
         commands: vec![start],
     };
     platform.worker(&call).map(|_| ())
--- a/crates/fakes/tests/stand_ins.rs
+++ b/crates/fakes/tests/stand_ins.rs
@@ -36,6 +36,8 @@
     let call = WorkerCall {
         worker: WORKER,
         epoch: Epoch::default(),
+        boot: 0,
+        since: 0,
         commands,
     };
     platform.call_worker(at(now), &call).ok()
