--- a/crates/cli/src/try_run/mod.rs
+++ b/crates/cli/src/try_run/mod.rs
@@ -77,14 +77,14 @@
     for load in loads(&catalog, published) {
         cell.load(load);
     }
-    let units = run_to_end(&mut cell, options.faults, &service_names(&catalog));
+    let (units, settled) = run_to_end(&mut cell, options.faults, &service_names(&catalog));
     cell.stop_load();
     let end = cell.now() + LAST_ANSWERS;
     cell.run_until(end.since(Time::ZERO));
     let records = cell.records();
     TryReport {
         published: message,
-        settled: !units.is_empty() && units.iter().all(|unit| is_settled(&cell, unit)),
+        settled,
         figures: Figures::of(&records, &catalog, published, cell.costs()),
         broken: crate::broken(&records),
         seconds: cell.now().since(Time::ZERO).as_secs(),
@@ -186,7 +186,12 @@
     services.map(|unit| unit.name.as_str()).collect()
 }
 
-fn run_to_end(cell: &mut Cell, faults: FaultLevel, services: &BTreeSet<&str>) -> Vec<UnitStatus> {
+/// Runs until all work is over and all replicas run. Returns the units, and whether it came to that.
+fn run_to_end(
+    cell: &mut Cell,
+    faults: FaultLevel,
+    services: &BTreeSet<&str>,
+) -> (Vec<UnitStatus>, bool) {
     let min = match faults {
         FaultLevel::None => RUN_MIN,
         FaultLevel::Some | FaultLevel::Many => RUN_MIN_WITH_FAULTS,
@@ -207,7 +212,7 @@
         let settled = listed && units.iter().all(|unit| is_settled(cell, unit));
         let spent = cell.now().since(Time::ZERO);
         if settled && spent >= min || spent >= RUN_MAX {
-            return units;
+            return (units, settled);
         }
     }
 }
--- a/crates/node/src/core/scheduler/workers.rs
+++ b/crates/node/src/core/scheduler/workers.rs
@@ -60,6 +60,15 @@
     next_stop: Time,
 }
 
+/// A call that is not answered yet.
+#[derive(Clone, Debug)]
+struct UnderWay {
+    /// Its commands, to be given again if it is not answered.
+    commands: Vec<Command>,
+    /// Whether it renews what runs.
+    renews: bool,
+}
+
 /// How a worker took the last call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reach {
@@ -97,8 +106,7 @@
     next_whole: Time,
     starts: Vec<PendingStart>,
     commands: Vec<Command>,
-    /// The commands of the call under way, to be given again if it is not answered.
-    calling: Option<Vec<Command>>,
+    calling: Option<UnderWay>,
     reach: Reach,
     next_call: Time,
 }
@@ -241,7 +249,7 @@
         }
         self.next_call = now + cfg.worker_interval;
         let mut commands = std::mem::take(&mut self.commands);
-        self.calling = Some(commands.clone());
+        let given = commands.clone();
         let renews = self.known || self.reach == Reach::BeforeStates;
         let renews = renews && self.reach != Reach::Silent;
         if let Some(sample) = self.clock.filter(|_| renews) {
@@ -251,6 +259,11 @@
             let lapses = sample.received + lease_until.since(sample.clock) + cfg.drift_margin;
             self.leases_until = self.leases_until.max(lapses);
         }
+        let renews = commands.iter().any(|c| matches!(c, Command::Renew { .. }));
+        self.calling = Some(UnderWay {
+            commands: given,
+            renews,
+        });
         if now >= self.next_whole {
             self.newest = 0;
             self.next_whole = now + WHOLE_INTERVAL;
@@ -305,7 +318,7 @@
 
     /// Takes a report: the worker's clock, and that it answers.
     pub(crate) fn reported(&mut self, now: Time, sent: Time, report: &WorkerReport) {
-        self.calling = None;
+        self.call_ended(now, report);
         self.known = true;
         if self.reach == Reach::BeforeStates {
             // From here on the attempts that the scheduler knows count.
@@ -328,10 +341,21 @@
         });
     }
 
+    /// A call was answered. Where it renewed nothing although something runs, as the first call after a
+    /// takeover or a failure does, the next one is made at once: the leases may be about to lapse.
+    fn call_ended(&mut self, now: Time, report: &WorkerReport) {
+        let renewed = self.calling.take().is_some_and(|call| call.renews);
+        let mut views = report.tasks.iter();
+        let runs = self.has_sent() || views.any(|view| view.phase == TaskPhase::Running);
+        if runs && !renewed {
+            self.next_call = now;
+        }
+    }
+
     /// Takes a report that came before the units' states could be read. Whatever runs is renewed; nothing
     /// is judged by it.
     pub(crate) fn seen_before_states(&mut self, now: Time, sent: Time, report: &WorkerReport) {
-        self.calling = None;
+        self.call_ended(now, report);
         self.reach = Reach::BeforeStates;
         self.clock = Some(ClockSample {
             sent,
@@ -349,7 +373,10 @@
     /// Takes the failure of a call. Its commands are given again: doing one twice does no harm.
     pub(crate) fn not_reported(&mut self, now: Time, retry: Duration) {
         self.reach = Reach::Silent;
-        let mut commands = self.calling.take().unwrap_or_default();
+        let mut commands = self
+            .calling
+            .take()
+            .map_or_else(Vec::new, |call| call.commands);
         commands.append(&mut self.commands);
         self.commands = commands;
         self.next_call = now + retry;
