--- a/crates/cli/tests/failures.rs
+++ b/crates/cli/tests/failures.rs
@@ -227,7 +227,7 @@
 #[test]
 fn a_newer_attempt_than_the_table_knows_is_not_run_beside() {
     let mut found = Vec::new();
-    for down_ms in (9_900..=10_000).step_by(10) {
+    for down_ms in (8_000..=11_000).step_by(40) {
         let mut session = Session::new(8);
         session.faults(&[
             (17_000, Fault::WorkerRestarts(w(1))),
