--- a/crates/node/src/core/scheduler/reports.rs
+++ b/crates/node/src/core/scheduler/reports.rs
@@ -34,23 +34,35 @@
             return;
         }
         if !self.recovery.has_states() {
-            // Which attempts belong to which units is not known yet: the worker is read again.
-            worker.not_reported(now, self.cfg.worker_retry);
+            // Which attempts belong to which units is not known yet: the worker is read again. What runs
+            // there runs on meanwhile, for as long as the table's rows cannot be read.
+            worker.seen_before_states(now, sent, &report);
             return;
         }
         worker.reported(now, sent, &report);
-        let missing = worker.missing(sent, &report);
         self.open_or_close(now, id);
-        for task in missing {
-            self.lose(now, id, &task);
-        }
+        // What the worker lists goes first: it may know of a newer attempt than the table's row does.
         for view in &report.tasks {
             self.take_view(now, id, view);
         }
+        let worker = self.workers.get(&id);
+        let missing = worker.map_or_else(Vec::new, |worker| worker.missing(sent, &report));
+        for task in missing {
+            self.lose(now, id, &task);
+        }
     }
 
     fn take_view(&mut self, now: Time, id: WorkerId, view: &TaskView) {
         let state = task_state(&self.jobs, &view.task);
+        if state.is_some_and(|state| view.attempt > state.attempt) {
+            // The row of a task that may be repeated can be older than what an earlier scheduler has
+            // started. An attempt is started only once the one before has surely ended.
+            self.adopt(now, id, view);
+            if view.phase != Reported::Running {
+                self.ended_here(now, id, view);
+            }
+            return;
+        }
         let here = TaskPhase::Running { worker: id };
         let current = state.is_some_and(|s| s.attempt == view.attempt && s.phase == here);
         let running = view.phase == Reported::Running;
@@ -104,6 +116,12 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.expected.insert(view.task.clone(), expected);
         }
+        if let Some(TaskPhase::Running { worker: before }) =
+            task_state(&self.jobs, &view.task).map(|state| state.phase)
+            && before != id
+        {
+            self.forget_expected(before, &view.task);
+        }
         self.placer.adopt(now, &view.task, id, view.size);
         if let Some(job) = self.jobs.get_mut(&view.task.unit) {
             job.adopt(view.task.index, id, view.attempt);
--- a/crates/node/src/core/scheduler/tasks.rs
+++ b/crates/node/src/core/scheduler/tasks.rs
@@ -17,12 +17,25 @@
     },
 };
 
+/// How many batches of decisions are made in one tick.
+const BATCHES_PER_TICK: usize = 8;
+
 impl Scheduler {
+    /// Decides what starts now. Nothing does before all workers were read after a takeover: a task that
+    /// one of them lost may run on another.
     pub(super) fn place(&mut self, now: Time) {
-        let mut decisions = Vec::new();
-        self.placer.decide(now, &mut decisions);
-        for decision in decisions {
-            self.carry_out(now, decision);
+        if !self.is_recovered() {
+            return;
+        }
+        for _ in 0..BATCHES_PER_TICK {
+            let mut decisions = Vec::new();
+            self.placer.decide(now, &mut decisions);
+            for decision in decisions {
+                self.carry_out(now, decision);
+            }
+            if self.placer.next_wake() != Some(Time::ZERO) {
+                return;
+            }
         }
     }
 
