--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -69,7 +69,8 @@
 }
 
 /// Wrong usage.
-#[derive(Clone, Debug, thiserror::Error)]
+#[derive(Clone, Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum UsageError {
     #[error("no command; `lacewing --help` lists them")]
     NoCommand,
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -12,7 +12,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A call to a node that brought no answer.
-#[derive(Clone, Debug, thiserror::Error)]
+#[derive(Clone, Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum ClientError {
     /// No node is named.
     #[error("no node is named: give --node URL or set LACEWING_NODE")]
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -15,7 +15,8 @@
 const FILE_MAX_BYTES: u64 = 1 << 20;
 
 /// Operator files that cannot be collected.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum FilesError {
     /// A file or folder cannot be read.
     #[error("{}: {source}", path.display())]
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -6,7 +6,8 @@
 use crate::RecallTarget;
 
 /// One change of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Change {
     /// Adds a team or changes it.
     SetTeam(Team),
@@ -39,7 +40,8 @@
 }
 
 /// The changes of one operator's call.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Submission {
     /// Chosen by the submitter, so that a resend is recognised; empty where there is none.
     pub id: String,
@@ -65,7 +67,8 @@
 }
 
 /// A version: the submissions that lead to it from the version before.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// The version that the entry makes; one more than that before.
     pub version: u64,
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -6,7 +6,8 @@
 use crate::RecallTarget;
 
 /// What becomes of an item.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ItemFate {
     /// It is new.
@@ -18,7 +19,8 @@
 }
 
 /// A key of an item and its values before and after.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyChange {
     /// The key as in the operator file, such as `size.processors`.
     pub key: String,
@@ -29,7 +31,8 @@
 }
 
 /// What a change does to one item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ItemChange {
     /// The item, such as `unit/dealer-lookup`.
     pub item: String,
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -5,7 +5,8 @@
 use crate::RecallTarget;
 
 /// A text that names nothing that can be recalled.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("`{0}` is not `batch/NAME`, `worker/ID` or `setting/SERVICE@VERSION`")]
 pub struct TargetError(pub String);
 
@@ -36,7 +37,8 @@
 }
 
 /// A change that is refused. Nothing of its submission is made.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum ChangeError {
     /// Other changes of the same items came first.
     #[error("{}; this change is based on version {base}", list(conflicts))]
@@ -110,7 +112,8 @@
 }
 
 /// An entry that does not follow the present version.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("entry {entry} does not follow version {version}")]
 pub struct ApplyError {
     /// The entry's version.
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -11,7 +11,8 @@
 const WORK_KEPT: usize = 4;
 
 /// A unit's content and the version that put it in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Setting {
     /// The version that put it in force.
     pub version: u64,
@@ -20,7 +21,8 @@
 }
 
 /// The contents of all units, oldest first.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct History(BTreeMap<String, Vec<Setting>>);
 
 impl History {
--- a/crates/config/src/news.rs
+++ b/crates/config/src/news.rs
@@ -15,7 +15,8 @@
 }
 
 /// The whole state at one version, as it is stored for new nodes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The entries up to this version are no longer in the table.
     pub deleted_to: u64,
@@ -24,7 +25,8 @@
 }
 
 /// What one node tells another about the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum News {
     /// The entries after the version that was asked for, oldest first.
     Entries(Vec<Entry>),
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -17,7 +17,8 @@
 const SUBMISSIONS_KEPT: usize = 1_024;
 
 /// The newest change of an item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Touched {
     pub(crate) version: u64,
     pub(crate) author: String,
@@ -27,7 +28,8 @@
 }
 
 /// A recall in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Recall {
     /// The version that put it in force.
     pub version: u64,
@@ -37,7 +39,8 @@
     pub contents: Vec<Unit>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct SubmissionMark {
     pub(crate) version: u64,
     pub(crate) fingerprint: u64,
@@ -46,7 +49,8 @@
 /// All settings in force at one version.
 ///
 /// It depends on the entries alone: all nodes of one version have the same state, to the byte.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Config {
     version: u64,
     teams: BTreeMap<String, Team>,
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -6,18 +6,8 @@
 use crate::Holder;
 
 /// Names one round of questions, so that a late or duplicated answer is matched to nothing else.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Question {
     /// The asking node's start.
     pub incarnation: Incarnation,
@@ -29,7 +19,8 @@
 }
 
 /// What a question is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Purpose {
     /// The asking node wants the lease.
     Claim,
@@ -38,7 +29,8 @@
 }
 
 /// The answer to a question.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Reply {
     /// The answering node does not hold the lease, and takes it no sooner than a term after this
     /// unless it asks again.
@@ -54,7 +46,8 @@
 }
 
 /// A message between the nodes of a domain. Each is sent on a fresh connection.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum LeaseMsg {
     /// Asks a member to confirm a claim or a renewal.
     Ask {
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -4,17 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A node that holds, or may hold, the lease.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Holder {
     /// The node.
     pub node: NodeId,
@@ -25,7 +16,8 @@
 }
 
 /// The row `lease/<domain>`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Who holds the lease; `None` after a hand-over.
     pub holder: Option<Holder>,
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -26,7 +26,8 @@
 }
 
 /// All faults of a set of operator files, in the order of files and lines.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub struct FileErrors {
     /// The faults; never empty.
     pub faults: Vec<Fault>,
--- a/crates/model/src/files/mod.rs
+++ b/crates/model/src/files/mod.rs
@@ -32,7 +32,8 @@
 }
 
 /// All teams and units of a set of operator files, by name.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Catalog {
     /// The teams by name.
     pub teams: BTreeMap<String, Team>,
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -10,17 +10,8 @@
 /// A short name that is copied by value, used for failure domains and regions.
 ///
 /// It is at most 23 bytes of ASCII letters, digits, `-` and `_`, and is never empty.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Label {
     bytes: [u8; LABEL_MAX_BYTES],
@@ -28,7 +19,8 @@
 }
 
 /// A name that is no valid [`Label`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("`{0}` is not a name of 1 to 23 ASCII letters, digits, `-` or `_`")]
 pub struct LabelError(pub String);
 
@@ -165,19 +157,8 @@
 ///
 /// The table part is raised by a takeover through the platform's table, the local part by a takeover
 /// inside a failure domain that is cut off from the platform.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Epoch {
     /// Raised by each takeover that the table has recorded.
     pub table: u64,
@@ -192,17 +173,8 @@
 }
 
 /// The id of a submitted unit of work. It comes from the submitter, so that a resend is recognised.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct UnitId(pub Arc<str>);
 
@@ -227,17 +199,8 @@
 }
 
 /// One task of a unit of work: a replica of a service, or a part of a batch or job.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskId {
     /// The unit that the task belongs to.
     pub unit: UnitId,
--- a/crates/model/src/size.rs
+++ b/crates/model/src/size.rs
@@ -8,17 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of processors, memory and accelerators.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Size {
     /// Thousandths of a processor.
     pub milli_processors: u64,
@@ -122,7 +113,8 @@
 }
 
 /// What a task was seen to use, as reported by its worker with a lag.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Thousandths of a processor, averaged over the report interval.
     pub milli_processors: u64,
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -22,19 +22,8 @@
 /// assert_eq!(sent + Duration::from_secs(6), Time::from_ms(6_500));
 /// assert_eq!(sent - Time::from_ms(900), Duration::ZERO);
 /// ```
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Time(u64);
 
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -7,18 +7,8 @@
 use crate::Size;
 
 /// How urgent a unit of work is. Ordered from least to most urgent.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Class {
     /// Waits for whatever the other classes leave.
@@ -51,7 +41,8 @@
 }
 
 /// Whether a task or request may be run again after an uncertain attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Repeat {
     /// A second run does no harm.
@@ -61,7 +52,8 @@
 }
 
 /// What the replicas of a service are kept apart by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Spread {
     /// Over racks of one failure domain.
@@ -73,7 +65,8 @@
 }
 
 /// How callers' requests to a service are handled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestPolicy {
     /// Whether a request may be sent to a second backend server.
     pub repeat: Repeat,
@@ -92,7 +85,8 @@
 }
 
 /// What kind of work a unit is, with the settings of that kind alone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind {
     /// Replicas that run until stopped and are replaced when lost.
     Service {
@@ -133,7 +127,8 @@
 }
 
 /// A unit of work as its operator file describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Unit {
     /// The unit's name, unique in the cluster.
     pub name: String,
@@ -156,7 +151,8 @@
 }
 
 /// A team, and the most that its running tasks may hold together.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Team {
     /// The team's name, unique in the cluster.
     pub name: String,
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One operator file as it is sent to a node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FileText {
     /// The path that faults name.
     pub path: String,
@@ -14,7 +15,8 @@
 }
 
 /// Who calls, and the id by which a resend of the same call is recognised.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Submitter {
     /// Chosen by the submitter, and the same in each resend of one call. Without one (empty), a
     /// resend counts as another call. A node keeps the newest 1,024 ids.
@@ -26,7 +28,8 @@
 }
 
 /// A call by an operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OperatorReq {
     /// Puts operator files in force and submits their batches and jobs.
@@ -97,7 +100,8 @@
 }
 
 /// The answer to an operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OperatorResp {
     /// It was done.
@@ -135,7 +139,8 @@
 }
 
 /// A recall in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RecallView {
     /// What is recalled.
     pub target: RecallTarget,
@@ -146,7 +151,8 @@
 }
 
 /// The version of the configuration that a node has in force, as another node knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberVersion {
     /// The node.
     pub node: NodeId,
@@ -161,7 +167,8 @@
 }
 
 /// The state of one unit of work.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UnitStatus {
     /// The unit's id.
     pub id: String,
@@ -178,7 +185,8 @@
 }
 
 /// How far a task has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TaskPhase {
     /// It waits for a place.
@@ -198,7 +206,8 @@
 }
 
 /// The state of one task, as it is kept in the table.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskState {
     /// How far it has come.
     pub phase: TaskPhase,
--- a/crates/node/src/core/config_sync.rs
+++ b/crates/node/src/core/config_sync.rs
@@ -23,7 +23,8 @@
 const DELETES_MAX: u64 = 256;
 
 /// The row `config/head`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct HeadRow {
     version: u64,
 }
--- a/crates/node/src/core/dump.rs
+++ b/crates/node/src/core/dump.rs
@@ -10,7 +10,8 @@
 use crate::api::TaskPhase;
 
 /// A node's state. Secrets are not in it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Dump {
     /// The node.
     pub node: String,
@@ -45,7 +46,8 @@
 }
 
 /// Another node.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct MemberDump {
     /// Its failure domain.
     pub domain: String,
@@ -56,7 +58,8 @@
 }
 
 /// The state of a domain's scheduler.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct SchedulerDump {
     /// The epoch under which it acts.
     pub epoch: String,
--- a/crates/node/src/core/members.rs
+++ b/crates/node/src/core/members.rs
@@ -32,7 +32,8 @@
 const TELL_EVERY: usize = 8;
 
 /// The row `member/<node>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct MemberRow {
     pub(crate) domain: DomainId,
     pub(crate) region: RegionId,
--- a/crates/node/src/core/rows.rs
+++ b/crates/node/src/core/rows.rs
@@ -6,7 +6,8 @@
 use crate::api::TaskState;
 
 /// What was submitted. Written by operators' nodes only.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct UnitRow {
     pub(crate) unit: Unit,
     /// The domain whose scheduler places it.
@@ -15,7 +16,8 @@
 }
 
 /// How far the unit's tasks have come. Written by the home domain's scheduler only.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct StateRow {
     pub(crate) unit: Unit,
     pub(crate) cancelled: bool,
--- a/crates/node/src/daemon/proxy/intake.rs
+++ b/crates/node/src/daemon/proxy/intake.rs
@@ -23,7 +23,8 @@
 const KEY_MAX_BYTES: usize = 200;
 
 /// Why a request is not taken in. None of these was run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 enum Fault {
     #[error("the path is too long")]
     LongPath,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -127,7 +127,8 @@
 }
 
 /// Settings that are missing or wrong, all of them.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("{}", .faults.join("\n"))]
 pub struct SettingsError {
     /// A line for each fault.
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -3,7 +3,8 @@
 use model::Verdict;
 
 /// A request to another node that brought no answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum LinkError {
     /// No connection could be made: nothing was sent.
     #[error("the node cannot be reached: {0}")]
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A message from one node to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMsg {
     /// The sender is alive; goes to the nodes of its failure domain.
     Heartbeat(Heartbeat),
@@ -33,18 +34,8 @@
 }
 
 /// The version of a domain's view: the scheduler's epoch, and a count of changes under it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct ViewVersion {
     /// The scheduler's epoch.
     pub epoch: Epoch,
@@ -53,7 +44,8 @@
 }
 
 /// A sign of life within a failure domain.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's start.
     pub incarnation: Incarnation,
@@ -72,7 +64,8 @@
 }
 
 /// What a failure domain offers to others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DomainSummary {
     /// The domain.
     pub domain: DomainId,
@@ -91,7 +84,8 @@
 }
 
 /// What a node of another failure domain is told of one node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeSummary {
     /// The node.
     pub node: NodeId,
@@ -102,7 +96,8 @@
 }
 
 /// A replica that takes requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendView {
     /// The service.
     pub service: String,
@@ -113,7 +108,8 @@
 }
 
 /// A share of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantView {
     /// The backend server.
     pub worker: WorkerId,
@@ -124,7 +120,8 @@
 }
 
 /// What the domain's scheduler lets one node serve.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DomainView {
     /// The view's version.
     pub version: ViewVersion,
@@ -140,7 +137,8 @@
 }
 
 /// The content of a view.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ViewContent {
     /// The domain's replicas that take new requests.
     pub backends: Vec<BackendView>,
--- a/crates/place/src/error.rs
+++ b/crates/place/src/error.rs
@@ -3,7 +3,8 @@
 use model::Size;
 
 /// A unit that can never run as things stand.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Unplaceable {
     /// No worker of the domain holds one of its tasks.
     #[error("no worker holds a task of {0}")]
--- a/crates/route/src/counters.rs
+++ b/crates/route/src/counters.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// Counts of one service since the router's start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct ServiceCounters {
     /// Requests that were offered.
     pub offered: u64,
@@ -28,7 +29,8 @@
 }
 
 /// The state of one service's requests.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct ServiceDump {
     /// Requests that wait for a slot.
     pub queued: usize,
@@ -44,7 +46,8 @@
 }
 
 /// The state of a router.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct RouteDump {
     /// Requests with no final answer yet.
     pub open: usize,
--- a/crates/route/src/grants.rs
+++ b/crates/route/src/grants.rs
@@ -59,7 +59,8 @@
 }
 
 /// What a node says of its share of one backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShareReport {
     /// The backend server.
     pub worker: WorkerId,
@@ -72,7 +73,8 @@
 }
 
 /// What a node's heartbeat says of its shares.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeShares {
     /// The newest heartbeat whose answer the node has applied; 0 for none.
     pub applied: u64,
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -102,7 +102,8 @@
 }
 
 /// An answer as it is kept for a resend of a request that must not be repeated.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// The HTTP status.
     pub status: u16,
@@ -162,18 +163,8 @@
 }
 
 /// Why a request is refused or ends without its answer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// No service has the name.
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -3,7 +3,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Bytes that do not decode to the type that was asked for.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("cannot decode the value: {0}")]
 pub struct DecodeError(String);
 
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -95,7 +95,8 @@
 }
 
 /// Why a change was not taken; it will not be made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum NotTaken {
     /// Too many changes wait: the platform is slow or cannot be reached.
     #[error("too many changes wait for the platform's table")]
@@ -106,7 +107,8 @@
 }
 
 /// The marker row `marker/<node>`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Marker {
     incarnation: Incarnation,
     seq: u64,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A call to the platform that brought no answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, thiserror::Error)]
 pub enum StoreError {
     /// The call did not reach the platform: nothing was done.
     #[error("the platform cannot be reached: {0}")]
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A call to the object store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ObjectReq {
     /// Reads an object.
     Get {
@@ -26,7 +27,8 @@
 }
 
 /// The object store's answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ObjectResp {
     /// The object of an [`ObjectReq::Get`], if there is one.
     Object(#[serde(with = "crate::http::base64_option")] Option<Vec<u8>>),
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A row as it was read.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// The row's key.
     pub key: String,
@@ -15,7 +16,8 @@
 }
 
 /// A condition of a transaction: the row's version, or its absence.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Check {
     /// The row's key.
     pub key: String,
@@ -24,7 +26,8 @@
 }
 
 /// A write of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// The row's key.
     pub key: String,
@@ -34,7 +37,8 @@
 }
 
 /// Writes that are made all or not at all, if every check holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Txn {
     /// The conditions.
     pub checks: Vec<Check>,
@@ -43,7 +47,8 @@
 }
 
 /// A call to the table.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TableReq {
     /// Reads one row.
     Get {
@@ -72,7 +77,8 @@
 }
 
 /// The table's answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TableResp {
     /// The row of a [`TableReq::Get`], if there is one.
     Row(Option<Row>),
--- a/crates/store/src/vm.rs
+++ b/crates/store/src/vm.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a VM stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum VmState {
     /// It stays.
     Live,
@@ -13,7 +14,8 @@
 }
 
 /// What a VM is for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum VmRole {
     /// It runs a node.
     Entry {
@@ -32,7 +34,8 @@
 }
 
 /// One VM of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmInfo {
     /// Its region.
     pub region: RegionId,
--- a/crates/store/src/worker.rs
+++ b/crates/store/src/worker.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A task to start.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskStart {
     /// The task.
     pub task: TaskId,
@@ -24,7 +25,8 @@
 }
 
 /// One command to a worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Command {
     /// Starts a task. A worker starts an attempt that it has seen before no second time.
     Start(TaskStart),
@@ -66,7 +68,8 @@
 }
 
 /// A call to one worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerCall {
     /// The worker.
     pub worker: WorkerId,
@@ -81,7 +84,8 @@
 }
 
 /// How far an attempt has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TaskPhase {
     /// It runs.
     Running,
@@ -102,7 +106,8 @@
 }
 
 /// One attempt as its worker reports it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskView {
     /// The task.
     pub task: TaskId,
@@ -125,7 +130,8 @@
 }
 
 /// A worker's answer: its task list after the commands were done, or what has changed in it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker.
     pub worker: WorkerId,
