--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -258,6 +258,12 @@
             joined,
             domains,
         };
+        if plan.has_no_home() {
+            // Its units would be in force, but placed by nobody.
+            let message = "no node of a failure domain that takes work is registered; try again";
+            plan.refuse(cx, Verdict::NotRun, message);
+            return;
+        }
         self.read_or_commit(cx, config, plan, prefixes, String::new(), Vec::new());
     }
 
@@ -357,6 +363,12 @@
 }
 
 impl Plan {
+    /// Whether units are to be placed but no failure domain can.
+    fn has_no_home(&self) -> bool {
+        let mut changes = self.entry.changes();
+        self.domains.is_empty() && changes.any(|change| matches!(change, Change::SetUnit(_)))
+    }
+
     /// Refuses all changes of the entry. The configuration has not changed.
     fn refuse(&self, cx: &mut Cx<'_>, verdict: Verdict, message: &str) -> bool {
         for pending in &self.joined {
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -374,3 +374,33 @@
     let reads = fleet.used.table_reads - before.table_reads;
     assert!(reads <= 12, "{reads} reads, polls of the others included");
 }
+
+/// A unit that no domain could place must not be taken for submitted.
+#[test]
+fn without_a_registered_node_nothing_is_published() {
+    let mut session = Session::new();
+    let scan = store::TableReq::Scan {
+        prefix: "member/".to_owned(),
+        after: String::new(),
+        limit: 100,
+    };
+    let store::TableResp::Rows(rows) = session.fleet.table.call(&scan) else {
+        panic!("no rows");
+    };
+    let writes = rows.into_iter().map(|row| store::Write {
+        key: row.key,
+        value: None,
+    });
+    session
+        .fleet
+        .table
+        .call(&store::TableReq::Commit(store::Txn {
+            checks: Vec::new(),
+            writes: writes.collect(),
+        }));
+    let answer = session
+        .fleet
+        .call(1, publish("ayla", "", None, &batch("run", "good")));
+    assert!(answer.contains("no node of a failure domain"), "{answer}");
+    assert_eq!(session.fleet.node(1).config().version(), 0);
+}
