--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -23,10 +23,10 @@
 };
 
 use fakes::{FakePlatform, FakeWorker, Faults, Rng};
-use model::{Catalog, Kind, NodeId, Repeat, SourceFile, Time};
+use model::{Kind, NodeId, Repeat, Time};
 use node::{
     Action, Event, OperatorId,
-    api::{FileText, OperatorReq, OperatorResp},
+    api::{FileText, OperatorReq, OperatorResp, parse_files},
 };
 
 use store::TaskPhase;
@@ -299,14 +299,7 @@
 
     /// Remembers what must not run twice, from the files that an operator publishes.
     fn note_once(&mut self, files: &[FileText]) {
-        let sources: Vec<SourceFile<'_>> = files
-            .iter()
-            .map(|file| SourceFile {
-                path: &file.path,
-                text: &file.text,
-            })
-            .collect();
-        let Ok(catalog) = Catalog::parse(&sources) else {
+        let Ok(catalog) = parse_files(files) else {
             return;
         };
         for unit in catalog.units.values() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,8 +9,8 @@
 use std::{env, path::Path, process::ExitCode};
 
 use cli::{FilesError, TryOptions, collect, try_files};
-use model::{Catalog, SourceFile};
-use node::api::{FileText, OperatorReq, OperatorResp, UnitStatus};
+use model::Catalog;
+use node::api::{FileText, OperatorReq, OperatorResp, UnitStatus, parse_files};
 
 use crate::{
     args::{Args, Command, Parsed},
@@ -71,14 +71,7 @@
 /// The operator files of a folder, without a fault.
 fn checked(dir: &Path) -> Result<(Vec<FileText>, Catalog), Exit> {
     let files = collect(dir).map_err(|e: FilesError| failed(e, Exit::Usage))?;
-    let sources: Vec<SourceFile<'_>> = files
-        .iter()
-        .map(|file| SourceFile {
-            path: &file.path,
-            text: &file.text,
-        })
-        .collect();
-    let catalog = Catalog::parse(&sources).map_err(|e| failed(e, Exit::Usage))?;
+    let catalog = parse_files(&files).map_err(|e| failed(e, Exit::Usage))?;
     Ok((files, catalog))
 }
 
--- a/crates/cli/src/try_run/mod.rs
+++ b/crates/cli/src/try_run/mod.rs
@@ -9,8 +9,10 @@
 };
 
 use fakes::{FaultLevel, PlatformSpec, RunPlan};
-use model::{Catalog, Class, Kind, SourceFile, Time};
-use node::api::{FileText, OperatorReq, OperatorResp, Submitter, TaskPhase, UnitStatus};
+use model::{Catalog, Class, Kind, Time};
+use node::api::{
+    FileText, OperatorReq, OperatorResp, Submitter, TaskPhase, UnitStatus, parse_files,
+};
 
 pub use self::{
     figures::{Figures, Verdicts, Waits},
@@ -94,14 +96,7 @@
 }
 
 fn parse(files: &[FileText]) -> Result<Catalog, String> {
-    let sources: Vec<SourceFile<'_>> = files
-        .iter()
-        .map(|file| SourceFile {
-            path: &file.path,
-            text: &file.text,
-        })
-        .collect();
-    Catalog::parse(&sources).map_err(|e| e.to_string())
+    parse_files(files).map_err(|e| e.to_string())
 }
 
 fn cell(catalog: &Catalog, options: TryOptions) -> Cell {
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,7 +1,7 @@
 //! What operators ask of a node, and its answers. They travel as JSON over HTTP.
 
 pub use config::{ItemChange, ItemFate, RecallTarget};
-use model::{Attempt, DomainId, NodeId, Verdict, WorkerId};
+use model::{Attempt, Catalog, DomainId, FileErrors, NodeId, SourceFile, Verdict, WorkerId};
 use serde::{Deserialize, Serialize};
 
 /// One operator file as it is sent to a node.
@@ -14,6 +14,22 @@
     pub text: String,
 }
 
+/// Reads operator files as they are sent to a node.
+///
+/// # Errors
+///
+/// Every fault of every file.
+pub fn parse_files(files: &[FileText]) -> Result<Catalog, FileErrors> {
+    let sources: Vec<SourceFile<'_>> = files
+        .iter()
+        .map(|file| SourceFile {
+            path: &file.path,
+            text: &file.text,
+        })
+        .collect();
+    Catalog::parse(&sources)
+}
+
 /// Who calls, and the id by which a resend of the same call is recognised.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- /dev/null
+++ b/crates/node/src/core/leadership.rs
@@ -0,0 +1,159 @@
+//! The domain's lease joined to the table, to the other nodes and to the scheduler that it allows.
+
+use lease::{Input, LeaseRow, Output, Question, RowState, WriteResult};
+use model::{Epoch, NodeId, Time};
+use peer::PeerMsg;
+use store::{Check, StoreError, TableReq, TableResp, Write, decode, encode};
+
+use super::{
+    Node,
+    calls::Purpose,
+    event::Action,
+    rows::lease_key,
+    scheduler::{Policy, Scheduler},
+};
+
+impl Node {
+    pub(super) fn lease_step(&mut self, now: Time, input: Input, out: &mut Vec<Action>) {
+        let mut outputs = Vec::new();
+        self.lease.step(now, input, &mut outputs);
+        for output in outputs {
+            self.lease_output(now, output, out);
+        }
+    }
+
+    pub(super) fn lease_output(&mut self, now: Time, output: Output, out: &mut Vec<Action>) {
+        let key = lease_key(self.me.domain);
+        match output {
+            Output::ReadRow { call } => {
+                let purpose = Purpose::LeaseRead(call);
+                self.calls.table(purpose, TableReq::Get { key }, out);
+            }
+            Output::WriteRow {
+                call,
+                expected,
+                row,
+            } => {
+                let check = Check {
+                    key: key.clone(),
+                    version: expected,
+                };
+                let value = Some(encode(&row));
+                let txn = store::Txn {
+                    checks: vec![check],
+                    writes: vec![Write { key, value }],
+                };
+                let purpose = Purpose::LeaseWrite(call);
+                self.calls.table(purpose, TableReq::Commit(txn), out);
+            }
+            Output::Send { to, address, msg } => {
+                if let Some(question) = msg.asks() {
+                    self.questions.insert((to, question), now);
+                }
+                self.lease_addresses.insert(to, address);
+                out.push(Action::Peer {
+                    to,
+                    fresh: true,
+                    msg: PeerMsg::Lease(msg),
+                });
+            }
+            Output::Activated(epoch) => {
+                log::info!(
+                    "lease: {} schedules {} under {epoch}",
+                    self.me.node,
+                    self.me.domain
+                );
+                self.start_scheduler(now, epoch);
+            }
+            Output::Stopped(epoch) => {
+                log::info!(
+                    "lease: {} no longer schedules {} ({epoch})",
+                    self.me.node,
+                    self.me.domain
+                );
+                self.scheduler = None;
+            }
+        }
+    }
+
+    /// Another scheduler has acted: this one stops at once.
+    pub(super) fn superseded(&mut self, now: Time, out: &mut Vec<Action>) {
+        log::warn!("node: stops scheduling {}", self.me.domain);
+        let seen = self
+            .scheduler
+            .take()
+            .and_then(|scheduler| scheduler.superseded_by());
+        if let Some(epoch) = seen {
+            self.lease_step(now, Input::EpochSeen(epoch), out);
+        }
+        // A row that this node's own earlier transaction wrote after all: the lease still holds, and
+        // the state is rebuilt from the table.
+        if let Some(epoch) = self.lease.active(now) {
+            self.start_scheduler(now, epoch);
+        }
+    }
+
+    /// Reports the questions that were not answered in time.
+    pub(super) fn fail_unanswered(&mut self, now: Time, out: &mut Vec<Action>) {
+        let timeout = self.cfg.lease.ask_timeout;
+        let late: Vec<(NodeId, Question)> = self
+            .questions
+            .iter()
+            .filter(|(_, sent)| now.since(**sent) >= timeout)
+            .map(|(key, _)| *key)
+            .collect();
+        for (to, question) in late {
+            self.question_failed(now, to, question, out);
+        }
+    }
+
+    pub(super) fn question_failed(
+        &mut self,
+        now: Time,
+        to: NodeId,
+        question: Question,
+        out: &mut Vec<Action>,
+    ) {
+        if self.questions.remove(&(to, question)).is_some() {
+            self.lease_step(now, Input::PeerFailed { to, question }, out);
+        }
+    }
+
+    pub(super) fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
+        self.generation.0 += 1;
+        let mut scheduler = Scheduler::new(
+            now,
+            self.cfg.scheduler.clone(),
+            self.cfg.place.clone(),
+            self.me.domain,
+            epoch,
+            self.generation,
+        );
+        let policy = Policy::new(self.config.config(), self.me.domain);
+        scheduler.set_policy(now, policy);
+        self.scheduler = Some(scheduler);
+    }
+}
+
+pub(super) fn row_state(result: Result<TableResp, StoreError>) -> RowState {
+    match result {
+        Ok(TableResp::Row(None)) => RowState::Absent,
+        Ok(TableResp::Row(Some(row))) => match decode::<LeaseRow>(&row.value) {
+            Ok(lease) => RowState::Present(row.version, lease),
+            Err(e) => {
+                log::error!("lease: row {} cannot be read: {e}", row.key);
+                RowState::Unreachable
+            }
+        },
+        Ok(_) | Err(_) => RowState::Unreachable,
+    }
+}
+
+pub(super) fn write_result(result: &Result<TableResp, StoreError>) -> WriteResult {
+    match result {
+        Ok(TableResp::Committed { version }) => WriteResult::Written(*version),
+        Ok(TableResp::Conflict { .. }) => WriteResult::Conflict,
+        Ok(_) | Err(StoreError::Lost(_)) => WriteResult::Unknown,
+        Err(StoreError::Unreachable(_) | StoreError::Refused(_)) => WriteResult::NotWritten,
+    }
+}
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -7,36 +7,37 @@
 mod dump;
 mod entry;
 mod event;
+mod leadership;
 mod members;
 mod operators;
+mod peers;
 mod poll;
 mod requests;
 mod rows;
 mod scheduler;
+mod serving;
 mod settings;
 mod views;
 
 use std::collections::BTreeMap;
 
-use lease::{
-    Holder, Input, LeaseMachine, LeaseMsg, LeaseRow, Output, Question, RowState, WriteResult,
-};
-use model::{DomainId, Epoch, NodeId, Size, Time, Verdict};
-use peer::{DomainSummary, DomainView, Heartbeat, PeerMsg};
-use route::{GrantConfig, NodeShares, RouteConfig};
-use store::{Check, Settlement, StoreError, TableReq, TableResp, Write, decode, encode};
+use lease::{Holder, Input, LeaseMachine, Question};
+use model::{NodeId, Time};
+use peer::PeerMsg;
+use route::RouteConfig;
+use store::{Settlement, StoreError, TableResp};
 
 use self::{
     calls::{Calls, Commits, Cx, Owner, Purpose},
     config_sync::ConfigSync,
     entry::Entry,
-    members::{Members, SelfState, member_key},
+    leadership::{row_state, write_result},
+    members::Members,
     operators::Operators,
-    rows::lease_key,
     scheduler::{Generation, Policy, Scheduler},
-    views::{Beat, OwnView, Views},
+    views::{OwnView, Views},
 };
-use crate::api::{OperatorReq, OperatorResp};
+use crate::api::OperatorReq;
 
 pub use self::{
     dump::{Dump, MemberDump, SchedulerDump, WorkerDump},
@@ -273,247 +274,6 @@
         }
     }
 
-    fn self_state(&self, now: Time) -> SelfState {
-        let scheduler = self.scheduler.as_ref();
-        SelfState {
-            config_version: self.config.config().version(),
-            scheduler: scheduler.map(Scheduler::epoch),
-            view: self.view.version(),
-            leaving: self.leaving,
-            free: scheduler.map_or(self.view.free(), Scheduler::free),
-            shares: self.node_shares(now),
-        }
-    }
-
-    /// While this node schedules the domain: deletes the rows of its nodes that are long gone.
-    fn forget_members(&mut self, now: Time) {
-        if self.scheduler.is_none() || now < self.next_forget {
-            return;
-        }
-        self.next_forget = now + self.cfg.members.forget_after;
-        for node in self.members.forgotten(now) {
-            log::info!("members: {node} is forgotten");
-            let write = Write {
-                key: member_key(node),
-                value: None,
-            };
-            // A full queue only delays it.
-            let _ = self
-                .commits
-                .push(now, Owner::Nobody, Vec::new(), vec![write]);
-        }
-    }
-
-    /// While this node schedules the domain: tells its nodes at once of a change of backend servers, and
-    /// itself each second.
-    fn refresh_views(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some(scheduler) = &self.scheduler else {
-            self.views = None;
-            return;
-        };
-        let epoch = scheduler.epoch();
-        let current = self.views.take().filter(|views| views.epoch() == epoch);
-        let views = self.views.insert(current.unwrap_or_else(|| {
-            let cfg = GrantConfig {
-                term: self.cfg.lease.term,
-                drift_margin: self.cfg.lease.drift_margin,
-                request_max: self.entry.request_max(),
-                ..GrantConfig::default()
-            };
-            Views::new(now, epoch, cfg)
-        }));
-        views.set_request_max(self.entry.request_max());
-        let changed = views.refresh(scheduler);
-        if changed {
-            let others: Vec<NodeId> = self.members.live_in_domain(now).map(|(n, _)| n).collect();
-            for node in others {
-                self.send_view(now, node, out);
-            }
-        }
-        if changed || now >= self.next_own_view {
-            self.next_own_view = now + self.cfg.members.heartbeat_interval;
-            self.take_own_view(now);
-        }
-    }
-
-    /// What other failure domains have free that take new work.
-    fn free_elsewhere(&self, now: Time) -> Vec<(DomainId, Size)> {
-        let config = self.config.config();
-        let domains = self.members.free_elsewhere(now);
-        domains
-            .filter(|(domain, _)| !config.is_evacuated(*domain))
-            .collect()
-    }
-
-    fn node_shares(&self, now: Time) -> NodeShares {
-        NodeShares {
-            applied: self.view.applied(),
-            shares: self.entry.shares(now),
-        }
-    }
-
-    /// Takes the view of this node's own scheduler, which needs no message.
-    fn take_own_view(&mut self, now: Time) {
-        let shares = self.node_shares(now);
-        let has = self.view.version();
-        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
-            return;
-        };
-        let seq = self.members.own_beat(now);
-        let beat = Beat {
-            node: self.me.node,
-            start: self.me.incarnation,
-            seq,
-            shares: &shares,
-        };
-        views.heard(now, beat);
-        if let Some(view) = views.view(now, self.me.node, has, scheduler.free()) {
-            self.take_view(now, &view);
-        }
-    }
-
-    fn send_view(&mut self, now: Time, to: NodeId, out: &mut Vec<Action>) {
-        let (Some(views), Some(scheduler)) = (&mut self.views, &self.scheduler) else {
-            return;
-        };
-        let Some(has) = self.members.view_of(to) else {
-            return;
-        };
-        if let Some(view) = views.view(now, to, has, scheduler.free()) {
-            send_peer(out, to, PeerMsg::View(view));
-        }
-    }
-
-    /// Takes a view that answers a heartbeat sent at `sent`.
-    fn take_view(&mut self, sent: Time, view: &DomainView) {
-        if !self.view.take(view) {
-            return;
-        }
-        let until = sent + view.term;
-        match &view.content {
-            Some(content) => self.entry.set_view(until, content),
-            None => self.entry.renew_grants(until),
-        }
-    }
-
-    fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
-        match msg {
-            PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
-            PeerMsg::Summary(summary) => self.summary(now, from, summary, out),
-            PeerMsg::View(view) => {
-                if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
-                    self.take_view(sent, &view);
-                }
-            }
-            PeerMsg::Lease(msg) => {
-                if let LeaseMsg::Answer { question, .. } = &msg {
-                    self.questions.remove(&(from, *question));
-                }
-                self.lease_step(now, Input::Peer { from, msg }, out);
-            }
-            PeerMsg::InboxNews => {
-                if let Some(scheduler) = &mut self.scheduler {
-                    scheduler.read_inbox_soon();
-                }
-            }
-            PeerMsg::Drain => self.shutdown(now, out),
-            PeerMsg::ConfigWanted { after } => {
-                if let Some(news) = self.config.entries_after(after) {
-                    send_peer(out, from, PeerMsg::ConfigEntries(news));
-                }
-            }
-            PeerMsg::ConfigEntries(news) => {
-                if self.config.take_entries(news) {
-                    self.config_changed(now, out);
-                }
-            }
-        }
-    }
-
-    /// Another scheduler has acted: this one stops at once.
-    fn superseded(&mut self, now: Time, out: &mut Vec<Action>) {
-        log::warn!("node: stops scheduling {}", self.me.domain);
-        let seen = self
-            .scheduler
-            .take()
-            .and_then(|scheduler| scheduler.superseded_by());
-        if let Some(epoch) = seen {
-            self.lease_step(now, Input::EpochSeen(epoch), out);
-        }
-        // A row that this node's own earlier transaction wrote after all: the lease still holds, and
-        // the state is rebuilt from the table.
-        if let Some(epoch) = self.lease.active(now) {
-            self.start_scheduler(now, epoch);
-        }
-    }
-
-    /// Reports the questions that were not answered in time.
-    fn fail_unanswered(&mut self, now: Time, out: &mut Vec<Action>) {
-        let timeout = self.cfg.lease.ask_timeout;
-        let late: Vec<(NodeId, Question)> = self
-            .questions
-            .iter()
-            .filter(|(_, sent)| now.since(**sent) >= timeout)
-            .map(|(key, _)| *key)
-            .collect();
-        for (to, question) in late {
-            self.question_failed(now, to, question, out);
-        }
-    }
-
-    fn question_failed(
-        &mut self,
-        now: Time,
-        to: NodeId,
-        question: Question,
-        out: &mut Vec<Action>,
-    ) {
-        if self.questions.remove(&(to, question)).is_some() {
-            self.lease_step(now, Input::PeerFailed { to, question }, out);
-        }
-    }
-
-    fn summary(&mut self, now: Time, from: NodeId, summary: DomainSummary, out: &mut Vec<Action>) {
-        if summary.leaving {
-            // Nothing more is passed on to it.
-            self.next_remotes = now;
-        }
-        let (mut cx, parts) = self.split(now, out);
-        // What it tells of other nodes is left out: they may be out of this node's reach.
-        let version = summary.config_version;
-        parts.config.peer_version(&mut cx, from, version);
-        parts.members.summary(now, from, summary);
-    }
-
-    fn heartbeat(&mut self, now: Time, from: NodeId, msg: &Heartbeat, out: &mut Vec<Action>) {
-        if !self.members.heard(now, from, msg) {
-            return;
-        }
-        let (mut cx, parts) = self.split(now, out);
-        parts.config.peer_version(&mut cx, from, msg.config_version);
-        if let Some(views) = &mut self.views {
-            let beat = Beat {
-                node: from,
-                start: msg.incarnation,
-                seq: msg.seq,
-                shares: &msg.shares,
-            };
-            views.heard(now, beat);
-            self.send_view(now, from, out);
-        }
-    }
-
-    /// Tells the router which nodes of other domains can serve.
-    fn refresh_remotes(&mut self, now: Time) {
-        if now < self.next_remotes {
-            return;
-        }
-        self.next_remotes = now + self.cfg.members.summary_interval;
-        let members = &self.members;
-        self.entry
-            .set_remotes(|service| members.remotes(now, service));
-    }
-
     fn table_answered(
         &mut self,
         now: Time,
@@ -626,100 +386,6 @@
         }
     }
 
-    fn lease_step(&mut self, now: Time, input: Input, out: &mut Vec<Action>) {
-        let mut outputs = Vec::new();
-        self.lease.step(now, input, &mut outputs);
-        for output in outputs {
-            self.lease_output(now, output, out);
-        }
-    }
-
-    fn lease_output(&mut self, now: Time, output: Output, out: &mut Vec<Action>) {
-        let key = lease_key(self.me.domain);
-        match output {
-            Output::ReadRow { call } => {
-                let purpose = Purpose::LeaseRead(call);
-                self.calls.table(purpose, TableReq::Get { key }, out);
-            }
-            Output::WriteRow {
-                call,
-                expected,
-                row,
-            } => {
-                let check = Check {
-                    key: key.clone(),
-                    version: expected,
-                };
-                let value = Some(encode(&row));
-                let txn = store::Txn {
-                    checks: vec![check],
-                    writes: vec![Write { key, value }],
-                };
-                let purpose = Purpose::LeaseWrite(call);
-                self.calls.table(purpose, TableReq::Commit(txn), out);
-            }
-            Output::Send { to, address, msg } => {
-                if let Some(question) = msg.asks() {
-                    self.questions.insert((to, question), now);
-                }
-                self.lease_addresses.insert(to, address);
-                out.push(Action::Peer {
-                    to,
-                    fresh: true,
-                    msg: PeerMsg::Lease(msg),
-                });
-            }
-            Output::Activated(epoch) => {
-                log::info!(
-                    "lease: {} schedules {} under {epoch}",
-                    self.me.node,
-                    self.me.domain
-                );
-                self.start_scheduler(now, epoch);
-            }
-            Output::Stopped(epoch) => {
-                log::info!(
-                    "lease: {} no longer schedules {} ({epoch})",
-                    self.me.node,
-                    self.me.domain
-                );
-                self.scheduler = None;
-            }
-        }
-    }
-
-    fn start_scheduler(&mut self, now: Time, epoch: Epoch) {
-        self.generation.0 += 1;
-        let mut scheduler = Scheduler::new(
-            now,
-            self.cfg.scheduler.clone(),
-            self.cfg.place.clone(),
-            self.me.domain,
-            epoch,
-            self.generation,
-        );
-        let policy = Policy::new(self.config.config(), self.me.domain);
-        scheduler.set_policy(now, policy);
-        self.scheduler = Some(scheduler);
-    }
-
-    /// Answers an operator's call to shut a node down gracefully.
-    fn drain(&mut self, now: Time, id: OperatorId, node: NodeId, out: &mut Vec<Action>) {
-        let resp = if node == self.me.node {
-            self.shutdown(now, out);
-            drain_answer(node)
-        } else if self.address(node).is_some() {
-            send_peer(out, node, PeerMsg::Drain);
-            drain_answer(node)
-        } else {
-            OperatorResp::Failed {
-                verdict: Verdict::NotRun,
-                message: format!("no node {node} is known; `lacewing dump` names the known ones"),
-            }
-        };
-        out.push(Action::Operator(id, resp));
-    }
-
     fn shutdown(&mut self, now: Time, out: &mut Vec<Action>) {
         if !self.leaving {
             self.leaving = true;
@@ -738,44 +404,6 @@
     entry: &'a mut Entry,
 }
 
-fn row_state(result: Result<TableResp, StoreError>) -> RowState {
-    match result {
-        Ok(TableResp::Row(None)) => RowState::Absent,
-        Ok(TableResp::Row(Some(row))) => match decode::<LeaseRow>(&row.value) {
-            Ok(lease) => RowState::Present(row.version, lease),
-            Err(e) => {
-                log::error!("lease: row {} cannot be read: {e}", row.key);
-                RowState::Unreachable
-            }
-        },
-        Ok(_) | Err(_) => RowState::Unreachable,
-    }
-}
-
-fn write_result(result: &Result<TableResp, StoreError>) -> WriteResult {
-    match result {
-        Ok(TableResp::Committed { version }) => WriteResult::Written(*version),
-        Ok(TableResp::Conflict { .. }) => WriteResult::Conflict,
-        Ok(_) | Err(StoreError::Lost(_)) => WriteResult::Unknown,
-        Err(StoreError::Unreachable(_) | StoreError::Refused(_)) => WriteResult::NotWritten,
-    }
-}
-
-fn drain_answer(node: NodeId) -> OperatorResp {
-    OperatorResp::Done {
-        message: format!("{node} is asked to shut down gracefully"),
-        version: 0,
-    }
-}
-
-fn send_peer(out: &mut Vec<Action>, to: NodeId, msg: PeerMsg) {
-    out.push(Action::Peer {
-        to,
-        fresh: false,
-        msg,
-    });
-}
-
 /// The present scheduler, if it is the one of this generation.
 fn current(scheduler: &mut Option<Scheduler>, generation: Generation) -> Option<&mut Scheduler> {
     let present = scheduler.as_mut()?;
--- a/crates/node/src/core/operators/mod.rs
+++ b/crates/node/src/core/operators/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use config::{Change, Outcome, Proposal, RecallTarget, Submission};
-use model::{Catalog, DomainId, SourceFile, Verdict};
+use model::{DomainId, Verdict};
 use store::{Row, Settlement, StoreError, TableReq, TableResp, decode};
 
 use self::{
@@ -24,7 +24,7 @@
     rows::UNIT_PREFIX,
     settings::Identity,
 };
-use crate::api::{FileText, OperatorReq, OperatorResp, Submitter};
+use crate::api::{FileText, OperatorReq, OperatorResp, Submitter, parse_files};
 
 /// The most rows that are read at a time.
 const ROWS_PER_READ: u32 = 500;
@@ -185,14 +185,7 @@
 
 /// The changes that put operator files in force, or all faults of the files.
 fn changes_of(files: &[FileText]) -> Result<Vec<Change>, String> {
-    let sources: Vec<SourceFile<'_>> = files
-        .iter()
-        .map(|file| SourceFile {
-            path: &file.path,
-            text: &file.text,
-        })
-        .collect();
-    let catalog = Catalog::parse(&sources).map_err(|e| e.to_string())?;
+    let catalog = parse_files(files).map_err(|e| e.to_string())?;
     let teams = catalog.teams.into_values().map(Change::SetTeam);
     let units = catalog.units.into_values().map(Change::SetUnit);
     Ok(teams.chain(units).collect())
--- /dev/null
+++ b/crates/node/src/core/peers.rs
@@ -0,0 +1,157 @@
+//! Messages from other nodes, and what this one tells of itself.
+
+use lease::{Input, LeaseMsg};
+use model::{NodeId, Time, Verdict};
+use peer::{DomainSummary, Heartbeat, PeerMsg};
+use store::Write;
+
+use super::{
+    Node,
+    calls::Owner,
+    event::{Action, OperatorId},
+    members::{SelfState, member_key},
+    scheduler::Scheduler,
+    views::Beat,
+};
+use crate::api::OperatorResp;
+
+impl Node {
+    pub(super) fn self_state(&self, now: Time) -> SelfState {
+        let scheduler = self.scheduler.as_ref();
+        SelfState {
+            config_version: self.config.config().version(),
+            scheduler: scheduler.map(Scheduler::epoch),
+            view: self.view.version(),
+            leaving: self.leaving,
+            free: scheduler.map_or(self.view.free(), Scheduler::free),
+            shares: self.node_shares(now),
+        }
+    }
+
+    /// While this node schedules the domain: deletes the rows of its nodes that are long gone.
+    pub(super) fn forget_members(&mut self, now: Time) {
+        if self.scheduler.is_none() || now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + self.cfg.members.forget_after;
+        for node in self.members.forgotten(now) {
+            log::info!("members: {node} is forgotten");
+            let write = Write {
+                key: member_key(node),
+                value: None,
+            };
+            // A full queue only delays it.
+            let _ = self
+                .commits
+                .push(now, Owner::Nobody, Vec::new(), vec![write]);
+        }
+    }
+
+    pub(super) fn peer(&mut self, now: Time, from: NodeId, msg: PeerMsg, out: &mut Vec<Action>) {
+        match msg {
+            PeerMsg::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat, out),
+            PeerMsg::Summary(summary) => self.summary(now, from, summary, out),
+            PeerMsg::View(view) => {
+                if let Some(sent) = self.members.newest_heartbeat_sent(view.answers) {
+                    self.take_view(sent, &view);
+                }
+            }
+            PeerMsg::Lease(msg) => {
+                if let LeaseMsg::Answer { question, .. } = &msg {
+                    self.questions.remove(&(from, *question));
+                }
+                self.lease_step(now, Input::Peer { from, msg }, out);
+            }
+            PeerMsg::InboxNews => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.read_inbox_soon();
+                }
+            }
+            PeerMsg::Drain => self.shutdown(now, out),
+            PeerMsg::ConfigWanted { after } => {
+                if let Some(news) = self.config.entries_after(after) {
+                    send_peer(out, from, PeerMsg::ConfigEntries(news));
+                }
+            }
+            PeerMsg::ConfigEntries(news) => {
+                if self.config.take_entries(news) {
+                    self.config_changed(now, out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn summary(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        summary: DomainSummary,
+        out: &mut Vec<Action>,
+    ) {
+        if summary.leaving {
+            // Nothing more is passed on to it.
+            self.next_remotes = now;
+        }
+        let (mut cx, parts) = self.split(now, out);
+        // What it tells of other nodes is left out: they may be out of this node's reach.
+        let version = summary.config_version;
+        parts.config.peer_version(&mut cx, from, version);
+        parts.members.summary(now, from, summary);
+    }
+
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        msg: &Heartbeat,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.members.heard(now, from, msg) {
+            return;
+        }
+        let (mut cx, parts) = self.split(now, out);
+        parts.config.peer_version(&mut cx, from, msg.config_version);
+        if let Some(views) = &mut self.views {
+            let beat = Beat {
+                node: from,
+                start: msg.incarnation,
+                seq: msg.seq,
+                shares: &msg.shares,
+            };
+            views.heard(now, beat);
+            self.send_view(now, from, out);
+        }
+    }
+
+    /// Answers an operator's call to shut a node down gracefully.
+    pub(super) fn drain(&mut self, now: Time, id: OperatorId, node: NodeId, out: &mut Vec<Action>) {
+        let resp = if node == self.me.node {
+            self.shutdown(now, out);
+            drain_answer(node)
+        } else if self.address(node).is_some() {
+            send_peer(out, node, PeerMsg::Drain);
+            drain_answer(node)
+        } else {
+            OperatorResp::Failed {
+                verdict: Verdict::NotRun,
+                message: format!("no node {node} is known; `lacewing dump` names the known ones"),
+            }
+        };
+        out.push(Action::Operator(id, resp));
+    }
+}
+
+fn drain_answer(node: NodeId) -> OperatorResp {
+    OperatorResp::Done {
+        message: format!("{node} is asked to shut down gracefully"),
+        version: 0,
+    }
+}
+
+pub(super) fn send_peer(out: &mut Vec<Action>, to: NodeId, msg: PeerMsg) {
+    out.push(Action::Peer {
+        to,
+        fresh: false,
+        msg,
+    });
+}
