A task that must not be repeated stays given up when a recall is lifted

Cause: a cancelled unit's ended tasks count as waiting whatever they are; a domain cut off from the platform hears of a recall and of its lift from peers, and queued the stopped tasks again.

--- a/crates/cli/tests/failures.rs
+++ b/crates/cli/tests/failures.rs
@@ -300,3 +300,41 @@
     }
     assert_none(&found);
 }
+
+/// A domain that is cut off from the platform learns of a recall and of its lift from its peers: what
+/// it has stopped and must not be repeated does not run again.
+#[test]
+fn a_lifted_recall_repeats_nothing_that_must_not_be() {
+    let target = node::api::RecallTarget::Batch("posting".to_owned());
+    let recall = node::api::OperatorReq::Recall {
+        by: session::by("recaller"),
+        targets: vec![target.clone()],
+    };
+    let lift = node::api::OperatorReq::Lift {
+        by: session::by("lifter"),
+        targets: vec![target],
+    };
+    let mut found = Vec::new();
+    for cut_ms in (30_000..=33_000).step_by(100) {
+        let mut session = Session::new(11);
+        let cut = Duration::from_millis(cut_ms);
+        session.cell.at(8_000, Fault::CutFromPlatform(d(1), cut));
+        let recalled = session.cell.operator_at(10_000, n(2), recall.clone());
+        let lifted = session.cell.operator_at(16_000, n(2), lift.clone());
+        session.run_to(80);
+        for id in [recalled, lifted] {
+            let resp = session.cell.answer(id);
+            assert!(
+                matches!(resp, Some(node::api::OperatorResp::Done { .. })),
+                "{resp:?}"
+            );
+        }
+        let lines = session.cell.broken_promises();
+        found.extend(
+            lines
+                .iter()
+                .map(|line| format!("cut off for {cut_ms} ms: {line}")),
+        );
+    }
+    assert_none(&found);
+}
--- a/crates/node/src/core/scheduler/tasks.rs
+++ b/crates/node/src/core/scheduler/tasks.rs
@@ -192,7 +192,7 @@
         let cancelled = job.row.cancelled;
         let phase = match next {
             Next::Done => TaskPhase::Succeeded,
-            Next::Waits if cancelled => TaskPhase::Cancelled,
+            Next::Waits | Next::GivenUp { .. } if cancelled => TaskPhase::Cancelled,
             Next::Waits => TaskPhase::Waiting,
             Next::GivenUp { reason } => {
                 job.set_reason(&reason);
--- a/crates/place/src/ends.rs
+++ b/crates/place/src/ends.rs
@@ -28,13 +28,19 @@
         let surplus = task.index >= entry.unit.kind.tasks();
         if entry.cancelled || surplus {
             entry.tasks.remove(&task.index);
-            return if surplus { Next::Done } else { Next::Waits };
         }
+        if surplus {
+            return Next::Done;
+        }
+        // Also of a cancelled unit: it may be queued again, as after a recall that was lifted.
         if entry.unit.repeat == Repeat::Never
             && let Some(reason) = not_repeatable(end)
         {
             return given_up(reason);
         }
+        if entry.cancelled {
+            return Next::Waits;
+        }
         self.wait_again(now, key, end, counted)
     }
 
