The stand-in platform nudges its server, as the daemon does

Cause: tiny_http left one node's first connection in its queue for seconds; `publish` saw 5 of 6 nodes.

--- a/crates/cli/src/cell/mod.rs
+++ b/crates/cli/src/cell/mod.rs
@@ -37,7 +37,7 @@
     hops::Traffic,
     links::{Links, Place},
     log::Log,
-    peers::Letter,
+    peers::Delivery,
     process::Process,
     queue::Queue,
     records::{VersionSeen, WorkerPeak},
@@ -68,7 +68,7 @@
     Event(NodeId, u64, Event),
     /// An event for whatever runs on the node's VM by then.
     Operator(NodeId, OperatorId, OperatorReq),
-    Peer(Letter),
+    Peer(Delivery),
     Call(PlatformCall),
     Traffic(TrafficStep),
     Fault(Fault),
@@ -327,7 +327,7 @@
                 let start = self.start_of(node);
                 self.event(node, start, Event::Operator(id, req));
             }
-            Happening::Peer(letter) => self.peer_arrives(letter),
+            Happening::Peer(delivery) => self.peer_arrives(delivery),
             Happening::Call(call) => self.call_arrives(call),
             Happening::Traffic(step) => self.traffic_step(step),
             Happening::Fault(fault) => self.inject(&fault),
--- a/crates/cli/src/cell/peers.rs
+++ b/crates/cli/src/cell/peers.rs
@@ -8,7 +8,7 @@
 
 /// A message on its way to another node.
 #[derive(Clone, Debug)]
-pub(crate) struct Letter {
+pub(crate) struct Delivery {
     from: NodeId,
     from_start: u64,
     to: NodeId,
@@ -35,26 +35,26 @@
             self.queue
                 .push(at, Happening::Event(from, from_start, event));
         }
-        let letter = Letter {
+        let message = Delivery {
             from,
             from_start,
             to,
             msg,
         };
         for at in delivery.arrives {
-            self.queue.push(at, Happening::Peer(letter.clone()));
+            self.queue.push(at, Happening::Peer(message.clone()));
         }
     }
 
     /// A message reaches the other node's VM. Where no process listens, its sender is told; a paused
     /// process takes it later, and its acknowledgement comes too late.
-    pub(crate) fn peer_arrives(&mut self, letter: Letter) {
-        let Letter {
+    pub(crate) fn peer_arrives(&mut self, message: Delivery) {
+        let Delivery {
             from,
             from_start,
             to,
             msg,
-        } = letter;
+        } = message;
         let start = self.start_of(to);
         let is_paused = self.processes.get(&to).is_some_and(Process::is_paused);
         if start == 0 || is_paused {
--- a/crates/fakes/src/http/mod.rs
+++ b/crates/fakes/src/http/mod.rs
@@ -8,10 +8,10 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use model::{DomainId, Time, WorkerId};
@@ -21,6 +21,8 @@
 
 use crate::FakePlatform;
 
+/// The interval of nudges, see [`nudge`].
+const NUDGE_INTERVAL: Duration = Duration::from_millis(50);
 /// How many threads answer.
 const THREADS: usize = 64;
 
@@ -109,9 +111,20 @@
             }
         });
     }
+    thread::spawn(move || nudge(address));
     Ok(Server { address })
 }
 
+/// Connects to the server again and again, and closes at once. `tiny_http` may leave a connection in its
+/// queue while a thread is idle; each further one makes a thread look at the queue.
+fn nudge(address: SocketAddr) {
+    loop {
+        thread::sleep(NUDGE_INTERVAL);
+        // Nothing depends on a single one.
+        let _ = TcpStream::connect(address);
+    }
+}
+
 fn handle(shared: &Shared, mut req: Request) {
     let url = req.url().to_owned();
     let path: Vec<&str> = url.trim_start_matches('/').split('/').collect();
