--- a/crates/node/src/core/requests.rs
+++ b/crates/node/src/core/requests.rs
@@ -32,19 +32,19 @@
         }
     }
 
-    /// Takes a version of the configuration.
-    pub fn set_config(&mut self, now: Time, config: &Config, out: &mut Vec<Action>) {
-        let Self {
-            calls,
-            commits,
-            entry,
-        } = self;
-        let mut cx = Cx {
+    fn split<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> (Cx<'a>, &'a mut Entry) {
+        let cx = Cx {
             now,
-            calls,
-            commits,
+            calls: &mut self.calls,
+            commits: &mut self.commits,
             out,
         };
+        (cx, &mut self.entry)
+    }
+
+    /// Takes a version of the configuration.
+    pub fn set_config(&mut self, now: Time, config: &Config, out: &mut Vec<Action>) {
+        let (mut cx, entry) = self.split(now, out);
         entry.set_config(&mut cx, config);
     }
 
@@ -66,17 +66,7 @@
 
     /// Takes one event that concerns requests, and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
-        let Self {
-            calls,
-            commits,
-            entry,
-        } = self;
-        let mut cx = Cx {
-            now,
-            calls,
-            commits,
-            out,
-        };
+        let (mut cx, entry) = self.split(now, out);
         let mut settled = Vec::new();
         match event {
             Event::Tick => entry.tick(&mut cx),
--- a/crates/node/src/daemon/fixed.rs
+++ b/crates/node/src/daemon/fixed.rs
@@ -24,12 +24,11 @@
     actor::Incoming,
     http::Faces,
     proxy::{Proxy, Waiting},
+    run_actors,
 };
 
 /// How often the router's clock ticks.
 const TICK: Duration = Duration::from_millis(25);
-/// The longest sleep of the router's thread.
-const SLEEP_MAX: Duration = Duration::from_secs(1);
 
 /// A service with its backend servers, each with a share of slots that does not lapse.
 #[derive(Clone, Debug, Default)]
@@ -104,13 +103,7 @@
         return;
     }
     call!([actor], connect(Waiting::new(proxy), dumps, guard));
-    let mut pending = stakker.run(Instant::now(), false);
-    while stakker.not_shutdown() {
-        let wait = stakker.next_wait_max(Instant::now(), SLEEP_MAX, pending);
-        thread::park_timeout(wait);
-        stakker.poll_wake();
-        pending = stakker.run(Instant::now(), false);
-    }
+    run_actors(&mut stakker);
 }
 
 struct Fixed {
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -72,7 +72,13 @@
         None => None,
     };
     call!([node], connect(pool, links, proxy, metrics, guard));
+    run_actors(&mut stakker);
+    log::info!("node: stopped");
+    Ok(())
+}
 
+/// Runs the actors on this thread until they shut down. Other threads wake it by unparking it.
+fn run_actors(stakker: &mut Stakker) {
     let mut pending = stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
         let wait = stakker.next_wait_max(Instant::now(), SLEEP_MAX, pending);
@@ -80,8 +86,6 @@
         stakker.poll_wake();
         pending = stakker.run(Instant::now(), false);
     }
-    log::info!("node: stopped");
-    Ok(())
 }
 
 /// Later starts draw greater numbers, unless the VM's clock is set back between them. The number only
