One stable hash, in crate model

The same FNV-1a stood four times: node::core, the proxy's fingerprints, config's fingerprints, fakes. Values are as before, so ids of runs, fingerprints and the stand-ins' draws do not change.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -83,12 +83,9 @@
     }
 }
 
-/// A hash of the changes' text (FNV-1a).
+/// A hash of the changes' text.
 ///
 /// It tells two submissions of one id apart, no more: what is recalled is compared outright.
 fn fingerprint(changes: &[Change]) -> u64 {
-    let text = format!("{changes:?}");
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    model::stable_hash(format!("{changes:?}").bytes())
 }
--- a/crates/fakes/src/plan.rs
+++ b/crates/fakes/src/plan.rs
@@ -2,11 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{Size, Usage};
+use model::{Size, Usage, stable_hash};
 use store::TaskStart;
 
-use crate::rng::stable_hash;
-
 /// How long tasks run and whether they fail, as a stand-in for the programs themselves.
 #[derive(Clone, Debug)]
 pub struct RunPlan {
@@ -90,7 +88,7 @@
     /// A number below 1,000 that depends on the seed, the attempt and what it is drawn for.
     fn draw(&self, start: &TaskStart, what: &str) -> u64 {
         let (task, attempt, seed) = (&start.task, start.attempt, self.seed);
-        stable_hash(format!("{task}#{attempt}#{seed}#{what}").as_bytes()) % 1_000
+        stable_hash(format!("{task}#{attempt}#{seed}#{what}").bytes()) % 1_000
     }
 }
 
--- a/crates/fakes/src/rng.rs
+++ b/crates/fakes/src/rng.rs
@@ -39,10 +39,3 @@
         min + Duration::from_millis(ms)
     }
 }
-
-/// A hash that is the same in every process (FNV-1a).
-pub(crate) fn stable_hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- /dev/null
+++ b/crates/model/src/hash.rs
@@ -0,0 +1,21 @@
+//! A hash that does not change between processes.
+
+/// A hash of bytes that is the same in every process and version (FNV-1a). It tells contents apart and
+/// spreads them; it is no protection against somebody who looks for collisions.
+///
+/// # Examples
+///
+/// ```
+/// use model::stable_hash;
+///
+/// assert_eq!(stable_hash(*b""), 0xcbf2_9ce4_8422_2325);
+/// assert_eq!(stable_hash("a".bytes()), 0xaf63_dc4c_8601_ec8c);
+/// ```
+#[must_use]
+pub fn stable_hash(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    bytes.into_iter().fold(OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod error;
 mod files;
+mod hash;
 mod id;
 mod size;
 mod time;
@@ -38,6 +39,7 @@
 pub use crate::{
     error::{Fault, FileErrors},
     files::{Catalog, SourceFile},
+    hash::stable_hash,
     id::{
         Attempt, DomainId, Epoch, Incarnation, Label, LabelError, NodeId, RackId, RegionId, TaskId,
         UnitId, WorkerId,
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -409,10 +409,3 @@
     let present = scheduler.as_mut()?;
     (present.generation() == generation).then_some(present)
 }
-
-/// A hash that is the same in every process (FNV-1a).
-fn stable_hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/node/src/core/operators/homes.rs
+++ b/crates/node/src/core/operators/homes.rs
@@ -3,13 +3,10 @@
 use std::collections::BTreeSet;
 
 use config::{Change, Config, Entry};
-use model::{DomainId, Kind, Unit, UnitId};
+use model::{DomainId, Kind, Unit, UnitId, stable_hash};
 use store::{Check, Row, Write, decode, encode};
 
-use super::super::{
-    rows::{UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key},
-    stable_hash,
-};
+use super::super::rows::{UNIT_PREFIX, UnitRow, inbox_key, last_part, unit_key};
 
 /// What the rows of an entry's changes are made of.
 #[derive(Clone, Copy, Debug)]
@@ -138,7 +135,7 @@
         return Vec::new();
     }
     // Units of different names begin at different domains, so that odd tasks do not pile up in one.
-    let first = usize::try_from(stable_hash(unit.name.as_bytes()) % u64::from(n)).unwrap_or(0);
+    let first = usize::try_from(stable_hash(unit.name.bytes()) % u64::from(n)).unwrap_or(0);
     let run = run_hash(unit, removed_at) & 0xffff_ffff;
     let name = &unit.name;
     if let Kind::Gang { .. } = unit.kind {
@@ -183,5 +180,5 @@
     if removed_at > 0 {
         content.extend_from_slice(&removed_at.to_le_bytes());
     }
-    stable_hash(&content)
+    stable_hash(content)
 }
--- a/crates/node/src/core/scheduler/jobs.rs
+++ b/crates/node/src/core/scheduler/jobs.rs
@@ -2,17 +2,14 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use model::{Attempt, DomainId, Repeat, TaskId, Time, Unit, UnitId, WorkerId};
+use model::{Attempt, DomainId, Repeat, TaskId, Time, Unit, UnitId, WorkerId, stable_hash};
 use place::Waiting;
 use store::{Check, Write, encode};
 
 use super::Notice;
 use crate::{
     api::{TaskPhase, TaskState},
-    core::{
-        rows::{StateRow, done_key, state_key},
-        stable_hash,
-    },
+    core::rows::{StateRow, done_key, state_key},
 };
 
 /// An attempt that is to be started.
@@ -319,7 +316,7 @@
 
 /// Names what a unit's tasks are started with; never 0.
 fn content_of(unit: &Unit) -> u32 {
-    let hash = stable_hash(&encode(&(&unit.command, unit.size)));
+    let hash = stable_hash(encode(&(&unit.command, unit.size)));
     u32::try_from(hash & 0xffff_ffff).unwrap_or(1).max(1)
 }
 
--- a/crates/node/src/daemon/proxy/intake.rs
+++ b/crates/node/src/daemon/proxy/intake.rs
@@ -223,7 +223,7 @@
     words.any(|found| found.trim().eq_ignore_ascii_case(word))
 }
 
-/// A hash (FNV-1a) by which a resend is told from another request with the same key.
+/// A hash by which a resend is told from another request with the same key.
 fn fingerprint(method: &Method, url: &str, body: &RequestBody) -> u64 {
     let content = if body.whole { &body.first[..] } else { &[] };
     let parts = [
@@ -233,12 +233,7 @@
         b"\n",
         content,
     ];
-    parts
-        .into_iter()
-        .flatten()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-        })
+    model::stable_hash(parts.into_iter().flatten().copied())
 }
 
 fn refuse_caller(req: Request, fault: Fault) {
