--- /dev/null
+++ b/crates/cluster/src/entry.rs
@@ -0,0 +1,312 @@
+//! What clients ask of a node.
+
+use std::{sync::Arc, time::Duration};
+
+use jobs::{Job, JobId, Progress, Queue, State, StepKey};
+use sched::Scheduler;
+use tokio::time::Instant;
+
+use crate::{
+    Node, Ports, Row, Transaction,
+    commit::{self, Outcome},
+    follow::is_fresh,
+    rows::{
+        JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part, job_range_end,
+        parse_job_key, progress_key,
+    },
+};
+
+/// A state that may still change is told from memory if the scheduler was heard of this long ago, and
+/// read from the table otherwise.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// When to come back after the table could not be reached: its outages last seconds.
+const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(2);
+
+/// When to come back after a node without a configuration was asked.
+const RETRY_AFTER_START: Duration = Duration::from_secs(1);
+
+/// Requests for approvals that take longer are left to the scheduler, which picks the node.
+const OWN_REQUEST_MAX: Duration = Duration::from_millis(100);
+
+/// What becomes of a submitted job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// It is stored, by this request or an earlier one.
+    Accepted,
+    /// It is not stored, and never runs on account of this request.
+    NotRun {
+        /// When to come back.
+        retry_after: Duration,
+        /// Why.
+        reason: &'static str,
+    },
+    /// It is not known whether it is stored. The same request may be sent again.
+    Unknown,
+}
+
+/// What becomes of a request to cancel a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelling {
+    /// It is stored.
+    Accepted,
+    /// There is no such job.
+    NoJob,
+    /// It is not known whether it is stored. The same request may be sent again.
+    Unknown,
+}
+
+/// What is known of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateAnswer {
+    /// Its state.
+    State(State),
+    /// There is no such job.
+    NoJob,
+    /// It can't be told at present.
+    Unknown,
+}
+
+impl<P: Ports> Node<P> {
+    /// Takes a job in: it is stored before it is accepted.
+    pub async fn submit(
+        &self,
+        queue: &Queue,
+        id: JobId,
+        mut job: Job,
+        deadline: Instant,
+    ) -> Submission {
+        let asked = self.own_requests(queue, &job);
+        job.approvals_asked = asked.is_some();
+        let (spec_bytes, steps) = (job.spec.len(), job.steps.len());
+        for (step, workers, cost) in asked.into_iter().flatten() {
+            let key = StepKey {
+                job: id,
+                occurrence: 0,
+                step,
+            };
+            self.ask(key, workers, cost);
+        }
+        let tx = Transaction {
+            expected: vec![(job_key(id), 0)],
+            set: vec![(job_key(id), jobs::encode(&job))],
+            delete: Vec::new(),
+        };
+        let began = self.0.clock.time();
+        let outcome = commit::settle(&self.0.ports, &tx, deadline).await;
+        let ms = (self.0.clock.time() - began).as_millis();
+        self.0.metrics.time("submit", self.0.clock.time() - began);
+        match outcome {
+            Outcome::Stored(version) => {
+                log::info!(
+                    "event=accepted job={id} queue={} steps={steps} bytes={spec_bytes} version={version} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_accepted");
+                self.learn_states([(id, State::Queued)]);
+                Submission::Accepted
+            }
+            // The row is there already: this is a resend, or the answer to an earlier try was lost.
+            Outcome::Conflict { .. } => {
+                log::info!(
+                    "event=accepted_before job={id} queue={} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_resent");
+                Submission::Accepted
+            }
+            Outcome::NotStored(reason) => {
+                log::warn!(
+                    "event=refused job={id} queue={} reason={reason:?} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_refused");
+                Submission::NotRun {
+                    retry_after: RETRY_AFTER_OUTAGE,
+                    reason: "the table is not reached",
+                }
+            }
+            Outcome::Unknown(reason) => {
+                log::warn!(
+                    "event=unsettled job={id} queue={} reason={reason:?} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_unsettled");
+                Submission::Unknown
+            }
+        }
+    }
+
+    /// The requests for approvals that this node makes for a job by itself, or none if it is too busy.
+    fn own_requests(
+        &self,
+        queue: &Queue,
+        job: &Job,
+    ) -> Option<Vec<(u16, Vec<Arc<str>>, Duration)>> {
+        let cost = queue.approval?;
+        let workers = self.0.workers.borrow();
+        let workers = workers.get(&queue.pool)?;
+        let mut requests = Vec::new();
+        let mut total = Duration::ZERO;
+        for (number, step) in (0_u16..).zip(&job.steps) {
+            if !step.after.is_empty() {
+                continue;
+            }
+            let limit = self.0.settings.sched.approval_workers;
+            let count = Scheduler::approval_count(step)
+                .min(workers.len())
+                .min(limit);
+            // Each request begins elsewhere in the list, so that the load spreads.
+            let offset =
+                model::stable_hash(job.spec.bytes()) % u64::try_from(workers.len()).ok()?.max(1);
+            let offset = usize::try_from(offset).unwrap_or(0);
+            let named = workers.iter().cycle().skip(offset).take(count).cloned();
+            let own = cost.of(count);
+            total += own;
+            requests.push((number, named.collect(), own));
+        }
+        let is_own = job.schedule.is_none()
+            && !requests.is_empty()
+            && total <= OWN_REQUEST_MAX
+            && self.asks_soon(total);
+        is_own.then_some(requests)
+    }
+
+    /// When to come back to a node that has no configuration yet.
+    #[must_use]
+    pub const fn retry_after_start() -> Duration {
+        RETRY_AFTER_START
+    }
+
+    /// Takes the cancelling of a job in.
+    pub async fn cancel(&self, id: JobId, deadline: Instant) -> Cancelling {
+        let known = self.0.states.borrow().get(&id).map(|known| known.state);
+        match known {
+            Some(state) if state.is_final() => return Cancelling::Accepted,
+            Some(_) => {}
+            None => match self.read_job(id, deadline).await {
+                Some(rows) if rows.job => {}
+                Some(_) => return Cancelling::NoJob,
+                None => return Cancelling::Unknown,
+            },
+        }
+        let tx = Transaction {
+            expected: vec![(cancel_key(id), 0)],
+            set: vec![(cancel_key(id), vec![1])],
+            delete: Vec::new(),
+        };
+        match commit::settle(&self.0.ports, &tx, deadline).await {
+            Outcome::Stored(_) | Outcome::Conflict { .. } => {
+                log::info!("event=cancel_accepted job={id}");
+                self.0.metrics.count("cancels_accepted");
+                Cancelling::Accepted
+            }
+            Outcome::NotStored(reason) | Outcome::Unknown(reason) => {
+                log::warn!("event=cancel_unsettled job={id} reason={reason:?}");
+                Cancelling::Unknown
+            }
+        }
+    }
+
+    /// What is known of a job.
+    pub async fn state(&self, id: JobId, deadline: Instant) -> StateAnswer {
+        let known = self.0.states.borrow().get(&id).map(|known| known.state);
+        let now = self.0.clock.time();
+        if let Some(state) = known {
+            if state.is_final() || is_fresh(self.0.heard_at.get(), now, FRESH) {
+                return StateAnswer::State(state);
+            }
+        }
+        match self.read_state(id, deadline).await {
+            StateAnswer::State(state) => {
+                self.learn_states([(id, state)]);
+                StateAnswer::State(state)
+            }
+            other => other,
+        }
+    }
+
+    /// Reads a job's state from the table.
+    async fn read_state(&self, id: JobId, deadline: Instant) -> StateAnswer {
+        self.0.metrics.count("states_read");
+        let Some(rows) = self.read_job(id, deadline).await else {
+            return StateAnswer::Unknown;
+        };
+        if !rows.job {
+            log::info!("event=no_job job={id} version={}", rows.version);
+            return StateAnswer::NoJob;
+        }
+        let key = progress_key(id);
+        let end = job_range_end(id);
+        let read = self
+            .0
+            .ports
+            .read(PROGRESS, SCHEDULER_PART, &key.key, Some(&end));
+        let Ok(Ok(page)) = tokio::time::timeout_at(deadline, read).await else {
+            return StateAnswer::Unknown;
+        };
+        let progress = page.rows.iter().find(|row| row.key == key.key);
+        let state = match progress.and_then(|row| row.value.as_deref()) {
+            None => State::Queued,
+            Some(value) => match jobs::decode::<Progress>(value) {
+                Ok(progress) => progress.state(),
+                Err(e) => {
+                    log::error!(
+                        "event=bad_row table={PROGRESS} key={id} error={:?}",
+                        e.to_string()
+                    );
+                    return StateAnswer::Unknown;
+                }
+            },
+        };
+        if rows.cancel && !state.is_final() {
+            return StateAnswer::State(State::Cancelled);
+        }
+        StateAnswer::State(state)
+    }
+
+    /// Reads which rows there are of a job. None if the table can't be reached.
+    async fn read_job(&self, id: JobId, deadline: Instant) -> Option<JobRows> {
+        let key = job_key(id).key;
+        let end = job_range_end(id);
+        let part = job_part(id);
+        let read = self.0.ports.read(JOBS, &part, &key, Some(&end));
+        match tokio::time::timeout_at(deadline, read).await {
+            Ok(Ok(page)) => {
+                let has = |wanted: JobRow| {
+                    let is_wanted = |row: &Row| parse_job_key(&row.key) == Some(wanted);
+                    page.rows.iter().any(is_wanted)
+                };
+                Some(JobRows {
+                    job: has(JobRow::Job(id)),
+                    cancel: has(JobRow::Cancel(id)),
+                    version: page.version,
+                })
+            }
+            Ok(Err(e)) => {
+                log::warn!("event=job_unread job={id} error={:?}", e.to_string());
+                None
+            }
+            Err(_) => {
+                log::warn!("event=job_unread job={id} error=\"no answer by the deadline\"");
+                None
+            }
+        }
+    }
+
+    /// How many jobs of a queue have not started; none if the scheduler has not told yet.
+    #[must_use]
+    pub fn pending(&self, queue: &Queue) -> Option<u64> {
+        let pending = self.0.pending.borrow();
+        let pending = pending.as_ref()?;
+        Some(pending.get(&queue.name).copied().unwrap_or(0))
+    }
+}
+
+/// Which rows there are of a job.
+#[derive(Clone, Copy, Debug)]
+struct JobRows {
+    job: bool,
+    cancel: bool,
+    version: u64,
+}
--- /dev/null
+++ b/crates/cluster/src/feed.rs
@@ -0,0 +1,74 @@
+//! Follows the configuration.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::sleep;
+
+use crate::{FeedError, Node, Ports, Routes};
+
+/// How long one call waits for a change. It bounds how long a connection that has gone silent goes
+/// unnoticed, and with it how late a configuration may be: they are to be in force within 2.5 s.
+const WAIT: Duration = Duration::from_millis(1_000);
+
+/// The pause after a failed call.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Keeps the configuration in force up to date.
+pub(crate) async fn follow_routes<P: Ports>(node: Node<P>) {
+    loop {
+        let version = match node.0.ports.routes().await {
+            Ok(change) => {
+                put_in_force(&node, change.news);
+                change.version
+            }
+            Err(e) => {
+                log::warn!("event=config_unread error={:?}", e.to_string());
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        follow_from(&node, version).await;
+    }
+}
+
+/// Follows changes until the history is gone.
+async fn follow_from<P: Ports>(node: &Node<P>, mut version: u64) {
+    loop {
+        match node.0.ports.route_changes(version, WAIT).await {
+            Ok(change) => {
+                version = change.version;
+                put_in_force(node, change.news);
+            }
+            Err(FeedError::HistoryGone) => return,
+            Err(e @ FeedError::Call(_)) => {
+                log::warn!("event=config_unread error={:?}", e.to_string());
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Puts a version in force, unless a newer one is.
+fn put_in_force<P: Ports>(node: &Node<P>, routes: Option<Routes>) {
+    let Some(routes) = routes else {
+        return;
+    };
+    let old = node
+        .0
+        .routes
+        .borrow()
+        .as_ref()
+        .map(|routes| routes.version());
+    if old.is_some_and(|old| old >= routes.version()) {
+        return;
+    }
+    log::info!(
+        "event=config_in_force version={} before={} queues={}",
+        routes.version(),
+        old.unwrap_or(0),
+        routes.queues().count()
+    );
+    node.0.metrics.set("config_version", routes.version());
+    *node.0.routes.borrow_mut() = Some(Rc::new(routes));
+    node.0.routes_changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/cluster/src/recover.rs
@@ -0,0 +1,176 @@
+//! Reads what a new scheduler goes on from.
+
+use std::{collections::HashMap, time::Duration};
+
+use jobs::{JobId, Progress};
+use sched::{Recovered, Scheduler};
+use tokio::{task::spawn_local, time::sleep};
+
+use crate::{
+    CallError, Node, Page, Ports, Row,
+    lead::LeaseWriter,
+    rows::{JOBS, JobRow, PROGRESS, SCHEDULER_PART, all_job_parts, parse_job_key},
+};
+
+/// The pause after a failed read.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Where to go on following the tables.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Versions {
+    pub(crate) jobs: u64,
+    pub(crate) workers: u64,
+}
+
+/// Reads the table and the list of workers, and makes a scheduler of them. The lease row is renewed
+/// meanwhile. None if another node has taken over.
+pub(crate) async fn recover<P: Ports>(
+    node: &Node<P>,
+    mut writer: LeaseWriter,
+) -> Option<(Scheduler, LeaseWriter, Versions)> {
+    let reader = node.clone();
+    let mut reading = spawn_local(async move { read_all(&reader, writer_epoch(&reader)).await });
+    loop {
+        tokio::select! {
+            read = &mut reading => return read.ok().map(|(scheduler, versions)| (scheduler, writer, versions)),
+            () = sleep(node.0.settings.sched.beat) => {
+                if !writer.commit(node, &sched::Batch::default()).await {
+                    reading.abort();
+                    return None;
+                }
+            }
+        }
+        if node.0.is_draining.get() {
+            reading.abort();
+            writer.release(node).await;
+            return None;
+        }
+    }
+}
+
+fn writer_epoch<P: Ports>(node: &Node<P>) -> u64 {
+    node.0.candidacy.borrow().row().map_or(0, |row| row.epoch)
+}
+
+async fn read_all<P: Ports>(node: &Node<P>, epoch: u64) -> (Scheduler, Versions) {
+    let (recovered, jobs) = read_jobs(node).await;
+    log::info!(
+        "event=recovered epoch={epoch} jobs={} with_progress={} cancelled={} version={jobs}",
+        recovered.jobs.len(),
+        recovered.progress.len(),
+        recovered.cancelled.len()
+    );
+    let workers = loop {
+        match node.0.ports.workers().await {
+            Ok(change) => break change,
+            Err(e) => warn("workers", &e).await,
+        }
+    };
+    let now = node.0.clock.now();
+    let mut scheduler = Scheduler::new(node.0.settings.sched, epoch, now, recovered);
+    for info in workers.news {
+        scheduler.worker_listed(now, info);
+    }
+    let versions = Versions {
+        jobs,
+        workers: workers.version,
+    };
+    (scheduler, versions)
+}
+
+/// Reads all jobs with their progress, and from where to follow the table of jobs.
+pub(crate) async fn read_jobs<P: Ports>(node: &Node<P>) -> (Recovered, u64) {
+    let mut recovered = Recovered::default();
+    let mut after = u64::MAX;
+    let (progress, _) = read_part(node, PROGRESS, SCHEDULER_PART).await;
+    for row in progress {
+        if let Some((id, progress)) = decode_progress(&row) {
+            recovered.progress.insert(id, progress);
+        }
+    }
+    for part in all_job_parts() {
+        let (rows, version) = read_part(node, JOBS, &part).await;
+        after = after.min(version);
+        for row in rows {
+            note_job_row(&row, &mut recovered);
+        }
+    }
+    (recovered, after)
+}
+
+fn decode_progress(row: &Row) -> Option<(JobId, Progress)> {
+    let id = row.key.parse().ok()?;
+    match jobs::decode(row.value.as_deref()?) {
+        Ok(progress) => Some((id, progress)),
+        Err(e) => {
+            log::error!(
+                "event=bad_row table={PROGRESS} key={} error={:?}",
+                row.key,
+                e.to_string()
+            );
+            None
+        }
+    }
+}
+
+fn note_job_row(row: &Row, recovered: &mut Recovered) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    match parse_job_key(&row.key) {
+        Some(JobRow::Job(id)) => match jobs::decode(value) {
+            Ok(job) => recovered.jobs.push((id, job)),
+            Err(e) => {
+                log::error!(
+                    "event=bad_row table={JOBS} key={} error={:?}",
+                    row.key,
+                    e.to_string()
+                );
+            }
+        },
+        Some(JobRow::Cancel(id)) => {
+            recovered.cancelled.insert(id);
+        }
+        None => log::error!(
+            "event=bad_row table={JOBS} key={:?} error=\"no job id\"",
+            row.key
+        ),
+    }
+}
+
+/// Reads a whole part, and the version from which its changes are to be followed.
+async fn read_part<P: Ports>(node: &Node<P>, table: &'static str, part: &str) -> (Vec<Row>, u64) {
+    // A row that changes between two pages may be read twice.
+    let mut rows: HashMap<String, Row> = HashMap::new();
+    let mut from = String::new();
+    let mut first_version = None;
+    loop {
+        let page = read_page(node, table, part, &from).await;
+        first_version.get_or_insert(page.version);
+        if let Some(last) = page.rows.last() {
+            // The least key above the last one.
+            from = format!("{}\0", last.key);
+        }
+        rows.extend(page.rows.into_iter().map(|row| (row.key.clone(), row)));
+        if !page.has_more {
+            return (rows.into_values().collect(), first_version.unwrap_or(0));
+        }
+    }
+}
+
+async fn read_page<P: Ports>(node: &Node<P>, table: &'static str, part: &str, from: &str) -> Page {
+    loop {
+        match node.0.ports.read(table, part, from, None).await {
+            Ok(page) => return page,
+            Err(e) => warn(table, &e).await,
+        }
+    }
+}
+
+async fn warn(what: &str, error: &CallError) {
+    log::warn!(
+        "event=recovery_unread what={what} error={:?}",
+        error.to_string()
+    );
+    sleep(RETRY).await;
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,43 @@
+//! Jobs made of dependent steps, and the progress of their tasks.
+//!
+//! A [`Job`] is what a client has submitted and never changes. A [`Progress`] says how far its tasks have
+//! come; it is a state machine that is told of starts and ends, and is what the scheduler stores. Neither
+//! does I/O or reads a clock.
+//!
+//! # Example
+//!
+//! ```
+//! use jobs::{End, EndKind, Job, JobId, Life, Progress, State, Step, TaskKey};
+//!
+//! let id: JobId = "5c0e7a21d94b36f8".parse().unwrap();
+//! let job = Job {
+//!     steps: vec![Step { tasks: 1, ..Step::default() }],
+//!     ..Job::default()
+//! };
+//! job.check().unwrap();
+//! let mut progress = Progress::new(&job);
+//! let key = TaskKey { job: id, occurrence: 0, step: 0, index: 0 };
+//! let run = progress.assign(&[(key, Life::new("w1", 7))]);
+//! assert_eq!(progress.state(), State::Running);
+//! let end = End { key, run, kind: EndKind::Done, checkpoint: String::new() };
+//! progress.end(&job, &end, 3);
+//! assert_eq!(progress.state(), State::Completed);
+//! ```
+
+mod codec;
+mod error;
+mod id;
+mod job;
+mod progress;
+mod queue;
+mod schedule;
+
+pub use crate::{
+    codec::{decode, encode},
+    error::{CodecError, JobFault},
+    id::{JobId, JobIdError, StepKey, TaskKey, TaskKeyError},
+    job::{Job, Limits, Step},
+    progress::{End, EndKind, Life, Outcome, Phase, Progress, State, TaskProgress},
+    queue::{ApprovalCost, Queue},
+    schedule::Schedule,
+};
--- /dev/null
+++ b/crates/jobs/src/progress.rs
@@ -0,0 +1,445 @@
+//! How far the tasks of a job have come.
+
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Job, Step, StepKey, TaskKey};
+
+/// One life of a worker: a worker that starts again under its id is another life.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Life {
+    /// The worker's id.
+    pub worker: Arc<str>,
+    /// When this life began, in Unix milliseconds on the worker's clock. It only tells lives apart.
+    pub born: u64,
+}
+
+impl Life {
+    /// The life of a worker that began at `born`.
+    #[must_use]
+    pub fn new(worker: &str, born: u64) -> Self {
+        Self {
+            worker: worker.into(),
+            born,
+        }
+    }
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.worker, self.born)
+    }
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Phase {
+    /// It waits to be started.
+    #[default]
+    Waiting,
+    /// Its last run was given to this worker, and may run there.
+    Assigned(Life),
+    /// It has ended well.
+    Done,
+}
+
+/// Where a task stands, with its history.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// Where it stands.
+    pub phase: Phase,
+    /// The number of its last run; 0 before the first.
+    pub run: u32,
+    /// How many of its runs have failed.
+    pub failures: u32,
+    /// What its next run resumes from; empty to begin anew.
+    pub checkpoint: String,
+}
+
+/// The tasks of one step of one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct StepProgress {
+    tasks: Vec<TaskProgress>,
+    done: u32,
+    /// For a gang: the last run that counted as failed, so that it counts once.
+    failed_run: u32,
+}
+
+impl StepProgress {
+    fn is_done(&self) -> bool {
+        usize::try_from(self.done).is_ok_and(|done| done >= self.tasks.len())
+    }
+}
+
+/// What a job has come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks have ended well.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// A client has cancelled it.
+    Cancelled,
+}
+
+/// What clients are told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum State {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have ended well.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// A client has cancelled it.
+    Cancelled,
+}
+
+impl State {
+    /// Whether the state never changes again.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// How a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// It has done its work.
+    Done,
+    /// It has failed.
+    Failed,
+    /// It was stopped, its lease lapsed, or the rest of its gang was missing.
+    Interrupted,
+}
+
+/// The end of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// The task.
+    pub key: TaskKey,
+    /// The run.
+    pub run: u32,
+    /// How it has ended.
+    pub kind: EndKind,
+    /// What it has saved; empty if nothing.
+    pub checkpoint: String,
+}
+
+/// How far the tasks of a job have come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Progress {
+    outcome: Option<Outcome>,
+    has_started: bool,
+    /// How many occurrences have been opened. They open in order.
+    opened: u32,
+    /// The opened occurrences that are not done.
+    open: BTreeMap<u32, Vec<StepProgress>>,
+}
+
+impl Progress {
+    /// Nothing has been done yet. A job without a schedule is due at once.
+    #[must_use]
+    pub fn new(job: &Job) -> Self {
+        let mut progress = Self::default();
+        if job.schedule.is_none() {
+            progress.open_next(job);
+        }
+        progress
+    }
+
+    /// What the job has come to, if it is over.
+    #[must_use]
+    pub const fn outcome(&self) -> Option<Outcome> {
+        self.outcome
+    }
+
+    /// Whether a task has ever been given to a worker.
+    #[must_use]
+    pub const fn has_started(&self) -> bool {
+        self.has_started
+    }
+
+    /// What clients are told.
+    #[must_use]
+    pub const fn state(&self) -> State {
+        match self.outcome {
+            Some(Outcome::Completed) => State::Completed,
+            Some(Outcome::Failed) => State::Failed,
+            Some(Outcome::Cancelled) => State::Cancelled,
+            None if self.has_started => State::Running,
+            None => State::Queued,
+        }
+    }
+
+    /// A task's progress. A task of an occurrence that is done counts as done.
+    #[must_use]
+    pub fn task(&self, key: TaskKey) -> TaskProgress {
+        if self.is_occurrence_done(key.occurrence) {
+            return TaskProgress {
+                phase: Phase::Done,
+                ..TaskProgress::default()
+            };
+        }
+        self.task_ref(key).cloned().unwrap_or_default()
+    }
+
+    /// The tasks that may run on a worker, with the run.
+    pub fn assigned(&self, job: crate::JobId) -> impl Iterator<Item = (TaskKey, u32, &Life)> {
+        self.open.iter().flat_map(move |(&occurrence, steps)| {
+            (0_u16..).zip(steps).flat_map(move |(step, progress)| {
+                (0_u32..)
+                    .zip(&progress.tasks)
+                    .filter_map(move |(index, task)| {
+                        let key = TaskKey {
+                            job,
+                            occurrence,
+                            step,
+                            index,
+                        };
+                        match &task.phase {
+                            Phase::Assigned(life) => Some((key, task.run, life)),
+                            Phase::Waiting | Phase::Done => None,
+                        }
+                    })
+            })
+        })
+    }
+
+    /// Whether a step's tasks may start: the job goes on, and what the step depends on is done.
+    #[must_use]
+    pub fn is_ready(&self, job: &Job, key: StepKey) -> bool {
+        if self.outcome.is_some() || self.is_occurrence_done(key.occurrence) {
+            return false;
+        }
+        let Some(step) = job.steps.get(usize::from(key.step)) else {
+            return false;
+        };
+        let Some(open) = self.open.get(&key.occurrence) else {
+            return false;
+        };
+        step.after
+            .iter()
+            .all(|&on| open.get(usize::from(on)).is_some_and(StepProgress::is_done))
+    }
+
+    /// The numbers of the tasks of a step that wait to be started. A gang waits as a whole, once no
+    /// member of its last run is left.
+    #[must_use]
+    pub fn waiting(&self, job: &Job, key: StepKey) -> Vec<u32> {
+        if !self.is_ready(job, key) {
+            return Vec::new();
+        }
+        let step = &job.steps[usize::from(key.step)];
+        let Some(progress) = self
+            .open
+            .get(&key.occurrence)
+            .and_then(|steps| steps.get(usize::from(key.step)))
+        else {
+            return Vec::new();
+        };
+        let waiting: Vec<u32> = (0_u32..)
+            .zip(&progress.tasks)
+            .filter(|(_, task)| task.phase == Phase::Waiting)
+            .map(|(index, _)| index)
+            .collect();
+        if step.gang && waiting.len() != progress.tasks.len() {
+            return Vec::new();
+        }
+        waiting
+    }
+
+    /// Gives waiting tasks of one step to workers, as one run. Returns the run's number, which is above
+    /// that of every earlier run of these tasks.
+    pub fn assign(&mut self, tasks: &[(TaskKey, Life)]) -> u32 {
+        self.has_started = true;
+        let last = |progress: &Self, key| progress.task_ref(key).map_or(0, |task| task.run);
+        let run = 1 + tasks
+            .iter()
+            .map(|(key, _)| last(self, *key))
+            .max()
+            .unwrap_or(0);
+        for (key, life) in tasks {
+            if let Some(task) = self.task_mut(*key) {
+                task.phase = Phase::Assigned(life.clone());
+                task.run = run;
+            }
+        }
+        run
+    }
+
+    /// Takes note of a run's end. Returns whether anything changed: the end of an earlier run, or of a
+    /// run that was counted already, changes nothing.
+    pub fn end(&mut self, job: &Job, end: &End, max_failures: u32) -> bool {
+        let key = end.key;
+        let Some(step) = job.steps.get(usize::from(key.step)) else {
+            return false;
+        };
+        let Some(task) = self.task_mut(key) else {
+            return false;
+        };
+        if task.run != end.run || !matches!(task.phase, Phase::Assigned(_)) {
+            return false;
+        }
+        task.phase = Phase::Waiting;
+        match end.kind {
+            // A task that lasts is restarted however it ends.
+            EndKind::Done if step.lasts => {}
+            EndKind::Done => self.finish(job, key),
+            EndKind::Failed => {
+                task.failures += 1;
+                let failures = task.failures;
+                let is_final = if step.gang {
+                    self.fail_gang(key, end.run, max_failures)
+                } else {
+                    failures >= max_failures
+                };
+                if is_final && !step.lasts && self.outcome.is_none() {
+                    self.outcome = Some(Outcome::Failed);
+                }
+            }
+            EndKind::Interrupted => {}
+        }
+        self.keep_checkpoint(end, step);
+        self.close_occurrence(job, key.occurrence);
+        true
+    }
+
+    /// Marks the job as cancelled. Returns whether it was still going on.
+    pub fn cancel(&mut self) -> bool {
+        let is_open = self.outcome.is_none();
+        if is_open {
+            self.outcome = Some(Outcome::Cancelled);
+        }
+        is_open
+    }
+
+    /// The first occurrence that has not been opened yet. Occurrences open in order.
+    #[must_use]
+    pub const fn next_occurrence(&self) -> u32 {
+        self.opened
+    }
+
+    /// The occurrences that have begun and are not done.
+    pub fn open_occurrences(&self) -> impl Iterator<Item = u32> {
+        self.open.keys().copied()
+    }
+
+    /// Makes the next occurrence ready to start.
+    pub fn open_next(&mut self, job: &Job) -> u32 {
+        let occurrence = self.opened;
+        self.opened += 1;
+        self.open.insert(occurrence, empty_steps(job));
+        occurrence
+    }
+
+    const fn is_opened(&self, occurrence: u32) -> bool {
+        occurrence < self.opened
+    }
+
+    fn is_occurrence_done(&self, occurrence: u32) -> bool {
+        self.is_opened(occurrence) && !self.open.contains_key(&occurrence)
+    }
+
+    fn task_ref(&self, key: TaskKey) -> Option<&TaskProgress> {
+        let step = self.open.get(&key.occurrence)?.get(usize::from(key.step))?;
+        step.tasks.get(index(key))
+    }
+
+    fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskProgress> {
+        self.step_mut(key)?.tasks.get_mut(index(key))
+    }
+
+    fn step_mut(&mut self, key: TaskKey) -> Option<&mut StepProgress> {
+        self.open
+            .get_mut(&key.occurrence)
+            .and_then(|steps| steps.get_mut(usize::from(key.step)))
+    }
+
+    /// One member's good end is that of its whole gang.
+    fn finish(&mut self, job: &Job, key: TaskKey) {
+        let is_gang = job.steps[usize::from(key.step)].gang;
+        let Some(step) = self.step_mut(key) else {
+            return;
+        };
+        if is_gang {
+            for task in &mut step.tasks {
+                task.phase = Phase::Done;
+            }
+            step.done = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+        } else {
+            step.tasks[index(key)].phase = Phase::Done;
+            step.done += 1;
+        }
+    }
+
+    /// Counts the failure of a gang's run once, whichever member reports it. Returns whether the gang
+    /// has failed as often as it may.
+    fn fail_gang(&mut self, key: TaskKey, run: u32, max_failures: u32) -> bool {
+        let Some(step) = self.step_mut(key) else {
+            return false;
+        };
+        if step.failed_run == run {
+            // Another member has reported this run's failure.
+            step.tasks[index(key)].failures -= 1;
+            return false;
+        }
+        step.failed_run = run;
+        let failures: u32 = step.tasks.iter().map(|task| task.failures).sum();
+        failures >= max_failures
+    }
+
+    /// Keeps what a run has saved. Any member's checkpoint holds for its gang, and all must resume from
+    /// the same one.
+    fn keep_checkpoint(&mut self, end: &End, step: &Step) {
+        if end.checkpoint.is_empty() {
+            return;
+        }
+        if !step.gang {
+            if let Some(task) = self.task_mut(end.key) {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+        } else if let Some(progress) = self.step_mut(end.key) {
+            for task in &mut progress.tasks {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+    }
+
+    fn close_occurrence(&mut self, job: &Job, occurrence: u32) {
+        let is_done = self
+            .open
+            .get(&occurrence)
+            .is_some_and(|steps| steps.iter().all(StepProgress::is_done));
+        if !is_done {
+            return;
+        }
+        self.open.remove(&occurrence);
+        if self.open.is_empty() && self.opened >= job.occurrences() && self.outcome.is_none() {
+            self.outcome = Some(Outcome::Completed);
+        }
+    }
+}
+
+fn empty_steps(job: &Job) -> Vec<StepProgress> {
+    let empty = |step: &Step| StepProgress {
+        tasks: vec![TaskProgress::default(); usize::try_from(step.tasks).unwrap_or(0)],
+        ..StepProgress::default()
+    };
+    job.steps.iter().map(empty).collect()
+}
+
+fn index(key: TaskKey) -> usize {
+    usize::try_from(key.index).unwrap_or(usize::MAX)
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,7 +7,19 @@
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
+/// Runs a node on the users' platform, which has settings of its own.
+const PLATFORM_COMMAND: &str = "entry";
+
 fn main() -> ExitCode {
+    if env::args().nth(1).as_deref() == Some(PLATFORM_COMMAND) {
+        return match platform::run() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("lacewingrouter: {e}");
+                ExitCode::from(EXIT_FAILED)
+            }
+        };
+    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let words: Vec<String> = env::args().skip(1).collect();
     match parse_settings(&words) {
--- /dev/null
+++ b/crates/sched/src/cancel.rs
@@ -0,0 +1,34 @@
+//! Jobs that are over while tasks of theirs run.
+
+use jobs::{JobId, TaskKey};
+use model::{Time, WorkerId};
+
+use crate::{Now, Scheduler};
+
+impl Scheduler {
+    /// A client has cancelled a job, and the table has it.
+    pub fn job_cancelled(&mut self, now: Now, id: JobId) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            self.early_cancels.insert(id);
+            return;
+        };
+        if entry.progress.cancel() {
+            self.changed(now.time, id);
+        }
+    }
+
+    /// Stops all tasks of a job.
+    pub(crate) fn stop_all(&mut self, now: Time, id: JobId) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let runs: Vec<(TaskKey, WorkerId)> = entry
+            .progress
+            .assigned(id)
+            .filter_map(|(key, _, life)| Some((key, self.fleet.id(&life.worker)?)))
+            .collect();
+        for (key, worker) in runs {
+            self.stop_run(now, worker, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/config.rs
@@ -0,0 +1,86 @@
+//! Settings of the scheduler.
+
+use std::time::Duration;
+
+/// Settings of a [`Scheduler`](crate::Scheduler).
+#[derive(Clone, Copy, Debug)]
+pub struct SchedConfig {
+    /// How long a task runs on after its lease was last renewed. Long enough to outlive a takeover with
+    /// its start of processes (about 4 s), short enough to replace what a silent worker ran.
+    pub task_lease: Duration,
+    /// How much slower than this process's clock a worker's clock may be, in thousandths. The platform
+    /// states 2 %.
+    pub clock_drift_milli: u64,
+    /// Added to each wait for a lapse, for rounding on either side.
+    pub lapse_margin: Duration,
+    /// How long a scheduler that can't reach the table renews leases. A successor waits as long for
+    /// workers that it can't reach. It covers the outages that the platform has had.
+    pub renew_without_table: Duration,
+    /// How long a poll of a worker waits there for an end.
+    pub poll_wait: Duration,
+    /// How often a worker without tasks is polled, to notice its loss before work is given to it.
+    pub idle_poll: Duration,
+    /// The pause before a worker that did not answer is polled again.
+    pub poll_retry: Duration,
+    /// How often an unanswered start is sent again before it is withdrawn.
+    pub start_retries: u32,
+    /// The pause before an unanswered stop is sent again.
+    pub stop_retry: Duration,
+    /// The most rows that one transaction writes. The platform takes 100 entries; one is the lease row.
+    pub batch_rows: usize,
+    /// A lease row is renewed by an empty transaction after this time without another.
+    pub beat: Duration,
+    /// How much of an approval's validity is left unused, for the way from the approver to the worker.
+    pub approval_margin: Duration,
+    /// How long the node that took a job in may take for its first approvals before the scheduler has
+    /// them asked for itself.
+    pub approval_grace: Duration,
+    /// The most workers that one request for approvals names. The platform takes 100.
+    pub approval_workers: usize,
+    /// Consecutive failures of tasks, with no success between, that put a worker under quarantine.
+    pub failure_streak: u32,
+    /// The first quarantine. Each further one without a success in between is twice as long.
+    pub quarantine: Duration,
+    /// The longest quarantine.
+    pub quarantine_max: Duration,
+    /// How many gangs at the head of the line have room kept for them.
+    pub kept_gangs: usize,
+    /// How long a job that is over is remembered. The platform asks for 120 s.
+    pub remember: Duration,
+}
+
+impl Default for SchedConfig {
+    fn default() -> Self {
+        Self {
+            task_lease: Duration::from_millis(5_000),
+            clock_drift_milli: 20,
+            lapse_margin: Duration::from_millis(150),
+            renew_without_table: Duration::from_millis(6_000),
+            poll_wait: Duration::from_millis(1_000),
+            idle_poll: Duration::from_millis(5_000),
+            poll_retry: Duration::from_millis(200),
+            start_retries: 2,
+            stop_retry: Duration::from_millis(300),
+            batch_rows: 99,
+            beat: Duration::from_millis(400),
+            approval_margin: Duration::from_millis(150),
+            approval_grace: Duration::from_millis(400),
+            approval_workers: 100,
+            failure_streak: 3,
+            quarantine: Duration::from_millis(1_500),
+            quarantine_max: Duration::from_millis(12_000),
+            kept_gangs: 2,
+            remember: Duration::from_secs(150),
+        }
+    }
+}
+
+impl SchedConfig {
+    /// How long after the sending of a renewal the lease has surely lapsed, by this process's clock.
+    pub(crate) fn lapse_after(&self) -> Duration {
+        let lease = self.task_lease;
+        // A clock that runs 2 % slow takes 1 / 0.98 as long.
+        let slow = lease * 1_000 / u32::try_from(1_000 - self.clock_drift_milli).unwrap_or(1_000);
+        slow + self.lapse_margin
+    }
+}
--- /dev/null
+++ b/crates/sched/src/decide.rs
@@ -0,0 +1,427 @@
+//! A pass over all that waits: what starts where.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use jobs::{ApprovalCost, Job, JobId, Life, Step, StepKey, TaskKey};
+use model::{Size, Time, WorkerId};
+
+use crate::{
+    Action, Now, Scheduler, Ticket,
+    fit::{self, Candidate},
+    fleet::index,
+    line::{self, Waiting},
+    scheduler::Effect,
+    worker::{Run, RunPhase, Worker},
+};
+
+/// How much longer than expected the answer to a request for approvals may take before it is asked for
+/// again.
+const ASK_SLACK: Duration = Duration::from_millis(1_500);
+
+/// The room that is left to the steps that have not had their turn in this pass.
+struct Pass {
+    room: Vec<Size>,
+    /// How many gangs may still have room kept for them.
+    kept_gangs: usize,
+}
+
+impl Pass {
+    fn take(&mut self, size: Size, placed: &[WorkerId]) {
+        for &worker in placed {
+            self.room[index(worker)] -= size;
+        }
+    }
+}
+
+/// Which of the approved workers are candidates.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Approved {
+    /// Those with a ticket that holds.
+    Now,
+    /// All that are known to be allowed: their tickets can be renewed.
+    Ever,
+}
+
+/// Tasks of one step that are to be placed.
+struct Want {
+    key: StepKey,
+    job: Arc<Job>,
+    tasks: Vec<u32>,
+    pool: String,
+    approval: Option<ApprovalCost>,
+}
+
+impl Want {
+    fn step(&self) -> &Step {
+        &self.job.steps[usize::from(self.key.step)]
+    }
+}
+
+impl Scheduler {
+    /// Decides what starts. Cheap if nothing has changed since the last call.
+    pub fn decide(&mut self, now: Now) {
+        if self.is_deposed {
+            return;
+        }
+        self.open_due(now);
+        self.end_lapsed(now.time);
+        self.repeat_stops(now.time);
+        if !std::mem::take(&mut self.needs_pass) || !self.may_order(now.time) {
+            return;
+        }
+        let mut steps = self.line(now);
+        line::sort(now.time, &mut steps);
+        let room = self
+            .fleet
+            .iter()
+            .map(|worker| self.free_room(now.time, worker));
+        let mut pass = Pass {
+            room: room.collect(),
+            kept_gangs: self.cfg.kept_gangs,
+        };
+        for waiting in steps {
+            self.place(now.time, &waiting, &mut pass);
+        }
+    }
+
+    /// When [`decide`](Self::decide) has something to do although nothing happens.
+    #[must_use]
+    pub fn next_due(&self, now: Now) -> Time {
+        let timed = self.timed.first().map(|&(due, _)| {
+            let wait = due.saturating_sub(now.unix_ms);
+            now.time + Duration::from_millis(wait)
+        });
+        let stop = self.stop_checks.first().map(|&(at, _, _)| at);
+        let lapse = self
+            .fleet
+            .iter()
+            .filter(|worker| !worker.runs.is_empty() && worker.lapse_at > now.time)
+            .map(|worker| worker.lapse_at)
+            .min();
+        let freed = self
+            .fleet
+            .iter()
+            .filter(|worker| worker.quarantine_until > now.time)
+            .map(|worker| worker.quarantine_until)
+            .min();
+        let due = [timed, stop, lapse, freed];
+        due.into_iter().flatten().min().unwrap_or(Time::MAX)
+    }
+
+    /// Has the next [`decide`](Self::decide) go over all that waits, though nothing is known to have
+    /// changed. Approvals lapse and quarantines end without an event.
+    pub fn look_again(&mut self) {
+        self.needs_pass |= !self.waiting.is_empty();
+    }
+
+    fn free_room(&self, now: Time, worker: &Worker) -> Size {
+        if worker.takes_work(now) {
+            worker.room()
+        } else {
+            Size::ZERO
+        }
+    }
+
+    fn line(&self, now: Now) -> Vec<Waiting> {
+        let waiting = self.waiting.iter().filter_map(|&key| {
+            let entry = self.jobs.get(&key.job)?;
+            let policy = self.policy(&entry.job);
+            let chain = self.chain(key.job, 0);
+            let accepted_at = match entry.job.due_unix_ms(key.occurrence) {
+                0 => entry.accepted_at,
+                due => now.ago(now.unix_ms.saturating_sub(due)),
+            };
+            Some(Waiting {
+                key,
+                rank: policy.rank,
+                accepted_at,
+                objective: policy.target + chain.mul_f64(policy.stretch),
+                remaining: self.chain(key.job, key.step),
+            })
+        });
+        waiting.collect()
+    }
+
+    /// The expected time of the longest chain of work that begins with the step `from`, or later.
+    fn chain(&self, id: JobId, from: u16) -> Duration {
+        let Some(entry) = self.jobs.get(&id) else {
+            return Duration::ZERO;
+        };
+        let mut ends: Vec<Duration> = Vec::with_capacity(entry.job.steps.len());
+        for (number, step) in (0_u16..).zip(&entry.job.steps) {
+            let estimate = Duration::from_millis(step.estimate_ms);
+            let own = if number < from {
+                Duration::ZERO
+            } else {
+                self.run_times.expect(&entry.job.queue.name, estimate)
+            };
+            let before = step.after.iter().map(|&on| ends[usize::from(on)]).max();
+            ends.push(before.unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// The tasks of a step that are to be placed, if there are any.
+    fn want(&self, key: StepKey) -> Option<Want> {
+        let entry = self.jobs.get(&key.job)?;
+        let tasks = entry.progress.waiting(&entry.job, key);
+        if tasks.is_empty() {
+            return None;
+        }
+        let policy = self.policy(&entry.job);
+        Some(Want {
+            key,
+            job: entry.job.clone(),
+            tasks,
+            pool: policy.pool.clone(),
+            approval: policy.approval,
+        })
+    }
+
+    /// Places what can be placed of a step.
+    fn place(&mut self, now: Time, waiting: &Waiting, pass: &mut Pass) {
+        let Some(want) = self.want(waiting.key) else {
+            return;
+        };
+        if want.approval.is_some() && !self.has_approvals(want.key) {
+            if now >= waiting.accepted_at + self.own_asking(&want) {
+                let workers = self.unasked(now, &want);
+                self.ask(now, &want, &workers);
+            }
+            return;
+        }
+        let is_gang = want.step().gang;
+        let placed = self.fit(now, &want, want.tasks.len(), Approved::Now, &pass.room);
+        let is_whole = placed.len() == want.tasks.len();
+        if is_whole || (!is_gang && !placed.is_empty()) {
+            pass.take(want.step().reserved(), &placed);
+            self.start(now, want.key, &want.tasks, &placed);
+        }
+        if !is_whole {
+            let missing = want.tasks.len() - if is_gang { 0 } else { placed.len() };
+            self.prepare(now, &want, missing, pass);
+        }
+    }
+
+    /// Prepares a later start of tasks that have found no room on workers whose tickets hold: renews
+    /// tickets if there is room with them, otherwise keeps what room there is for a gang.
+    fn prepare(&mut self, now: Time, want: &Want, tasks: usize, pass: &mut Pass) {
+        let size = want.step().reserved();
+        let is_gang = want.step().gang;
+        let placed = self.fit(now, want, tasks, Approved::Ever, &pass.room);
+        let is_enough = placed.len() == tasks || (!is_gang && !placed.is_empty());
+        if is_enough && want.approval.is_some() {
+            if is_gang {
+                pass.take(size, &placed);
+            }
+            self.ask_again(now, want);
+            return;
+        }
+        if is_gang && want.approval.is_some() && self.is_too_narrow(now, want) {
+            let workers = self.unasked(now, want);
+            self.ask(now, want, &workers);
+        }
+        if is_gang && pass.kept_gangs > 0 {
+            pass.kept_gangs -= 1;
+            pass.take(size, &placed);
+        }
+    }
+
+    fn has_approvals(&self, key: StepKey) -> bool {
+        let approvals = self.approvals.get(&key);
+        approvals.is_some_and(|approvals| !approvals.is_empty())
+    }
+
+    /// How long to leave the first request for approvals to the node that has taken the job in.
+    fn own_asking(&self, want: &Want) -> Duration {
+        if want.job.approvals_asked && want.step().after.is_empty() {
+            self.cfg.approval_grace
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// The workers that `tasks` tasks fit on, as far as there is room.
+    fn fit(
+        &self,
+        now: Time,
+        want: &Want,
+        tasks: usize,
+        approved: Approved,
+        room: &[Size],
+    ) -> Vec<WorkerId> {
+        let step = want.step();
+        let approvals = self.approvals.get(&want.key);
+        let is_approved = |worker: &Worker| match (approvals, approved) {
+            _ if want.approval.is_none() => true,
+            (None, _) => false,
+            (Some(a), Approved::Now) => a.ticket(now, worker.id, worker.info.born).is_some(),
+            (Some(a), Approved::Ever) => a.is_allowed(worker.id),
+        };
+        let suits = |worker: &&Worker| {
+            step.reserved().fits(&room[index(worker.id)])
+                && worker.suits(now, &want.pool, step)
+                && is_approved(worker)
+        };
+        let candidate = |worker: &Worker| {
+            let limit = step.per_worker;
+            let slots = limit.map_or(u32::MAX, |n| n.saturating_sub(worker.count_of(want.key)));
+            Candidate {
+                worker: worker.id,
+                room: room[index(worker.id)],
+                size: worker.info.size,
+                slots,
+                is_near: step.data_rack.is_none() || step.data_rack == worker.info.rack,
+                rack: worker.info.rack.clone(),
+            }
+        };
+        let mut candidates: Vec<Candidate> =
+            self.fleet.iter().filter(suits).map(candidate).collect();
+        fit::place(&mut candidates, step.reserved(), tasks, step.one_rack)
+    }
+
+    /// Starts the first of `tasks` on the workers of `placed`.
+    fn start(&mut self, now: Time, key: StepKey, tasks: &[u32], placed: &[WorkerId]) {
+        let Some(entry) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let size = entry.job.steps[usize::from(key.step)].reserved();
+        let pairs: Vec<(TaskKey, WorkerId)> = tasks
+            .iter()
+            .zip(placed)
+            .map(|(&index, &worker)| (key.task(index), worker))
+            .collect();
+        let lives: Vec<(TaskKey, Life)> = pairs
+            .iter()
+            .map(|&(task, worker)| {
+                let info = &self.fleet.get(worker).info;
+                let life = Life {
+                    worker: info.name.clone(),
+                    born: info.born,
+                };
+                (task, life)
+            })
+            .collect();
+        let run = entry.progress.assign(&lives);
+        self.changed(now, key.job);
+        for (task, id) in pairs {
+            let worker = self.fleet.get_mut(id);
+            let ticket = self
+                .approvals
+                .get(&key)
+                .and_then(|a| a.ticket(now, id, worker.info.born))
+                .cloned();
+            let new = Run {
+                run,
+                size,
+                phase: RunPhase::Pending,
+                confirmed_at: None,
+                since: now,
+                checkpoint: String::new(),
+            };
+            worker.add_run(task, new);
+            let start = Effect::Start {
+                key: task,
+                run,
+                worker: id,
+                ticket,
+            };
+            self.effect(now, start);
+        }
+    }
+
+    /// Whether a gang finds no room among the allowed workers even if they were empty.
+    fn is_too_narrow(&self, now: Time, want: &Want) -> bool {
+        let empty: Vec<Size> = self.fleet.iter().map(|worker| worker.info.size).collect();
+        let placed = self.fit(now, want, want.tasks.len(), Approved::Ever, &empty);
+        placed.len() < want.tasks.len()
+    }
+
+    /// Asks for new tickets of workers that are known to be allowed.
+    fn ask_again(&mut self, now: Time, want: &Want) {
+        let Some(approvals) = self.approvals.get(&want.key) else {
+            return;
+        };
+        let mut workers: Vec<&Worker> = approvals
+            .allowed()
+            .map(|id| self.fleet.get(id))
+            .filter(|worker| worker.takes_work(now))
+            .collect();
+        let workers = emptiest_first(&mut workers);
+        self.ask(now, want, &workers);
+    }
+
+    /// The workers to ask about: those that suit the step, the emptiest first. A gang may need any of
+    /// them; other steps need a choice among a few times as many as they have tasks.
+    fn unasked(&self, now: Time, want: &Want) -> Vec<WorkerId> {
+        let known = self.approvals.get(&want.key);
+        let mut workers: Vec<&Worker> = self
+            .fleet
+            .iter()
+            .filter(|worker| {
+                worker.suits(now, &want.pool, want.step())
+                    && known.is_none_or(|approvals| !approvals.is_known(worker.id))
+            })
+            .collect();
+        let mut workers = emptiest_first(&mut workers);
+        workers.truncate(approval_count(want.step()));
+        workers
+    }
+
+    fn ask(&mut self, now: Time, want: &Want, workers: &[WorkerId]) {
+        let workers = &workers[..workers.len().min(self.cfg.approval_workers)];
+        let is_pending = self
+            .approvals
+            .get(&want.key)
+            .is_some_and(|approvals| approvals.is_pending(now));
+        let Some(cost) = want.approval else {
+            return;
+        };
+        if workers.is_empty() || is_pending {
+            return;
+        }
+        let cost = cost.of(workers.len());
+        let Some((approver, expected)) = self.approvers.pick(now, cost) else {
+            return;
+        };
+        let approvals = self.approvals.entry(want.key).or_default();
+        approvals.asked(expected + ASK_SLACK);
+        let name = |&id: &WorkerId| self.fleet.get(id).info.name.clone();
+        self.actions.push(Action::Ask {
+            approver,
+            step: want.key,
+            workers: workers.iter().map(name).collect(),
+            cost,
+        });
+    }
+
+    /// The workers that a node asks about when it takes a job in, before the scheduler knows of it.
+    #[must_use]
+    pub fn approval_count(step: &Step) -> usize {
+        approval_count(step)
+    }
+
+    /// A ticket for a worker, for tests and dumps.
+    #[must_use]
+    pub fn ticket(&self, now: Now, step: StepKey, worker: WorkerId) -> Option<&Ticket> {
+        let born = self.fleet.get(worker).info.born;
+        self.approvals.get(&step)?.ticket(now.time, worker, born)
+    }
+}
+
+/// How many workers to ask about for a step.
+fn approval_count(step: &Step) -> usize {
+    // A third to two thirds of those asked are allowed, and some of them are full.
+    const BASE: usize = 12;
+    const PER_TASK: usize = 3;
+    if step.gang {
+        usize::MAX
+    } else {
+        BASE + PER_TASK * usize::try_from(step.tasks).unwrap_or(usize::MAX)
+    }
+}
+
+fn emptiest_first(workers: &mut [&Worker]) -> Vec<WorkerId> {
+    workers.sort_by_key(|worker| (Reverse(worker.room().milli_processors), worker.id));
+    workers.iter().map(|worker| worker.id).collect()
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,58 @@
+//! Which tasks of which jobs start where, and which node decides it.
+//!
+//! A [`Scheduler`] is told of jobs, workers, approvals and what workers list, and answers with
+//! [`Action`]s for its owner to carry out: starts, stops, requests for approvals, states to publish. What
+//! it decides is stored by its owner in batches before it takes effect. [`Candidacy`] says when a node
+//! should try to become the scheduler. Neither does I/O or reads a clock.
+//!
+//! # Example
+//!
+//! ```
+//! use jobs::{Job, JobId, Queue, Step};
+//! use model::Time;
+//! use sched::{Now, Recovered, SchedConfig, Scheduler};
+//!
+//! let now = Now { time: Time::ZERO, unix_ms: 1_700_000_000_000 };
+//! let mut scheduler = Scheduler::new(SchedConfig::default(), 1, now, Recovered::default());
+//! let queue = Queue { name: "lookups".into(), pool: "desk".into(), ..Queue::default() };
+//! scheduler.set_queues([queue.clone()]);
+//! let steps = vec![Step { tasks: 2, ..Step::default() }];
+//! let job = Job { queue, steps, ..Job::default() };
+//! scheduler.job_stored(now, JobId(7), job);
+//! scheduler.decide(now);
+//! // There is no worker yet, so nothing starts.
+//! assert!(scheduler.take_actions().iter().all(|action| !action.is_order()));
+//! ```
+
+mod action;
+mod approval;
+mod approvers;
+mod cancel;
+mod config;
+mod decide;
+mod ends;
+mod entry;
+mod fit;
+mod fleet;
+mod journal;
+mod leader;
+mod learn;
+mod line;
+mod orders;
+mod polls;
+mod recovery;
+mod scheduler;
+mod worker;
+
+pub use crate::{
+    action::{
+        Action, Batch, EndedRow, Listing, Now, Poll, PollFailure, PollOrder, RunningRow,
+        StartAnswer, StartOrder, StopOrder,
+    },
+    approval::Ticket,
+    config::SchedConfig,
+    leader::{Candidacy, CandidacyConfig, LeaseRow, LinkState, Step},
+    recovery::Recovered,
+    scheduler::{Scheduler, Summary},
+    worker::WorkerInfo,
+};
--- /dev/null
+++ b/crates/sched/src/line.rs
@@ -0,0 +1,44 @@
+//! The order in which steps get room.
+//!
+//! Load pattern: the cores that are asked for exceed those that are there while a burst lasts, so that
+//! something has to wait. A job counts for its client if it is done within its objective, for a part
+//! within three times that, and hardly after. What can still be in time goes first, by the rank of its
+//! queue and then by age; what is past hope goes last, and is still finished.
+
+use std::{cmp::Ordering, time::Duration};
+
+use jobs::StepKey;
+use model::Time;
+
+/// How many times its objective a job may take before it is past hope.
+const HOPE: u32 = 3;
+
+/// A step that waits for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Waiting {
+    pub(crate) key: StepKey,
+    /// The rank of its queue: 0 comes first.
+    pub(crate) rank: u32,
+    pub(crate) accepted_at: Time,
+    /// The objective of its job, counted from `accepted_at`.
+    pub(crate) objective: Duration,
+    /// The least time that its job needs from now on.
+    pub(crate) remaining: Duration,
+}
+
+impl Waiting {
+    /// Whether its job can't be done any more in a time that counts.
+    fn is_past_hope(&self, now: Time) -> bool {
+        now + self.remaining > self.accepted_at + self.objective * HOPE
+    }
+}
+
+/// Sorts steps by the order in which they get room.
+pub(crate) fn sort(now: Time, steps: &mut [Waiting]) {
+    steps.sort_by(|a, b| compare(now, a, b));
+}
+
+fn compare(now: Time, a: &Waiting, b: &Waiting) -> Ordering {
+    let order = |w: &Waiting| (w.is_past_hope(now), w.rank, w.accepted_at, w.key);
+    order(a).cmp(&order(b))
+}
--- /dev/null
+++ b/crates/sched/src/orders.rs
@@ -0,0 +1,183 @@
+//! Orders to workers, and what becomes of them.
+
+use jobs::{Phase, TaskKey};
+use model::{Time, WorkerId};
+
+use crate::{Action, Now, Scheduler, StartAnswer, StartOrder, StopOrder, Ticket, worker::RunPhase};
+
+impl Scheduler {
+    /// Whether orders may be sent: the table has confirmed this scheduler lately enough that no other
+    /// one counts on its silence.
+    pub(crate) fn may_order(&self, now: Time) -> bool {
+        !self.is_deposed && now < self.confirmed_at + self.cfg.renew_without_table
+    }
+
+    /// Sends the order for a run that is stored now, unless it has become void in the meantime.
+    pub(crate) fn release_start(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        run: u32,
+        worker: WorkerId,
+        ticket: Option<Ticket>,
+    ) {
+        let is_pending = self
+            .fleet
+            .get(worker)
+            .runs
+            .get(&key)
+            .is_some_and(|r| r.run == run && r.phase == RunPhase::Pending);
+        if !is_pending {
+            return;
+        }
+        let Some(order) = self.start_order(now, key, run, worker, ticket) else {
+            self.interrupt(now, worker, key);
+            return;
+        };
+        if let Some(r) = self.fleet.get_mut(worker).runs.get_mut(&key) {
+            r.phase = RunPhase::Ordered { unanswered: 0 };
+        }
+        self.actions.push(Action::Start(order));
+        self.actions.push(Action::Wake(worker));
+    }
+
+    /// The order for a run, if the run is still wanted and the worker's clock is known.
+    fn start_order(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        run: u32,
+        worker: WorkerId,
+        ticket: Option<Ticket>,
+    ) -> Option<StartOrder> {
+        if !self.may_order(now) {
+            return None;
+        }
+        let entry = self.jobs.get(&key.job)?;
+        let task = entry.progress.task(key);
+        let born = self.fleet.get(worker).info.born;
+        let is_wanted = entry.over_since.is_none()
+            && task.run == run
+            && matches!(&task.phase, Phase::Assigned(life) if life.born == born);
+        let lease_until_ms = self.fleet.get_mut(worker).grant_lease(now, &self.cfg)?;
+        is_wanted.then(|| StartOrder {
+            worker,
+            key,
+            run,
+            spec: entry.job.spec.clone(),
+            checkpoint: task.checkpoint,
+            ticket,
+            lease_until_ms,
+        })
+    }
+
+    /// What became of an order to start.
+    pub fn start_answered(&mut self, now: Now, order: &StartOrder, answer: StartAnswer) {
+        let now = now.time;
+        let worker = self.fleet.get_mut(order.worker);
+        let Some(run) = worker.runs.get_mut(&order.key) else {
+            return;
+        };
+        let RunPhase::Ordered { unanswered } = run.phase else {
+            return;
+        };
+        if run.run != order.run {
+            return;
+        }
+        match answer {
+            StartAnswer::Started => {
+                run.phase = RunPhase::Running;
+                run.confirmed_at = Some(now);
+            }
+            // An order that was sent twice may have been carried out, and ended, the first time. The
+            // worker's lists tell.
+            StartAnswer::Outdated => {
+                run.phase = RunPhase::Stopping;
+                run.confirmed_at = Some(now);
+                self.actions.push(Action::Wake(order.worker));
+            }
+            StartAnswer::NoRoom | StartAnswer::NoApproval => {
+                if let Some(approvals) = self.approvals.get_mut(&order.key.step_key()) {
+                    approvals.revoke(order.worker);
+                }
+                self.interrupt(now, order.worker, order.key);
+            }
+            StartAnswer::Unhealthy | StartAnswer::Faulty | StartAnswer::OtherLife => {
+                worker.quarantine_until = now + self.cfg.quarantine;
+                self.interrupt(now, order.worker, order.key);
+            }
+            StartAnswer::Fenced => self.depose(),
+            StartAnswer::Unknown if unanswered < self.cfg.start_retries => {
+                run.phase = RunPhase::Ordered {
+                    unanswered: unanswered + 1,
+                };
+                let again = self.start_order(
+                    now,
+                    order.key,
+                    order.run,
+                    order.worker,
+                    order.ticket.clone(),
+                );
+                match again {
+                    Some(again) => self.actions.push(Action::Start(again)),
+                    None => self.stop_run(now, order.worker, order.key),
+                }
+            }
+            StartAnswer::Unknown => self.stop_run(now, order.worker, order.key),
+        }
+    }
+
+    /// Has a run stopped. A run whose order was not sent yet just ends.
+    pub(crate) fn stop_run(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
+        let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) else {
+            return;
+        };
+        match run.phase {
+            RunPhase::Pending => self.interrupt(now, worker, key),
+            RunPhase::Stopping => {}
+            RunPhase::Recorded | RunPhase::Ordered { .. } | RunPhase::Running => {
+                run.phase = RunPhase::Stopping;
+                run.confirmed_at = None;
+                self.order_stop(now, worker, key);
+            }
+        }
+    }
+
+    pub(crate) fn order_stop(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
+        let Some(run) = self.fleet.get(worker).runs.get(&key) else {
+            return;
+        };
+        let run = run.run;
+        self.actions
+            .push(Action::Stop(StopOrder { worker, key, run }));
+        self.stop_checks
+            .insert((now + self.cfg.stop_retry, worker, key));
+    }
+
+    /// A worker has confirmed an order to stop: the run ends soon, or never begins there.
+    pub fn stop_answered(&mut self, now: Now, order: &StopOrder) {
+        let worker = self.fleet.get_mut(order.worker);
+        if let Some(run) = worker.runs.get_mut(&order.key) {
+            if run.run == order.run && run.phase == RunPhase::Stopping {
+                run.confirmed_at = Some(now.time);
+                self.actions.push(Action::Wake(order.worker));
+            }
+        }
+    }
+
+    /// Sends stops again that were not answered.
+    pub(crate) fn repeat_stops(&mut self, now: Time) {
+        while let Some(&(at, worker, key)) = self.stop_checks.first() {
+            if at > now {
+                break;
+            }
+            self.stop_checks.pop_first();
+            let run = self.fleet.get(worker).runs.get(&key);
+            let is_unanswered =
+                run.is_some_and(|r| r.phase == RunPhase::Stopping && r.confirmed_at.is_none());
+            if is_unanswered {
+                self.order_stop(now, worker, key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/polls.rs
@@ -0,0 +1,209 @@
+//! Polls of workers: they renew leases and bring what runs and what has ended.
+
+use std::{collections::HashSet, time::Duration};
+
+use jobs::{EndKind, TaskKey};
+use model::{Time, WorkerId};
+
+use crate::{
+    Action, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler, StopOrder,
+    worker::{Run, RunPhase},
+};
+
+/// The most ends that a worker lists at a time. A list of this length may leave some out.
+const LISTED_ENDS: usize = 500;
+
+impl Scheduler {
+    /// What to do about polling a worker.
+    pub fn next_poll(&mut self, now: Now, id: WorkerId) -> Poll {
+        let now = now.time;
+        let stored = self.journal.stored();
+        let may_renew = self.may_order(now);
+        let cfg = self.cfg;
+        if self.is_deposed {
+            return Poll::Never;
+        }
+        let worker = self.fleet.get_mut(id);
+        if worker.info.address.is_empty() || (!worker.is_listed && worker.runs.is_empty()) {
+            return Poll::Never;
+        }
+        if worker.ack_after <= stored {
+            worker.acked = worker.processed;
+        }
+        let polled_at = worker.polled_at.unwrap_or(Time::ZERO);
+        let is_acknowledging = worker.acked < worker.processed;
+        let pause = if worker.silent_since.is_some() {
+            cfg.poll_retry
+        } else if !worker.is_open {
+            Duration::ZERO
+        } else if is_acknowledging {
+            // The ends would only be listed again. Leases have to be renewed all the same.
+            cfg.task_lease / 4
+        } else if worker.runs.is_empty() && worker.acked == worker.told {
+            cfg.idle_poll
+        } else {
+            Duration::ZERO
+        };
+        let is_first = worker.polled_at.is_none();
+        if !is_first && now < polled_at + pause {
+            return Poll::At(polled_at + pause);
+        }
+        worker.polled_at = Some(now);
+        worker.told = worker.acked;
+        let is_calm = worker.is_open && worker.silent_since.is_none() && !is_acknowledging;
+        let wait = if is_calm && !worker.runs.is_empty() {
+            cfg.poll_wait
+        } else {
+            Duration::ZERO
+        };
+        let renews = may_renew && !worker.runs.is_empty();
+        Poll::Now(PollOrder {
+            worker: id,
+            acknowledged: worker.acked,
+            lease_until_ms: if renews {
+                worker.grant_lease(now, &cfg)
+            } else {
+                None
+            },
+            wait,
+        })
+    }
+
+    /// A worker has answered a poll that was sent at `sent_at`.
+    pub fn polled(&mut self, now: Now, id: WorkerId, sent_at: Time, listing: &Listing) {
+        let now = now.time;
+        let born = self.fleet.get(id).info.born;
+        if listing.born < born {
+            return;
+        }
+        if listing.born > born {
+            self.life_over(now, id, listing.born);
+        }
+        let worker = self.fleet.get_mut(id);
+        worker.read_clock(listing.clock_ms, now);
+        if worker.silent_since.take().is_some() || !worker.is_open {
+            self.needs_pass = true;
+        }
+        self.note_ends(now, id, listing);
+        for row in &listing.running {
+            self.note_running(now, id, row);
+        }
+        if listing.ended.len() < LISTED_ENDS {
+            self.end_missing(now, id, sent_at, listing);
+        }
+        self.fleet.get_mut(id).is_open = true;
+    }
+
+    /// A poll has brought no list.
+    pub fn poll_failed(&mut self, now: Now, id: WorkerId, failure: PollFailure) {
+        if failure == PollFailure::Fenced {
+            self.depose();
+            return;
+        }
+        let worker = self.fleet.get_mut(id);
+        worker.silent_since.get_or_insert(now.time);
+    }
+
+    fn note_ends(&mut self, now: Time, id: WorkerId, listing: &Listing) {
+        let cfg = self.cfg;
+        for row in &listing.ended {
+            let worker = self.fleet.get_mut(id);
+            if row.number <= worker.processed {
+                continue;
+            }
+            worker.processed = row.number;
+            let end = &row.end;
+            let is_current = worker.runs.get(&end.key).is_some_and(|r| r.run == end.run);
+            let run = if is_current {
+                worker.remove_run(&end.key)
+            } else {
+                None
+            };
+            match end.kind {
+                EndKind::Done => worker.note_result(now, false, &cfg),
+                EndKind::Failed => worker.note_result(now, true, &cfg),
+                EndKind::Interrupted => {}
+            }
+            self.needs_pass = true;
+            if let Some(run) = run.filter(|_| end.kind == EndKind::Done) {
+                self.learn(now, end.key, &run);
+            }
+            self.apply_end(now, end);
+            self.fleet.get_mut(id).ack_after = self.journal.last();
+        }
+    }
+
+    fn note_running(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
+        let worker = self.fleet.get_mut(id);
+        if let Some(run) = worker.runs.get_mut(&row.key) {
+            if run.run == row.run {
+                run.checkpoint.clone_from(&row.checkpoint);
+                if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
+                    run.phase = RunPhase::Running;
+                    run.confirmed_at = Some(now);
+                }
+                return;
+            }
+            if run.run > row.run {
+                // What is left of an earlier run.
+                let (key, run) = (row.key, row.run);
+                let order = StopOrder {
+                    worker: id,
+                    key,
+                    run,
+                };
+                self.actions.push(Action::Stop(order));
+                return;
+            }
+        }
+        self.stop_stray(now, id, row);
+    }
+
+    /// Stops a run that this scheduler does not want, and counts its room until it is gone.
+    fn stop_stray(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
+        let step = self
+            .jobs
+            .get(&row.key.job)
+            .and_then(|entry| entry.job.steps.get(usize::from(row.key.step)));
+        let run = Run {
+            run: row.run,
+            size: step.map(jobs::Step::reserved).unwrap_or_default(),
+            phase: RunPhase::Stopping,
+            confirmed_at: None,
+            since: now,
+            checkpoint: row.checkpoint.clone(),
+        };
+        self.fleet.get_mut(id).add_run(row.key, run);
+        self.order_stop(now, id, row.key);
+    }
+
+    /// Ends the runs that the worker had confirmed before it was asked, and does not list.
+    fn end_missing(&mut self, now: Time, id: WorkerId, sent_at: Time, listing: &Listing) {
+        let listed: HashSet<(TaskKey, u32)> = listing
+            .running
+            .iter()
+            .map(|row| (row.key, row.run))
+            .collect();
+        let is_missing = |key: &TaskKey, run: &Run| {
+            let is_confirmed = match run.phase {
+                RunPhase::Recorded => true,
+                RunPhase::Pending | RunPhase::Ordered { .. } => false,
+                RunPhase::Running | RunPhase::Stopping => {
+                    run.confirmed_at.is_some_and(|at| at < sent_at)
+                }
+            };
+            is_confirmed && !listed.contains(&(*key, run.run))
+        };
+        let missing: Vec<TaskKey> = self
+            .fleet
+            .get(id)
+            .runs
+            .iter()
+            .filter(|(key, run)| is_missing(key, run))
+            .map(|(&key, _)| key)
+            .collect();
+        for key in missing {
+            self.interrupt(now, id, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/recovery.rs
@@ -0,0 +1,88 @@
+//! A new scheduler goes on from what the table holds.
+//!
+//! Each run was stored before its order was sent, so what may run is among the stored runs. A worker's
+//! lists, read under the new epoch, tell which of them do: after that, the worker refuses older orders.
+//! What a worker that can't be reached may run holds until every lease that the old scheduler could have
+//! renewed has lapsed.
+
+use std::collections::{HashMap, HashSet};
+
+use jobs::{End, EndKind, Job, JobId, Life, Progress, TaskKey};
+
+use crate::{
+    Now, Scheduler, WorkerInfo,
+    worker::{Run, RunPhase},
+};
+
+/// What a new scheduler has read from the table.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// All jobs.
+    pub jobs: Vec<(JobId, Job)>,
+    /// The progress of those that have any.
+    pub progress: HashMap<JobId, Progress>,
+    /// Those that were cancelled by a client.
+    pub cancelled: HashSet<JobId>,
+}
+
+impl Scheduler {
+    pub(crate) fn recover(&mut self, now: Now, mut recovered: Recovered) {
+        let mut runs = Vec::new();
+        for (id, job) in recovered.jobs {
+            let progress = recovered.progress.remove(&id);
+            let progress = progress.unwrap_or_else(|| Progress::new(&job));
+            for (key, run, life) in progress.assigned(id) {
+                runs.push((key, run, life.clone()));
+            }
+            self.add_job(now, id, job, progress);
+        }
+        // Progress without a job is what a deletion has left over.
+        self.forgotten.extend(recovered.progress.into_keys());
+        for (key, run, life) in runs {
+            self.recover_run(now, key, run, &life);
+        }
+        for id in recovered.cancelled {
+            self.job_cancelled(now, id);
+        }
+    }
+
+    fn recover_run(&mut self, now: Now, key: TaskKey, run: u32, life: &Life) {
+        let info = WorkerInfo {
+            name: life.worker.clone(),
+            born: life.born,
+            ..WorkerInfo::default()
+        };
+        let id = self.fleet.intern(&info);
+        if life.born > self.fleet.get(id).info.born {
+            self.life_over(now.time, id, life.born);
+        }
+        let worker = self.fleet.get_mut(id);
+        if life.born < worker.info.born {
+            // The worker has begun another life since.
+            let end = End {
+                key,
+                run,
+                kind: EndKind::Interrupted,
+                checkpoint: String::new(),
+            };
+            self.apply_end(now.time, &end);
+            return;
+        }
+        worker.lapse_at = now.time + self.cfg.renew_without_table + self.cfg.lapse_after();
+        let size = self
+            .jobs
+            .get(&key.job)
+            .and_then(|entry| entry.job.steps.get(usize::from(key.step)))
+            .map(jobs::Step::reserved)
+            .unwrap_or_default();
+        let run = Run {
+            run,
+            size,
+            phase: RunPhase::Recorded,
+            confirmed_at: None,
+            since: now.time,
+            checkpoint: String::new(),
+        };
+        self.fleet.get_mut(id).add_run(key, run);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/worker.rs
@@ -0,0 +1,223 @@
+//! What the scheduler knows of a worker.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use jobs::{Step, StepKey, TaskKey};
+use model::{Size, Time, WorkerId};
+
+use crate::SchedConfig;
+
+/// A worker as the platform's directory describes it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerInfo {
+    /// The worker's id.
+    pub name: Arc<str>,
+    /// Where it takes orders.
+    pub address: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The pool that it belongs to.
+    pub pool: String,
+    /// What it holds.
+    pub size: Size,
+    /// What it is labelled with, such as its kind.
+    pub labels: Vec<String>,
+    /// Its rack, which is one of the labels.
+    pub rack: Option<String>,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// When its present life began, in Unix milliseconds on its own clock.
+    pub born: u64,
+}
+
+/// How far the scheduler knows a run to have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// It is being stored; no order was sent yet.
+    Pending,
+    /// The table has it; whether the worker does is not known since a takeover.
+    Recorded,
+    /// Its order is on the way.
+    Ordered {
+        /// How often the order was sent without an answer.
+        unanswered: u32,
+    },
+    /// The worker has it.
+    Running,
+    /// It is to be stopped.
+    Stopping,
+}
+
+/// A run that holds room on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: u32,
+    pub(crate) size: Size,
+    pub(crate) phase: RunPhase,
+    /// When the worker last confirmed an order about it. A list that was asked for earlier may miss it.
+    pub(crate) confirmed_at: Option<Time>,
+    /// When it was decided.
+    pub(crate) since: Time,
+    /// What it has saved, as the worker last listed it; empty if nothing.
+    pub(crate) checkpoint: String,
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    worker_ms: u64,
+    at: Time,
+}
+
+/// A worker, and what it runs.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    pub(crate) info: WorkerInfo,
+    /// Whether the directory lists it.
+    pub(crate) is_listed: bool,
+    /// Whether its lists were read under this scheduler's epoch, in its present life.
+    pub(crate) is_open: bool,
+    clock: Option<ClockReading>,
+    /// By then, everything that was ever given to it has lapsed unless it is renewed again.
+    pub(crate) lapse_at: Time,
+    /// The last end that was processed.
+    pub(crate) processed: u64,
+    /// The change that has to be stored before `processed` is acknowledged.
+    pub(crate) ack_after: u64,
+    /// The last end that may be acknowledged.
+    pub(crate) acked: u64,
+    /// The last end that a poll has acknowledged.
+    pub(crate) told: u64,
+    pub(crate) runs: HashMap<TaskKey, Run>,
+    pub(crate) used: Size,
+    /// Since when it does not answer.
+    pub(crate) silent_since: Option<Time>,
+    /// When it was last polled.
+    pub(crate) polled_at: Option<Time>,
+    pub(crate) failure_streak: u32,
+    pub(crate) quarantines: u32,
+    pub(crate) quarantine_until: Time,
+}
+
+impl Worker {
+    pub(crate) fn new(id: WorkerId, info: WorkerInfo) -> Self {
+        Self {
+            id,
+            info,
+            is_listed: false,
+            is_open: false,
+            clock: None,
+            lapse_at: Time::ZERO,
+            processed: 0,
+            ack_after: 0,
+            acked: 0,
+            told: 0,
+            runs: HashMap::new(),
+            used: Size::ZERO,
+            silent_since: None,
+            polled_at: None,
+            failure_streak: 0,
+            quarantines: 0,
+            quarantine_until: Time::ZERO,
+        }
+    }
+
+    /// The room that is left.
+    pub(crate) fn room(&self) -> Size {
+        self.info.size - self.used
+    }
+
+    /// Whether new work may be given to it.
+    pub(crate) fn takes_work(&self, now: Time) -> bool {
+        self.is_listed
+            && self.is_open
+            && !self.info.is_draining
+            && self.silent_since.is_none()
+            && self.clock.is_some()
+            && now >= self.quarantine_until
+    }
+
+    /// Whether tasks of a step may be given to it, as far as it alone decides.
+    pub(crate) fn suits(&self, now: Time, pool: &str, step: &Step) -> bool {
+        let has_label = |label: &String| self.info.labels.contains(label);
+        self.takes_work(now) && self.info.pool == pool && step.label.as_ref().is_none_or(has_label)
+    }
+
+    pub(crate) fn add_run(&mut self, key: TaskKey, run: Run) {
+        self.used += run.size;
+        if let Some(old) = self.runs.insert(key, run) {
+            self.used -= old.size;
+        }
+    }
+
+    pub(crate) fn remove_run(&mut self, key: &TaskKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.used -= run.size;
+        Some(run)
+    }
+
+    /// How many tasks of a step are on the worker.
+    pub(crate) fn count_of(&self, step: StepKey) -> u32 {
+        let count = self
+            .runs
+            .keys()
+            .filter(|key| key.step_key() == step)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Notes a reading of the worker's clock from an answer that arrived at `at`. The worker's clock is
+    /// at least that far by then.
+    pub(crate) fn read_clock(&mut self, worker_ms: u64, at: Time) {
+        self.clock = Some(ClockReading { worker_ms, at });
+    }
+
+    /// Begins to renew, or to grant, a lease at `now`. Returns until when, on the worker's clock.
+    ///
+    /// The worker's clock is at least its last reading plus what a slow clock counts since, so the lease
+    /// has surely lapsed at [`SchedConfig::lapse_after`] from now.
+    pub(crate) fn grant_lease(&mut self, now: Time, cfg: &SchedConfig) -> Option<u64> {
+        let clock = self.clock?;
+        let passed = millis(now - clock.at);
+        let passed = passed - passed * cfg.clock_drift_milli / 1_000;
+        self.lapse_at = self.lapse_at.max(now + cfg.lapse_after());
+        Some(clock.worker_ms + passed + millis(cfg.task_lease))
+    }
+
+    /// Forgets what holds for one life only.
+    pub(crate) fn begin_life(&mut self, born: u64) {
+        self.info.born = born;
+        self.is_open = false;
+        self.clock = None;
+        self.processed = 0;
+        self.ack_after = 0;
+        self.acked = 0;
+        self.told = 0;
+        self.failure_streak = 0;
+        self.quarantines = 0;
+        self.quarantine_until = Time::ZERO;
+        self.lapse_at = Time::ZERO;
+    }
+
+    /// Takes note of how a run went.
+    pub(crate) fn note_result(&mut self, now: Time, is_failure: bool, cfg: &SchedConfig) {
+        if !is_failure {
+            self.failure_streak = 0;
+            self.quarantines = 0;
+            return;
+        }
+        self.failure_streak += 1;
+        if self.failure_streak >= cfg.failure_streak {
+            let span = cfg.quarantine * 2_u32.saturating_pow(self.quarantines.min(8));
+            self.quarantine_until = now + span.min(cfg.quarantine_max);
+            self.quarantines += 1;
+            // One more failure after the quarantine is enough for the next one.
+            self.failure_streak = cfg.failure_streak - 1;
+        }
+    }
+}
+
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
