--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -4,14 +4,16 @@
 
 use jobs::{Job, JobId, Progress, Queue, State, StepKey};
 use sched::Scheduler;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     Node, Ports, Row, Transaction,
     commit::{self, Outcome},
     follow::is_fresh,
+    message::{RelayReply, RelayRequest},
+    relay::{cancel_transaction, job_transaction},
     rows::{
-        JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part, job_range_end,
+        JOBS, JobRow, LEASE, LEASE_KEY, PROGRESS, SCHEDULER_PART, job_key, job_part, job_range_end,
         parse_job_key, progress_key,
     },
 };
@@ -26,6 +28,13 @@
 /// When to come back after a node without a configuration was asked.
 const RETRY_AFTER_START: Duration = Duration::from_secs(1);
 
+/// How long a node tries by itself before it asks the scheduler to store for it. The table answers in
+/// 4 ms, and in 400 ms when it is slow.
+const OWN_TRY: Duration = Duration::from_millis(900);
+
+/// The pause between two tries to store something that may be stored already.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+
 /// Requests for approvals that take longer are left to the scheduler, which picks the node.
 const OWN_REQUEST_MAX: Duration = Duration::from_millis(100);
 
@@ -87,13 +96,10 @@
             };
             self.ask(key, workers, cost);
         }
-        let tx = Transaction {
-            expected: vec![(job_key(id), 0)],
-            set: vec![(job_key(id), jobs::encode(&job))],
-            delete: Vec::new(),
-        };
         let began = self.0.clock.time();
-        let outcome = commit::settle(&self.0.ports, &tx, deadline).await;
+        let row = jobs::encode(&job);
+        let tx = job_transaction(id, row.clone());
+        let outcome = self.store(&tx, RelayRequest::Submit(id, row), deadline).await;
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
         match outcome {
@@ -184,18 +190,14 @@
         match known {
             Some(state) if state.is_final() => return Cancelling::Accepted,
             Some(_) => {}
-            None => match self.read_job(id, deadline).await {
-                Some(rows) if rows.job => {}
-                Some(_) => return Cancelling::NoJob,
-                None => return Cancelling::Unknown,
+            None => match self.state(id, deadline).await {
+                StateAnswer::State(_) => {}
+                StateAnswer::NoJob => return Cancelling::NoJob,
+                StateAnswer::Unknown => return Cancelling::Unknown,
             },
         }
-        let tx = Transaction {
-            expected: vec![(cancel_key(id), 0)],
-            set: vec![(cancel_key(id), vec![1])],
-            delete: Vec::new(),
-        };
-        match commit::settle(&self.0.ports, &tx, deadline).await {
+        let tx = cancel_transaction(id);
+        match self.store(&tx, RelayRequest::Cancel(id), deadline).await {
             Outcome::Stored(_) | Outcome::Conflict { .. } => {
                 log::info!("event=cancel_accepted job={id}");
                 self.0.metrics.count("cancels_accepted");
@@ -208,22 +210,95 @@
         }
     }
 
+    /// Stores a transaction, by way of the scheduler if this node does not reach the table.
+    async fn store(&self, tx: &Transaction, relay: RelayRequest, deadline: Instant) -> Outcome {
+        let mut may_be_stored = false;
+        loop {
+            if !self.0.is_table_lost.get() {
+                let until = deadline.min(Instant::now() + OWN_TRY);
+                match self.settle(tx, until).await {
+                    Outcome::Unknown(_) => may_be_stored = true,
+                    Outcome::NotStored(_) => {}
+                    known => return known,
+                }
+            }
+            match self.relay(relay.clone(), deadline).await {
+                Some(RelayReply::Stored) => return Outcome::Stored(0),
+                Some(RelayReply::StoredBefore) => {
+                    return Outcome::Conflict {
+                        current: Vec::new(),
+                    };
+                }
+                Some(RelayReply::NotStored) => {}
+                Some(_) => may_be_stored = true,
+                // Without a link, nothing was sent.
+                None => may_be_stored |= self.0.upstream.borrow().is_some(),
+            }
+            let reason = "neither this node nor the scheduler reaches the table".to_owned();
+            if !may_be_stored {
+                return Outcome::NotStored(reason);
+            }
+            if Instant::now() + STORE_PAUSE >= deadline {
+                return Outcome::Unknown(reason);
+            }
+            sleep(STORE_PAUSE).await;
+            self.probe().await;
+        }
+    }
+
+    /// Looks whether the table can be reached again.
+    async fn probe(&self) {
+        let read = self.0.ports.read(LEASE, SCHEDULER_PART, LEASE_KEY, None).await;
+        self.note_table(read.is_err());
+    }
+
+    /// Sends a transaction until its outcome is known, and notes whether the table answers.
+    pub(crate) async fn settle(&self, tx: &Transaction, deadline: Instant) -> Outcome {
+        let outcome = commit::settle(&self.0.ports, tx, deadline).await;
+        self.note_table(matches!(outcome, Outcome::NotStored(_) | Outcome::Unknown(_)));
+        outcome
+    }
+
     /// What is known of a job.
     pub async fn state(&self, id: JobId, deadline: Instant) -> StateAnswer {
-        let known = self.0.states.borrow().get(&id).map(|known| known.state);
-        let now = self.0.clock.time();
-        if let Some(state) = known {
-            if state.is_final() || is_fresh(self.0.heard_at.get(), now, FRESH) {
-                return StateAnswer::State(state);
-            }
+        if let Some(state) = self.known_state(id) {
+            return StateAnswer::State(state);
         }
-        match self.read_state(id, deadline).await {
-            StateAnswer::State(state) => {
-                self.learn_states([(id, state)]);
-                StateAnswer::State(state)
-            }
-            other => other,
+        let answer = match self.relay_state(id, deadline).await {
+            Some(answer) => answer,
+            None => self.read_state(id, deadline).await,
+        };
+        if let StateAnswer::State(state) = answer {
+            self.learn_states([(id, state)]);
         }
+        answer
+    }
+
+    /// Has the scheduler read a state if this node does not reach the table.
+    async fn relay_state(&self, id: JobId, deadline: Instant) -> Option<StateAnswer> {
+        if !self.0.is_table_lost.get() {
+            return None;
+        }
+        match self.relay(RelayRequest::State(id), deadline).await? {
+            RelayReply::State(state) => Some(StateAnswer::State(state)),
+            RelayReply::NoJob => Some(StateAnswer::NoJob),
+            _ => None,
+        }
+    }
+
+    /// What this node alone can tell of a job.
+    pub(crate) async fn state_here(&self, id: JobId, deadline: Instant) -> StateAnswer {
+        match self.known_state(id) {
+            Some(state) => StateAnswer::State(state),
+            None => self.read_state(id, deadline).await,
+        }
+    }
+
+    /// The state in memory, if it can be relied on.
+    fn known_state(&self, id: JobId) -> Option<State> {
+        let state = self.0.states.borrow().get(&id)?.state;
+        let is_fresh = is_fresh(self.0.heard_at.get(), self.0.clock.time(), FRESH);
+        (state.is_final() || is_fresh).then_some(state)
     }
 
     /// Reads a job's state from the table.
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -18,10 +18,12 @@
     loop {
         let version = match node.0.ports.routes().await {
             Ok(change) => {
+                node.note_table(false);
                 put_in_force(&node, change.news);
                 change.version
             }
             Err(e) => {
+                node.note_table(true);
                 log::warn!("event=config_unread error={:?}", e.to_string());
                 sleep(RETRY).await;
                 continue;
@@ -36,11 +38,13 @@
     loop {
         match node.0.ports.route_changes(version, WAIT).await {
             Ok(change) => {
+                node.note_table(false);
                 version = change.version;
                 put_in_force(node, change.news);
             }
             Err(FeedError::HistoryGone) => return,
             Err(e @ FeedError::Call(_)) => {
+                node.note_table(true);
                 log::warn!("event=config_unread error={:?}", e.to_string());
                 sleep(RETRY).await;
             }
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -25,6 +25,9 @@
 /// How often a node tells the scheduler that it is alive.
 const PING: Duration = Duration::from_millis(1_000);
 
+/// How long a node that is asked who schedules may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How long a takeover waits for the table. Another one follows if it is still needed.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -159,7 +162,10 @@
     let epoch = row.epoch;
     let started = node.0.clock.time();
     let writer = lead::LeaseWriter::new(row, version, started);
-    if let Some((scheduler, writer, after)) = recover::recover(node, writer).await {
+    node.0.is_recovering.set(true);
+    let recovered = recover::recover(node, writer).await;
+    node.0.is_recovering.set(false);
+    if let Some((scheduler, writer, after)) = recovered {
         let lead = Lead::new(node.clone(), scheduler, writer);
         log::info!(
             "event=scheduling epoch={epoch} recovery_ms={}",
@@ -193,11 +199,35 @@
             Err(e) => log::debug!("link to {target} not opened: {e}"),
         }
         node.0.upstream.borrow_mut().take();
+        if node.0.is_table_lost.get() {
+            ask_around(&node, target).await;
+        }
         // Either the time passes or there is another scheduler.
         let _ = timeout(REOPEN, node.0.target_changed.notified()).await;
     }
 }
 
+/// Asks the other nodes who schedules. This node can't read it in the table.
+async fn ask_around<P: Ports>(node: &Node<P>, but: SocketAddr) {
+    let nodes = node.0.nodes.borrow().clone();
+    for address in nodes.iter().filter_map(|address| address.parse().ok()) {
+        if address == but || address == node.0.settings.link_listen {
+            continue;
+        }
+        let Ok(mut link) = link::open(address).await else {
+            continue;
+        };
+        let answer = timeout(ANSWER_TIMEOUT, link.rx.recv()).await;
+        if let Ok(Some(Message::NotScheduler(Some(row)))) = answer {
+            node.0.candidacy.borrow_mut().hint(row);
+            if target(node) != Some(but) {
+                log::info!("event=scheduler_told by={address}");
+                return;
+            }
+        }
+    }
+}
+
 /// Where the scheduler is reached, if it is another node.
 fn target<P: Ports>(node: &Node<P>) -> Option<SocketAddr> {
     let candidacy = node.0.candidacy.borrow();
@@ -209,7 +239,8 @@
 fn note_link<P: Ports>(node: &Node<P>, state: LinkState) {
     let now = node.0.clock.time();
     node.0.candidacy.borrow_mut().link(now, state);
-    if !matches!(state, LinkState::Up { .. }) {
+    let is_fine = matches!(state, LinkState::Up { is_table_lost: false, .. });
+    if !is_fine {
         node.0.candidacy_changed.notify_one();
     }
 }
@@ -218,6 +249,7 @@
 async fn listen<P: Ports>(node: &Node<P>, mut link: link::Link, to: SocketAddr) {
     let hello = Message::Hello {
         node: node.0.settings.name.clone(),
+        address: node.0.settings.link_listen.to_string(),
     };
     if link.tx.send(hello).await.is_err() {
         return;
@@ -242,8 +274,11 @@
             }
         };
         match message {
-            Ok(Some(Message::NotScheduler)) => {
+            Ok(Some(Message::NotScheduler(row))) => {
                 note_link(node, LinkState::Gone);
+                if let Some(row) = row {
+                    node.0.candidacy.borrow_mut().hint(row);
+                }
                 break;
             }
             Ok(Some(message)) => {
@@ -273,13 +308,19 @@
     let now = node.0.clock.time();
     node.0.heard_at.set(Some(now));
     match message {
-        Message::Beat { table_age_ms } => note_link(
+        Message::Beat {
+            table_age_ms,
+            is_table_lost,
+        } => note_link(
             node,
             LinkState::Up {
                 heard_at: now,
                 table_age: Duration::from_millis(table_age_ms),
+                is_table_lost,
             },
         ),
+        Message::Relayed { number, reply } => node.relayed(number, reply),
+        Message::Nodes(nodes) => *node.0.nodes.borrow_mut() = nodes,
         Message::States(news) => node.learn_states(news),
         Message::Pending(pending) => *node.0.pending.borrow_mut() = Some(pending),
         Message::Workers(workers) => *node.0.workers.borrow_mut() = workers,
--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -56,8 +56,8 @@
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// After this time without an answer a transaction is logged as stuck. It is sent on.
-const STUCK: Duration = Duration::from_millis(2_000);
+/// After this time without an answer the table counts as lost. The transaction is sent again.
+const STUCK: Duration = Duration::from_millis(800);
 
 /// How often jobs that are over are looked through for those to be forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
@@ -144,14 +144,13 @@
                     }
                 }
                 Outcome::NotStored(reason) | Outcome::Unknown(reason) => {
-                    log::warn!(
-                        "event=table_lost epoch={} reason={reason:?}",
-                        self.row.epoch
-                    );
-                    node.0.metrics.count("table_stuck");
+                    log::warn!("event=batch_stuck epoch={} reason={reason:?}", self.row.epoch);
+                    node.0.metrics.count("batches_stuck");
+                    node.note_table(true);
                     continue;
                 }
             };
+            node.note_table(false);
             node.0
                 .metrics
                 .time("transaction", node.0.clock.time() - sent_at);
@@ -163,6 +162,13 @@
     }
 }
 
+/// Another node.
+struct Peer {
+    tx: mpsc::Sender<Message>,
+    /// Where it takes links.
+    address: String,
+}
+
 /// The scheduler at work.
 pub(crate) struct Lead<P> {
     node: Node<P>,
@@ -171,10 +177,11 @@
     /// Wakes the poller of each worker.
     pollers: RefCell<Vec<Rc<Notify>>>,
     /// Links to the other nodes.
-    peers: RefCell<BTreeMap<Arc<str>, mpsc::Sender<Message>>>,
+    peers: RefCell<BTreeMap<Arc<str>, Peer>>,
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
+    deposed: Notify,
 }
 
 impl<P: Ports> Lead<P> {
@@ -188,6 +195,7 @@
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
+            deposed: Notify::new(),
         })
     }
 
@@ -226,12 +234,20 @@
                 self.wake.notify_one();
             }
         };
-        tokio::join!(deciding, storing);
+        let both = async { tokio::join!(deciding, storing) };
+        // A scheduler that workers have told of a newer one does not wait for the table.
+        tokio::select! {
+            _ = both => {}
+            () = self.deposed.notified() => {}
+        }
         self.tasks.borrow_mut().abort_all();
-        if !self.scheduler.borrow().is_deposed() {
+        if self.scheduler.borrow().is_deposed() {
+            log::warn!("event=deposed epoch={}", self.epoch());
+        } else {
             writer.release(&self.node).await;
         }
-        self.broadcast(&Message::NotScheduler);
+        let row = self.node.0.candidacy.borrow().row().cloned();
+        self.broadcast(&Message::NotScheduler(row));
         self.peers.borrow_mut().clear();
     }
 
@@ -248,7 +264,11 @@
             let now = self.now();
             let (actions, batch, due) = {
                 let mut scheduler = self.scheduler.borrow_mut();
-                if scheduler.is_deposed() || self.is_draining.get() {
+                if scheduler.is_deposed() {
+                    self.deposed.notify_one();
+                    return;
+                }
+                if self.is_draining.get() {
                     return;
                 }
                 scheduler.decide(now);
@@ -320,9 +340,8 @@
             cost_ms: u64::try_from(cost.as_millis()).unwrap_or(u64::MAX),
         };
         let peers = self.peers.borrow();
-        let is_sent = peers
-            .get(approver)
-            .is_some_and(|tx| tx.try_send(message).is_ok());
+        let peer = peers.get(approver);
+        let is_sent = peer.is_some_and(|peer| peer.tx.try_send(message).is_ok());
         if !is_sent {
             self.scheduler.borrow_mut().approval_failed(step);
         }
@@ -620,8 +639,8 @@
 
     fn broadcast(&self, message: &Message) {
         let mut lost = Vec::new();
-        for (name, tx) in self.peers.borrow().iter() {
-            if tx.try_send(message.clone()).is_err() {
+        for (name, peer) in self.peers.borrow().iter() {
+            if peer.tx.try_send(message.clone()).is_err() {
                 lost.push(name.clone());
             }
         }
@@ -638,9 +657,7 @@
         let mut workers = BTreeMap::new();
         loop {
             let now = self.now();
-            let age = now.time - self.scheduler.borrow().confirmed_at();
-            let table_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            self.broadcast(&Message::Beat { table_age_ms });
+            self.broadcast(&self.sign_of_life(now));
             if count % BEATS_PER_SUMMARY == 0 {
                 self.tell_summary(now, &mut workers);
             }
@@ -675,7 +692,8 @@
 
     /// Serves the link of another node until it is gone.
     pub(crate) async fn serve(self: Rc<Self>, mut link: Link) {
-        let Ok(Some(Message::Hello { node })) = timeout(PEER_SILENCE, link.rx.recv()).await else {
+        let hello = timeout(PEER_SILENCE, link.rx.recv()).await;
+        let Ok(Some(Message::Hello { node, address })) = hello else {
             return;
         };
         log::info!("event=peer_up node={node}");
@@ -686,32 +704,55 @@
             }
         }
         let tx = link.tx;
-        self.peers.borrow_mut().insert(node.clone(), tx.clone());
+        let peer = Peer {
+            tx: tx.clone(),
+            address,
+        };
+        self.peers.borrow_mut().insert(node.clone(), peer);
         self.set_approvers();
+        self.tell_nodes();
         let reason = loop {
             match timeout(PEER_SILENCE, link.rx.recv()).await {
+                Ok(Some(Message::Relay { number, request })) => {
+                    let node = self.node.clone();
+                    self.spawn(node.serve_relay(number, request, tx.clone()));
+                }
                 Ok(Some(message)) => self.hear(message),
                 Ok(None) => break "closed",
                 Err(_) => break "silent",
             }
         };
         log::info!("event=peer_lost node={node} reason={reason}");
-        let is_same = |peer: &mpsc::Sender<Message>| peer.same_channel(&tx);
+        let is_same = |peer: &Peer| peer.tx.same_channel(&tx);
         if self.peers.borrow().get(&node).is_some_and(is_same) {
             self.peers.borrow_mut().remove(&node);
             self.set_approvers();
         }
     }
 
+    fn sign_of_life(&self, now: Now) -> Message {
+        let age = now.time - self.scheduler.borrow().confirmed_at();
+        Message::Beat {
+            table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            is_table_lost: self.node.0.is_table_lost.get(),
+        }
+    }
+
+    /// Tells all nodes where the others are.
+    fn tell_nodes(&self) {
+        let peers = self.peers.borrow();
+        let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
+        drop(peers);
+        nodes.push(self.node.0.settings.link_listen.to_string());
+        self.broadcast(&Message::Nodes(nodes));
+    }
+
     /// What a node has to know first.
     fn greeting(&self) -> [Message; 4] {
         let now = self.now();
         let scheduler = self.scheduler.borrow();
-        let age = now.time - scheduler.confirmed_at();
         [
-            Message::Beat {
-                table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            },
+            self.sign_of_life(now),
             Message::States(scheduler.states().collect()),
             Message::Pending(scheduler.summary(now).pending),
             Message::Workers(scheduler.workers_by_pool(now)),
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -37,6 +37,7 @@
 mod node;
 mod ports;
 mod recover;
+mod relay;
 mod routes;
 mod rows;
 
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     Clock, Metrics, Ports, Routes, approve::Asker, feed, follow, lead::Lead, link, message::Message,
+    relay::Relays,
 };
 
 /// How often what is not needed any more is dropped.
@@ -79,6 +80,13 @@
     pub(crate) asker: Asker,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) draining: Notify,
+    /// Whether the node is about to schedule, and reads what it goes on from.
+    pub(crate) is_recovering: Cell<bool>,
+    /// Whether the last call to the table has failed.
+    pub(crate) is_table_lost: Cell<bool>,
+    pub(crate) relays: Relays,
+    /// Where other nodes are reached, as the scheduler has told.
+    pub(crate) nodes: RefCell<Vec<String>>,
 }
 
 /// A node. Clones are the same node. See the [crate documentation](crate).
@@ -114,6 +122,10 @@
             asker: Asker::default(),
             is_draining: Cell::default(),
             draining: Notify::new(),
+            is_recovering: Cell::default(),
+            is_table_lost: Cell::default(),
+            relays: Relays::default(),
+            nodes: RefCell::default(),
         }))
     }
 
@@ -176,13 +188,24 @@
             Some(lead) => {
                 spawn_local(lead.serve(link));
             }
+            // The link is closed, and opened again shortly after.
+            None if self.0.is_recovering.get() => {}
             None => {
+                let row = self.0.candidacy.borrow().row().cloned();
                 // A link that is closed before this arrives tells the same.
-                let _ = link.tx.try_send(Message::NotScheduler);
+                let _ = link.tx.try_send(Message::NotScheduler(row));
             }
         }
     }
 
+    /// Notes whether a call to the table has brought an answer.
+    pub(crate) fn note_table(&self, is_lost: bool) {
+        if self.0.is_table_lost.replace(is_lost) != is_lost {
+            log::warn!("event={}", if is_lost { "table_lost" } else { "table_back" });
+            self.0.metrics.set("table_lost", u64::from(is_lost));
+        }
+    }
+
     /// Puts the scheduler's news in force.
     pub(crate) fn learn_states(&self, news: impl IntoIterator<Item = (JobId, State)>) {
         let since = self.0.clock.time();
--- /dev/null
+++ b/crates/cluster/src/relay.rs
@@ -0,0 +1,118 @@
+//! A node that does not reach the table has the scheduler store and read for it.
+//!
+//! The platform may turn some nodes away and serve the others. Such a node still has its clients, and its
+//! link to the scheduler.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    time::Duration,
+};
+
+use jobs::JobId;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    Node, Ports, StateAnswer, Transaction,
+    commit::Outcome,
+    message::{Message, RelayReply, RelayRequest},
+    rows::{cancel_key, job_key},
+};
+
+/// How long the scheduler tries for another node. That node's client waits meanwhile.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Relayed requests that wait for their answers.
+#[derive(Debug, Default)]
+pub(crate) struct Relays {
+    last: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<RelayReply>>>,
+}
+
+/// The transaction that stores a job, once.
+pub(crate) fn job_transaction(id: JobId, row: Vec<u8>) -> Transaction {
+    Transaction {
+        expected: vec![(job_key(id), 0)],
+        set: vec![(job_key(id), row)],
+        delete: Vec::new(),
+    }
+}
+
+/// The transaction that stores a cancelling, once.
+pub(crate) fn cancel_transaction(id: JobId) -> Transaction {
+    Transaction {
+        expected: vec![(cancel_key(id), 0)],
+        set: vec![(cancel_key(id), vec![1])],
+        delete: Vec::new(),
+    }
+}
+
+impl<P: Ports> Node<P> {
+    /// Has the scheduler do something. None if it can't be reached, or does not answer in time.
+    pub(crate) async fn relay(&self, request: RelayRequest, deadline: Instant) -> Option<RelayReply> {
+        let upstream = self.0.upstream.borrow().clone()?;
+        let relays = &self.0.relays;
+        let number = relays.last.get() + 1;
+        relays.last.set(number);
+        let (tx, rx) = oneshot::channel();
+        relays.waiting.borrow_mut().insert(number, tx);
+        self.0.metrics.count("relayed");
+        let reply = if upstream.try_send(Message::Relay { number, request }).is_ok() {
+            timeout_at(deadline, rx).await.ok().and_then(Result::ok)
+        } else {
+            None
+        };
+        relays.waiting.borrow_mut().remove(&number);
+        reply
+    }
+
+    /// The scheduler has answered a relayed request.
+    pub(crate) fn relayed(&self, number: u64, reply: RelayReply) {
+        if let Some(tx) = self.0.relays.waiting.borrow_mut().remove(&number) {
+            // A requester that has given up has told its client so.
+            let _ = tx.send(reply);
+        }
+    }
+
+    /// Does something for a node that does not reach the table.
+    pub(crate) async fn serve_relay(
+        self,
+        number: u64,
+        request: RelayRequest,
+        tx: mpsc::Sender<Message>,
+    ) {
+        let deadline = Instant::now() + RELAY_TIMEOUT;
+        let reply = match request {
+            RelayRequest::Submit(id, row) => {
+                let outcome = self.settle(&job_transaction(id, row), deadline).await;
+                log::info!("event=relayed job={id} outcome={outcome:?}");
+                stored(&outcome)
+            }
+            RelayRequest::Cancel(id) => {
+                let outcome = self.settle(&cancel_transaction(id), deadline).await;
+                log::info!("event=cancel_relayed job={id} outcome={outcome:?}");
+                stored(&outcome)
+            }
+            RelayRequest::State(id) => match self.state_here(id, deadline).await {
+                StateAnswer::State(state) => RelayReply::State(state),
+                StateAnswer::NoJob => RelayReply::NoJob,
+                StateAnswer::Unknown => RelayReply::Unknown,
+            },
+        };
+        if tx.try_send(Message::Relayed { number, reply }).is_err() {
+            self.0.metrics.count("messages_dropped");
+        }
+    }
+}
+
+const fn stored(outcome: &Outcome) -> RelayReply {
+    match outcome {
+        Outcome::Stored(_) => RelayReply::Stored,
+        Outcome::Conflict { .. } => RelayReply::StoredBefore,
+        Outcome::NotStored(_) => RelayReply::NotStored,
+        Outcome::Unknown(_) => RelayReply::Unknown,
+    }
+}
--- a/crates/sched/src/approvers.rs
+++ b/crates/sched/src/approvers.rs
@@ -15,6 +15,9 @@
 /// The share of nodes that ask for what takes long: one in this many.
 const LONG_SHARE: usize = 3;
 
+/// If a request would have to wait for longer than this at the nodes set aside for it, any node asks.
+const LONG_WAIT: Duration = Duration::from_millis(400);
+
 #[derive(Debug)]
 struct Approver {
     node: Arc<str>,
@@ -51,6 +54,12 @@
             _ if cost >= LONG_REQUEST => 0..long,
             _ => long..self.nodes.len(),
         };
+        let is_busy = |approver: &Approver| approver.busy_until > now + LONG_WAIT;
+        let range = if self.nodes[range.clone()].iter().all(is_busy) {
+            0..self.nodes.len()
+        } else {
+            range
+        };
         let approver = self.nodes[range].iter_mut().min_by_key(|a| a.busy_until)?;
         approver.busy_until = approver.busy_until.max(now) + cost;
         Some((approver.node.clone(), approver.busy_until))
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -18,6 +18,9 @@
 /// again.
 const ASK_SLACK: Duration = Duration::from_millis(1_500);
 
+/// Tickets are renewed for half as many workers again as are needed, and for so many more.
+const SPARE_TICKETS: usize = 2;
+
 /// The room that is left to the steps that have not had their turn in this pass.
 struct Pass {
     room: Vec<Size>,
@@ -214,7 +217,7 @@
             if is_gang {
                 pass.take(size, &placed);
             }
-            self.ask_again(now, want);
+            self.ask_again(now, want, &placed);
             return;
         }
         if is_gang && want.approval.is_some() && self.is_too_narrow(now, want) {
@@ -337,17 +340,22 @@
         placed.len() < want.tasks.len()
     }
 
-    /// Asks for new tickets of workers that are known to be allowed.
-    fn ask_again(&mut self, now: Time, want: &Want) {
+    /// Asks for new tickets of workers that are known to be allowed: of those that the tasks fit on at
+    /// present, and of some to spare.
+    fn ask_again(&mut self, now: Time, want: &Want, placed: &[WorkerId]) {
         let Some(approvals) = self.approvals.get(&want.key) else {
             return;
         };
-        let mut workers: Vec<&Worker> = approvals
+        let mut spare: Vec<&Worker> = approvals
             .allowed()
             .map(|id| self.fleet.get(id))
-            .filter(|worker| worker.takes_work(now))
+            .filter(|worker| worker.takes_work(now) && !placed.contains(&worker.id))
             .collect();
-        let workers = emptiest_first(&mut workers);
+        let mut workers = placed.to_vec();
+        workers.sort_unstable();
+        workers.dedup();
+        let spares = workers.len() / 2 + SPARE_TICKETS;
+        workers.extend(emptiest_first(&mut spare).into_iter().take(spares));
         self.ask(now, want, &workers);
     }
 
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -45,11 +45,11 @@
 impl Default for CandidacyConfig {
     fn default() -> Self {
         Self {
-            link_silence: Duration::from_millis(900),
-            table_silence: Duration::from_millis(1_400),
-            patience: Duration::from_millis(1_100),
+            link_silence: Duration::from_millis(800),
+            table_silence: Duration::from_millis(1_200),
+            patience: Duration::from_millis(900),
             patience_gone: Duration::from_millis(100),
-            read_interval: Duration::from_millis(250),
+            read_interval: Duration::from_millis(200),
             stagger: Duration::from_millis(60),
         }
     }
@@ -66,6 +66,8 @@
         heard_at: Time,
         /// How long ago its last stored transaction was by then.
         table_age: Duration,
+        /// Whether the table fails it at present.
+        is_table_lost: bool,
     },
     /// Its process is gone, or does not schedule any more.
     Gone,
@@ -139,6 +141,17 @@
         self.row = row;
     }
 
+    /// Another node tells who schedules. Its word is no reason to take over: the row has to be read first.
+    pub fn hint(&mut self, row: LeaseRow) {
+        let known = self.row.as_ref().map_or(0, |row| row.epoch);
+        if row.epoch > known {
+            self.row = Some(row);
+            self.is_read = false;
+            self.link = LinkState::Unknown;
+            self.suspected_at = None;
+        }
+    }
+
     /// What the link to the scheduler shows.
     pub fn link(&mut self, now: Time, link: LinkState) {
         self.link = link;
@@ -152,7 +165,12 @@
             LinkState::Up {
                 heard_at,
                 table_age,
-            } => now < heard_at + self.cfg.link_silence && table_age < self.cfg.table_silence,
+                is_table_lost,
+            } => {
+                now < heard_at + self.cfg.link_silence
+                    && table_age < self.cfg.table_silence
+                    && !is_table_lost
+            }
             LinkState::Unknown | LinkState::Gone => false,
         }
     }
