No room is kept for gangs that can never fit; batches stay under 100 entries; outages are refused at once

Two wider gangs ahead of it had room kept for them that their allowed workers could not fill even empty. (2) the store refused transactions of 101 entries after kill_all. (3) relayed submissions waited 1.2 s at a scheduler that knew the table to be lost. (4) workers that were full, or not read yet, when a step was first asked about were never asked about again.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -11,9 +11,9 @@
     commit::{self, Outcome},
     follow::is_fresh,
     message::{RelayReply, RelayRequest},
-    relay::{cancel_transaction, job_transaction},
+    relay::{Relayed, cancel_transaction, job_transaction},
     rows::{
-        JOBS, JobRow, LEASE, LEASE_KEY, PROGRESS, SCHEDULER_PART, job_key, job_part, job_range_end,
+        JOBS, JobRow, PROGRESS, SCHEDULER_PART, job_key, job_part, job_range_end,
         parse_job_key, progress_key,
     },
 };
@@ -223,16 +223,14 @@
                 }
             }
             match self.relay(relay.clone(), deadline).await {
-                Some(RelayReply::Stored) => return Outcome::Stored(0),
-                Some(RelayReply::StoredBefore) => {
+                Relayed::Answered(RelayReply::Stored) => return Outcome::Stored(0),
+                Relayed::Answered(RelayReply::StoredBefore) => {
                     return Outcome::Conflict {
                         current: Vec::new(),
                     };
                 }
-                Some(RelayReply::NotStored) => {}
-                Some(_) => may_be_stored = true,
-                // Without a link, nothing was sent.
-                None => may_be_stored |= self.0.upstream.borrow().is_some(),
+                Relayed::Answered(RelayReply::NotStored) | Relayed::NotSent => {}
+                Relayed::Answered(_) | Relayed::Unanswered => may_be_stored = true,
             }
             let reason = "neither this node nor the scheduler reaches the table".to_owned();
             if !may_be_stored {
@@ -242,16 +240,9 @@
                 return Outcome::Unknown(reason);
             }
             sleep(STORE_PAUSE).await;
-            self.probe().await;
         }
     }
 
-    /// Looks whether the table can be reached again.
-    async fn probe(&self) {
-        let read = self.0.ports.read(LEASE, SCHEDULER_PART, LEASE_KEY, None).await;
-        self.note_table(read.is_err());
-    }
-
     /// Sends a transaction until its outcome is known, and notes whether the table answers.
     pub(crate) async fn settle(&self, tx: &Transaction, deadline: Instant) -> Outcome {
         let outcome = commit::settle(&self.0.ports, tx, deadline).await;
@@ -279,9 +270,9 @@
         if !self.0.is_table_lost.get() {
             return None;
         }
-        match self.relay(RelayRequest::State(id), deadline).await? {
-            RelayReply::State(state) => Some(StateAnswer::State(state)),
-            RelayReply::NoJob => Some(StateAnswer::NoJob),
+        match self.relay(RelayRequest::State(id), deadline).await {
+            Relayed::Answered(RelayReply::State(state)) => Some(StateAnswer::State(state)),
+            Relayed::Answered(RelayReply::NoJob) => Some(StateAnswer::NoJob),
             _ => None,
         }
     }
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -45,7 +45,7 @@
             Err(FeedError::HistoryGone) => return,
             Err(e @ FeedError::Call(_)) => {
                 node.note_table(true);
-                log::warn!("event=config_unread error={:?}", e.to_string());
+                log::debug!("configuration unread: {e}");
                 sleep(RETRY).await;
             }
         }
--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -297,13 +297,7 @@
             match action {
                 Action::Start(order) => self.spawn(self.clone().start(order)),
                 Action::Stop(order) => self.spawn(self.clone().stop(order)),
-                Action::Publish { job, state } => {
-                    log::info!(
-                        "event=state job={job} state={state:?} epoch={}",
-                        self.epoch()
-                    );
-                    states.push((job, state));
-                }
+                Action::Publish { job, state } => states.push((job, state)),
                 Action::Wake(worker) => self.wake_poller(worker),
                 Action::Ask {
                     approver,
@@ -314,6 +308,10 @@
             }
         }
         if !states.is_empty() {
+            // A new scheduler tells all states; those that are known are no news.
+            for (job, state) in states.iter().filter(|(job, state)| self.node.is_news(*job, *state)) {
+                log::info!("event=state job={job} state={state:?} epoch={}", self.epoch());
+            }
             self.node.learn_states(states.iter().copied());
             self.broadcast(&Message::States(states));
         }
@@ -500,7 +498,8 @@
                     after = self.read_jobs_again().await;
                 }
                 Err(e @ FeedError::Call(_)) => {
-                    log::warn!("event=jobs_unread error={:?}", e.to_string());
+                    log::debug!("jobs unread: {e}");
+                    self.node.note_table(true);
                     sleep(RETRY).await;
                 }
             }
@@ -580,7 +579,8 @@
                     }
                 }
                 Err(e @ FeedError::Call(_)) => {
-                    log::warn!("event=workers_unread error={:?}", e.to_string());
+                    log::debug!("workers unread: {e}");
+                    self.node.note_table(true);
                     sleep(RETRY).await;
                 }
             }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -25,6 +25,20 @@
 /// How long the scheduler tries for another node. That node's client waits meanwhile.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// What the way to the scheduler and back may take beyond that.
+const RELAY_SLACK: Duration = Duration::from_millis(200);
+
+/// What has become of a request to the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Relayed {
+    /// The scheduler has answered.
+    Answered(RelayReply),
+    /// It has not answered. It may do what it was asked for.
+    Unanswered,
+    /// It can't be reached.
+    NotSent,
+}
+
 /// Relayed requests that wait for their answers.
 #[derive(Debug, Default)]
 pub(crate) struct Relays {
@@ -51,22 +65,30 @@
 }
 
 impl<P: Ports> Node<P> {
-    /// Has the scheduler do something. None if it can't be reached, or does not answer in time.
-    pub(crate) async fn relay(&self, request: RelayRequest, deadline: Instant) -> Option<RelayReply> {
-        let upstream = self.0.upstream.borrow().clone()?;
+    /// Has the scheduler do something.
+    pub(crate) async fn relay(&self, request: RelayRequest, deadline: Instant) -> Relayed {
+        let Some(upstream) = self.0.upstream.borrow().clone() else {
+            return Relayed::NotSent;
+        };
         let relays = &self.0.relays;
         let number = relays.last.get() + 1;
         relays.last.set(number);
         let (tx, rx) = oneshot::channel();
         relays.waiting.borrow_mut().insert(number, tx);
         self.0.metrics.count("relayed");
-        let reply = if upstream.try_send(Message::Relay { number, request }).is_ok() {
-            timeout_at(deadline, rx).await.ok().and_then(Result::ok)
+        let is_sent = upstream.try_send(Message::Relay { number, request }).is_ok();
+        let until = deadline.min(Instant::now() + RELAY_TIMEOUT + RELAY_SLACK);
+        let answer = if is_sent {
+            timeout_at(until, rx).await.ok().and_then(Result::ok)
         } else {
             None
         };
         relays.waiting.borrow_mut().remove(&number);
-        reply
+        match answer {
+            Some(reply) => Relayed::Answered(reply),
+            None if is_sent => Relayed::Unanswered,
+            None => Relayed::NotSent,
+        }
     }
 
     /// The scheduler has answered a relayed request.
@@ -86,6 +108,10 @@
     ) {
         let deadline = Instant::now() + RELAY_TIMEOUT;
         let reply = match request {
+            // Nothing is sent, so that the answer is certain.
+            RelayRequest::Submit(..) | RelayRequest::Cancel(_) if self.0.is_table_lost.get() => {
+                RelayReply::NotStored
+            }
             RelayRequest::Submit(id, row) => {
                 let outcome = self.settle(&job_transaction(id, row), deadline).await;
                 log::info!("event=relayed job={id} outcome={outcome:?}");
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -26,7 +26,8 @@
     pub start_retries: u32,
     /// The pause before an unanswered stop is sent again.
     pub stop_retry: Duration,
-    /// The most rows that one transaction writes. The platform takes 100 entries; one is the lease row.
+    /// The most rows that one transaction writes. The platform takes 100 entries, of which the lease row
+    /// is two: a condition and a change.
     pub batch_rows: usize,
     /// A lease row is renewed by an empty transaction after this time without another.
     pub beat: Duration,
@@ -61,7 +62,7 @@
             poll_retry: Duration::from_millis(200),
             start_retries: 2,
             stop_retry: Duration::from_millis(300),
-            batch_rows: 99,
+            batch_rows: 90,
             beat: Duration::from_millis(400),
             approval_margin: Duration::from_millis(150),
             approval_grace: Duration::from_millis(400),
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -220,11 +220,13 @@
             self.ask_again(now, want, &placed);
             return;
         }
-        if is_gang && want.approval.is_some() && self.is_too_narrow(now, want) {
-            let workers = self.unasked(now, want);
+        if want.approval.is_some() {
+            // Workers that were not there, or not free, when the others were asked about.
+            let mut workers = self.unasked(now, want);
+            workers.retain(|&id| size.fits(&pass.room[index(id)]));
             self.ask(now, want, &workers);
         }
-        if is_gang && pass.kept_gangs > 0 {
+        if is_gang && pass.kept_gangs > 0 && !self.is_too_narrow(now, want) {
             pass.kept_gangs -= 1;
             pass.take(size, &placed);
         }
@@ -333,7 +335,8 @@
         }
     }
 
-    /// Whether a gang finds no room among the allowed workers even if they were empty.
+    /// Whether a gang finds no room among the allowed workers even if they were empty. Room that is kept
+    /// for such a gang would be lost to all others.
     fn is_too_narrow(&self, now: Time, want: &Want) -> bool {
         let empty: Vec<Size> = self.fleet.iter().map(|worker| worker.info.size).collect();
         let placed = self.fit(now, want, want.tasks.len(), Approved::Ever, &empty);
