--- /dev/null
+++ b/crates/fakes/src/cell/approvals.rs
@@ -0,0 +1,40 @@
+//! The approval service: one request of a node at a time, and answers that never change.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use jobs::StepKey;
+use model::{Time, stable_hash};
+
+use super::world::chance;
+use crate::Rng;
+
+#[derive(Debug)]
+pub(super) struct Approvals {
+    seed: u64,
+    busy_until: HashMap<Arc<str>, Time>,
+    pub(super) requests: u64,
+}
+
+impl Approvals {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            busy_until: HashMap::new(),
+            requests: 0,
+        }
+    }
+
+    /// When a node has the answer to a request that it makes now.
+    pub(super) fn answer_at(&mut self, now: Time, node: &Arc<str>, cost: Duration) -> Time {
+        self.requests += 1;
+        let busy = self.busy_until.entry(node.clone()).or_default();
+        *busy = (*busy).max(now) + cost;
+        *busy
+    }
+
+    /// Whether a worker may run a step, where a `share` of all may.
+    pub(super) fn is_allowed(&self, step: StepKey, worker: &str, share: f64) -> bool {
+        let text = format!("{}/{step}/{worker}", self.seed);
+        chance(&mut Rng::new(stable_hash(text.bytes())), share)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/cell/host.rs
@@ -0,0 +1,212 @@
+//! A worker that follows the platform's rules: fences, leases on its own clock, lists of runs.
+
+use std::{collections::HashMap, sync::Arc};
+
+use jobs::{End, EndKind, TaskKey};
+use model::{Size, Time};
+use sched::{EndedRow, Listing, RunningRow, StartAnswer, WorkerInfo};
+
+/// A run on a host.
+#[derive(Clone, Debug)]
+pub(super) struct HostRun {
+    pub(super) run: u32,
+    pub(super) size: Size,
+    /// When its lease ends, on the host's clock.
+    pub(super) lease_until_ms: u64,
+    /// When it ends by itself, and how; none for a gang that is not complete.
+    pub(super) ends: Option<(Time, EndKind)>,
+}
+
+/// A start as the host sees it.
+#[derive(Clone, Debug)]
+pub(super) struct HostStart {
+    pub(super) key: TaskKey,
+    pub(super) run: u32,
+    pub(super) size: Size,
+    pub(super) lease_until_ms: u64,
+    pub(super) fence: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Host {
+    pub(super) info: WorkerInfo,
+    /// How much slower its clock is than true time, in thousandths.
+    slow_milli: u64,
+    pub(super) born_at: Time,
+    fence: u64,
+    pub(super) runs: HashMap<TaskKey, HostRun>,
+    /// The highest run of each task that was stopped or has ended.
+    past: HashMap<TaskKey, u32>,
+    ended: Vec<EndedRow>,
+    last_number: u64,
+    pub(super) is_up: bool,
+}
+
+impl Host {
+    pub(super) fn new(info: WorkerInfo, slow_milli: u64) -> Self {
+        Self {
+            info,
+            slow_milli,
+            born_at: Time::ZERO,
+            fence: 0,
+            runs: HashMap::new(),
+            past: HashMap::new(),
+            ended: Vec::new(),
+            last_number: 0,
+            is_up: true,
+        }
+    }
+
+    pub(super) fn name(&self) -> &Arc<str> {
+        &self.info.name
+    }
+
+    pub(super) fn clock_ms(&self, now: Time) -> u64 {
+        let passed = u64::try_from((now - self.born_at).as_millis()).unwrap_or(0);
+        passed - passed * self.slow_milli / 1_000
+    }
+
+    /// When the host's clock shows `clock_ms`.
+    fn true_time(&self, clock_ms: u64) -> Time {
+        let passed = clock_ms * 1_000 / (1_000 - self.slow_milli);
+        self.born_at + std::time::Duration::from_millis(passed + 1)
+    }
+
+    /// The host crashes: it runs nothing and remembers nothing. The runs are returned.
+    pub(super) fn crash(&mut self) -> Vec<(TaskKey, u32)> {
+        self.is_up = false;
+        let runs = self.runs.drain().map(|(key, run)| (key, run.run)).collect();
+        self.past.clear();
+        self.ended.clear();
+        self.last_number = 0;
+        self.fence = 0;
+        runs
+    }
+
+    /// The host starts again under its name.
+    pub(super) fn start_again(&mut self, now: Time) {
+        self.is_up = true;
+        self.born_at = now;
+        self.info.born = now.as_ms() + 1;
+    }
+
+    fn check_fence(&mut self, fence: u64) -> bool {
+        let is_current = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        is_current
+    }
+
+    /// An order to start. `Started` together with true if the run has begun just now.
+    pub(super) fn start(&mut self, now: Time, start: &HostStart) -> (StartAnswer, bool) {
+        if !self.check_fence(start.fence) {
+            return (StartAnswer::Fenced, false);
+        }
+        if self.runs.get(&start.key).is_some_and(|run| run.run == start.run) {
+            return (StartAnswer::Started, false);
+        }
+        let is_past = self.past.get(&start.key).is_some_and(|&run| run >= start.run);
+        if is_past || self.runs.contains_key(&start.key) || start.lease_until_ms <= self.clock_ms(now) {
+            return (StartAnswer::Outdated, false);
+        }
+        let run = HostRun {
+            run: start.run,
+            size: start.size,
+            lease_until_ms: start.lease_until_ms,
+            ends: None,
+        };
+        self.runs.insert(start.key, run);
+        (StartAnswer::Started, true)
+    }
+
+    /// An order to stop. Returns whether the run was there.
+    pub(super) fn stop(&mut self, key: TaskKey, run: u32, fence: u64) -> Option<bool> {
+        if !self.check_fence(fence) {
+            return None;
+        }
+        let was_there = self.runs.get(&key).is_some_and(|r| r.run == run);
+        if was_there {
+            self.end(key, EndKind::Interrupted);
+        } else {
+            let past = self.past.entry(key).or_default();
+            *past = (*past).max(run);
+        }
+        Some(was_there)
+    }
+
+    /// A run ends.
+    pub(super) fn end(&mut self, key: TaskKey, kind: EndKind) -> Option<u32> {
+        let run = self.runs.remove(&key)?;
+        let past = self.past.entry(key).or_default();
+        *past = (*past).max(run.run);
+        self.last_number += 1;
+        let end = End {
+            key,
+            run: run.run,
+            kind,
+            checkpoint: String::new(),
+        };
+        self.ended.push(EndedRow {
+            number: self.last_number,
+            end,
+        });
+        Some(run.run)
+    }
+
+    /// A poll: forgets what is acknowledged, renews leases, and lists. None for an old fence.
+    pub(super) fn poll(
+        &mut self,
+        now: Time,
+        fence: u64,
+        acknowledged: u64,
+        lease_until_ms: Option<u64>,
+    ) -> Option<Vec<EndedRow>> {
+        if !self.check_fence(fence) {
+            return None;
+        }
+        let clock = self.clock_ms(now);
+        for run in self.runs.values_mut() {
+            if let Some(until) = lease_until_ms.filter(|&until| until > clock) {
+                run.lease_until_ms = run.lease_until_ms.max(until);
+            }
+        }
+        let count = self.ended.partition_point(|row| row.number <= acknowledged);
+        Some(self.ended.drain(..count).collect())
+    }
+
+    pub(super) fn has_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    pub(super) fn list(&self, now: Time) -> Listing {
+        let mut running: Vec<RunningRow> = self
+            .runs
+            .iter()
+            .map(|(&key, run)| RunningRow {
+                key,
+                run: run.run,
+                ..RunningRow::default()
+            })
+            .collect();
+        running.sort_by_key(|row| row.key);
+        Listing {
+            born: self.info.born,
+            clock_ms: self.clock_ms(now),
+            running,
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// What happens next by itself: the task, when, and how. A lease that lapses interrupts.
+    pub(super) fn next_end(&self) -> Option<(Time, TaskKey, EndKind)> {
+        let ends = self.runs.iter().map(|(&key, run)| {
+            let lapse = (self.true_time(run.lease_until_ms), EndKind::Interrupted);
+            let (at, kind) = run.ends.filter(|own| own.0 <= lapse.0).unwrap_or(lapse);
+            (at, key, kind)
+        });
+        ends.min_by_key(|&(at, key, _)| (at, key))
+    }
+
+    pub(super) fn used(&self) -> Size {
+        self.runs.values().fold(Size::ZERO, |used, run| used + run.size)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/cell/load.rs
@@ -0,0 +1,241 @@
+//! Loads: what is submitted when.
+
+use std::time::Duration;
+
+use jobs::{ApprovalCost, Job, JobId, Queue, Step};
+use model::{Size, Time};
+
+use super::world::chance;
+use crate::Rng;
+
+/// A kind of job.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its queue.
+    pub queue: Queue,
+    /// How many jobs of it come in a second.
+    pub per_second: f64,
+    /// What a job of it is worth if it is done within its objective, and if it is late.
+    pub worth: (f64, f64),
+    /// Mean number of steps, each of which depends on the one before.
+    pub steps: f64,
+    /// Mean number of tasks of a step, and its spread as the deviation of its logarithm.
+    pub tasks: (f64, f64),
+    /// The most tasks of a step.
+    pub tasks_max: u32,
+    /// Mean size of a task: thousandths of a processor, and MB.
+    pub size: (f64, f64),
+    /// Mean time that a task takes, in seconds.
+    pub seconds: f64,
+    /// How far off estimates are, as a factor either way: 0.9 for nine tenths.
+    pub estimate_off: f64,
+    /// The share of steps that are gangs.
+    pub gangs: f64,
+    /// The share of workers that may run a step, if it needs approvals.
+    pub allowed: f64,
+    /// The share of runs that fail by themselves.
+    pub failing: f64,
+}
+
+/// More of one kind for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    /// The kind's number.
+    pub kind: usize,
+    /// How many times as much.
+    pub factor: f64,
+    /// When.
+    pub from: Time,
+    /// For how long.
+    pub lasts: Duration,
+}
+
+/// A load.
+#[derive(Clone, Debug, Default)]
+pub struct LoadSpec {
+    /// The kinds of jobs.
+    pub kinds: Vec<Kind>,
+    /// For how long jobs come.
+    pub lasts: Duration,
+    /// How many times the kinds' own rates.
+    pub factor: f64,
+    /// Bursts of single kinds.
+    pub bursts: Vec<Burst>,
+    /// The share of jobs that are cancelled a second after they came.
+    pub cancelled: f64,
+}
+
+/// A job that comes.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When.
+    pub at: Time,
+    /// Its kind's number.
+    pub kind: usize,
+    /// Its id.
+    pub id: JobId,
+    /// The job.
+    pub job: Job,
+    /// The true time of each step's tasks.
+    pub seconds: Vec<f64>,
+    /// When a client cancels it.
+    pub cancelled_at: Option<Time>,
+}
+
+/// Draws the jobs of a load.
+#[must_use]
+pub fn generate(spec: &LoadSpec, seed: u64) -> Vec<Arrival> {
+    let mut rng = Rng::new(seed);
+    let mut arrivals = Vec::new();
+    for (number, kind) in spec.kinds.iter().enumerate() {
+        let mut at = Time::ZERO;
+        loop {
+            let bursts = spec.bursts.iter().filter(|b| b.kind == number);
+            let now_in = |b: &&Burst| at >= b.from && at < b.from + b.lasts;
+            let factor: f64 = bursts.filter(now_in).map(|b| b.factor).product();
+            let rate = (kind.per_second * spec.factor * factor).max(0.001);
+            at += Duration::from_secs_f64(exponential(&mut rng) / rate);
+            if at >= Time::ZERO + spec.lasts {
+                break;
+            }
+            let (job, seconds) = draw(kind, &mut rng);
+            let is_cancelled = chance(&mut rng, spec.cancelled);
+            arrivals.push(Arrival {
+                at,
+                kind: number,
+                id: JobId(rng.next_u64()),
+                job,
+                seconds,
+                cancelled_at: is_cancelled.then_some(at + Duration::from_secs(1)),
+            });
+        }
+    }
+    arrivals.sort_by_key(|arrival| (arrival.at, arrival.id));
+    arrivals
+}
+
+fn draw(kind: &Kind, rng: &mut Rng) -> (Job, Vec<f64>) {
+    let mut count = 1_u16;
+    while f64::from(count) < 3.0 && chance(rng, 1.0 - 1.0 / kind.steps.max(1.0)) {
+        count += 1;
+    }
+    let mut seconds = Vec::new();
+    let steps = (0..count).map(|number| {
+        let own = kind.seconds * log_normal(rng, 0.5);
+        let off = 1.0 + kind.estimate_off * (2.0 * uniform(rng) - 1.0);
+        let tasks = (kind.tasks.0 * log_normal(rng, kind.tasks.1)).round();
+        let step = Step {
+            tasks: whole(tasks).clamp(1, u64::from(kind.tasks_max)).try_into().unwrap_or(1),
+            size: Size::new(
+                whole(kind.size.0 * log_normal(rng, 0.4)).clamp(50, 15_000),
+                whole(kind.size.1 * log_normal(rng, 0.5)).clamp(50, 50_000),
+                0,
+            ),
+            estimate_ms: whole(own * off * 1_000.0).max(1),
+            after: if number > 0 { vec![number - 1] } else { Vec::new() },
+            gang: chance(rng, kind.gangs),
+            ..Step::default()
+        };
+        seconds.push(own);
+        step
+    });
+    let job = Job {
+        queue: kind.queue.clone(),
+        steps: steps.collect(),
+        ..Job::default()
+    };
+    (job, seconds)
+}
+
+fn uniform(rng: &mut Rng) -> f64 {
+    f64::from(u32::try_from(rng.next_u64() >> 32).unwrap_or(0)) / f64::from(u32::MAX)
+}
+
+fn exponential(rng: &mut Rng) -> f64 {
+    -(1.0 - uniform(rng)).max(1e-9).ln()
+}
+
+/// A factor of mean one.
+fn log_normal(rng: &mut Rng, deviation: f64) -> f64 {
+    let normal = (-2.0 * uniform(rng).max(1e-9).ln()).sqrt() * (std::f64::consts::TAU * uniform(rng)).cos();
+    (deviation * normal - deviation * deviation / 2.0).exp()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float that is cast saturates, and none is negative here"
+)]
+fn whole(number: f64) -> u64 {
+    number.round() as u64
+}
+
+impl LoadSpec {
+    /// The load of the reminder service: rebuilds of large gangs, batches, and many small lookups. At
+    /// factor 1.0 it asks for about 0.8 of 48 workers of 32 processors.
+    #[must_use]
+    pub fn reminders() -> Self {
+        let queue = |name: &str, rank, target_ms, stretch, approval: (f64, f64)| Queue {
+            name: name.into(),
+            pool: "desk".into(),
+            rank,
+            max_failures: 4,
+            target: Duration::from_millis(target_ms),
+            stretch,
+            approval: Some(ApprovalCost {
+                base_ms: approval.0,
+                per_worker_ms: approval.1,
+                valid: Duration::from_millis(2_500),
+            }),
+        };
+        let rebuild = Kind {
+            queue: queue("rebuild", 1, 1_200, 2.2, (410.0, 5.9)),
+            per_second: 1.8,
+            worth: (12.8, 2.56),
+            steps: 1.2,
+            tasks: (5.0, 0.6),
+            tasks_max: 26,
+            size: (9_000.0, 26_000.0),
+            seconds: 6.2,
+            estimate_off: 0.9,
+            gangs: 1.0,
+            allowed: 0.35,
+            failing: 0.02,
+        };
+        let batch = Kind {
+            queue: queue("batch", 2, 3_000, 4.0, (53.0, 0.75)),
+            per_second: 6.8,
+            worth: (2.13, 0.426),
+            steps: 1.5,
+            tasks: (10.0, 0.8),
+            tasks_max: 60,
+            size: (2_000.0, 4_000.0),
+            seconds: 2.2,
+            estimate_off: 0.9,
+            gangs: 0.0,
+            allowed: 0.45,
+            failing: 0.05,
+        };
+        let lookup = Kind {
+            queue: queue("lookup", 0, 500, 1.5, (7.4, 0.11)),
+            per_second: 48.0,
+            worth: (0.42, 0.084),
+            steps: 1.0,
+            tasks: (2.0, 0.8),
+            tasks_max: 12,
+            size: (2_800.0, 5_700.0),
+            seconds: 0.64,
+            estimate_off: 0.9,
+            gangs: 0.3,
+            allowed: 0.7,
+            failing: 0.005,
+        };
+        Self {
+            kinds: vec![rebuild, batch, lookup],
+            lasts: Duration::from_secs(34),
+            factor: 1.0,
+            bursts: Vec::new(),
+            cancelled: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/cell/mod.rs
@@ -0,0 +1,22 @@
+//! A cell of schedulers, hosts and a table on virtual time, with seeded faults, judged from outside.
+//!
+//! The schedulers are those of the crate `sched`, unchanged; hosts, table and approvals are stand-ins that
+//! follow the platform's rules. One run is determined by its settings and seed.
+
+mod approvals;
+mod faults;
+mod gangs;
+mod host;
+mod judge;
+mod load;
+mod network;
+mod node;
+mod table;
+mod world;
+
+pub use self::{
+    faults::{CellFault, Mutation},
+    judge::{Breach, Report, Served},
+    load::{Arrival, Kind, LoadSpec, generate},
+    world::{Cell, CellSpec},
+};
--- /dev/null
+++ b/crates/fakes/src/cell/world.rs
@@ -0,0 +1,1000 @@
+//! The cell itself: events on virtual time.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use jobs::{EndKind, JobId, StepKey, TaskKey};
+use model::{Size, Time, WorkerId};
+use sched::{
+    Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler, StartAnswer,
+    StartOrder, StopOrder, WorkerInfo,
+};
+
+use super::{
+    approvals::Approvals,
+    faults::{CellFault, Mutation},
+    gangs::Gangs,
+    host::{Host, HostStart},
+    judge::{Judge, Report, Served},
+    load::{Arrival, Kind},
+    network::{Fate, Network},
+    node::CellNode,
+    table::{Lease, Table, Write, Written},
+};
+use crate::Rng;
+
+/// How long an order or a transaction may go unanswered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The pause before a transaction is sent again.
+const WRITE_RETRY: Duration = Duration::from_millis(100);
+/// How long other nodes take to notice that the scheduler is gone.
+const NOTICE: Duration = Duration::from_millis(1_000);
+/// How long a change of the list of hosts takes to be seen.
+const DIRECTORY_LAG: Duration = Duration::from_millis(500);
+/// How long a gang waits for its members.
+const GANG_WAIT: Duration = Duration::from_millis(3_000);
+/// How soon a host that fails all it starts does so.
+const QUICK_FAILURE: Duration = Duration::from_millis(50);
+/// A scheduler decides at least this often.
+const LOOK: Duration = Duration::from_millis(250);
+/// Events that come together are handled together.
+const PASS: Duration = Duration::from_millis(4);
+/// How long after the last arrival and the last fault everything must be over.
+const FINISH: Duration = Duration::from_secs(120);
+/// Unix time at the start of each run, in milliseconds.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// What a cell is made of.
+#[derive(Clone, Debug)]
+pub struct CellSpec {
+    /// How many nodes.
+    pub nodes: usize,
+    /// How many hosts.
+    pub hosts: usize,
+    /// What each host holds.
+    pub host_size: Size,
+    /// Hosts in a rack.
+    pub rack: usize,
+    /// Settings of the schedulers.
+    pub sched: SchedConfig,
+    /// The kinds of the arrivals.
+    pub kinds: Vec<Kind>,
+    /// What is submitted.
+    pub arrivals: Vec<Arrival>,
+    /// What goes wrong, and when.
+    pub faults: Vec<(Time, CellFault)>,
+    /// A guard that is left out.
+    pub mutation: Mutation,
+    /// Determines the rest.
+    pub seed: u64,
+}
+
+impl Default for CellSpec {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            hosts: 8,
+            host_size: Size::new(16_000, 65_536, 0),
+            rack: 4,
+            sched: SchedConfig::default(),
+            kinds: Vec::new(),
+            arrivals: Vec::new(),
+            faults: Vec::new(),
+            mutation: Mutation::None,
+            seed: 0,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    Submit(usize),
+    Cancel(JobId),
+    Fault(CellFault),
+    TakeOver,
+    Decide(usize, u64),
+    WriteArrives(usize, u64, Box<Write>, bool),
+    WriteAnswered(usize, u64, Written),
+    WriteAgain(usize, u64),
+    Start(usize, u64, StartOrder, u64, bool),
+    StartAnswered(usize, u64, StartOrder, StartAnswer),
+    Stop(usize, u64, StopOrder, u64, bool),
+    StopAnswered(usize, u64, StopOrder),
+    PollLoop(usize, u64, WorkerId),
+    PollArrives(Waiter, u64),
+    PollWaited(WorkerId),
+    PollAnswered(usize, u64, WorkerId, Time, Result<Box<Listing>, PollFailure>),
+    Approved(usize, u64, StepKey, Vec<Arc<str>>, Vec<(Arc<str>, Arc<str>)>, Duration),
+    HostTick(WorkerId),
+    Alone(StepKey, u32),
+    HostBack(WorkerId),
+    HostListed(WorkerId),
+}
+
+/// A poll that waits at a host.
+#[derive(Clone, Debug)]
+struct Waiter {
+    node: usize,
+    life: u64,
+    order: PollOrder,
+    sent_at: Time,
+    until: Time,
+}
+
+/// A cell. See the [module documentation](super).
+#[derive(Debug)]
+pub struct Cell {
+    spec: CellSpec,
+    now: Time,
+    sequence: u64,
+    events: BTreeMap<(Time, u64), Event>,
+    nodes: Vec<CellNode>,
+    hosts: Vec<Host>,
+    waiters: HashMap<WorkerId, Vec<Waiter>>,
+    fails_all_until: HashMap<WorkerId, Time>,
+    table: Table,
+    approvals: Approvals,
+    network: Network,
+    gangs: Gangs,
+    judge: Judge,
+    truth: HashMap<JobId, Arrival>,
+    rng: Rng,
+}
+
+impl Cell {
+    /// A cell in which nothing has happened yet.
+    #[must_use]
+    pub fn new(spec: CellSpec) -> Self {
+        let mut rng = Rng::new(spec.seed);
+        let hosts = (0..spec.hosts).map(|i| make_host(&spec, i, &mut rng)).collect();
+        let table = Table::new(spec.mutation == Mutation::NoCondition);
+        let mut cell = Self {
+            now: Time::ZERO,
+            sequence: 0,
+            events: BTreeMap::new(),
+            nodes: (0..spec.nodes).map(CellNode::new).collect(),
+            hosts,
+            waiters: HashMap::new(),
+            fails_all_until: HashMap::new(),
+            table,
+            approvals: Approvals::new(spec.seed),
+            network: Network::new(rng.next_u64()),
+            gangs: Gangs::default(),
+            judge: Judge::default(),
+            truth: spec.arrivals.iter().map(|a| (a.id, a.clone())).collect(),
+            rng,
+            spec,
+        };
+        cell.at(Time::ZERO, Event::TakeOver);
+        for i in 0..cell.spec.arrivals.len() {
+            cell.at(cell.spec.arrivals[i].at, Event::Submit(i));
+        }
+        for (at, fault) in cell.spec.faults.clone() {
+            cell.at(at, Event::Fault(fault));
+        }
+        cell
+    }
+
+    /// Runs until all is over, and judges.
+    #[must_use]
+    pub fn run(mut self) -> Report {
+        let last_arrival = self.spec.arrivals.last().map_or(Time::ZERO, |arrival| arrival.at);
+        let last_fault = self.spec.faults.iter().map(|(at, _)| *at).max().unwrap_or_default();
+        let end = last_arrival.max(last_fault) + FINISH;
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > end || (at > last_arrival.max(last_fault) && self.is_over()) {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.finish()
+    }
+
+    fn is_over(&self) -> bool {
+        let told = &self.judge.told;
+        let is_over = |id: &JobId| told.get(id).is_some_and(|(state, _)| state.is_final());
+        self.truth.keys().all(is_over)
+    }
+
+    fn finish(mut self) -> Report {
+        for arrival in &self.spec.arrivals {
+            let told = self.judge.told.get(&arrival.id).copied();
+            let is_over = told.is_some_and(|(state, _)| state.is_final());
+            if !is_over {
+                self.judge.unfinished(arrival.id);
+            }
+            if self.judge.is_cancelled(arrival.id) {
+                continue;
+            }
+            let done_at = told.filter(|(state, _)| *state == jobs::State::Completed);
+            let started = self.judge.first_start(arrival.id).unwrap_or(self.now);
+            self.judge.report.served.push(Served {
+                job: arrival.id,
+                kind: arrival.kind,
+                at: arrival.at,
+                took: done_at.map(|(_, at)| at - arrival.at),
+                waited: started - arrival.at,
+                objective: objective(arrival),
+                work: work(arrival),
+            });
+        }
+        let mut report = self.judge.report;
+        report.writes = self.table.writes;
+        report.approval_requests = self.approvals.requests;
+        report
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    fn moment(&self) -> Now {
+        Now {
+            time: self.now,
+            unix_ms: EPOCH_MS + self.now.as_ms(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Submit(i) => self.submit(i),
+            Event::Cancel(id) => self.cancel(id),
+            Event::Fault(fault) => self.fault(fault),
+            Event::TakeOver => self.take_over(),
+            Event::Decide(node, life) => self.decide(node, life),
+            Event::WriteArrives(node, life, write, answers) => {
+                let written = self.table.write(&write);
+                if answers {
+                    let at = self.now + self.network.delay();
+                    self.at(at, Event::WriteAnswered(node, life, written));
+                }
+            }
+            Event::WriteAnswered(node, life, written) => self.written(node, life, written),
+            Event::WriteAgain(node, life) => self.send_write(node, life),
+            Event::Start(node, life, order, fence, answers) => {
+                self.start_arrives(node, life, order, fence, answers);
+            }
+            Event::StartAnswered(node, life, order, answer) => {
+                let now = self.moment();
+                if let Some(scheduler) = self.live(node, life) {
+                    scheduler.start_answered(now, &order, answer);
+                    self.decide_soon(node, life);
+                }
+            }
+            Event::Stop(node, life, order, fence, answers) => {
+                self.stop_arrives(node, life, order, fence, answers);
+            }
+            Event::StopAnswered(node, life, order) => {
+                let now = self.moment();
+                if let Some(scheduler) = self.live(node, life) {
+                    scheduler.stop_answered(now, &order);
+                    self.decide_soon(node, life);
+                }
+            }
+            Event::PollLoop(node, life, host) => self.poll_loop(node, life, host),
+            Event::PollArrives(waiter, fence) => self.poll_arrives(waiter, fence),
+            Event::PollWaited(host) => self.answer_polls(host),
+            Event::PollAnswered(node, life, host, sent_at, answer) => {
+                self.poll_answered(node, life, host, sent_at, answer);
+            }
+            Event::Approved(node, life, step, asked, allowed, valid) => {
+                let now = self.moment();
+                if let Some(scheduler) = self.live(node, life) {
+                    scheduler.approved(now, step, &asked, &allowed, valid);
+                    self.decide_soon(node, life);
+                }
+            }
+            Event::HostTick(host) => self.host_tick(host),
+            Event::Alone(step, run) => self.alone(step, run),
+            Event::HostBack(host) => {
+                self.hosts[index(host)].start_again(self.now);
+                self.at(self.now + DIRECTORY_LAG, Event::HostListed(host));
+            }
+            Event::HostListed(host) => {
+                let (now, info) = (self.moment(), self.hosts[index(host)].info.clone());
+                for node in &mut self.nodes {
+                    if let Some(scheduler) = &mut node.scheduler {
+                        scheduler.worker_listed(now, info.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// The scheduler of a node, if the node still lives the same life and is not paused.
+    fn live(&mut self, node: usize, life: u64) -> Option<&mut Scheduler> {
+        let node = &mut self.nodes[node];
+        if node.life != life {
+            return None;
+        }
+        node.scheduler.as_mut()
+    }
+
+    fn decide_soon(&mut self, node: usize, life: u64) {
+        self.at(self.now + PASS, Event::Decide(node, life));
+    }
+
+    fn submit(&mut self, i: usize) {
+        let arrival = self.spec.arrivals[i].clone();
+        let (now, id) = (self.moment(), arrival.id);
+        let mut job = arrival.job;
+        job.accepted_unix_ms = now.unix_ms;
+        self.judge.submitted(id, &job);
+        self.table.add_job(id, job.clone());
+        if let Some(at) = arrival.cancelled_at {
+            self.at(at, Event::Cancel(id));
+        }
+        for node in 0..self.nodes.len() {
+            let life = self.nodes[node].life;
+            if let Some(scheduler) = self.live(node, life) {
+                scheduler.job_stored(now, id, job.clone());
+                self.decide_soon(node, life);
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        let now = self.moment();
+        let is_over = self.judge.told.get(&id).is_some_and(|(state, _)| state.is_final());
+        if is_over {
+            return;
+        }
+        self.table.cancel(id);
+        self.judge.cancelled(self.now, id);
+        for node in 0..self.nodes.len() {
+            let life = self.nodes[node].life;
+            if let Some(scheduler) = self.live(node, life) {
+                scheduler.job_cancelled(now, id);
+                self.decide_soon(node, life);
+            }
+        }
+    }
+
+    fn fault(&mut self, fault: CellFault) {
+        let scheduling = self.nodes.iter().position(CellNode::schedules);
+        let host = WorkerId(u32::try_from(self.rng.below(self.hosts.len() as u64)).unwrap_or(0));
+        match fault {
+            CellFault::SchedulerDies => {
+                if let Some(node) = scheduling {
+                    self.nodes[node].die();
+                }
+                self.at(self.now + NOTICE, Event::TakeOver);
+            }
+            CellFault::SchedulerReplaced => self.at(self.now, Event::TakeOver),
+            CellFault::SchedulerPauses(span) => {
+                if let Some(node) = scheduling {
+                    self.nodes[node].paused_until = self.now + span;
+                }
+                self.at(self.now + NOTICE * 2, Event::TakeOver);
+            }
+            CellFault::AllNodesDie => {
+                self.nodes.iter_mut().for_each(CellNode::die);
+                self.at(self.now + NOTICE * 2, Event::TakeOver);
+            }
+            CellFault::HostCrashes(span) => {
+                for (key, run) in self.hosts[index(host)].crash() {
+                    self.judge.over(self.now, key, run, host, false);
+                    self.gang_ends(key, run, EndKind::Interrupted);
+                }
+                self.at(self.now + span, Event::HostBack(host));
+            }
+            CellFault::HostCut(span) => self.network.cut(host, self.now + span),
+            CellFault::TableDown(span) => self.network.table_down_until = self.now + span,
+            CellFault::OrdersLate(span) => self.network.orders_late_until = self.now + span,
+            CellFault::TableAnswersLost(span) => self.network.answers_lost_until = self.now + span,
+            CellFault::HostFailsAll(span) => {
+                self.fails_all_until.insert(host, self.now + span);
+            }
+        }
+    }
+
+    /// A node that does not schedule takes the lease row over, and goes on from the table.
+    fn take_over(&mut self) {
+        if self.now < self.network.table_down_until {
+            self.at(self.now + NOTICE, Event::TakeOver);
+            return;
+        }
+        let idle: Vec<usize> = (0..self.nodes.len())
+            .filter(|&node| !self.nodes[node].schedules() && self.now >= self.nodes[node].paused_until)
+            .collect();
+        if idle.is_empty() {
+            return;
+        }
+        let node = idle[usize::try_from(self.rng.below(idle.len() as u64)).unwrap_or(0)];
+        let old = self.table.lease.clone();
+        let write = Write {
+            expected: old.version,
+            row: LeaseRow {
+                holder: self.nodes[node].name.to_string(),
+                address: String::new(),
+                epoch: old.row.epoch + 1,
+                seq: 0,
+            },
+            batch: sched::Batch::default(),
+        };
+        let Written::Stored(version) = self.table.write(&write) else {
+            return;
+        };
+        let now = self.moment();
+        let recovered = self.table.read();
+        let epoch = write.row.epoch;
+        let mut scheduler = Scheduler::new(self.spec.sched, epoch, now, recovered);
+        scheduler.set_queues(self.spec.kinds.iter().map(|kind| kind.queue.clone()));
+        scheduler.set_approvers(self.nodes.iter().map(|node| node.name.clone()));
+        for host in self.hosts.iter().filter(|host| host.is_up) {
+            scheduler.worker_listed(now, host.info.clone());
+        }
+        self.mutate(&mut scheduler);
+        let taking = &mut self.nodes[node];
+        taking.die();
+        taking.lease = Lease {
+            row: write.row,
+            version,
+        };
+        taking.scheduler = Some(scheduler);
+        let life = taking.life;
+        self.decide_soon(node, life);
+    }
+
+    /// Leaves a guard of the takeover out.
+    fn mutate(&mut self, scheduler: &mut Scheduler) {
+        let now = self.moment();
+        for i in 0..self.hosts.len() {
+            let host = &self.hosts[i];
+            let id = WorkerId(u32::try_from(i).unwrap_or(u32::MAX));
+            match self.spec.mutation {
+                Mutation::NoLists => {
+                    let blank = Listing {
+                        born: host.info.born,
+                        clock_ms: host.clock_ms(self.now),
+                        ..Listing::default()
+                    };
+                    if let Some(number) = scheduler.worker_id(host.name()) {
+                        scheduler.polled(now, number, self.now, &blank);
+                    }
+                }
+                Mutation::NoLapse if self.network.is_cut(self.now, id) => {
+                    let mut info = host.info.clone();
+                    info.born += 1;
+                    scheduler.worker_listed(now, info);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn decide(&mut self, node: usize, life: u64) {
+        let now = self.moment();
+        let paused = self.nodes[node].paused_until;
+        if self.now < paused {
+            self.at(paused, Event::Decide(node, life));
+            return;
+        }
+        let writes = self.nodes[node].write.is_some();
+        let Some(scheduler) = self.live(node, life) else {
+            return;
+        };
+        if scheduler.is_deposed() {
+            self.nodes[node].die();
+            return;
+        }
+        scheduler.decide(now);
+        scheduler.look_again();
+        let batch = if writes { None } else { scheduler.take_batch(now) };
+        let actions = scheduler.take_actions();
+        let fence = scheduler.epoch();
+        self.judge.report.decisions += 1;
+        if let Some(batch) = batch {
+            let lease = &self.nodes[node].lease;
+            let write = Write {
+                expected: lease.version,
+                row: LeaseRow {
+                    seq: lease.row.seq + 1,
+                    ..lease.row.clone()
+                },
+                batch,
+            };
+            self.nodes[node].write = Some(write);
+            self.send_write(node, life);
+            if self.spec.mutation == Mutation::StartBeforeStored {
+                if let Some(scheduler) = self.live(node, life) {
+                    scheduler.batch_stored(now);
+                    self.decide_soon(node, life);
+                }
+            }
+        }
+        for action in actions {
+            self.carry_out(node, life, fence, action);
+        }
+        let has_event = self.events.range((self.now, 0)..(self.now + LOOK, 0));
+        let is_due = |event: &Event| matches!(event, Event::Decide(n, l) if *n == node && *l == life);
+        if !has_event.map(|(_, event)| event).any(is_due) {
+            self.at(self.now + LOOK, Event::Decide(node, life));
+        }
+    }
+
+    fn send_write(&mut self, node: usize, life: u64) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        let Some(write) = self.nodes[node].write.clone() else {
+            return;
+        };
+        let (at, answers) = match self.network.to_table(self.now) {
+            Fate::Arrives(at) => (Some(at), true),
+            Fate::Unanswered(at) => (Some(at), false),
+            Fate::Lost => (None, false),
+        };
+        if let Some(at) = at {
+            self.at(at, Event::WriteArrives(node, life, Box::new(write), answers));
+        }
+        if !answers {
+            self.at(self.now + CALL_TIMEOUT + WRITE_RETRY, Event::WriteAgain(node, life));
+        }
+    }
+
+    fn written(&mut self, node: usize, life: u64, written: Written) {
+        let now = self.moment();
+        let mutation = self.spec.mutation;
+        if self.nodes[node].life != life {
+            return;
+        }
+        let Some(write) = self.nodes[node].write.take() else {
+            return;
+        };
+        let version = match written {
+            Written::Stored(version) => version,
+            // An earlier try was stored, and its answer was lost.
+            Written::Conflict(lease) if lease.row == write.row => lease.version,
+            Written::Conflict(_) => {
+                self.nodes[node].die();
+                return;
+            }
+        };
+        self.nodes[node].lease = Lease {
+            row: write.row,
+            version,
+        };
+        if mutation != Mutation::StartBeforeStored {
+            if let Some(scheduler) = self.live(node, life) {
+                scheduler.batch_stored(now);
+            }
+        }
+        self.decide_soon(node, life);
+    }
+
+    fn carry_out(&mut self, node: usize, life: u64, fence: u64, action: Action) {
+        match action {
+            Action::Start(order) => {
+                let host = self.host_of(node, order.worker);
+                match self.network.to_host(self.now, host) {
+                    Fate::Arrives(at) => self.at(at, Event::Start(node, life, order, fence, true)),
+                    Fate::Unanswered(at) => {
+                        self.at(at, Event::Start(node, life, order.clone(), fence, false));
+                        self.unanswered(node, life, order);
+                    }
+                    Fate::Lost => self.unanswered(node, life, order),
+                }
+            }
+            Action::Stop(order) => {
+                let host = self.host_of(node, order.worker);
+                match self.network.to_host(self.now, host) {
+                    Fate::Arrives(at) => self.at(at, Event::Stop(node, life, order, fence, true)),
+                    Fate::Unanswered(at) => {
+                        self.at(at, Event::Stop(node, life, order, fence, false));
+                    }
+                    Fate::Lost => {}
+                }
+            }
+            Action::Ask {
+                approver,
+                step,
+                workers,
+                cost,
+            } => self.ask(node, life, &approver, step, workers, cost),
+            Action::Publish { job, state } => self.judge.told(self.now, job, state),
+            Action::Wake(worker) => self.at(self.now, Event::PollLoop(node, life, worker)),
+        }
+    }
+
+    /// The host that a scheduler knows under a number.
+    fn host_of(&self, node: usize, worker: WorkerId) -> WorkerId {
+        let scheduler = self.nodes[node].scheduler.as_ref();
+        let name = scheduler.map(|s| s.worker_info(worker).name.clone()).unwrap_or_default();
+        let i = self.hosts.iter().position(|host| *host.name() == name).unwrap_or(0);
+        WorkerId(u32::try_from(i).unwrap_or(u32::MAX))
+    }
+
+    fn unanswered(&mut self, node: usize, life: u64, order: StartOrder) {
+        let answer = StartAnswer::Unknown;
+        self.at(self.now + CALL_TIMEOUT, Event::StartAnswered(node, life, order, answer));
+    }
+
+    fn ask(
+        &mut self,
+        node: usize,
+        life: u64,
+        approver: &Arc<str>,
+        step: StepKey,
+        workers: Vec<Arc<str>>,
+        cost: Duration,
+    ) {
+        let at = self.approvals.answer_at(self.now, approver, cost) + self.network.delay() * 2;
+        let Some(arrival) = self.truth.get(&step.job) else {
+            return;
+        };
+        let share = self.spec.kinds.get(arrival.kind).map_or(1.0, |kind| kind.allowed);
+        let valid = arrival.job.queue.approval.map_or(Duration::ZERO, |approval| approval.valid);
+        let allowed = workers
+            .iter()
+            .filter(|worker| self.approvals.is_allowed(step, worker, share))
+            .map(|worker| (worker.clone(), Arc::from("ticket")))
+            .collect();
+        self.at(at, Event::Approved(node, life, step, workers, allowed, valid));
+    }
+
+    fn start_arrives(&mut self, node: usize, life: u64, order: StartOrder, fence: u64, answers: bool) {
+        let id = self.host_of_order(&order, node, life);
+        let host = &mut self.hosts[index(id)];
+        if !host.is_up {
+            if answers {
+                self.unanswered(node, life, order);
+            }
+            return;
+        }
+        let step = self
+            .truth
+            .get(&order.key.job)
+            .and_then(|arrival| arrival.job.steps.get(usize::from(order.key.step)));
+        let size = step.map(jobs::Step::reserved).unwrap_or_default();
+        let start = HostStart {
+            key: order.key,
+            run: order.run,
+            size,
+            lease_until_ms: order.lease_until_ms,
+            fence,
+        };
+        let (answer, is_new) = host.start(self.now, &start);
+        if is_new {
+            self.begun(id, order.key, order.run);
+        }
+        if answers {
+            let at = self.now + self.network.delay();
+            self.at(at, Event::StartAnswered(node, life, order, answer));
+        }
+    }
+
+    /// Orders carry the number that their scheduler knows the host under. All schedulers learn of the
+    /// hosts in the same order, or from records by name; the number of the order's own scheduler may be
+    /// gone with it.
+    fn host_of_order(&self, order: &StartOrder, node: usize, life: u64) -> WorkerId {
+        if self.nodes[node].life == life {
+            return self.host_of(node, order.worker);
+        }
+        WorkerId(order.worker.0 % u32::try_from(self.hosts.len()).unwrap_or(1))
+    }
+
+    /// A run has begun.
+    fn begun(&mut self, id: WorkerId, key: TaskKey, run: u32) {
+        let host = &self.hosts[index(id)];
+        let beside = host.runs.keys().filter(|other| other.step_key() == key.step_key()).count();
+        let beside = u32::try_from(beside).unwrap_or(u32::MAX);
+        let room = (host.used(), host.info.size);
+        self.judge.began(self.now, (key, run), id, beside, room);
+        let Some(arrival) = self.truth.get(&key.job) else {
+            return;
+        };
+        let (kind, job) = (arrival.kind, arrival.job.clone());
+        let step = &job.steps[usize::from(key.step)];
+        let took = Duration::from_secs_f64(arrival.seconds[usize::from(key.step)]);
+        let failing = self.spec.kinds.get(kind).map_or(0.0, |kind| kind.failing);
+        let fails_all = self.fails_all_until.get(&id).is_some_and(|&until| self.now < until);
+        let end = if fails_all {
+            (self.now + QUICK_FAILURE, EndKind::Failed)
+        } else if chance(&mut self.rng, failing) {
+            (self.now + took / 2, EndKind::Failed)
+        } else {
+            (self.now + took, EndKind::Done)
+        };
+        if step.gang {
+            let size = usize::try_from(step.tasks).unwrap_or(0);
+            let members = self.gangs.join(key.step_key(), run, (key.index, id), size);
+            match members {
+                Some(members) => {
+                    for (member, host) in members {
+                        let task = key.step_key().task(member);
+                        self.set_end(host, task, run, end);
+                    }
+                }
+                None => self.at(self.now + GANG_WAIT, Event::Alone(key.step_key(), run)),
+            }
+        } else {
+            self.set_end(id, key, run, end);
+        }
+        self.tick_later(id);
+    }
+
+    fn set_end(&mut self, host: WorkerId, key: TaskKey, run: u32, end: (Time, EndKind)) {
+        if let Some(r) = self.hosts[index(host)].runs.get_mut(&key) {
+            if r.run == run {
+                r.ends = Some(end);
+            }
+        }
+        self.tick_later(host);
+    }
+
+    fn tick_later(&mut self, host: WorkerId) {
+        if let Some((at, _, _)) = self.hosts[index(host)].next_end() {
+            self.at(at.max(self.now), Event::HostTick(host));
+        }
+    }
+
+    fn host_tick(&mut self, id: WorkerId) {
+        while let Some((at, key, kind)) = self.hosts[index(id)].next_end() {
+            if at > self.now {
+                break;
+            }
+            self.end_run(id, key, kind);
+        }
+        self.answer_polls(id);
+        self.tick_later(id);
+    }
+
+    fn end_run(&mut self, id: WorkerId, key: TaskKey, kind: EndKind) {
+        let Some(run) = self.hosts[index(id)].end(key, kind) else {
+            return;
+        };
+        self.judge.over(self.now, key, run, id, kind == EndKind::Done);
+        if kind == EndKind::Failed {
+            self.judge.failed(key);
+        }
+        self.gang_ends(key, run, kind);
+    }
+
+    /// What ends a member of a gang's run ends the others: all are done together, or broken.
+    fn gang_ends(&mut self, key: TaskKey, run: u32, kind: EndKind) {
+        let kind = if kind == EndKind::Done { EndKind::Done } else { EndKind::Interrupted };
+        for (member, host) in self.gangs.end(key.step_key(), run, key.index) {
+            let task = key.step_key().task(member);
+            let is_same = self.hosts[index(host)].runs.get(&task).is_some_and(|r| r.run == run);
+            if is_same && self.hosts[index(host)].end(task, kind).is_some() {
+                self.judge.over(self.now, task, run, host, kind == EndKind::Done);
+                self.answer_polls(host);
+            }
+        }
+    }
+
+    /// A gang that is not complete in time ends.
+    fn alone(&mut self, step: StepKey, run: u32) {
+        for i in 0..self.hosts.len() {
+            let waiting: Vec<TaskKey> = self.hosts[i]
+                .runs
+                .iter()
+                .filter(|(key, r)| key.step_key() == step && r.run == run && r.ends.is_none())
+                .map(|(&key, _)| key)
+                .collect();
+            let id = WorkerId(u32::try_from(i).unwrap_or(u32::MAX));
+            for key in waiting {
+                self.end_run(id, key, EndKind::Interrupted);
+                self.answer_polls(id);
+            }
+        }
+    }
+
+    fn stop_arrives(&mut self, node: usize, life: u64, order: StopOrder, fence: u64, answers: bool) {
+        let id = if self.nodes[node].life == life {
+            self.host_of(node, order.worker)
+        } else {
+            WorkerId(order.worker.0 % u32::try_from(self.hosts.len()).unwrap_or(1))
+        };
+        let host = &mut self.hosts[index(id)];
+        if !host.is_up {
+            return;
+        }
+        let Some(was_there) = host.stop(order.key, order.run, fence) else {
+            return;
+        };
+        if was_there {
+            self.judge.over(self.now, order.key, order.run, id, false);
+            self.gang_ends(order.key, order.run, EndKind::Interrupted);
+            self.answer_polls(id);
+        }
+        if answers {
+            let at = self.now + self.network.delay();
+            self.at(at, Event::StopAnswered(node, life, order));
+        }
+    }
+
+    fn poll_loop(&mut self, node: usize, life: u64, worker: WorkerId) {
+        let now = self.moment();
+        let paused = self.nodes[node].paused_until;
+        if self.now < paused {
+            self.at(paused, Event::PollLoop(node, life, worker));
+            return;
+        }
+        let is_under_way = self.is_polling(node, life, worker);
+        let Some(scheduler) = self.live(node, life) else {
+            return;
+        };
+        if is_under_way {
+            return;
+        }
+        match scheduler.next_poll(now, worker) {
+            Poll::Never => {}
+            Poll::At(at) => self.at(at.max(self.now + PASS), Event::PollLoop(node, life, worker)),
+            Poll::Now(order) => self.send_poll(node, life, order),
+        }
+    }
+
+    /// Whether a poll of the host is on its way, or waits there, or its answer comes.
+    fn is_polling(&self, node: usize, life: u64, worker: WorkerId) -> bool {
+        let waits = self.waiters.values().flatten().any(|waiter| {
+            waiter.node == node && waiter.life == life && waiter.order.worker == worker
+        });
+        waits
+            || self.events.values().any(|event| match event {
+                Event::PollArrives(waiter, _) => {
+                    waiter.node == node && waiter.life == life && waiter.order.worker == worker
+                }
+                Event::PollAnswered(n, l, w, ..) => *n == node && *l == life && *w == worker,
+                _ => false,
+            })
+    }
+
+    fn send_poll(&mut self, node: usize, life: u64, mut order: PollOrder) {
+        let host = self.host_of(node, order.worker);
+        if self.spec.mutation == Mutation::AcknowledgeEarly {
+            let listed = self.nodes[node].listed.get(&host).copied().unwrap_or(0);
+            order.acknowledged = order.acknowledged.max(listed);
+        }
+        let fence = self.nodes[node].lease.row.epoch;
+        let waiter = Waiter {
+            node,
+            life,
+            sent_at: self.now,
+            until: self.now + order.wait,
+            order,
+        };
+        match self.network.to_host(self.now, host) {
+            Fate::Arrives(at) if self.hosts[index(host)].is_up => {
+                self.at(at, Event::PollArrives(waiter, fence));
+            }
+            _ => {
+                let at = waiter.until + CALL_TIMEOUT;
+                let (worker, sent_at) = (waiter.order.worker, waiter.sent_at);
+                let failure = Err(PollFailure::Silent);
+                self.at(at, Event::PollAnswered(node, life, worker, sent_at, failure));
+            }
+        }
+    }
+
+    fn poll_arrives(&mut self, waiter: Waiter, fence: u64) {
+        let id = if self.nodes[waiter.node].life == waiter.life {
+            self.host_of(waiter.node, waiter.order.worker)
+        } else {
+            return;
+        };
+        let (now, order) = (self.now, waiter.order.clone());
+        let host = &mut self.hosts[index(id)];
+        let noted = host.poll(now, fence, order.acknowledged, order.lease_until_ms);
+        let Some(noted) = noted else {
+            let answer = Err(PollFailure::Fenced);
+            self.answer_poll(&waiter, answer);
+            return;
+        };
+        for row in noted {
+            let kind = row.end.kind;
+            self.judge.noted(row.end.key, kind == EndKind::Done, kind == EndKind::Failed);
+        }
+        let until = waiter.until;
+        self.waiters.entry(id).or_default().push(waiter);
+        self.answer_polls(id);
+        self.at(until.max(self.now), Event::PollWaited(id));
+        self.tick_later(id);
+    }
+
+    /// Answers the polls at a host that have waited long enough, or for which there is an end.
+    fn answer_polls(&mut self, id: WorkerId) {
+        let has_ends = self.hosts[index(id)].has_ends();
+        let waiters = self.waiters.remove(&id).unwrap_or_default();
+        let (due, waiting): (Vec<Waiter>, Vec<Waiter>) =
+            waiters.into_iter().partition(|waiter| has_ends || self.now >= waiter.until);
+        self.waiters.insert(id, waiting);
+        for waiter in due {
+            let listing = self.hosts[index(id)].list(self.now);
+            let answer = if self.hosts[index(id)].is_up && !self.network.is_cut(self.now, id) {
+                Ok(Box::new(listing))
+            } else {
+                Err(PollFailure::Silent)
+            };
+            self.answer_poll(&waiter, answer);
+        }
+    }
+
+    fn answer_poll(&mut self, waiter: &Waiter, answer: Result<Box<Listing>, PollFailure>) {
+        let at = self.now + self.network.delay();
+        let Waiter {
+            node,
+            life,
+            sent_at,
+            ..
+        } = *waiter;
+        self.at(at, Event::PollAnswered(node, life, waiter.order.worker, sent_at, answer));
+    }
+
+    fn poll_answered(
+        &mut self,
+        node: usize,
+        life: u64,
+        worker: WorkerId,
+        sent_at: Time,
+        answer: Result<Box<Listing>, PollFailure>,
+    ) {
+        let now = self.moment();
+        let paused = self.nodes[node].paused_until;
+        if self.now < paused {
+            self.at(paused, Event::PollAnswered(node, life, worker, sent_at, answer));
+            return;
+        }
+        let host = if self.nodes[node].life == life { self.host_of(node, worker) } else { return };
+        if let Ok(listing) = &answer {
+            if let Some(last) = listing.ended.last() {
+                self.nodes[node].listed.insert(host, last.number);
+            }
+        }
+        let Some(scheduler) = self.live(node, life) else {
+            return;
+        };
+        match answer {
+            Ok(listing) => scheduler.polled(now, worker, sent_at, &listing),
+            Err(failure) => scheduler.poll_failed(now, worker, failure),
+        }
+        self.at(self.now, Event::PollLoop(node, life, worker));
+        self.decide_soon(node, life);
+    }
+}
+
+fn make_host(spec: &CellSpec, i: usize, rng: &mut Rng) -> Host {
+    // The clock of a host is up to 2 % slow.
+    let slow_milli = rng.below(21);
+    let info = WorkerInfo {
+        name: format!("w{i}").into(),
+        address: format!("w{i}"),
+        domain: "d1".into(),
+        pool: "desk".into(),
+        size: spec.host_size,
+        rack: Some(format!("r{}", i / spec.rack.max(1))),
+        born: 1,
+        ..WorkerInfo::default()
+    };
+    Host::new(info, slow_milli)
+}
+
+fn objective(arrival: &Arrival) -> Duration {
+    let chain: f64 = arrival.seconds.iter().sum();
+    let queue = &arrival.job.queue;
+    queue.target + Duration::from_secs_f64(chain * queue.stretch)
+}
+
+fn work(arrival: &Arrival) -> f64 {
+    let steps = arrival.job.steps.iter().zip(&arrival.seconds);
+    steps
+        .map(|(step, seconds)| {
+            let cores = f64::from(u32::try_from(step.size.milli_processors).unwrap_or(0)) / 1_000.0;
+            f64::from(step.tasks) * cores * seconds
+        })
+        .sum()
+}
+
+pub(super) fn chance(rng: &mut Rng, share: f64) -> bool {
+    f64::from(u32::try_from(rng.below(1_000_000)).unwrap_or(0)) < share * 1_000_000.0
+}
+
+fn index(host: WorkerId) -> usize {
+    usize::try_from(host.0).unwrap_or(usize::MAX)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod backend;
+pub mod cell;
 mod fault;
 mod http;
 mod plan;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -171,6 +171,14 @@
         self.has_started
     }
 
+    /// Whether a run has ended well or failed.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let has_ended = |task: &TaskProgress| task.phase == Phase::Done || task.failures > 0;
+        let open = self.open.values().flatten().flat_map(|step| &step.tasks);
+        self.opened > u32::try_from(self.open.len()).unwrap_or(0) || open.into_iter().any(has_ended)
+    }
+
     /// What clients are told.
     #[must_use]
     pub const fn state(&self) -> State {
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -88,6 +88,7 @@
             StartAnswer::Started => {
                 run.phase = RunPhase::Running;
                 run.confirmed_at = Some(now);
+                self.note_begun(order.key.job);
             }
             // An order that was sent twice may have been carried out, and ended, the first time. The
             // worker's lists tell.
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -125,6 +125,9 @@
                 EndKind::Interrupted => {}
             }
             self.needs_pass = true;
+            if end.kind != EndKind::Interrupted {
+                self.note_begun(end.key.job);
+            }
             if let Some(run) = run.filter(|_| end.kind == EndKind::Done) {
                 self.learn(now, end.key, &run);
             }
@@ -141,6 +144,7 @@
                 if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
                     run.phase = RunPhase::Running;
                     run.confirmed_at = Some(now);
+                    self.note_begun(row.key.job);
                 }
                 return;
             }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -67,7 +67,7 @@
 /// How much there is of what, for metrics and for clients' questions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
-    /// Jobs that no task of has started, by queue.
+    /// Jobs of which no worker is known to have begun a task, by queue.
     pub pending: BTreeMap<String, u64>,
     /// Steps that wait for room or for approvals.
     pub waiting_steps: usize,
@@ -168,6 +168,7 @@
         let age = now.unix_ms.saturating_sub(job.accepted_unix_ms);
         let entry = Entry {
             job: Arc::new(job),
+            has_begun: progress.has_ended(),
             progress,
             accepted_at: now.ago(age),
             published: None,
@@ -231,6 +232,13 @@
         }
     }
 
+    /// A worker has begun a task of a job.
+    pub(crate) fn note_begun(&mut self, id: JobId) {
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.has_begun = true;
+        }
+    }
+
     /// Notes when a job's next occurrence is due.
     pub(crate) fn schedule_next(&mut self, id: JobId) {
         let Some(entry) = self.jobs.get(&id) else {
@@ -310,6 +318,12 @@
         pools
     }
 
+    /// The number of a worker that was heard of.
+    #[must_use]
+    pub fn worker_id(&self, name: &str) -> Option<WorkerId> {
+        self.fleet.id(name)
+    }
+
     /// A worker's properties.
     #[must_use]
     pub fn worker_info(&self, id: WorkerId) -> &WorkerInfo {
@@ -459,7 +473,7 @@
             ..Summary::default()
         };
         for entry in self.jobs.values() {
-            let is_pending = !entry.progress.has_started() && entry.over_since.is_none();
+            let is_pending = !entry.has_begun && entry.over_since.is_none();
             if is_pending {
                 *summary
                     .pending
