--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -15,6 +15,8 @@
     AllNodesDie,
     /// A host crashes, and starts again under its name.
     HostCrashes(Duration),
+    /// A host is gone for good, without a word.
+    HostGone,
     /// Nodes and a host don't reach each other for a time.
     HostCut(Duration),
     /// The table answers nobody for a time.
@@ -39,7 +41,7 @@
     NoCondition,
     /// A new scheduler gives out work before it has read the hosts' lists.
     NoLists,
-    /// A new scheduler does not wait for what unreachable hosts may still run.
+    /// Hosts run on for long after a lease has lapsed, as if schedulers did not wait for the lapse.
     NoLapse,
     /// Ends are acknowledged to hosts before they are stored.
     AcknowledgeEarly,
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -322,6 +322,7 @@
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
+                is_of_past_life: false,
                 checkpoint: String::new(),
             };
             worker.add_run(task, new);
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -4,7 +4,7 @@
 use model::{Time, WorkerId};
 
 use crate::{
-    Scheduler,
+    Listing, Scheduler,
     worker::{Run, RunPhase},
 };
 
@@ -81,10 +81,52 @@
         }
     }
 
-    /// A worker's life is over: nothing that it ran is left. The next one began at `born`.
+    /// A worker has begun another life, at `born`. What it ran is gone, but orders that are on their way
+    /// may still reach the new life. So its runs hold until its lists are read.
     pub(crate) fn life_over(&mut self, now: Time, worker: WorkerId, born: u64) {
+        let lapse_at = now + self.cfg.lapse_after();
+        let worker = self.fleet.get_mut(worker);
+        let has_runs = !worker.runs.is_empty();
+        worker.begin_life(born);
+        if has_runs {
+            worker.lapse_at = lapse_at;
+        }
+        for run in worker.runs.values_mut() {
+            if run.phase != RunPhase::Pending {
+                run.is_of_past_life = true;
+            }
+        }
+    }
+
+    /// The lists of a worker's new life are read. What they do not show and no order of this scheduler
+    /// can bring any more is gone; the rest is stopped. Orders of earlier schedulers are refused from now
+    /// on.
+    pub(crate) fn end_past_life(&mut self, now: Time, worker: WorkerId, listing: &Listing) {
+        let runs = self.fleet.get(worker).runs.iter();
+        let past: Vec<(TaskKey, u32, RunPhase)> = runs
+            .filter(|(_, run)| run.is_of_past_life)
+            .map(|(&key, run)| (key, run.run, run.phase))
+            .collect();
+        for (key, run, phase) in past {
+            let is_listed = listing.running.iter().any(|row| row.key == key && row.run == run);
+            let is_on_its_way = matches!(phase, RunPhase::Ordered { .. });
+            if !is_listed && !is_on_its_way {
+                self.interrupt(now, worker, key);
+                continue;
+            }
+            if let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) {
+                run.is_of_past_life = false;
+            }
+            self.stop_run(now, worker, key);
+        }
+    }
+
+    /// A worker is gone, and another one has its address. Orders to the old one are refused there.
+    pub(crate) fn worker_replaced(&mut self, now: Time, worker: WorkerId) {
         let keys: Vec<TaskKey> = self.fleet.get(worker).runs.keys().copied().collect();
-        self.fleet.get_mut(worker).begin_life(born);
+        let gone = self.fleet.get_mut(worker);
+        gone.is_listed = false;
+        gone.is_open = false;
         for key in keys {
             self.interrupt(now, worker, key);
         }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -56,7 +56,9 @@
         } else {
             Duration::ZERO
         };
-        let renews = may_renew && !worker.runs.is_empty();
+        // A silent worker's leases are let lapse. Every renewal that it may have got puts off the time
+        // from which its tasks may start elsewhere.
+        let renews = may_renew && !worker.runs.is_empty() && worker.silent_since.is_none();
         Poll::Now(PollOrder {
             worker: id,
             acknowledged: worker.acked,
@@ -84,7 +86,9 @@
         if worker.silent_since.take().is_some() || !worker.is_open {
             self.needs_pass = true;
         }
+        // An order that had reached the new life may have ended there already.
         self.note_ends(now, id, listing);
+        self.end_past_life(now, id, listing);
         for row in &listing.running {
             self.note_running(now, id, row);
         }
@@ -100,6 +104,9 @@
             self.depose();
             return;
         }
+        if failure == PollFailure::OtherLife {
+            self.worker_replaced(now.time, id);
+        }
         let worker = self.fleet.get_mut(id);
         worker.silent_since.get_or_insert(now.time);
     }
@@ -175,6 +182,7 @@
             phase: RunPhase::Stopping,
             confirmed_at: None,
             since: now,
+            is_of_past_life: false,
             checkpoint: row.checkpoint.clone(),
         };
         self.fleet.get_mut(id).add_run(row.key, run);
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use jobs::{End, EndKind, Job, JobId, Life, Progress, TaskKey};
+use jobs::{Job, JobId, Life, Progress, TaskKey};
 
 use crate::{
     Now, Scheduler, WorkerInfo,
@@ -57,17 +57,7 @@
             self.life_over(now.time, id, life.born);
         }
         let worker = self.fleet.get_mut(id);
-        if life.born < worker.info.born {
-            // The worker has begun another life since.
-            let end = End {
-                key,
-                run,
-                kind: EndKind::Interrupted,
-                checkpoint: String::new(),
-            };
-            self.apply_end(now.time, &end);
-            return;
-        }
+        let is_of_past_life = life.born < worker.info.born;
         worker.lapse_at = now.time + self.cfg.renew_without_table + self.cfg.lapse_after();
         let size = self
             .jobs
@@ -81,6 +71,7 @@
             phase: RunPhase::Recorded,
             confirmed_at: None,
             since: now.time,
+            is_of_past_life,
             checkpoint: String::new(),
         };
         self.fleet.get_mut(id).add_run(key, run);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -58,6 +58,8 @@
     pub(crate) confirmed_at: Option<Time>,
     /// When it was decided.
     pub(crate) since: Time,
+    /// Whether it was given to an earlier life of the worker.
+    pub(crate) is_of_past_life: bool,
     /// What it has saved, as the worker last listed it; empty if nothing.
     pub(crate) checkpoint: String,
 }
