A slow table is waited for, a lost one is noticed by all calls; rows of a part go together

Now a call is waited for while others are answered; rows for one part that wait go in one transaction; jobs lie in 64 parts instead of 4. Ruled out: longer limits alone (a silent table would be noticed late; the health of all calls tells).

--- a/crates/cluster/src/approve.rs
+++ b/crates/cluster/src/approve.rs
@@ -14,7 +14,7 @@
 use jobs::StepKey;
 use tokio::task::spawn_local;
 
-use crate::{Node, Ports, message::Message};
+use crate::{Approver, Node, Ports, message::Message};
 
 /// Requests that are under way at a time. More than one hides the way to the service, which is up to
 /// 20 ms each way.
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -7,14 +7,14 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    Node, Ports, Row, Transaction,
-    commit::{self, Outcome},
+    Node, Ports, Row, RowKey, Table,
+    commit::Outcome,
     follow::is_fresh,
     message::{RelayReply, RelayRequest},
-    relay::{Relayed, cancel_transaction, job_transaction},
+    relay::Relayed,
     rows::{
-        JOBS, JobRow, PROGRESS, SCHEDULER_PART, job_key, job_part, job_range_end,
-        parse_job_key, progress_key,
+        CANCELLED, JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part,
+        job_range_end, parse_job_key, progress_key,
     },
 };
 
@@ -28,10 +28,6 @@
 /// When to come back after a node without a configuration was asked.
 const RETRY_AFTER_START: Duration = Duration::from_secs(1);
 
-/// How long a node tries by itself before it asks the scheduler to store for it. The table answers in
-/// 4 ms, and in 400 ms when it is slow.
-const OWN_TRY: Duration = Duration::from_millis(900);
-
 /// The pause between two tries to store something that may be stored already.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -98,8 +94,8 @@
         }
         let began = self.0.clock.time();
         let row = jobs::encode(&job);
-        let tx = job_transaction(id, row.clone());
-        let outcome = self.store(&tx, RelayRequest::Submit(id, row), deadline).await;
+        let relay = RelayRequest::Submit(id, row.clone());
+        let outcome = self.store(job_key(id), &row, relay, deadline).await;
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
         match outcome {
@@ -196,8 +192,11 @@
                 StateAnswer::Unknown => return Cancelling::Unknown,
             },
         }
-        let tx = cancel_transaction(id);
-        match self.store(&tx, RelayRequest::Cancel(id), deadline).await {
+        let relay = RelayRequest::Cancel(id);
+        match self
+            .store(cancel_key(id), &CANCELLED, relay, deadline)
+            .await
+        {
             Outcome::Stored(_) | Outcome::Conflict { .. } => {
                 log::info!("event=cancel_accepted job={id}");
                 self.0.metrics.count("cancels_accepted");
@@ -210,13 +209,19 @@
         }
     }
 
-    /// Stores a transaction, by way of the scheduler if this node does not reach the table.
-    async fn store(&self, tx: &Transaction, relay: RelayRequest, deadline: Instant) -> Outcome {
+    /// Stores a row that must not exist yet, by way of the scheduler if this node does not reach the
+    /// table.
+    async fn store(
+        &self,
+        key: RowKey,
+        value: &[u8],
+        relay: RelayRequest,
+        deadline: Instant,
+    ) -> Outcome {
         let mut may_be_stored = false;
         loop {
-            if !self.0.is_table_lost.get() {
-                let until = deadline.min(Instant::now() + OWN_TRY);
-                match self.settle(tx, until).await {
+            if !self.0.table.is_lost() {
+                match self.store_here(key.clone(), value.to_vec(), deadline).await {
                     Outcome::Unknown(_) => may_be_stored = true,
                     Outcome::NotStored(_) => {}
                     known => return known,
@@ -243,13 +248,6 @@
         }
     }
 
-    /// Sends a transaction until its outcome is known, and notes whether the table answers.
-    pub(crate) async fn settle(&self, tx: &Transaction, deadline: Instant) -> Outcome {
-        let outcome = commit::settle(&self.0.ports, tx, deadline).await;
-        self.note_table(matches!(outcome, Outcome::NotStored(_) | Outcome::Unknown(_)));
-        outcome
-    }
-
     /// What is known of a job.
     pub async fn state(&self, id: JobId, deadline: Instant) -> StateAnswer {
         if let Some(state) = self.known_state(id) {
@@ -267,7 +265,7 @@
 
     /// Has the scheduler read a state if this node does not reach the table.
     async fn relay_state(&self, id: JobId, deadline: Instant) -> Option<StateAnswer> {
-        if !self.0.is_table_lost.get() {
+        if !self.0.table.is_lost() {
             return None;
         }
         match self.relay(RelayRequest::State(id), deadline).await {
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::sleep;
 
-use crate::{FeedError, Node, Ports, Routes};
+use crate::{Directory, FeedError, Node, Ports, Routes};
 
 /// How long one call waits for a change. It bounds how long a connection that has gone silent goes
 /// unnoticed, and with it how late a configuration may be: they are to be in force within 2.5 s.
@@ -18,12 +18,10 @@
     loop {
         let version = match node.0.ports.routes().await {
             Ok(change) => {
-                node.note_table(false);
                 put_in_force(&node, change.news);
                 change.version
             }
             Err(e) => {
-                node.note_table(true);
                 log::warn!("event=config_unread error={:?}", e.to_string());
                 sleep(RETRY).await;
                 continue;
@@ -38,13 +36,11 @@
     loop {
         match node.0.ports.route_changes(version, WAIT).await {
             Ok(change) => {
-                node.note_table(false);
                 version = change.version;
                 put_in_force(node, change.news);
             }
             Err(FeedError::HistoryGone) => return,
             Err(e @ FeedError::Call(_)) => {
-                node.note_table(true);
                 log::debug!("configuration unread: {e}");
                 sleep(RETRY).await;
             }
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    Node, Ports, Transaction,
+    Node, Ports, Table, Transaction,
     commit::{self, Outcome},
     lead::{self, Lead},
     link,
@@ -199,7 +199,7 @@
             Err(e) => log::debug!("link to {target} not opened: {e}"),
         }
         node.0.upstream.borrow_mut().take();
-        if node.0.is_table_lost.get() {
+        if node.0.table.is_lost() {
             ask_around(&node, target).await;
         }
         // Either the time passes or there is another scheduler.
@@ -239,7 +239,13 @@
 fn note_link<P: Ports>(node: &Node<P>, state: LinkState) {
     let now = node.0.clock.time();
     node.0.candidacy.borrow_mut().link(now, state);
-    let is_fine = matches!(state, LinkState::Up { is_table_lost: false, .. });
+    let is_fine = matches!(
+        state,
+        LinkState::Up {
+            is_table_lost: false,
+            ..
+        }
+    );
     if !is_fine {
         node.0.candidacy_changed.notify_one();
     }
--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    FeedError, Node, Ports, Row, Transaction,
+    Directory, FeedError, Node, Ports, Row, Table, Transaction, Workers,
     commit::{self, Outcome},
     link::Link,
     message::Message,
@@ -56,8 +56,8 @@
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// After this time without an answer the table counts as lost. The transaction is sent again.
-const STUCK: Duration = Duration::from_millis(800);
+/// After this time without an outcome a transaction is logged as stuck. It is sent again.
+const STUCK: Duration = Duration::from_millis(2_000);
 
 /// How often jobs that are over are looked through for those to be forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
@@ -144,13 +144,14 @@
                     }
                 }
                 Outcome::NotStored(reason) | Outcome::Unknown(reason) => {
-                    log::warn!("event=batch_stuck epoch={} reason={reason:?}", self.row.epoch);
+                    log::warn!(
+                        "event=batch_stuck epoch={} reason={reason:?}",
+                        self.row.epoch
+                    );
                     node.0.metrics.count("batches_stuck");
-                    node.note_table(true);
                     continue;
                 }
             };
-            node.note_table(false);
             node.0
                 .metrics
                 .time("transaction", node.0.clock.time() - sent_at);
@@ -309,8 +310,14 @@
         }
         if !states.is_empty() {
             // A new scheduler tells all states; those that are known are no news.
-            for (job, state) in states.iter().filter(|(job, state)| self.node.is_news(*job, *state)) {
-                log::info!("event=state job={job} state={state:?} epoch={}", self.epoch());
+            for (job, state) in states
+                .iter()
+                .filter(|(job, state)| self.node.is_news(*job, *state))
+            {
+                log::info!(
+                    "event=state job={job} state={state:?} epoch={}",
+                    self.epoch()
+                );
             }
             self.node.learn_states(states.iter().copied());
             self.broadcast(&Message::States(states));
@@ -499,7 +506,6 @@
                 }
                 Err(e @ FeedError::Call(_)) => {
                     log::debug!("jobs unread: {e}");
-                    self.node.note_table(true);
                     sleep(RETRY).await;
                 }
             }
@@ -580,7 +586,6 @@
                 }
                 Err(e @ FeedError::Call(_)) => {
                     log::debug!("workers unread: {e}");
-                    self.node.note_table(true);
                     sleep(RETRY).await;
                 }
             }
@@ -734,7 +739,7 @@
         let age = now.time - self.scheduler.borrow().confirmed_at();
         Message::Beat {
             table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            is_table_lost: self.node.0.is_table_lost.get(),
+            is_table_lost: self.node.0.table.is_lost(),
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -29,6 +29,8 @@
 mod error;
 mod feed;
 mod follow;
+mod health;
+mod intake;
 mod lead;
 mod link;
 mod logs;
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -20,20 +20,20 @@
 };
 
 use crate::{
-    Clock, Metrics, Ports, Routes, approve::Asker, feed, follow, lead::Lead, link, message::Message,
+    Clock, Metrics, Ports, Routes,
+    approve::Asker,
+    feed, follow,
+    health::{TableHealth, Watched},
+    intake::Intake,
+    lead::Lead,
+    link,
+    message::Message,
     relay::Relays,
-    rows::{LEASE, LEASE_KEY, SCHEDULER_PART},
 };
 
 /// How often what is not needed any more is dropped.
 const TIDY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// How often a node looks whether the table can be reached again.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// How long such a look may take. The table answers in 400 ms when it is slow.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// How long a node that shuts down waits for its scheduling to be handed over. The table takes some
 /// 10 ms for the transaction, and as long again for the one before it.
 const HAND_OVER: Duration = Duration::from_millis(800);
@@ -62,7 +62,7 @@
 
 /// What the parts of a node share.
 pub(crate) struct Inner<P> {
-    pub(crate) ports: P,
+    pub(crate) ports: Watched<P>,
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
@@ -89,10 +89,8 @@
     pub(crate) draining: Notify,
     /// Whether the node is about to schedule, and reads what it goes on from.
     pub(crate) is_recovering: Cell<bool>,
-    /// Whether the last call to the table has failed.
-    pub(crate) is_table_lost: Cell<bool>,
-    /// Whether the table is lost has changed.
-    table_lost: Notify,
+    pub(crate) table: Rc<TableHealth>,
+    pub(crate) intake: Intake,
     pub(crate) relays: Relays,
     /// Where other nodes are reached, as the scheduler has told.
     pub(crate) nodes: RefCell<Vec<String>>,
@@ -112,6 +110,8 @@
     #[must_use]
     pub fn new(settings: NodeSettings, clock: Clock, ports: P, metrics: Metrics) -> Self {
         let candidacy = Candidacy::new(settings.candidacy, settings.rank);
+        let table = Rc::new(TableHealth::new(clock, metrics.clone()));
+        let ports = Watched::new(ports, table.clone());
         Self(Rc::new(Inner {
             ports,
             settings,
@@ -132,8 +132,8 @@
             is_draining: Cell::default(),
             draining: Notify::new(),
             is_recovering: Cell::default(),
-            is_table_lost: Cell::default(),
-            table_lost: Notify::new(),
+            table,
+            intake: Intake::default(),
             relays: Relays::default(),
             nodes: RefCell::default(),
         }))
@@ -153,7 +153,7 @@
             spawn_local(feed::follow_routes(self.clone())),
             spawn_local(follow::link_up(self.clone())),
             spawn_local(self.clone().tidy()),
-            spawn_local(self.clone().probe_table()),
+            spawn_local(watch_table(self.clone())),
         ];
         let campaign = spawn_local(follow::campaign(self.clone()));
         while !self.0.is_draining.get() {
@@ -209,33 +209,13 @@
         }
     }
 
-    /// Notes whether a call to the table has brought an answer.
-    pub(crate) fn note_table(&self, is_lost: bool) {
-        if self.0.is_table_lost.replace(is_lost) != is_lost {
-            log::warn!("event={}", if is_lost { "table_lost" } else { "table_back" });
-            self.0.metrics.set("table_lost", u64::from(is_lost));
-            self.0.table_lost.notify_one();
-        }
-    }
-
-    /// Looks whether the table can be reached again, while it is lost.
-    async fn probe_table(self) {
-        loop {
-            if !self.0.is_table_lost.get() {
-                self.0.table_lost.notified().await;
-                continue;
-            }
-            let read = self.0.ports.read(LEASE, SCHEDULER_PART, LEASE_KEY, None);
-            if let Ok(Ok(_)) = timeout(PROBE_TIMEOUT, read).await {
-                self.note_table(false);
-            }
-            sleep(PROBE_INTERVAL).await;
-        }
-    }
-
     /// Whether a state differs from the one that is known.
     pub(crate) fn is_news(&self, id: JobId, state: State) -> bool {
-        self.0.states.borrow().get(&id).is_none_or(|known| known.state != state)
+        self.0
+            .states
+            .borrow()
+            .get(&id)
+            .is_none_or(|known| known.state != state)
     }
 
     /// Puts the scheduler's news in force.
@@ -264,3 +244,7 @@
         }
     }
 }
+
+async fn watch_table<P: Ports>(node: Node<P>) {
+    node.0.table.watch(&node.0.ports).await;
+}
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -4,10 +4,13 @@
 
 use jobs::{JobId, Progress};
 use sched::{Recovered, Scheduler};
-use tokio::{task::spawn_local, time::sleep};
+use tokio::{
+    task::{JoinSet, spawn_local},
+    time::sleep,
+};
 
 use crate::{
-    CallError, Node, Page, Ports, Row,
+    CallError, Directory, Node, Page, Ports, Row, Table,
     lead::LeaseWriter,
     rows::{JOBS, JobRow, PROGRESS, SCHEDULER_PART, all_job_parts, parse_job_key},
 };
@@ -88,8 +91,13 @@
             recovered.progress.insert(id, progress);
         }
     }
+    let mut reads = JoinSet::new();
     for part in all_job_parts() {
-        let (rows, version) = read_part(node, JOBS, &part).await;
+        let node = node.clone();
+        reads.spawn_local(async move { read_part(&node, JOBS, &part).await });
+    }
+    while let Some(read) = reads.join_next().await {
+        let (rows, version) = read.expect("a read does not panic");
         after = after.min(version);
         for row in rows {
             note_job_row(&row, &mut recovered);
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -9,17 +9,16 @@
     time::Duration,
 };
 
-use jobs::JobId;
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout_at},
 };
 
 use crate::{
-    Node, Ports, StateAnswer, Transaction,
+    Node, Ports, StateAnswer,
     commit::Outcome,
     message::{Message, RelayReply, RelayRequest},
-    rows::{cancel_key, job_key},
+    rows::{CANCELLED, cancel_key, job_key},
 };
 
 /// How long the scheduler tries for another node. That node's client waits meanwhile.
@@ -46,24 +45,6 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<RelayReply>>>,
 }
 
-/// The transaction that stores a job, once.
-pub(crate) fn job_transaction(id: JobId, row: Vec<u8>) -> Transaction {
-    Transaction {
-        expected: vec![(job_key(id), 0)],
-        set: vec![(job_key(id), row)],
-        delete: Vec::new(),
-    }
-}
-
-/// The transaction that stores a cancelling, once.
-pub(crate) fn cancel_transaction(id: JobId) -> Transaction {
-    Transaction {
-        expected: vec![(cancel_key(id), 0)],
-        set: vec![(cancel_key(id), vec![1])],
-        delete: Vec::new(),
-    }
-}
-
 impl<P: Ports> Node<P> {
     /// Has the scheduler do something.
     pub(crate) async fn relay(&self, request: RelayRequest, deadline: Instant) -> Relayed {
@@ -76,7 +57,9 @@
         let (tx, rx) = oneshot::channel();
         relays.waiting.borrow_mut().insert(number, tx);
         self.0.metrics.count("relayed");
-        let is_sent = upstream.try_send(Message::Relay { number, request }).is_ok();
+        let is_sent = upstream
+            .try_send(Message::Relay { number, request })
+            .is_ok();
         let until = deadline.min(Instant::now() + RELAY_TIMEOUT + RELAY_SLACK);
         let answer = if is_sent {
             timeout_at(until, rx).await.ok().and_then(Result::ok)
@@ -109,16 +92,18 @@
         let deadline = Instant::now() + RELAY_TIMEOUT;
         let reply = match request {
             // Nothing is sent, so that the answer is certain.
-            RelayRequest::Submit(..) | RelayRequest::Cancel(_) if self.0.is_table_lost.get() => {
+            RelayRequest::Submit(..) | RelayRequest::Cancel(_) if self.0.table.is_lost() => {
                 RelayReply::NotStored
             }
             RelayRequest::Submit(id, row) => {
-                let outcome = self.settle(&job_transaction(id, row), deadline).await;
+                let outcome = self.store_here(job_key(id), row, deadline).await;
                 log::info!("event=relayed job={id} outcome={outcome:?}");
                 stored(&outcome)
             }
             RelayRequest::Cancel(id) => {
-                let outcome = self.settle(&cancel_transaction(id), deadline).await;
+                let outcome = self
+                    .store_here(cancel_key(id), CANCELLED.to_vec(), deadline)
+                    .await;
                 log::info!("event=cancel_relayed job={id} outcome={outcome:?}");
                 stored(&outcome)
             }
--- a/crates/cluster/src/rows.rs
+++ b/crates/cluster/src/rows.rs
@@ -18,13 +18,17 @@
 /// Who schedules.
 pub(crate) const LEASE: &str = "lease";
 
-/// Jobs are spread over so many parts, since a part takes 200 transactions a second, and each job is one.
-pub(crate) const JOB_PARTS: u64 = 4;
+/// Jobs are spread over so many parts. A part takes 200 transactions a second one after the other, and
+/// two a second while the table is slow; each job is one.
+pub(crate) const JOB_PARTS: u64 = 64;
 /// All that the scheduler writes is in one part, so that each write can be bound to its lease row.
 pub(crate) const SCHEDULER_PART: &str = "s";
 /// The lease row.
 pub(crate) const LEASE_KEY: &str = "scheduler";
 
+/// The content of a cancelling. Only that there is one counts.
+pub(crate) const CANCELLED: [u8; 1] = [1];
+
 /// Follows the id in the key of a cancelling.
 const CANCEL_MARK: char = '!';
 
--- a/crates/fakes/src/cell/approvals.rs
+++ b/crates/fakes/src/cell/approvals.rs
@@ -5,7 +5,6 @@
 use jobs::StepKey;
 use model::{Time, WorkerId, stable_hash};
 
-
 #[derive(Debug)]
 pub(super) struct Approvals {
     seed: u64,
--- a/crates/fakes/src/cell/gangs.rs
+++ b/crates/fakes/src/cell/gangs.rs
@@ -28,6 +28,9 @@
     /// A run has ended for one member, and so for all. Returns the others.
     pub(super) fn end(&mut self, step: StepKey, run: u32, index: u32) -> Vec<(u32, WorkerId)> {
         let members = self.present.remove(&(step, run)).unwrap_or_default();
-        members.into_iter().filter(|&(other, _)| other != index).collect()
+        members
+            .into_iter()
+            .filter(|&(other, _)| other != index)
+            .collect()
     }
 }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -124,11 +124,21 @@
         if !self.check_fence(start.fence) {
             return (StartAnswer::Fenced, false);
         }
-        if self.runs.get(&start.key).is_some_and(|run| run.run == start.run) {
+        if self
+            .runs
+            .get(&start.key)
+            .is_some_and(|run| run.run == start.run)
+        {
             return (StartAnswer::Started, false);
         }
-        let is_past = self.past.get(&start.key).is_some_and(|&run| run >= start.run);
-        if is_past || self.runs.contains_key(&start.key) || start.lease_until_ms <= self.clock_ms(now) {
+        let is_past = self
+            .past
+            .get(&start.key)
+            .is_some_and(|&run| run >= start.run);
+        if is_past
+            || self.runs.contains_key(&start.key)
+            || start.lease_until_ms <= self.clock_ms(now)
+        {
             return (StartAnswer::Outdated, false);
         }
         self.renew(now, Some(start.lease_until_ms));
@@ -163,7 +173,8 @@
         let past = self.past.entry(key).or_default();
         *past = (*past).max(run.run);
         self.last_number += 1;
-        self.ended_at_ms.insert(self.last_number, self.clock_ms(now));
+        self.ended_at_ms
+            .insert(self.last_number, self.clock_ms(now));
         let end = End {
             key,
             run: run.run,
@@ -242,6 +253,8 @@
     }
 
     pub(super) fn used(&self) -> Size {
-        self.runs.values().fold(Size::ZERO, |used, run| used + run.size)
+        self.runs
+            .values()
+            .fold(Size::ZERO, |used, run| used + run.size)
     }
 }
--- a/crates/fakes/src/cell/judge.rs
+++ b/crates/fakes/src/cell/judge.rs
@@ -142,13 +142,22 @@
         let before = step.after.iter().copied();
         let is_done = |on: u16| {
             let tasks = job.steps[usize::from(on)].tasks;
-            (0..tasks).all(|index| self.done.contains(&TaskKey { step: on, index, ..key }))
+            (0..tasks).all(|index| {
+                self.done.contains(&TaskKey {
+                    step: on,
+                    index,
+                    ..key
+                })
+            })
         };
         let is_in_order = before.into_iter().all(is_done);
         let is_spread = step.per_worker.is_none_or(|limit| beside <= limit);
         let limit = job.queue.max_failures;
         let failures = self.noted_failures.get(&key).copied().unwrap_or(0);
-        let is_late = self.cancelled.get(&key.job).is_some_and(|&at| now > at + CANCEL_LAG);
+        let is_late = self
+            .cancelled
+            .get(&key.job)
+            .is_some_and(|&at| now > at + CANCEL_LAG);
         if !is_in_order {
             self.breach(Breach::OutOfOrder(key.step_key()));
         }
@@ -174,14 +183,24 @@
     }
 
     /// A run is over on its host.
-    pub(super) fn over(&mut self, now: Time, key: TaskKey, run: u32, host: WorkerId, is_done: bool) {
+    pub(super) fn over(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        run: u32,
+        host: WorkerId,
+        is_done: bool,
+    ) {
         let is_same = |begun: &Begun| begun.host == host && begun.run == run;
         let Some(begun) = self.running.get(&key).filter(|begun| is_same(begun)) else {
             return;
         };
         let taken = (now - begun.at).as_secs_f64();
         self.running.remove(&key);
-        let step = self.jobs.get(&key.job).map(|job| &job.steps[usize::from(key.step)]);
+        let step = self
+            .jobs
+            .get(&key.job)
+            .map(|job| &job.steps[usize::from(key.step)]);
         let cores = step.map_or(0, |step| step.size.milli_processors);
         let work = taken * f64::from(u32::try_from(cores).unwrap_or(u32::MAX)) / 1_000.0;
         if is_done {
@@ -189,7 +208,8 @@
             let tasks = step.filter(|step| step.gang).map(|step| step.tasks);
             // One member's good end is that of its gang.
             let all = tasks.map_or(key.index..key.index + 1, |tasks| 0..tasks);
-            self.done.extend(all.map(|index| key.step_key().task(index)));
+            self.done
+                .extend(all.map(|index| key.step_key().task(index)));
         } else {
             self.report.wasted += work;
         }
@@ -227,17 +247,23 @@
             };
             (0..tasks).map(move |index| step.task(index))
         };
-        let mut tasks = job.steps.iter().enumerate().flat_map(|(n, step)| all(n, step.tasks));
+        let mut tasks = job
+            .steps
+            .iter()
+            .enumerate()
+            .flat_map(|(n, step)| all(n, step.tasks));
         let limit = job.queue.max_failures;
         let is_false = match state {
             State::Completed => tasks.any(|key| !self.done.contains(&key)),
             State::Failed => {
                 let failures: HashMap<StepKey, u32> =
-                    self.failures.iter().fold(HashMap::new(), |mut sums, (key, n)| {
-                        let sum = sums.entry(key.step_key()).or_default();
-                        *sum += *n;
-                        sums
-                    });
+                    self.failures
+                        .iter()
+                        .fold(HashMap::new(), |mut sums, (key, n)| {
+                            let sum = sums.entry(key.step_key()).or_default();
+                            *sum += *n;
+                            sums
+                        });
                 !tasks.any(|key| failures.get(&key.step_key()).is_some_and(|&n| n >= limit))
             }
             State::Queued | State::Running | State::Cancelled => false,
--- a/crates/fakes/src/cell/load.rs
+++ b/crates/fakes/src/cell/load.rs
@@ -125,14 +125,21 @@
         let off = 1.0 + kind.estimate_off * (2.0 * uniform(rng) - 1.0);
         let tasks = (kind.tasks.0 * log_normal(rng, kind.tasks.1)).round();
         let step = Step {
-            tasks: whole(tasks).clamp(1, u64::from(kind.tasks_max)).try_into().unwrap_or(1),
+            tasks: whole(tasks)
+                .clamp(1, u64::from(kind.tasks_max))
+                .try_into()
+                .unwrap_or(1),
             size: Size::new(
                 whole(kind.size.0 * log_normal(rng, 0.4)).clamp(50, 15_000),
                 whole(kind.size.1 * log_normal(rng, 0.5)).clamp(50, 50_000),
                 0,
             ),
             estimate_ms: whole(own * off * 1_000.0).max(1),
-            after: if number > 0 { vec![number - 1] } else { Vec::new() },
+            after: if number > 0 {
+                vec![number - 1]
+            } else {
+                Vec::new()
+            },
             gang: chance(rng, kind.gangs),
             ..Step::default()
         };
@@ -157,7 +164,8 @@
 
 /// A factor of mean one.
 fn log_normal(rng: &mut Rng, deviation: f64) -> f64 {
-    let normal = (-2.0 * uniform(rng).max(1e-9).ln()).sqrt() * (std::f64::consts::TAU * uniform(rng)).cos();
+    let normal =
+        (-2.0 * uniform(rng).max(1e-9).ln()).sqrt() * (std::f64::consts::TAU * uniform(rng)).cos();
     (deviation * normal - deviation * deviation / 2.0).exp()
 }
 
--- a/crates/fakes/src/cell/table.rs
+++ b/crates/fakes/src/cell/table.rs
@@ -86,7 +86,11 @@
             (id, progress)
         });
         Recovered {
-            jobs: self.jobs.iter().map(|(&id, job)| (id, job.clone())).collect(),
+            jobs: self
+                .jobs
+                .iter()
+                .map(|(&id, job)| (id, job.clone()))
+                .collect(),
             progress: progress.collect(),
             cancelled: self.cancelled.keys().copied().collect(),
         }
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -9,8 +9,8 @@
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 use sched::{
-    Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler, StartAnswer,
-    StartOrder, StopOrder, WorkerInfo,
+    Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
+    StartAnswer, StartOrder, StopOrder, WorkerInfo,
 };
 
 use super::{
@@ -110,8 +110,21 @@
     PollLoop(usize, u64, WorkerId),
     PollArrives(Waiter, u64),
     PollWaited(WorkerId),
-    PollAnswered(usize, u64, WorkerId, Time, Result<Box<Listing>, PollFailure>),
-    Approved(usize, u64, StepKey, Vec<Arc<str>>, Vec<(Arc<str>, Arc<str>)>, Duration),
+    PollAnswered(
+        usize,
+        u64,
+        WorkerId,
+        Time,
+        Result<Box<Listing>, PollFailure>,
+    ),
+    Approved(
+        usize,
+        u64,
+        StepKey,
+        Vec<Arc<str>>,
+        Vec<(Arc<str>, Arc<str>)>,
+        Duration,
+    ),
     HostTick(WorkerId),
     Alone(StepKey, u32),
     HostBack(WorkerId),
@@ -167,7 +180,9 @@
     #[must_use]
     pub fn new(spec: CellSpec) -> Self {
         let mut rng = Rng::new(spec.seed);
-        let hosts = (0..spec.hosts).map(|i| make_host(&spec, i, &mut rng)).collect();
+        let hosts = (0..spec.hosts)
+            .map(|i| make_host(&spec, i, &mut rng))
+            .collect();
         let table = Table::new(spec.mutation == Mutation::NoCondition);
         let mut cell = Self {
             now: Time::ZERO,
@@ -200,8 +215,18 @@
     /// Runs until all is over, and judges.
     #[must_use]
     pub fn run(mut self) -> Report {
-        let last_arrival = self.spec.arrivals.last().map_or(Time::ZERO, |arrival| arrival.at);
-        let last_fault = self.spec.faults.iter().map(|(at, _)| *at).max().unwrap_or_default();
+        let last_arrival = self
+            .spec
+            .arrivals
+            .last()
+            .map_or(Time::ZERO, |arrival| arrival.at);
+        let last_fault = self
+            .spec
+            .faults
+            .iter()
+            .map(|(at, _)| *at)
+            .max()
+            .unwrap_or_default();
         let end = last_arrival.max(last_fault) + FINISH;
         while let Some(((at, _), event)) = self.events.pop_first() {
             if at > end || (at > last_arrival.max(last_fault) && self.is_over()) {
@@ -363,7 +388,11 @@
 
     fn cancel(&mut self, id: JobId) {
         let now = self.moment();
-        let is_over = self.judge.told.get(&id).is_some_and(|(state, _)| state.is_final());
+        let is_over = self
+            .judge
+            .told
+            .get(&id)
+            .is_some_and(|(state, _)| state.is_final());
         if is_over {
             return;
         }
@@ -430,7 +459,9 @@
             return;
         }
         let idle: Vec<usize> = (0..self.nodes.len())
-            .filter(|&node| !self.nodes[node].schedules() && self.now >= self.nodes[node].paused_until)
+            .filter(|&node| {
+                !self.nodes[node].schedules() && self.now >= self.nodes[node].paused_until
+            })
             .collect();
         if idle.is_empty() {
             return;
@@ -506,7 +537,11 @@
         }
         scheduler.decide(now);
         scheduler.look_again();
-        let batch = if writes { None } else { scheduler.take_batch(now) };
+        let batch = if writes {
+            None
+        } else {
+            scheduler.take_batch(now)
+        };
         let actions = scheduler.take_actions();
         let fence = scheduler.epoch();
         self.judge.report.decisions += 1;
@@ -533,7 +568,8 @@
             self.carry_out(node, life, fence, action);
         }
         let has_event = self.events.range((self.now, 0)..(self.now + LOOK, 0));
-        let is_due = |event: &Event| matches!(event, Event::Decide(n, l) if *n == node && *l == life);
+        let is_due =
+            |event: &Event| matches!(event, Event::Decide(n, l) if *n == node && *l == life);
         if !has_event.map(|(_, event)| event).any(is_due) {
             self.at(self.now + LOOK, Event::Decide(node, life));
         }
@@ -552,10 +588,16 @@
             Fate::Lost => (None, false),
         };
         if let Some(at) = at {
-            self.at(at, Event::WriteArrives(node, life, Box::new(write), answers));
+            self.at(
+                at,
+                Event::WriteArrives(node, life, Box::new(write), answers),
+            );
         }
         if !answers {
-            self.at(self.now + CALL_TIMEOUT + WRITE_RETRY, Event::WriteAgain(node, life));
+            self.at(
+                self.now + CALL_TIMEOUT + WRITE_RETRY,
+                Event::WriteAgain(node, life),
+            );
         }
     }
 
@@ -605,7 +647,9 @@
             Action::Stop(order) => {
                 let (fate, sent) = self.send(node, life, fence, order.worker);
                 match fate {
-                    Fate::Arrives(at) | Fate::Unanswered(at) => self.at(at, Event::Stop(sent, order)),
+                    Fate::Arrives(at) | Fate::Unanswered(at) => {
+                        self.at(at, Event::Stop(sent, order))
+                    }
                     Fate::Lost => {}
                 }
             }
@@ -639,18 +683,27 @@
     /// The host that a scheduler knows under a number.
     fn host_of(&self, node: usize, worker: WorkerId) -> WorkerId {
         let scheduler = self.nodes[node].scheduler.as_ref();
-        let name = scheduler.map(|s| s.worker_info(worker).name.clone()).unwrap_or_default();
+        let name = scheduler
+            .map(|s| s.worker_info(worker).name.clone())
+            .unwrap_or_default();
         self.host_named(&name)
     }
 
     fn host_named(&self, name: &str) -> WorkerId {
-        let i = self.hosts.iter().position(|host| **host.name() == *name).unwrap_or(0);
+        let i = self
+            .hosts
+            .iter()
+            .position(|host| **host.name() == *name)
+            .unwrap_or(0);
         WorkerId(u32::try_from(i).unwrap_or(u32::MAX))
     }
 
     fn unanswered(&mut self, node: usize, life: u64, order: StartOrder) {
         let answer = StartAnswer::Unknown;
-        self.at(self.now + CALL_TIMEOUT, Event::StartAnswered(node, life, order, answer));
+        self.at(
+            self.now + CALL_TIMEOUT,
+            Event::StartAnswered(node, life, order, answer),
+        );
     }
 
     fn ask(
@@ -666,14 +719,28 @@
         let Some(arrival) = self.truth.get(&step.job) else {
             return;
         };
-        let share = self.spec.kinds.get(arrival.kind).map_or(1.0, |kind| kind.allowed);
-        let valid = arrival.job.queue.approval.map_or(Duration::ZERO, |approval| approval.valid);
+        let share = self
+            .spec
+            .kinds
+            .get(arrival.kind)
+            .map_or(1.0, |kind| kind.allowed);
+        let valid = arrival
+            .job
+            .queue
+            .approval
+            .map_or(Duration::ZERO, |approval| approval.valid);
         let allowed = workers
             .iter()
-            .filter(|worker| self.approvals.is_allowed(step, self.host_named(worker), share))
+            .filter(|worker| {
+                self.approvals
+                    .is_allowed(step, self.host_named(worker), share)
+            })
             .map(|worker| (worker.clone(), Arc::from("ticket")))
             .collect();
-        self.at(at, Event::Approved(node, life, step, workers, allowed, valid));
+        self.at(
+            at,
+            Event::Approved(node, life, step, workers, allowed, valid),
+        );
     }
 
     fn start_arrives(&mut self, sent: Sent, order: StartOrder) {
@@ -721,7 +788,11 @@
     /// A run has begun.
     fn begun(&mut self, id: WorkerId, key: TaskKey, run: u32) {
         let host = &self.hosts[index(id)];
-        let beside = host.runs.keys().filter(|other| other.step_key() == key.step_key()).count();
+        let beside = host
+            .runs
+            .keys()
+            .filter(|other| other.step_key() == key.step_key())
+            .count();
         let beside = u32::try_from(beside).unwrap_or(u32::MAX);
         let room = (host.used(), host.info.size);
         self.judge.began(self.now, (key, run), id, beside, room);
@@ -732,7 +803,10 @@
         let step = &job.steps[usize::from(key.step)];
         let took = Duration::from_secs_f64(arrival.seconds[usize::from(key.step)]);
         let failing = self.spec.kinds.get(kind).map_or(0.0, |kind| kind.failing);
-        let fails_all = self.fails_all_until.get(&id).is_some_and(|&until| self.now < until);
+        let fails_all = self
+            .fails_all_until
+            .get(&id)
+            .is_some_and(|&until| self.now < until);
         let end = if fails_all {
             (self.now + QUICK_FAILURE, EndKind::Failed)
         } else if chance(&mut self.rng, failing) {
@@ -788,7 +862,8 @@
         let Some(run) = self.hosts[index(id)].end(self.now, key, kind) else {
             return;
         };
-        self.judge.over(self.now, key, run, id, kind == EndKind::Done);
+        self.judge
+            .over(self.now, key, run, id, kind == EndKind::Done);
         if kind == EndKind::Failed {
             self.judge.failed(key);
         }
@@ -797,12 +872,20 @@
 
     /// What ends a member of a gang's run ends the others: all are done together, or broken.
     fn gang_ends(&mut self, key: TaskKey, run: u32, kind: EndKind) {
-        let kind = if kind == EndKind::Done { EndKind::Done } else { EndKind::Interrupted };
+        let kind = if kind == EndKind::Done {
+            EndKind::Done
+        } else {
+            EndKind::Interrupted
+        };
         for (member, host) in self.gangs.end(key.step_key(), run, key.index) {
             let task = key.step_key().task(member);
-            let is_same = self.hosts[index(host)].runs.get(&task).is_some_and(|r| r.run == run);
+            let is_same = self.hosts[index(host)]
+                .runs
+                .get(&task)
+                .is_some_and(|r| r.run == run);
             if is_same && self.hosts[index(host)].end(self.now, task, kind).is_some() {
-                self.judge.over(self.now, task, run, host, kind == EndKind::Done);
+                self.judge
+                    .over(self.now, task, run, host, kind == EndKind::Done);
                 self.answer_polls(host);
             }
         }
@@ -896,7 +979,10 @@
                 let at = waiter.until + CALL_TIMEOUT;
                 let (worker, sent_at) = (waiter.order.worker, waiter.sent_at);
                 let failure = Err(PollFailure::Silent);
-                self.at(at, Event::PollAnswered(node, life, worker, sent_at, failure));
+                self.at(
+                    at,
+                    Event::PollAnswered(node, life, worker, sent_at, failure),
+                );
             }
         }
     }
@@ -917,7 +1003,8 @@
         };
         for row in noted {
             let kind = row.end.kind;
-            self.judge.noted(row.end.key, kind == EndKind::Done, kind == EndKind::Failed);
+            self.judge
+                .noted(row.end.key, kind == EndKind::Done, kind == EndKind::Failed);
         }
         let until = waiter.until;
         self.waiters.entry(id).or_default().push(waiter);
@@ -930,8 +1017,9 @@
     fn answer_polls(&mut self, id: WorkerId) {
         let has_ends = self.hosts[index(id)].has_ends();
         let waiters = self.waiters.remove(&id).unwrap_or_default();
-        let (due, waiting): (Vec<Waiter>, Vec<Waiter>) =
-            waiters.into_iter().partition(|waiter| has_ends || self.now >= waiter.until);
+        let (due, waiting): (Vec<Waiter>, Vec<Waiter>) = waiters
+            .into_iter()
+            .partition(|waiter| has_ends || self.now >= waiter.until);
         self.waiters.insert(id, waiting);
         for waiter in due {
             let listing = self.hosts[index(id)].list(self.now);
@@ -952,7 +1040,10 @@
             sent_at,
             ..
         } = *waiter;
-        self.at(at, Event::PollAnswered(node, life, waiter.order.worker, sent_at, answer));
+        self.at(
+            at,
+            Event::PollAnswered(node, life, waiter.order.worker, sent_at, answer),
+        );
     }
 
     fn poll_answered(
@@ -966,7 +1057,10 @@
         let now = self.moment();
         let paused = self.nodes[node].paused_until;
         if self.now < paused {
-            self.at(paused, Event::PollAnswered(node, life, worker, sent_at, answer));
+            self.at(
+                paused,
+                Event::PollAnswered(node, life, worker, sent_at, answer),
+            );
             return;
         }
         self.polling.remove(&(node, life, worker));
@@ -1005,7 +1099,11 @@
         born: 1,
         ..WorkerInfo::default()
     };
-    let overrun_ms = if spec.mutation == Mutation::NoLapse { OVERRUN_MS } else { 0 };
+    let overrun_ms = if spec.mutation == Mutation::NoLapse {
+        OVERRUN_MS
+    } else {
+        0
+    };
     Host::new(info, slow_milli, overrun_ms)
 }
 
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -108,7 +108,10 @@
             .map(|(&key, run)| (key, run.run, run.phase))
             .collect();
         for (key, run, phase) in past {
-            let is_listed = listing.running.iter().any(|row| row.key == key && row.run == run);
+            let is_listed = listing
+                .running
+                .iter()
+                .any(|row| row.key == key && row.run == run);
             let is_on_its_way = matches!(phase, RunPhase::Ordered { .. });
             if !is_listed && !is_on_its_way {
                 self.interrupt(now, worker, key);
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -35,12 +35,7 @@
     load
 }
 
-fn spec(
-    load: LoadSpec,
-    seed: u64,
-    faults: Vec<(Time, CellFault)>,
-    mutation: Mutation,
-) -> CellSpec {
+fn spec(load: LoadSpec, seed: u64, faults: Vec<(Time, CellFault)>, mutation: Mutation) -> CellSpec {
     CellSpec {
         arrivals: generate(&load, seed),
         kinds: load.kinds,
@@ -93,7 +88,9 @@
     let report = run(1, Vec::new(), Mutation::None);
     assert_eq!(report.breaches, []);
     let served = report.served.iter();
-    let in_time = served.filter(|s| s.took.is_some_and(|took| took <= s.objective)).count();
+    let in_time = served
+        .filter(|s| s.took.is_some_and(|took| took <= s.objective))
+        .count();
     let share = in_time * 100 / report.served.len();
     assert!(share >= 90, "{share} % of {} in time", report.served.len());
 }
@@ -210,6 +207,9 @@
 
 #[test]
 fn an_end_that_is_acknowledged_before_it_is_stored_is_found() {
-    let faults = [CellFault::TableDown(Duration::from_secs(2)), CellFault::AllNodesDie];
+    let faults = [
+        CellFault::TableDown(Duration::from_secs(2)),
+        CellFault::AllNodesDie,
+    ];
     assert_found(Mutation::AcknowledgeEarly, &faults, ran_twice);
 }
