A new scheduler reserves what workers hold, not what units declare

Cause: a takeover adopted running tasks from the table's rows at their declared size. Tasks that were started at a larger learned size held more on their worker than the new scheduler counted, and it started others into that room.

Test: cli/tests/command_line.rs learned_sizes_outlive_a_takeover, red before.

--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -372,3 +372,16 @@
     ];
     expect(&wrong, 1, "refused the call");
 }
+
+/// The scheduler learns that the tasks use more than declared and starts the later ones with more. A new
+/// scheduler takes them over at what the workers hold for them, not at what the unit declares.
+#[test]
+fn learned_sizes_outlive_a_takeover() {
+    let dir = "crates/cli/tests/loads/learned";
+    for seed in ["1", "2", "3", "4"] {
+        let output = lacewing(&["try", dir, "--seed", seed, "--faults", "many"]);
+        let out = text(&output.stdout);
+        let broken = out.lines().find(|line| line.starts_with("BROKEN"));
+        assert_eq!(broken, None, "seed {seed}");
+    }
+}
--- a/crates/place/src/growth.rs
+++ b/crates/place/src/growth.rs
@@ -46,6 +46,23 @@
         }
     }
 
+    /// Takes what a worker says that it holds for a task. An earlier scheduler may have reserved more
+    /// than the unit declares, since it had learned the task's true size; that room is in use whether it
+    /// was free here or not.
+    pub fn reserved_there(&mut self, task: &TaskId, size: Size) {
+        let Some(unit) = self.units.find(&task.unit) else {
+            return;
+        };
+        let key = (unit, task.index);
+        let Some(placed) = self.units.placed(key) else {
+            return;
+        };
+        let more = size.max(placed.size) - placed.size;
+        if more != Size::ZERO {
+            self.grow(key, more);
+        }
+    }
+
     fn has_room(&self, placed: &Placed, need: Size) -> bool {
         let free = self.workers.get(placed.slot).free();
         need.fits(&free) && self.teams.allows(placed.team, need)
