--- /dev/null
+++ b/crates/jobs/tests/progress.rs
@@ -0,0 +1,312 @@
+//! Progress as a state machine: no order of starts and ends breaks what it promises.
+
+use jobs::{
+    End, EndKind, Job, JobFault, JobId, Life, Limits, Phase, Progress, Queue, Schedule, State, Step,
+    StepKey, TaskKey, decode, encode,
+};
+use quickcheck::quickcheck;
+
+const ID: JobId = JobId(0x5c0e_7a21_d94b_36f8);
+
+fn step(tasks: u32, after: &[u16], gang: bool) -> Step {
+    Step {
+        tasks,
+        after: after.to_vec(),
+        gang,
+        ..Step::default()
+    }
+}
+
+fn job(steps: Vec<Step>) -> Job {
+    Job {
+        queue: Queue {
+            max_failures: 3,
+            ..Queue::default()
+        },
+        steps,
+        ..Job::default()
+    }
+}
+
+fn key(step: u16, index: u32) -> TaskKey {
+    TaskKey {
+        job: ID,
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+fn end(key: TaskKey, run: u32, kind: EndKind) -> End {
+    End {
+        key,
+        run,
+        kind,
+        checkpoint: String::new(),
+    }
+}
+
+fn assign(progress: &mut Progress, tasks: &[TaskKey]) -> u32 {
+    let pairs: Vec<_> = tasks.iter().map(|&key| (key, Life::new("w", 1))).collect();
+    progress.assign(&pairs)
+}
+
+/// What a step of a random run does.
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    Start,
+    End(EndKind),
+    /// An end that comes a second time, or late.
+    Stale,
+    Cancel,
+}
+
+fn moves(bytes: &[u8]) -> impl Iterator<Item = (Move, usize)> + '_ {
+    bytes.iter().map(|byte| {
+        let what = match byte % 16 {
+            0..=5 => Move::Start,
+            6..=9 => Move::End(EndKind::Done),
+            10 => Move::End(EndKind::Failed),
+            11..=12 => Move::End(EndKind::Interrupted),
+            13..=14 => Move::Stale,
+            _ if *byte == 255 => Move::Cancel,
+            _ => Move::Start,
+        };
+        (what, usize::from(byte / 16))
+    })
+}
+
+quickcheck! {
+    /// No task runs beside itself, starts out of order, or starts again after a good end; states only
+    /// go forward; a stored value reads back the same.
+    fn any_order_of_starts_and_ends_is_safe(bytes: Vec<u8>) -> bool {
+        let job = job(vec![step(3, &[], false), step(2, &[0], true), step(2, &[0, 1], false)]);
+        let mut progress = Progress::new(&job);
+        let mut running: Vec<(TaskKey, u32)> = Vec::new();
+        let mut past: Vec<(TaskKey, u32)> = Vec::new();
+        let mut done: Vec<TaskKey> = Vec::new();
+        let mut runs: Vec<(TaskKey, u32)> = Vec::new();
+        for (what, pick) in moves(&bytes) {
+            let before = progress.state();
+            match what {
+                Move::Start => {
+                    let step = u16::try_from(pick % 3).unwrap();
+                    let steps = StepKey { job: ID, occurrence: 0, step };
+                    let waiting = progress.waiting(&job, steps);
+                    let is_gang = job.steps[usize::from(step)].gang;
+                    let chosen: Vec<TaskKey> = waiting
+                        .iter()
+                        .take(if is_gang { usize::MAX } else { 1 })
+                        .map(|&index| steps.task(index))
+                        .collect();
+                    if chosen.is_empty() {
+                        continue;
+                    }
+                    for task in &chosen {
+                        let is_ordered = job.steps[usize::from(step)].after.iter().all(|&on| {
+                            (0..job.steps[usize::from(on)].tasks).all(|i| done.contains(&key(on, i)))
+                        });
+                        if done.contains(task) || running.iter().any(|(k, _)| k == task) || !is_ordered {
+                            return false;
+                        }
+                    }
+                    let run = assign(&mut progress, &chosen);
+                    if chosen.iter().any(|task| runs.iter().any(|(k, r)| k == task && *r >= run)) {
+                        return false;
+                    }
+                    runs.extend(chosen.iter().map(|&task| (task, run)));
+                    running.extend(chosen.into_iter().map(|task| (task, run)));
+                }
+                Move::End(kind) if !running.is_empty() => {
+                    let (task, run) = running.remove(pick % running.len());
+                    let is_gang = job.steps[usize::from(task.step)].gang;
+                    progress.end(&job, &end(task, run, kind), 3);
+                    past.push((task, run));
+                    if is_gang {
+                        // One member's end is that of the others.
+                        let others: Vec<_> = running
+                            .iter()
+                            .copied()
+                            .filter(|(k, r)| k.step_key() == task.step_key() && *r == run)
+                            .collect();
+                        running.retain(|entry| !others.contains(entry));
+                        let kind = if kind == EndKind::Done { kind } else { EndKind::Interrupted };
+                        for (other, run) in others {
+                            progress.end(&job, &end(other, run, kind), 3);
+                            past.push((other, run));
+                        }
+                    }
+                    if kind == EndKind::Done {
+                        let step = &job.steps[usize::from(task.step)];
+                        let all = if step.gang { 0..step.tasks } else { task.index..task.index + 1 };
+                        done.extend(all.map(|i| key(task.step, i)));
+                    }
+                }
+                Move::Stale if !past.is_empty() => {
+                    let (task, run) = past[pick % past.len()];
+                    let before = progress.clone();
+                    let is_changed = progress.end(&job, &end(task, run, EndKind::Done), 3);
+                    if is_changed || before != progress {
+                        return false;
+                    }
+                }
+                Move::Cancel => {
+                    progress.cancel();
+                }
+                Move::End(_) | Move::Stale => {}
+            }
+            if before.is_final() && progress.state() != before {
+                return false;
+            }
+            if progress.state() == State::Completed && done.len() < 7 {
+                return false;
+            }
+            if decode::<Progress>(&encode(&progress)).unwrap() != progress {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+#[test]
+fn a_gangs_failure_counts_once() {
+    let job = job(vec![step(2, &[], true)]);
+    let mut progress = Progress::new(&job);
+    for attempt in 1..=3 {
+        let run = assign(&mut progress, &[key(0, 0), key(0, 1)]);
+        assert_eq!(run, attempt);
+        assert!(progress.end(&job, &end(key(0, 0), run, EndKind::Failed), 3));
+        assert!(progress.end(&job, &end(key(0, 1), run, EndKind::Failed), 3));
+        let expected = if attempt < 3 { State::Running } else { State::Failed };
+        assert_eq!(progress.state(), expected, "attempt {attempt}");
+    }
+}
+
+#[test]
+fn a_gang_waits_until_no_member_of_its_last_run_is_left() {
+    let job = job(vec![step(2, &[], true)]);
+    let mut progress = Progress::new(&job);
+    let run = assign(&mut progress, &[key(0, 0), key(0, 1)]);
+    progress.end(&job, &end(key(0, 0), run, EndKind::Interrupted), 3);
+    assert_eq!(progress.waiting(&job, key(0, 0).step_key()), [0_u32; 0]);
+    progress.end(&job, &end(key(0, 1), run, EndKind::Interrupted), 3);
+    assert_eq!(progress.waiting(&job, key(0, 0).step_key()), [0, 1]);
+}
+
+#[test]
+fn checkpoints_are_kept_and_shared_by_gangs() {
+    let job = job(vec![step(2, &[], true), step(1, &[], false)]);
+    let mut progress = Progress::new(&job);
+    let run = assign(&mut progress, &[key(0, 0), key(0, 1)]);
+    let saved = End {
+        checkpoint: "c1".into(),
+        ..end(key(0, 1), run, EndKind::Interrupted)
+    };
+    progress.end(&job, &saved, 3);
+    assert_eq!(progress.task(key(0, 0)).checkpoint, "c1");
+    assert_eq!(progress.task(key(1, 0)).checkpoint, "");
+}
+
+#[test]
+fn tasks_that_last_wait_again_however_they_end() {
+    let lasting = Step {
+        lasts: true,
+        ..step(1, &[], false)
+    };
+    let job = job(vec![lasting]);
+    let mut progress = Progress::new(&job);
+    for kind in [EndKind::Done, EndKind::Failed, EndKind::Failed, EndKind::Failed, EndKind::Failed] {
+        let run = assign(&mut progress, &[key(0, 0)]);
+        assert!(progress.end(&job, &end(key(0, 0), run, kind), 3));
+        assert_eq!(progress.task(key(0, 0)).phase, Phase::Waiting);
+        assert_eq!(progress.state(), State::Running);
+    }
+}
+
+#[test]
+fn a_scheduled_job_is_completed_with_its_last_occurrence() {
+    let schedule = Schedule {
+        first_unix_ms: 1_000,
+        interval_ms: 500,
+        count: 2,
+    };
+    let job = Job {
+        schedule: Some(schedule),
+        ..job(vec![step(1, &[], false)])
+    };
+    assert_eq!(job.due_unix_ms(1), 1_500);
+    let mut progress = Progress::new(&job);
+    assert_eq!(progress.waiting(&job, key(0, 0).step_key()), [0_u32; 0]);
+    for occurrence in [0, 1] {
+        assert_eq!(progress.open_next(&job), occurrence);
+        let task = TaskKey {
+            occurrence,
+            ..key(0, 0)
+        };
+        let run = assign(&mut progress, &[task]);
+        assert_ne!(progress.state(), State::Completed);
+        progress.end(&job, &end(task, run, EndKind::Done), 3);
+    }
+    assert_eq!(progress.state(), State::Completed);
+}
+
+#[test]
+fn faulty_jobs_are_told_apart() {
+    let limits = Limits::default();
+    let long = "x".repeat(limits.spec_bytes + 1);
+    let often = Schedule {
+        count: 2,
+        interval_ms: 0,
+        ..Schedule::default()
+    };
+    let one = || vec![step(1, &[], false)];
+    let cases: [(Job, fn(&JobFault) -> bool); 6] = [
+        (job(Vec::new()), |f| *f == JobFault::NoSteps),
+        (job(vec![step(0, &[], false)]), |f| matches!(f, JobFault::TaskCount { found: 0, .. })),
+        (job(vec![step(1, &[0], false)]), |f| {
+            matches!(f, JobFault::Dependency { step: 0, on: 0 })
+        }),
+        (job(vec![step(1, &[], false); 65]), |f| {
+            matches!(f, JobFault::TooManySteps { found: 65, .. })
+        }),
+        (
+            Job {
+                spec: long,
+                ..job(one())
+            },
+            |f| matches!(f, JobFault::SpecTooLong { .. }),
+        ),
+        (
+            Job {
+                schedule: Some(often),
+                ..job(one())
+            },
+            |f| matches!(f, JobFault::Schedule { count: 2, .. }),
+        ),
+    ];
+    for (job, is_expected) in cases {
+        let fault = job.check().unwrap_err();
+        assert!(is_expected(&fault), "{fault}");
+    }
+    assert_eq!(job(one()).check(), Ok(()));
+}
+
+#[test]
+fn names_read_back_and_others_are_refused() {
+    let task = key(1, 17);
+    assert_eq!(task.to_string(), "5c0e7a21d94b36f8.0.1.17");
+    assert_eq!(task.to_string().parse(), Ok(task));
+    for text in ["", "5c0e", "5C0E7A21D94B36F8", "5c0e7a21d94b36f8.0.1", "g000000000000000.0.0.0"] {
+        assert!(text.parse::<TaskKey>().is_err(), "{text}");
+        assert!(text.parse::<JobId>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn bytes_of_another_format_are_refused() {
+    assert!(decode::<Progress>(&[]).is_err());
+    assert!(decode::<Progress>(&[9, 0, 0]).unwrap_err().to_string().contains("format 9"));
+    let bytes = encode(&Progress::new(&job(vec![step(1, &[], false)])));
+    assert!(decode::<Progress>(&bytes[..bytes.len() - 1]).is_err());
+}
