Cheaper passes, storing beside deciding, bounded requests for approvals; tests of nodes over a platform in memory

Now passes look at allowed workers only, searches of all workers are bounded, room is spoken for while tickets are renewed, failed requests wait, and batches are stored without waiting for a pass.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -220,6 +220,9 @@
     ) -> Outcome {
         let mut may_be_stored = false;
         loop {
+            if Instant::now() >= deadline && !may_be_stored {
+                return Outcome::NotStored("no time is left".to_owned());
+            }
             if !self.0.table.is_lost() {
                 match self.store_here(key.clone(), value.to_vec(), deadline).await {
                     Outcome::Unknown(_) => may_be_stored = true,
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -108,7 +108,7 @@
     let old = node.0.candidacy.borrow().row().cloned();
     let row = LeaseRow {
         holder: node.0.settings.name.to_string(),
-        address: node.0.settings.link_listen.to_string(),
+        address: node.0.settings.link_address.to_string(),
         epoch: old.as_ref().map_or(1, |row| row.epoch + 1),
         seq: 0,
     };
@@ -211,7 +211,7 @@
 async fn ask_around<P: Ports>(node: &Node<P>, but: SocketAddr) {
     let nodes = node.0.nodes.borrow().clone();
     for address in nodes.iter().filter_map(|address| address.parse().ok()) {
-        if address == but || address == node.0.settings.link_listen {
+        if address == but || address == node.0.settings.link_address {
             continue;
         }
         let Ok(mut link) = link::open(address).await else {
@@ -255,7 +255,7 @@
 async fn listen<P: Ports>(node: &Node<P>, mut link: link::Link, to: SocketAddr) {
     let hello = Message::Hello {
         node: node.0.settings.name.clone(),
-        address: node.0.settings.link_listen.to_string(),
+        address: node.0.settings.link_address.to_string(),
     };
     if link.tx.send(hello).await.is_err() {
         return;
--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -40,6 +40,9 @@
 /// The least time between two passes over all that waits. Events that come together are handled together.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
 
+/// After a pass, this many times its own length go by before the next one.
+const PASS_SHARE: u32 = 4;
+
 /// The longest time between two passes while something waits: tickets and quarantines end meanwhile.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -155,6 +158,13 @@
             node.0
                 .metrics
                 .time("transaction", node.0.clock.time() - sent_at);
+            log::debug!(
+                "event=stored epoch={} seq={} rows={} ms={}",
+                next.epoch,
+                next.seq,
+                batch.rows.len(),
+                (node.0.clock.time() - sent_at).as_millis()
+            );
             self.row = next;
             self.version = version;
             self.confirmed_at = sent_at;
@@ -183,6 +193,8 @@
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
     deposed: Notify,
+    /// There may be something to store.
+    changed: Notify,
 }
 
 impl<P: Ports> Lead<P> {
@@ -197,6 +209,7 @@
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
             deposed: Notify::new(),
+            changed: Notify::new(),
         })
     }
 
@@ -208,6 +221,7 @@
     pub(crate) fn drain(&self) {
         self.is_draining.set(true);
         self.wake.notify_one();
+        self.changed.notify_one();
     }
 
     /// Schedules until another node has taken over, or this one has handed over.
@@ -222,20 +236,10 @@
         self.spawn(self.clone().follow_queues());
         self.spawn(self.clone().beat());
         self.spawn(self.clone().forget());
-        let (batches, mut due) = mpsc::channel(1);
-        let deciding = self.clone().decide(batches);
-        let storing = async {
-            while let Some(batch) = due.recv().await {
-                if !writer.commit(&self.node, &batch).await {
-                    self.scheduler.borrow_mut().depose();
-                    self.wake.notify_one();
-                    return;
-                }
-                self.scheduler.borrow_mut().batch_stored(self.now());
-                self.wake.notify_one();
-            }
+        let both = async {
+            let deciding = self.clone().decide();
+            tokio::join!(deciding, self.clone().store(&mut writer))
         };
-        let both = async { tokio::join!(deciding, storing) };
         // A scheduler that workers have told of a newer one does not wait for the table.
         tokio::select! {
             _ = both => {}
@@ -259,11 +263,37 @@
         tasks.spawn_local(task);
     }
 
+    /// Stores what was decided, a batch after the other, and carries out what rests on it.
+    async fn store(self: Rc<Self>, writer: &mut LeaseWriter) {
+        while !self.is_draining.get() {
+            let now = self.now();
+            let batch = self.scheduler.borrow_mut().take_batch(now);
+            let Some(batch) = batch else {
+                // Whether there is a change or the row is due to be renewed, the next round tells.
+                let _ = timeout(self.node.0.settings.sched.beat / 4, self.changed.notified()).await;
+                continue;
+            };
+            if !writer.commit(&self.node, &batch).await {
+                self.scheduler.borrow_mut().depose();
+                self.wake.notify_one();
+                return;
+            }
+            let actions = {
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.batch_stored(self.now());
+                scheduler.take_actions()
+            };
+            self.carry_out(actions);
+            self.wake.notify_one();
+        }
+    }
+
     /// Decides, whenever something has happened.
-    async fn decide(self: Rc<Self>, batches: mpsc::Sender<Batch>) {
+    async fn decide(self: Rc<Self>) {
         loop {
             let now = self.now();
-            let (actions, batch, due) = {
+            let began = std::time::Instant::now();
+            let (actions, due) = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 if scheduler.is_deposed() {
                     self.deposed.notify_one();
@@ -273,21 +303,20 @@
                     return;
                 }
                 scheduler.decide(now);
-                let batch = scheduler.take_batch(now);
-                (scheduler.take_actions(), batch, scheduler.next_due(now))
+                (scheduler.take_actions(), scheduler.next_due(now))
             };
             self.carry_out(actions);
-            if let Some(batch) = batch {
-                if batches.send(batch).await.is_err() {
-                    return;
-                }
-            }
+            self.changed.notify_one();
+            // A long line takes long to go over. Other work gets most of the processor all the same.
+            let interval = PASS_INTERVAL
+                .max(began.elapsed() * PASS_SHARE)
+                .min(LOOK_INTERVAL);
             let pause = (due - now.time).clamp(PASS_INTERVAL, LOOK_INTERVAL);
             // Whether something has happened or the time has passed makes no difference.
             if timeout(pause, self.wake.notified()).await.is_err() {
                 self.scheduler.borrow_mut().look_again();
             } else {
-                sleep(PASS_INTERVAL).await;
+                sleep(interval).await;
             }
         }
     }
@@ -348,7 +377,8 @@
         let peer = peers.get(approver);
         let is_sent = peer.is_some_and(|peer| peer.tx.try_send(message).is_ok());
         if !is_sent {
-            self.scheduler.borrow_mut().approval_failed(step);
+            let now = self.now();
+            self.scheduler.borrow_mut().approval_failed(now, step);
         }
     }
 
@@ -667,7 +697,12 @@
                 self.tell_summary(now, &mut workers);
             }
             count += 1;
-            sleep(BEAT).await;
+            if self.node.0.table.is_lost() {
+                sleep(BEAT).await;
+            } else {
+                // That the table is lost is told at once. Else the time passes.
+                let _ = timeout(BEAT, self.node.0.table.until_lost()).await;
+            }
         }
     }
 
@@ -748,7 +783,7 @@
         let peers = self.peers.borrow();
         let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
         drop(peers);
-        nodes.push(self.node.0.settings.link_listen.to_string());
+        nodes.push(self.node.0.settings.link_address.to_string());
         self.broadcast(&Message::Nodes(nodes));
     }
 
@@ -781,8 +816,8 @@
                 self.wake.notify_one();
             }
             Message::NotApproved { step } => {
-                self.scheduler.borrow_mut().approval_failed(step);
-                self.wake.notify_one();
+                let now = self.now();
+                self.scheduler.borrow_mut().approval_failed(now, step);
             }
             other => log::warn!("event=unexpected_message message={other:?}"),
         }
--- a/crates/cluster/src/logs.rs
+++ b/crates/cluster/src/logs.rs
@@ -10,7 +10,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
@@ -18,8 +18,12 @@
 /// Lines that wait to be written: a few seconds of a busy node.
 const QUEUE: usize = 4_096;
 
-/// Lines are written together up to this many bytes.
-const CHUNK: usize = 32 << 10;
+/// Lines are written together up to this many bytes. A pipe takes as much at a time, whole or not at all.
+const CHUNK: usize = 4 << 10;
+
+/// How often a chunk is offered to a reader that does not keep up, and the pause between.
+const OFFERS: u32 = 200;
+const OFFER_PAUSE: Duration = Duration::from_millis(5);
 
 struct Logs {
     node: String,
@@ -93,9 +97,24 @@
                 "level=WARN part=logs event=lines_dropped count={dropped}\n"
             ));
         }
-        if out.write_all(chunk.as_bytes()).is_err() {
-            // Nobody reads any more, and there is nowhere else to tell it.
+        offer(&mut out, chunk.as_bytes());
+    }
+}
+
+/// Writes a chunk. One that nobody takes is counted as dropped.
+fn offer(out: &mut impl Write, mut bytes: &[u8]) {
+    for _ in 0..OFFERS {
+        match out.write(bytes) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => thread::sleep(OFFER_PAUSE),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            // There is nowhere else to tell it.
+            Err(_) => break,
+        }
+        if bytes.is_empty() {
+            // Standard output keeps what follows the last end of a line; all chunks end with one.
             return;
         }
     }
+    DROPPED.fetch_add(1, Ordering::Relaxed);
 }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -43,8 +43,8 @@
 pub struct NodeSettings {
     /// The node's name, unique among the nodes.
     pub name: Arc<str>,
-    /// Where it listens for links of other nodes. They use this address.
-    pub link_listen: SocketAddr,
+    /// Where other nodes reach it.
+    pub link_address: SocketAddr,
     /// How many nodes try to become the scheduler before this one, when several could.
     pub rank: u32,
     /// Settings of the scheduler.
@@ -139,15 +139,11 @@
         }))
     }
 
-    /// Runs the node until [`drain`](Self::drain) is called. Must be called inside a `LocalSet`.
-    ///
-    /// # Errors
-    ///
-    /// The address for links can't be listened on.
-    pub async fn run(&self) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.0.settings.link_listen).await?;
+    /// Runs the node until [`drain`](Self::drain) is called. Other nodes' links come in at `links`. Must
+    /// be called inside a `LocalSet`.
+    pub async fn run(&self, links: TcpListener) {
         let node = self.clone();
-        let links = spawn_local(link::accept(listener, move |link| node.serve_link(link)));
+        let links = spawn_local(link::accept(links, move |link| node.serve_link(link)));
         let parts = [
             links,
             spawn_local(feed::follow_routes(self.clone())),
@@ -165,7 +161,6 @@
         for part in parts {
             part.abort();
         }
-        Ok(())
     }
 
     /// Hands scheduling over, if this node schedules, and lets [`run`](Self::run) return. Jobs are still
--- /dev/null
+++ b/crates/cluster/tests/node.rs
@@ -0,0 +1,229 @@
+//! Nodes over a platform in memory: what clients are told is true, whatever the table does.
+
+mod support;
+
+use std::time::Duration;
+
+use cluster::{Cancelling, Node, StateAnswer, Submission};
+use jobs::{JobId, State};
+use support::{Platform, TableFault, deadline, job, platform, queue, start, until};
+use tokio::{
+    runtime::Builder,
+    task::LocalSet,
+    time::{Instant, sleep, timeout},
+};
+
+const ID: JobId = JobId(7);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+async fn submit(node: &Node<Platform>, id: JobId, tasks: u32) -> Submission {
+    node.submit(&queue(), id, job(tasks), deadline()).await
+}
+
+async fn until_state(node: &Node<Platform>, id: JobId, wanted: State) {
+    let waiting = async {
+        while node.state(id, deadline()).await != StateAnswer::State(wanted) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let is_there = timeout(Duration::from_secs(30), waiting).await.is_ok();
+    assert!(
+        is_there,
+        "{id} is not {wanted:?}: {:?}",
+        node.state(id, deadline()).await
+    );
+}
+
+#[test]
+fn a_job_is_stored_run_and_told_completed_once() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        assert_eq!(submit(&node, ID, 5).await, Submission::Accepted);
+        assert_eq!(platform.rows("jobs"), 1);
+        assert_eq!(submit(&node, ID, 5).await, Submission::Accepted, "a resend");
+        until_state(&node, ID, State::Completed).await;
+        assert_eq!(
+            submit(&node, ID, 5).await,
+            Submission::Accepted,
+            "a late resend"
+        );
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(platform.starts(), 5);
+        assert_eq!(platform.rows("jobs"), 1);
+    });
+}
+
+#[test]
+fn what_nobody_submitted_is_not_known() {
+    run(async {
+        let node = start("n1", 0, &platform()).await;
+        assert_eq!(node.state(ID, deadline()).await, StateAnswer::NoJob);
+        assert_eq!(node.cancel(ID, deadline()).await, Cancelling::NoJob);
+    });
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_never_starts_again() {
+    run(async {
+        let platform = platform();
+        platform.world.task_time.set(Duration::from_secs(60));
+        let node = start("n1", 0, &platform).await;
+        assert_eq!(submit(&node, ID, 2).await, Submission::Accepted);
+        until("the tasks run", || platform.starts() == 2).await;
+        assert_eq!(node.cancel(ID, deadline()).await, Cancelling::Accepted);
+        until_state(&node, ID, State::Cancelled).await;
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(platform.starts(), 2);
+        assert_eq!(
+            node.cancel(ID, deadline()).await,
+            Cancelling::Accepted,
+            "once more"
+        );
+    });
+}
+
+#[test]
+fn lost_answers_are_settled_and_nothing_runs_twice() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        // A scheduler is there before the answers go missing.
+        assert_eq!(submit(&node, JobId(1), 1).await, Submission::Accepted);
+        until_state(&node, JobId(1), State::Completed).await;
+        platform.fault.set(TableFault::LosesAnswers);
+        let submitting = submit(&node, ID, 3);
+        let healing = async {
+            sleep(Duration::from_millis(300)).await;
+            platform.fault.set(TableFault::None);
+        };
+        let (submission, ()) = tokio::join!(submitting, healing);
+        assert_eq!(submission, Submission::Accepted);
+        until_state(&node, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 4);
+    });
+}
+
+#[test]
+fn not_run_is_told_at_once_and_is_true() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        until_state_known(&node).await;
+        platform.fault.set(TableFault::Refuses);
+        // The first one finds out that the table is lost; the next ones are refused without a try.
+        let first = submit(&node, JobId(1), 1).await;
+        assert!(matches!(first, Submission::NotRun { .. }), "{first:?}");
+        let began = Instant::now();
+        let refused = submit(&node, ID, 1).await;
+        let Submission::NotRun { retry_after, .. } = refused else {
+            panic!("{refused:?}");
+        };
+        assert!(retry_after > Duration::ZERO);
+        assert!(
+            began.elapsed() < Duration::from_secs(10),
+            "held back to its deadline"
+        );
+        platform.fault.set(TableFault::None);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(platform.rows("jobs"), 0);
+        assert_eq!(
+            submit(&node, ID, 1).await,
+            Submission::Accepted,
+            "after the outage"
+        );
+    });
+}
+
+async fn until_state_known(node: &Node<Platform>) {
+    until("the scheduler has told what waits", || {
+        node.pending(&queue()).is_some()
+    })
+    .await;
+}
+
+#[test]
+fn a_silent_table_is_never_told_as_not_run_once_something_was_sent() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        until_state_known(&node).await;
+        platform.fault.set(TableFault::Silent);
+        let until = Instant::now() + Duration::from_secs(4);
+        let submission = node.submit(&queue(), ID, job(1), until).await;
+        assert_eq!(submission, Submission::Unknown);
+    });
+}
+
+#[test]
+fn a_node_without_the_table_serves_by_way_of_the_scheduler() {
+    run(async {
+        let platform = platform();
+        let first = start("n1", 0, &platform).await;
+        until_state_known(&first).await;
+        let other = platform.for_another();
+        let second = start("n2", 5, &other).await;
+        until_state_known(&second).await;
+        other.fault.set(TableFault::Refuses);
+        assert_eq!(submit(&second, ID, 2).await, Submission::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        assert_eq!(
+            second.state(JobId(99), deadline()).await,
+            StateAnswer::NoJob
+        );
+        assert_eq!(platform.starts(), 2);
+    });
+}
+
+#[test]
+fn a_scheduler_that_shuts_down_hands_over() {
+    run(async {
+        let platform = platform();
+        let first = start("n1", 0, &platform).await;
+        until_state_known(&first).await;
+        let second = start("n2", 1, &platform.for_another()).await;
+        until_state_known(&second).await;
+        assert_eq!(submit(&second, ID, 4).await, Submission::Accepted);
+        first.drain();
+        assert!(!first.is_ready());
+        assert_eq!(submit(&second, JobId(8), 4).await, Submission::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        until_state(&second, JobId(8), State::Completed).await;
+        assert_eq!(platform.starts(), 8);
+    });
+}
+
+#[test]
+fn a_scheduler_that_the_table_turns_away_is_followed() {
+    run(async {
+        let platform = platform();
+        let first = start("n1", 0, &platform).await;
+        until_state_known(&first).await;
+        let second = start("n2", 1, &platform.for_another()).await;
+        until_state_known(&second).await;
+        platform.fault.set(TableFault::Refuses);
+        assert_eq!(submit(&second, ID, 3).await, Submission::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        until_state(&first, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 3);
+    });
+}
+
+#[test]
+fn a_lower_version_of_the_configuration_is_never_put_in_force() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        let with = |version| cluster::Routes::new(version, []);
+        *platform.world.routes.borrow_mut() = with(5);
+        let version = || node.routes().map_or(0, |routes| routes.version());
+        until("version 5 is in force", || version() == 5).await;
+        *platform.world.routes.borrow_mut() = with(4);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(version(), 5);
+    });
+}
--- a/crates/jobs/tests/progress.rs
+++ b/crates/jobs/tests/progress.rs
@@ -1,8 +1,8 @@
 //! Progress as a state machine: no order of starts and ends breaks what it promises.
 
 use jobs::{
-    End, EndKind, Job, JobFault, JobId, Life, Limits, Phase, Progress, Queue, Schedule, State, Step,
-    StepKey, TaskKey, decode, encode,
+    End, EndKind, Job, JobFault, JobId, Life, Limits, Phase, Progress, Queue, Schedule, State,
+    Step, StepKey, TaskKey, decode, encode,
 };
 use quickcheck::quickcheck;
 
@@ -178,7 +178,11 @@
         assert_eq!(run, attempt);
         assert!(progress.end(&job, &end(key(0, 0), run, EndKind::Failed), 3));
         assert!(progress.end(&job, &end(key(0, 1), run, EndKind::Failed), 3));
-        let expected = if attempt < 3 { State::Running } else { State::Failed };
+        let expected = if attempt < 3 {
+            State::Running
+        } else {
+            State::Failed
+        };
         assert_eq!(progress.state(), expected, "attempt {attempt}");
     }
 }
@@ -216,7 +220,13 @@
     };
     let job = job(vec![lasting]);
     let mut progress = Progress::new(&job);
-    for kind in [EndKind::Done, EndKind::Failed, EndKind::Failed, EndKind::Failed, EndKind::Failed] {
+    for kind in [
+        EndKind::Done,
+        EndKind::Failed,
+        EndKind::Failed,
+        EndKind::Failed,
+        EndKind::Failed,
+    ] {
         let run = assign(&mut progress, &[key(0, 0)]);
         assert!(progress.end(&job, &end(key(0, 0), run, kind), 3));
         assert_eq!(progress.task(key(0, 0)).phase, Phase::Waiting);
@@ -263,7 +273,9 @@
     let one = || vec![step(1, &[], false)];
     let cases: [(Job, fn(&JobFault) -> bool); 6] = [
         (job(Vec::new()), |f| *f == JobFault::NoSteps),
-        (job(vec![step(0, &[], false)]), |f| matches!(f, JobFault::TaskCount { found: 0, .. })),
+        (job(vec![step(0, &[], false)]), |f| {
+            matches!(f, JobFault::TaskCount { found: 0, .. })
+        }),
         (job(vec![step(1, &[0], false)]), |f| {
             matches!(f, JobFault::Dependency { step: 0, on: 0 })
         }),
@@ -297,7 +309,13 @@
     let task = key(1, 17);
     assert_eq!(task.to_string(), "5c0e7a21d94b36f8.0.1.17");
     assert_eq!(task.to_string().parse(), Ok(task));
-    for text in ["", "5c0e", "5C0E7A21D94B36F8", "5c0e7a21d94b36f8.0.1", "g000000000000000.0.0.0"] {
+    for text in [
+        "",
+        "5c0e",
+        "5C0E7A21D94B36F8",
+        "5c0e7a21d94b36f8.0.1",
+        "g000000000000000.0.0.0",
+    ] {
         assert!(text.parse::<TaskKey>().is_err(), "{text}");
         assert!(text.parse::<JobId>().is_err(), "{text}");
     }
@@ -306,7 +324,12 @@
 #[test]
 fn bytes_of_another_format_are_refused() {
     assert!(decode::<Progress>(&[]).is_err());
-    assert!(decode::<Progress>(&[9, 0, 0]).unwrap_err().to_string().contains("format 9"));
+    assert!(
+        decode::<Progress>(&[9, 0, 0])
+            .unwrap_err()
+            .to_string()
+            .contains("format 9")
+    );
     let bytes = encode(&Progress::new(&job(vec![step(1, &[], false)])));
     assert!(decode::<Progress>(&bytes[..bytes.len() - 1]).is_err());
 }
--- a/crates/sched/src/approval.rs
+++ b/crates/sched/src/approval.rs
@@ -4,29 +4,46 @@
 //! steps may wait for longer than that. Which workers are allowed never changes, so what was learned is
 //! kept, and only the approvals themselves are renewed, once there is room to use them.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use model::{Time, WorkerId};
 
 /// The proof of an approval that a start has to carry.
 pub type Ticket = Arc<str>;
 
-/// What is known of one worker and one step.
+/// A worker that may run the step, with its last ticket.
 #[derive(Clone, Debug)]
-struct Approval {
+pub(crate) struct Allowed {
+    pub(crate) worker: WorkerId,
     /// The life of the worker that the ticket holds for.
     born: u64,
     ticket: Ticket,
     until: Time,
 }
 
+impl Allowed {
+    /// The ticket, if it holds at `now` for the life that began at `born`.
+    pub(crate) fn ticket(&self, now: Time, born: u64) -> Option<&Ticket> {
+        (self.born == born && now < self.until).then_some(&self.ticket)
+    }
+}
+
 /// What is known of the workers that may run one step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Approvals {
-    /// The workers that were asked about: the last approval, or none if they are not allowed.
-    known: HashMap<WorkerId, Option<Approval>>,
+    /// The workers that were asked about.
+    asked: BTreeSet<WorkerId>,
+    /// Those of them that may run the step, in the order of their numbers.
+    allowed: Vec<Allowed>,
+    /// By then all tickets have lapsed.
+    lapsed_at: Time,
     /// Until when a request that is under way may take.
     pending_until: Option<Time>,
+    /// When to look again for workers that were not asked about.
+    widen_at: Time,
+    /// Whether the step was found to fit on the allowed workers if they were empty, and how many workers
+    /// were asked about by then.
+    fits: Option<(usize, bool)>,
 }
 
 impl Approvals {
@@ -38,58 +55,72 @@
         until: Time,
     ) {
         self.pending_until = None;
-        for &worker in asked {
-            self.known.entry(worker).or_insert(None);
-        }
+        self.lapsed_at = self.lapsed_at.max(until);
+        self.asked.extend(asked);
         for (worker, born, ticket) in allowed {
-            let approval = Approval {
+            let new = Allowed {
+                worker,
                 born,
                 ticket,
                 until,
             };
-            self.known.insert(worker, Some(approval));
+            match self.position(worker) {
+                Ok(at) => self.allowed[at] = new,
+                Err(at) => self.allowed.insert(at, new),
+            }
         }
     }
 
+    fn position(&self, worker: WorkerId) -> Result<usize, usize> {
+        self.allowed
+            .binary_search_by_key(&worker, |allowed| allowed.worker)
+    }
+
     /// Whether anything is known.
     pub(crate) fn is_empty(&self) -> bool {
-        self.known.is_empty()
+        self.asked.is_empty()
     }
 
     /// The workers that are known to be allowed, whether their tickets still hold or not.
-    pub(crate) fn allowed(&self) -> impl Iterator<Item = WorkerId> {
-        self.known
-            .iter()
-            .filter(|(_, approval)| approval.is_some())
-            .map(|(&worker, _)| worker)
+    pub(crate) fn allowed(&self) -> &[Allowed] {
+        &self.allowed
     }
 
-    /// Whether the worker is known to be allowed.
-    pub(crate) fn is_allowed(&self, worker: WorkerId) -> bool {
-        matches!(self.known.get(&worker), Some(Some(_)))
+    /// Whether a ticket may still hold.
+    pub(crate) fn has_tickets(&self, now: Time) -> bool {
+        now < self.lapsed_at
     }
 
     /// Whether the worker was asked about.
     pub(crate) fn is_known(&self, worker: WorkerId) -> bool {
-        self.known.contains_key(&worker)
+        self.asked.contains(&worker)
     }
 
     /// The ticket for a worker's present life, if one holds at `now`.
     pub(crate) fn ticket(&self, now: Time, worker: WorkerId, born: u64) -> Option<&Ticket> {
-        let approval = self.known.get(&worker)?.as_ref()?;
-        (approval.born == born && now < approval.until).then_some(&approval.ticket)
+        let at = self.position(worker).ok()?;
+        self.allowed[at].ticket(now, born)
     }
 
     /// Forgets a ticket that a worker has refused.
     pub(crate) fn revoke(&mut self, worker: WorkerId) {
-        if let Some(Some(approval)) = self.known.get_mut(&worker) {
-            approval.until = Time::ZERO;
+        if let Ok(at) = self.position(worker) {
+            self.allowed[at].until = Time::ZERO;
         }
     }
 
-    /// The request under way has brought nothing.
-    pub(crate) const fn failed(&mut self) {
-        self.pending_until = None;
+    /// The request under way has brought nothing. None is made until `retry_at`.
+    pub(crate) const fn failed(&mut self, retry_at: Time) {
+        self.pending_until = Some(retry_at);
+    }
+
+    /// Whether it is time to look for workers that were not asked about. The next time is after `pause`.
+    pub(crate) fn may_widen(&mut self, now: Time, pause: Duration) -> bool {
+        let is_due = now >= self.widen_at && !self.is_pending(now);
+        if is_due {
+            self.widen_at = now + pause;
+        }
+        is_due
     }
 
     /// Notes that a request is under way.
@@ -101,4 +132,16 @@
     pub(crate) fn is_pending(&self, now: Time) -> bool {
         self.pending_until.is_some_and(|until| now < until)
     }
+
+    /// Whether the step fits on the allowed workers if they were empty, if that was looked at since the
+    /// last answer.
+    pub(crate) fn fits(&self) -> Option<bool> {
+        self.fits
+            .filter(|(asked, _)| *asked == self.asked.len())
+            .map(|(_, fits)| fits)
+    }
+
+    pub(crate) fn note_fits(&mut self, fits: bool) {
+        self.fits = Some((self.asked.len(), fits));
+    }
 }
--- a/crates/sched/src/approvers.rs
+++ b/crates/sched/src/approvers.rs
@@ -46,8 +46,13 @@
     }
 
     /// Picks the node that will have the answer first, and counts the request on it. Returns the node
-    /// and when its answer is expected.
-    pub(crate) fn pick(&mut self, now: Time, cost: Duration) -> Option<(Arc<str>, Time)> {
+    /// and when its answer is expected, or none if it would have to wait for longer than `backlog`.
+    pub(crate) fn pick(
+        &mut self,
+        now: Time,
+        cost: Duration,
+        backlog: Duration,
+    ) -> Option<(Arc<str>, Time)> {
         let long = self.nodes.len() / LONG_SHARE;
         let range = match long {
             0 => 0..self.nodes.len(),
@@ -61,6 +66,9 @@
             range
         };
         let approver = self.nodes[range].iter_mut().min_by_key(|a| a.busy_until)?;
+        if approver.busy_until > now + backlog {
+            return None;
+        }
         approver.busy_until = approver.busy_until.max(now) + cost;
         Some((approver.node.clone(), approver.busy_until))
     }
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -36,6 +36,12 @@
     /// How long the node that took a job in may take for its first approvals before the scheduler has
     /// them asked for itself.
     pub approval_grace: Duration,
+    /// The pause after a request for approvals has failed, and between two searches for workers that a step
+    /// was not asked about. Requests for gangs take most of a second.
+    pub approval_retry: Duration,
+    /// Requests for approvals that would have to wait longer than this at every node are not made yet.
+    /// Their tickets would come when the room is gone.
+    pub approval_backlog: Duration,
     /// The most workers that one request for approvals names. The platform takes 100.
     pub approval_workers: usize,
     /// Consecutive failures of tasks, with no success between, that put a worker under quarantine.
@@ -44,6 +50,8 @@
     pub quarantine: Duration,
     /// The longest quarantine.
     pub quarantine_max: Duration,
+    /// How many times a pass may search all workers for a step. Each search takes some 20 us for 350.
+    pub searches: usize,
     /// How many gangs at the head of the line have room kept for them.
     pub kept_gangs: usize,
     /// How long a job that is over is remembered. The platform asks for 120 s.
@@ -66,10 +74,13 @@
             beat: Duration::from_millis(400),
             approval_margin: Duration::from_millis(150),
             approval_grace: Duration::from_millis(400),
+            approval_retry: Duration::from_millis(700),
+            approval_backlog: Duration::from_millis(1_200),
             approval_workers: 100,
             failure_streak: 3,
             quarantine: Duration::from_millis(1_500),
             quarantine_max: Duration::from_millis(12_000),
+            searches: 16,
             kept_gangs: 2,
             remember: Duration::from_secs(150),
         }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Action, Now, Scheduler, Ticket,
+    approval::Approvals,
     fit::{self, Candidate},
     fleet::index,
     line::{self, Waiting},
@@ -24,8 +25,12 @@
 /// The room that is left to the steps that have not had their turn in this pass.
 struct Pass {
     room: Vec<Size>,
+    /// The workers that have room for the smallest task that waits.
+    open: Vec<WorkerId>,
     /// How many gangs may still have room kept for them.
     kept_gangs: usize,
+    /// How many searches over all workers may still be made.
+    searches: usize,
 }
 
 impl Pass {
@@ -74,13 +79,22 @@
         }
         let mut steps = self.line(now);
         line::sort(now.time, &mut steps);
-        let room = self
+        let room: Vec<Size> = self
             .fleet
             .iter()
-            .map(|worker| self.free_room(now.time, worker));
+            .map(|worker| self.free_room(now.time, worker))
+            .collect();
+        let least = self.least_size(&steps);
         let mut pass = Pass {
-            room: room.collect(),
+            open: self
+                .fleet
+                .iter()
+                .map(|worker| worker.id)
+                .filter(|&id| least.fits(&room[index(id)]))
+                .collect(),
+            room,
             kept_gangs: self.cfg.kept_gangs,
+            searches: self.cfg.searches,
         };
         for waiting in steps {
             self.place(now.time, &waiting, &mut pass);
@@ -117,6 +131,23 @@
         self.needs_pass |= !self.waiting.is_empty();
     }
 
+    /// The least that any task of the steps needs, in each dimension.
+    fn least_size(&self, steps: &[Waiting]) -> Size {
+        let sizes = steps.iter().filter_map(|waiting| {
+            let entry = self.jobs.get(&waiting.key.job)?;
+            let step = entry.job.steps.get(usize::from(waiting.key.step))?;
+            Some(step.reserved())
+        });
+        let least = |a: Size, b: Size| {
+            Size::new(
+                a.milli_processors.min(b.milli_processors),
+                a.memory_mb.min(b.memory_mb),
+                a.accelerators.min(b.accelerators),
+            )
+        };
+        sizes.reduce(least).unwrap_or_default()
+    }
+
     fn free_room(&self, now: Time, worker: &Worker) -> Size {
         if worker.takes_work(now) {
             worker.room()
@@ -194,7 +225,7 @@
             return;
         }
         let is_gang = want.step().gang;
-        let placed = self.fit(now, &want, want.tasks.len(), Approved::Now, &pass.room);
+        let placed = self.fit(now, &want, want.tasks.len(), Approved::Now, pass);
         let is_whole = placed.len() == want.tasks.len();
         if is_whole || (!is_gang && !placed.is_empty()) {
             pass.take(want.step().reserved(), &placed);
@@ -211,27 +242,40 @@
     fn prepare(&mut self, now: Time, want: &Want, tasks: usize, pass: &mut Pass) {
         let size = want.step().reserved();
         let is_gang = want.step().gang;
-        let placed = self.fit(now, want, tasks, Approved::Ever, &pass.room);
+        let placed = self.fit(now, want, tasks, Approved::Ever, pass);
         let is_enough = placed.len() == tasks || (!is_gang && !placed.is_empty());
         if is_enough && want.approval.is_some() {
-            if is_gang {
-                pass.take(size, &placed);
-            }
+            // The room is spoken for until the tickets are there, so that not all ask for the same.
+            pass.take(size, &placed);
             self.ask_again(now, want, &placed);
             return;
         }
         if want.approval.is_some() {
-            // Workers that were not there, or not free, when the others were asked about.
-            let mut workers = self.unasked(now, want);
-            workers.retain(|&id| size.fits(&pass.room[index(id)]));
-            self.ask(now, want, &workers);
+            self.widen(now, want, pass);
         }
-        if is_gang && pass.kept_gangs > 0 && !self.is_too_narrow(now, want) {
+        if is_gang && pass.kept_gangs > 0 && !self.is_too_narrow(now, want, pass) {
             pass.kept_gangs -= 1;
             pass.take(size, &placed);
         }
     }
 
+    /// Asks about workers with room that were not there, or not free, when the others were asked about.
+    fn widen(&mut self, now: Time, want: &Want, pass: &mut Pass) {
+        if pass.searches == 0 {
+            return;
+        }
+        let pause = self.cfg.approval_retry;
+        let approvals = self.approvals.get_mut(&want.key);
+        if !approvals.is_some_and(|approvals| approvals.may_widen(now, pause)) {
+            return;
+        }
+        pass.searches -= 1;
+        let size = want.step().reserved();
+        let mut workers = self.unasked(now, want);
+        workers.retain(|&id| size.fits(&pass.room[index(id)]));
+        self.ask(now, want, &workers);
+    }
+
     fn has_approvals(&self, key: StepKey) -> bool {
         let approvals = self.approvals.get(&key);
         approvals.is_some_and(|approvals| !approvals.is_empty())
@@ -253,36 +297,37 @@
         want: &Want,
         tasks: usize,
         approved: Approved,
-        room: &[Size],
+        pass: &Pass,
     ) -> Vec<WorkerId> {
         let step = want.step();
-        let approvals = self.approvals.get(&want.key);
-        let is_approved = |worker: &Worker| match (approvals, approved) {
-            _ if want.approval.is_none() => true,
-            (None, _) => false,
-            (Some(a), Approved::Now) => a.ticket(now, worker.id, worker.info.born).is_some(),
-            (Some(a), Approved::Ever) => a.is_allowed(worker.id),
-        };
+        let size = step.reserved();
         let suits = |worker: &&Worker| {
-            step.reserved().fits(&room[index(worker.id)])
-                && worker.suits(now, &want.pool, step)
-                && is_approved(worker)
+            size.fits(&pass.room[index(worker.id)]) && worker.suits(now, &want.pool, step)
         };
-        let candidate = |worker: &Worker| {
-            let limit = step.per_worker;
-            let slots = limit.map_or(u32::MAX, |n| n.saturating_sub(worker.count_of(want.key)));
-            Candidate {
-                worker: worker.id,
-                room: room[index(worker.id)],
-                size: worker.info.size,
-                slots,
-                is_near: step.data_rack.is_none() || step.data_rack == worker.info.rack,
-                rack: worker.info.rack.clone(),
+        let mut candidates: Vec<Candidate<'_>> = if want.approval.is_none() {
+            let open = pass.open.iter().map(|&id| self.fleet.get(id));
+            let suitable = open.filter(suits);
+            suitable
+                .map(|worker| candidate(worker, want, pass))
+                .collect()
+        } else {
+            let Some(approvals) = self.approvals.get(&want.key) else {
+                return Vec::new();
+            };
+            if approved == Approved::Now && !approvals.has_tickets(now) {
+                return Vec::new();
             }
+            let allowed = approvals.allowed().iter().filter(|allowed| {
+                let born = self.fleet.get(allowed.worker).info.born;
+                approved == Approved::Ever || allowed.ticket(now, born).is_some()
+            });
+            let workers = allowed.map(|allowed| self.fleet.get(allowed.worker));
+            let suitable = workers.filter(suits);
+            suitable
+                .map(|worker| candidate(worker, want, pass))
+                .collect()
         };
-        let mut candidates: Vec<Candidate> =
-            self.fleet.iter().filter(suits).map(candidate).collect();
-        fit::place(&mut candidates, step.reserved(), tasks, step.one_rack)
+        fit::place(&mut candidates, size, tasks, step.one_rack)
     }
 
     /// Starts the first of `tasks` on the workers of `placed`.
@@ -338,10 +383,27 @@
 
     /// Whether a gang finds no room among the allowed workers even if they were empty. Room that is kept
     /// for such a gang would be lost to all others.
-    fn is_too_narrow(&self, now: Time, want: &Want) -> bool {
-        let empty: Vec<Size> = self.fleet.iter().map(|worker| worker.info.size).collect();
+    fn is_too_narrow(&mut self, now: Time, want: &Want, pass: &mut Pass) -> bool {
+        let known = self.approvals.get(&want.key).and_then(Approvals::fits);
+        if let Some(fits) = known {
+            return !fits;
+        }
+        if want.approval.is_some() && pass.searches == 0 {
+            return true;
+        }
+        pass.searches = pass.searches.saturating_sub(1);
+        let empty = Pass {
+            room: self.fleet.iter().map(|worker| worker.info.size).collect(),
+            open: self.fleet.iter().map(|worker| worker.id).collect(),
+            kept_gangs: 0,
+            searches: 0,
+        };
         let placed = self.fit(now, want, want.tasks.len(), Approved::Ever, &empty);
-        placed.len() < want.tasks.len()
+        let fits = placed.len() == want.tasks.len();
+        if let Some(approvals) = self.approvals.get_mut(&want.key) {
+            approvals.note_fits(fits);
+        }
+        !fits
     }
 
     /// Asks for new tickets of workers that are known to be allowed: of those that the tasks fit on at
@@ -352,7 +414,8 @@
         };
         let mut spare: Vec<&Worker> = approvals
             .allowed()
-            .map(|id| self.fleet.get(id))
+            .iter()
+            .map(|allowed| self.fleet.get(allowed.worker))
             .filter(|worker| worker.takes_work(now) && !placed.contains(&worker.id))
             .collect();
         let mut workers = placed.to_vec();
@@ -393,7 +456,8 @@
             return;
         }
         let cost = cost.of(workers.len());
-        let Some((approver, expected)) = self.approvers.pick(now, cost) else {
+        let backlog = self.cfg.approval_backlog;
+        let Some((approver, expected)) = self.approvers.pick(now, cost, backlog) else {
             return;
         };
         let approvals = self.approvals.entry(want.key).or_default();
@@ -433,6 +497,19 @@
     }
 }
 
+fn candidate<'a>(worker: &'a Worker, want: &Want, pass: &Pass) -> Candidate<'a> {
+    let step = want.step();
+    let left = |limit: u32| limit.saturating_sub(worker.count_of(want.key));
+    Candidate {
+        worker: worker.id,
+        room: pass.room[index(worker.id)],
+        size: worker.info.size,
+        slots: step.per_worker.map_or(u32::MAX, left),
+        is_near: step.data_rack.is_none() || step.data_rack == worker.info.rack,
+        rack: worker.info.rack.as_deref(),
+    }
+}
+
 fn emptiest_first(workers: &mut [&Worker]) -> Vec<WorkerId> {
     workers.sort_by_key(|worker| (Reverse(worker.room().milli_processors), worker.id));
     workers.iter().map(|worker| worker.id).collect()
--- a/crates/sched/src/fit.rs
+++ b/crates/sched/src/fit.rs
@@ -9,7 +9,7 @@
 
 /// A worker that may take tasks of the step.
 #[derive(Clone, Debug)]
-pub(crate) struct Candidate {
+pub(crate) struct Candidate<'a> {
     pub(crate) worker: WorkerId,
     /// The room that is left in this pass.
     pub(crate) room: Size,
@@ -19,12 +19,12 @@
     pub(crate) slots: u32,
     /// Whether the data of the step lies on its rack, or nothing is said of that.
     pub(crate) is_near: bool,
-    pub(crate) rack: Option<String>,
+    pub(crate) rack: Option<&'a str>,
 }
 
 /// Gives as many of `tasks` tasks to the candidates as there is room for. Returns the worker of each.
 pub(crate) fn place(
-    candidates: &mut [Candidate],
+    candidates: &mut [Candidate<'_>],
     size: Size,
     tasks: usize,
     one_rack: bool,
@@ -52,7 +52,7 @@
 
 /// What is left of a worker's room after a task, in thousandths of the whole, the scarcer of processors
 /// and memory.
-fn leftover(candidate: &Candidate, size: Size) -> u64 {
+fn leftover(candidate: &Candidate<'_>, size: Size) -> u64 {
     let left = candidate.room - size;
     let share = |part: u64, whole: u64| part * 1_000 / whole.max(1);
     let processors = share(left.milli_processors, candidate.size.milli_processors);
@@ -61,20 +61,21 @@
 
 /// Gives all tasks to the workers of one rack, if one has room for them.
 fn place_in_one_rack(
-    candidates: &mut [Candidate],
+    candidates: &mut [Candidate<'_>],
     size: Size,
     tasks: usize,
 ) -> Option<Vec<WorkerId>> {
-    let mut racks: HashMap<String, Vec<usize>> = HashMap::new();
+    let mut racks: HashMap<&str, Vec<usize>> = HashMap::new();
     for (i, candidate) in candidates.iter().enumerate() {
-        if let Some(rack) = &candidate.rack {
-            racks.entry(rack.clone()).or_default().push(i);
+        if let Some(rack) = candidate.rack {
+            racks.entry(rack).or_default().push(i);
         }
     }
     let mut racks: Vec<_> = racks.into_iter().collect();
     racks.sort();
     for (_, members) in racks {
-        let mut subset: Vec<Candidate> = members.iter().map(|&i| candidates[i].clone()).collect();
+        let mut subset: Vec<Candidate<'_>> =
+            members.iter().map(|&i| candidates[i].clone()).collect();
         let placed = place(&mut subset, size, tasks, false);
         if placed.len() == tasks {
             for (i, candidate) in members.into_iter().zip(subset) {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -36,6 +36,8 @@
     pub patience: Duration,
     /// The same if its process is known to be gone.
     pub patience_gone: Duration,
+    /// The same if it has said itself that the table fails it.
+    pub patience_without_table: Duration,
     /// The pause between two reads of the row of a suspected scheduler.
     pub read_interval: Duration,
     /// Nodes try one after the other, so that the first one is not disturbed by the rest.
@@ -49,6 +51,7 @@
             table_silence: Duration::from_millis(1_200),
             patience: Duration::from_millis(900),
             patience_gone: Duration::from_millis(100),
+            patience_without_table: Duration::from_millis(200),
             read_interval: Duration::from_millis(200),
             stagger: Duration::from_millis(60),
         }
@@ -194,6 +197,10 @@
         let patience = match self.link {
             _ if is_released => Duration::ZERO,
             LinkState::Gone => self.cfg.patience_gone,
+            LinkState::Up {
+                is_table_lost: true,
+                ..
+            } => self.cfg.patience_without_table,
             LinkState::Up { .. } | LinkState::Unknown => self.cfg.patience,
         };
         // The row has to have been seen unchanged at the end of the patience, not only at its start.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -368,11 +368,11 @@
     }
 
     /// A request for approvals has failed. It is asked again when there is room.
-    pub fn approval_failed(&mut self, step: StepKey) {
+    pub fn approval_failed(&mut self, now: Now, step: StepKey) {
+        let retry_at = now.time + self.cfg.approval_retry;
         if let Some(approvals) = self.approvals.get_mut(&step) {
-            approvals.failed();
+            approvals.failed(retry_at);
         }
-        self.needs_pass = true;
     }
 
     /// Takes the changes to store next, if there are any or the lease row is due to be renewed, and no
--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -42,13 +42,21 @@
         let is_after = now >= turn;
         let is_storing = !is_after || matches!(behaviour, Scheduler::Lives | Scheduler::LinkCut);
         // The scheduler stores something every 400 ms, and tells of itself every 250 ms.
-        let seq = if is_storing { ms / 400 } else { turn.as_ms() / 400 };
+        let seq = if is_storing {
+            ms / 400
+        } else {
+            turn.as_ms() / 400
+        };
         if let Some((_, row)) = read_due.take_if(|(due, _)| *due <= now) {
             candidacy.row_read(now, Some(row));
         }
         let is_heard = !is_after || matches!(behaviour, Scheduler::Lives | Scheduler::WithoutTable);
         if ms % 250 == 0 && is_heard {
-            let stored_at = if is_storing { ms / 400 * 400 } else { turn.as_ms() };
+            let stored_at = if is_storing {
+                ms / 400 * 400
+            } else {
+                turn.as_ms()
+            };
             let link = LinkState::Up {
                 heard_at: now,
                 table_age: MS * u32::try_from(ms - stored_at.min(ms)).unwrap(),
@@ -87,7 +95,10 @@
         match (taken, bound) {
             (None, None) => {}
             (Some(taken), Some(bound)) if taken <= bound => {}
-            other => panic!("{behaviour:?}: taken over after {:?}, bound {:?}", other.0, other.1),
+            other => panic!(
+                "{behaviour:?}: taken over after {:?}, bound {:?}",
+                other.0, other.1
+            ),
         }
     }
 }
@@ -119,10 +130,7 @@
     let mut now = Time::from_ms(100);
     candidacy.asked(now);
     candidacy.row_read(now, Some(row(1)));
-    candidacy.hint(LeaseRow {
-        epoch: 4,
-        ..row(0)
-    });
+    candidacy.hint(LeaseRow { epoch: 4, ..row(0) });
     for _ in 0..10_000 {
         now += MS;
         let step = candidacy.step(now);
