--- a/crates/sched/src/approvers.rs
+++ b/crates/sched/src/approvers.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: the approval service answers one request at a time for each node. Requests for large
 //! gangs take most of a second, those for lookups some 10 ms, and a lookup that waits behind a gang is
-//! late. So a third of the nodes ask for what takes long, and the others for the rest.
+//! late. So half of the nodes ask for what takes long, and the others for the rest.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,10 +13,7 @@
 const LONG_REQUEST: Duration = Duration::from_millis(200);
 
 /// The share of nodes that ask for what takes long: one in this many.
-const LONG_SHARE: usize = 3;
-
-/// If a request would have to wait for longer than this at the nodes set aside for it, any node asks.
-const LONG_WAIT: Duration = Duration::from_millis(400);
+const LONG_SHARE: usize = 2;
 
 #[derive(Debug)]
 struct Approver {
@@ -59,12 +56,6 @@
             _ if cost >= LONG_REQUEST => 0..long,
             _ => long..self.nodes.len(),
         };
-        let is_busy = |approver: &Approver| approver.busy_until > now + LONG_WAIT;
-        let range = if self.nodes[range.clone()].iter().all(is_busy) {
-            0..self.nodes.len()
-        } else {
-            range
-        };
         let approver = self.nodes[range].iter_mut().min_by_key(|a| a.busy_until)?;
         if approver.busy_until > now + backlog {
             return None;
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -426,8 +426,8 @@
         self.ask(now, want, &workers);
     }
 
-    /// The workers to ask about: those that suit the step, the emptiest first. A gang may need any of
-    /// them; other steps need a choice among a few times as many as they have tasks.
+    /// The workers to ask about: those that suit the step, the emptiest first. A step needs a choice among
+    /// a few times as many as it has tasks.
     fn unasked(&self, now: Time, want: &Want) -> Vec<WorkerId> {
         let known = self.approvals.get(&want.key);
         let mut workers: Vec<&Worker> = self
@@ -490,10 +490,14 @@
     // A third to two thirds of those asked are allowed, and some of them are full.
     const BASE: usize = 12;
     const PER_TASK: usize = 3;
+    const GANG_BASE: usize = 24;
+    const GANG_PER_TASK: usize = 2;
+    let tasks = usize::try_from(step.tasks).unwrap_or(usize::MAX);
     if step.gang {
-        usize::MAX
+        // All of its tasks have to find room among the allowed at once.
+        GANG_BASE + GANG_PER_TASK * tasks
     } else {
-        BASE + PER_TASK * usize::try_from(step.tasks).unwrap_or(usize::MAX)
+        BASE + PER_TASK * tasks
     }
 }
 
