--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -72,6 +72,13 @@
     Unknown,
 }
 
+/// A request for approvals that a node makes for a step of a job that it takes in.
+struct OwnRequest {
+    step: u16,
+    workers: Vec<Arc<str>>,
+    cost: Duration,
+}
+
 impl<P: Ports> Node<P> {
     /// Takes a job in: it is stored before it is accepted.
     pub async fn submit(
@@ -84,7 +91,12 @@
         let asked = self.own_requests(queue, &job);
         job.approvals_asked = asked.is_some();
         let (spec_bytes, steps) = (job.spec.len(), job.steps.len());
-        for (step, workers, cost) in asked.into_iter().flatten() {
+        for OwnRequest {
+            step,
+            workers,
+            cost,
+        } in asked.into_iter().flatten()
+        {
             let key = StepKey {
                 job: id,
                 occurrence: 0,
@@ -140,11 +152,7 @@
     }
 
     /// The requests for approvals that this node makes for a job by itself, or none if it is too busy.
-    fn own_requests(
-        &self,
-        queue: &Queue,
-        job: &Job,
-    ) -> Option<Vec<(u16, Vec<Arc<str>>, Duration)>> {
+    fn own_requests(&self, queue: &Queue, job: &Job) -> Option<Vec<OwnRequest>> {
         let cost = queue.approval?;
         let workers = self.0.workers.borrow();
         let workers = workers.get(&queue.pool)?;
@@ -165,7 +173,11 @@
             let named = workers.iter().cycle().skip(offset).take(count).cloned();
             let own = cost.of(count);
             total += own;
-            requests.push((number, named.collect(), own));
+            requests.push(OwnRequest {
+                step: number,
+                workers: named.collect(),
+                cost: own,
+            });
         }
         let is_own = job.schedule.is_none()
             && !requests.is_empty()
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -8,7 +8,7 @@
 
 /// How long one call waits for a change. It bounds how long a connection that has gone silent goes
 /// unnoticed, and with it how late a configuration may be: they are to be in force within 2.5 s.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(150);
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -23,7 +23,7 @@
 const REOPEN: Duration = Duration::from_millis(150);
 
 /// How often a node tells the scheduler that it is alive.
-const PING: Duration = Duration::from_millis(1_000);
+const PING: Duration = Duration::from_secs(1);
 
 /// How often a node that knows of no scheduler asks the others, if it does not reach the table.
 const ASK_AROUND: Duration = Duration::from_millis(500);
--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    Directory, FeedError, Node, Ports, Row, Table, Transaction, Workers,
+    Change, Directory, FeedError, Node, Ports, Row, Table, Transaction, WorkerChanges, Workers,
     commit::{self, Outcome},
     link::Link,
     message::Message,
@@ -54,13 +54,13 @@
 const WORKERS_PAUSE: Duration = Duration::from_millis(400);
 
 /// How long one call waits for changes. It bounds how long a silent connection goes unnoticed.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+const FEED_WAIT: Duration = Duration::from_secs(1);
 
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 
 /// After this time without an outcome a transaction is logged as stuck. It is sent again.
-const STUCK: Duration = Duration::from_millis(2_000);
+const STUCK: Duration = Duration::from_secs(2);
 
 /// How often jobs that are over are looked through for those to be forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
@@ -587,24 +587,27 @@
         }
     }
 
+    fn note_workers(&self, change: Change<WorkerChanges>) {
+        let now = self.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        for (name, info) in change.news {
+            if let Some(info) = info {
+                scheduler.worker_listed(now, info);
+            } else {
+                let version = change.version;
+                log::info!("event=worker_unlisted worker={name} version={version}");
+                scheduler.worker_unlisted(&name);
+            }
+        }
+    }
+
     /// Follows the list of workers.
     async fn follow_workers(self: Rc<Self>, mut after: u64) {
         loop {
             match self.node.0.ports.worker_changes(after, FEED_WAIT).await {
                 Ok(change) => {
                     after = change.version;
-                    let now = self.now();
-                    let mut scheduler = self.scheduler.borrow_mut();
-                    for (name, info) in change.news {
-                        match info {
-                            Some(info) => scheduler.worker_listed(now, info),
-                            None => {
-                                log::info!("event=worker_unlisted worker={name} version={after}");
-                                scheduler.worker_unlisted(&name);
-                            }
-                        }
-                    }
-                    drop(scheduler);
+                    self.note_workers(change);
                     self.wake.notify_one();
                     sleep(WORKERS_PAUSE).await;
                 }
--- a/crates/cluster/src/logs.rs
+++ b/crates/cluster/src/logs.rs
@@ -93,9 +93,8 @@
         }
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            chunk.push_str(&format!(
-                "level=WARN part=logs event=lines_dropped count={dropped}\n"
-            ));
+            let line = format!("level=WARN part=logs event=lines_dropped count={dropped}\n");
+            chunk.push_str(&line);
         }
         offer(&mut out, chunk.as_bytes());
     }
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -62,7 +62,7 @@
     }
 
     /// A message to a host.
-    pub(super) fn to_host(&mut self, now: Time, host: WorkerId) -> Fate {
+    pub(super) fn fate_of_order(&mut self, now: Time, host: WorkerId) -> Fate {
         if self.is_cut(now, host) {
             return Fate::Lost;
         }
@@ -73,7 +73,7 @@
     }
 
     /// A transaction to the table.
-    pub(super) fn to_table(&mut self, now: Time) -> Fate {
+    pub(super) fn fate_of_write(&mut self, now: Time) -> Fate {
         if now < self.table_down_until {
             return Fate::Lost;
         }
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -31,7 +31,7 @@
 /// The pause before a transaction is sent again.
 const WRITE_RETRY: Duration = Duration::from_millis(100);
 /// How long other nodes take to notice that the scheduler is gone.
-const NOTICE: Duration = Duration::from_millis(1_000);
+const NOTICE: Duration = Duration::from_secs(1);
 /// How long a change of the list of hosts takes to be seen.
 const DIRECTORY_LAG: Duration = Duration::from_millis(500);
 /// How long a host that is gone stays listed: three of its heartbeats.
@@ -39,7 +39,7 @@
 /// How long runs go on after their lease where hosts do not keep to it, in milliseconds.
 const OVERRUN_MS: u64 = 8_000;
 /// How long a gang waits for its members.
-const GANG_WAIT: Duration = Duration::from_millis(3_000);
+const GANG_WAIT: Duration = Duration::from_secs(3);
 /// How soon a host that fails all it starts does so.
 const QUICK_FAILURE: Duration = Duration::from_millis(50);
 /// A scheduler decides at least this often.
@@ -557,11 +557,11 @@
             };
             self.nodes[node].write = Some(write);
             self.send_write(node, life);
-            if self.spec.mutation == Mutation::StartBeforeStored {
-                if let Some(scheduler) = self.live(node, life) {
-                    scheduler.batch_stored(now);
-                    self.decide_soon(node, life);
-                }
+            if self.spec.mutation == Mutation::StartBeforeStored
+                && let Some(scheduler) = self.live(node, life)
+            {
+                scheduler.batch_stored(now);
+                self.decide_soon(node, life);
             }
         }
         for action in actions {
@@ -582,7 +582,7 @@
         let Some(write) = self.nodes[node].write.clone() else {
             return;
         };
-        let (at, answers) = match self.network.to_table(self.now) {
+        let (at, answers) = match self.network.fate_of_write(self.now) {
             Fate::Arrives(at) => (Some(at), true),
             Fate::Unanswered(at) => (Some(at), false),
             Fate::Lost => (None, false),
@@ -623,10 +623,10 @@
             row: write.row,
             version,
         };
-        if mutation != Mutation::StartBeforeStored {
-            if let Some(scheduler) = self.live(node, life) {
-                scheduler.batch_stored(now);
-            }
+        if mutation != Mutation::StartBeforeStored
+            && let Some(scheduler) = self.live(node, life)
+        {
+            scheduler.batch_stored(now);
         }
         self.decide_soon(node, life);
     }
@@ -648,7 +648,7 @@
                 let (fate, sent) = self.send(node, life, fence, order.worker);
                 match fate {
                     Fate::Arrives(at) | Fate::Unanswered(at) => {
-                        self.at(at, Event::Stop(sent, order))
+                        self.at(at, Event::Stop(sent, order));
                     }
                     Fate::Lost => {}
                 }
@@ -667,7 +667,7 @@
     /// Sends an order to the host that a scheduler knows under a number.
     fn send(&mut self, node: usize, life: u64, fence: u64, worker: WorkerId) -> (Fate, Sent) {
         let host = self.host_of(node, worker);
-        let fate = self.network.to_host(self.now, host);
+        let fate = self.network.fate_of_order(self.now, host);
         let is_late = matches!(fate, Fate::Unanswered(_));
         let late = is_late.then_some(self.hosts[index(host)].info.born);
         let sent = Sent {
@@ -833,10 +833,10 @@
     }
 
     fn set_end(&mut self, host: WorkerId, key: TaskKey, run: u32, end: (Time, EndKind)) {
-        if let Some(r) = self.hosts[index(host)].runs.get_mut(&key) {
-            if r.run == run {
-                r.ends = Some(end);
-            }
+        if let Some(r) = self.hosts[index(host)].runs.get_mut(&key)
+            && r.run == run
+        {
+            r.ends = Some(end);
         }
         self.tick_later(host);
     }
@@ -971,7 +971,7 @@
             until: self.now + order.wait,
             order,
         };
-        match self.network.to_host(self.now, host) {
+        match self.network.fate_of_order(self.now, host) {
             Fate::Arrives(at) if self.hosts[index(host)].is_up => {
                 self.at(at, Event::PollArrives(waiter, fence));
             }
@@ -1069,10 +1069,10 @@
         } else {
             return;
         };
-        if let Ok(listing) = &answer {
-            if let Some(last) = listing.ended.last() {
-                self.nodes[node].listed.insert(host, last.number);
-            }
+        if let Ok(listing) = &answer
+            && let Some(last) = listing.ended.last()
+        {
+            self.nodes[node].listed.insert(host, last.number);
         }
         let Some(scheduler) = self.live(node, life) else {
             return;
--- a/crates/jobs/src/codec.rs
+++ b/crates/jobs/src/codec.rs
@@ -8,6 +8,10 @@
 pub(crate) const FORMAT: u8 = 1;
 
 /// Encodes a value for the store: one byte with the format, then `bincode`.
+///
+/// # Panics
+///
+/// Only for a type whose length can't be known before it is encoded. No stored type is one.
 #[must_use]
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     let mut buf = vec![FORMAT];
--- a/crates/jobs/tests/progress.rs
+++ b/crates/jobs/tests/progress.rs
@@ -261,6 +261,8 @@
     assert_eq!(progress.state(), State::Completed);
 }
 
+type Check = fn(&JobFault) -> bool;
+
 #[test]
 fn faulty_jobs_are_told_apart() {
     let limits = Limits::default();
@@ -271,7 +273,7 @@
         ..Schedule::default()
     };
     let one = || vec![step(1, &[], false)];
-    let cases: [(Job, fn(&JobFault) -> bool); 6] = [
+    let cases: [(Job, Check); 6] = [
         (job(Vec::new()), |f| *f == JobFault::NoSteps),
         (job(vec![step(0, &[], false)]), |f| {
             matches!(f, JobFault::TaskCount { found: 0, .. })
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -61,12 +61,12 @@
 impl Default for SchedConfig {
     fn default() -> Self {
         Self {
-            task_lease: Duration::from_millis(5_000),
+            task_lease: Duration::from_secs(5),
             clock_drift_milli: 20,
             lapse_margin: Duration::from_millis(150),
-            renew_without_table: Duration::from_millis(6_000),
-            poll_wait: Duration::from_millis(1_000),
-            idle_poll: Duration::from_millis(5_000),
+            renew_without_table: Duration::from_secs(6),
+            poll_wait: Duration::from_secs(1),
+            idle_poll: Duration::from_secs(5),
             poll_retry: Duration::from_millis(200),
             start_retries: 2,
             stop_retry: Duration::from_millis(300),
@@ -79,7 +79,7 @@
             approval_workers: 100,
             failure_streak: 3,
             quarantine: Duration::from_millis(1_500),
-            quarantine_max: Duration::from_millis(12_000),
+            quarantine_max: Duration::from_secs(12),
             searches: 16,
             kept_gangs: 2,
             remember: Duration::from_secs(150),
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -82,7 +82,7 @@
         let room: Vec<Size> = self
             .fleet
             .iter()
-            .map(|worker| self.free_room(now.time, worker))
+            .map(|worker| free_room(now.time, worker))
             .collect();
         let least = self.least_size(&steps);
         let mut pass = Pass {
@@ -148,14 +148,6 @@
         sizes.reduce(least).unwrap_or_default()
     }
 
-    fn free_room(&self, now: Time, worker: &Worker) -> Size {
-        if worker.takes_work(now) {
-            worker.room()
-        } else {
-            Size::ZERO
-        }
-    }
-
     fn line(&self, now: Now) -> Vec<Waiting> {
         let waiting = self.waiting.iter().filter_map(|&key| {
             let entry = self.jobs.get(&key.job)?;
@@ -362,7 +354,7 @@
                 .and_then(|a| a.ticket(now, id, worker.info.born))
                 .cloned();
             let new = Run {
-                run,
+                number: run,
                 size,
                 phase: RunPhase::Pending,
                 confirmed_at: None,
@@ -501,6 +493,15 @@
     }
 }
 
+/// The room for new work on a worker.
+fn free_room(now: Time, worker: &Worker) -> Size {
+    if worker.takes_work(now) {
+        worker.room()
+    } else {
+        Size::ZERO
+    }
+}
+
 fn candidate<'a>(worker: &'a Worker, want: &Want, pass: &Pass) -> Candidate<'a> {
     let step = want.step();
     let left = |limit: u32| limit.saturating_sub(worker.count_of(want.key));
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -58,7 +58,7 @@
         self.needs_pass = true;
         let end = End {
             key,
-            run: run.run,
+            run: run.number,
             kind: EndKind::Interrupted,
             checkpoint: run.checkpoint,
         };
@@ -105,7 +105,7 @@
         let runs = self.fleet.get(worker).runs.iter();
         let past: Vec<(TaskKey, u32, RunPhase)> = runs
             .filter(|(_, run)| run.is_of_past_life)
-            .map(|(&key, run)| (key, run.run, run.phase))
+            .map(|(&key, run)| (key, run.number, run.phase))
             .collect();
         for (key, run, phase) in past {
             let is_listed = listing
--- a/crates/sched/src/fit.rs
+++ b/crates/sched/src/fit.rs
@@ -29,10 +29,8 @@
     tasks: usize,
     one_rack: bool,
 ) -> Vec<WorkerId> {
-    if one_rack {
-        if let Some(placed) = place_in_one_rack(candidates, size, tasks) {
-            return placed;
-        }
+    if one_rack && let Some(placed) = place_in_one_rack(candidates, size, tasks) {
+        return placed;
     }
     let mut placed = Vec::with_capacity(tasks);
     for _ in 0..tasks {
@@ -43,7 +41,7 @@
         let Some(best) = best else {
             break;
         };
-        best.room = best.room - size;
+        best.room -= size;
         best.slots -= 1;
         placed.push(best.worker);
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -26,7 +26,7 @@
             .get(worker)
             .runs
             .get(&key)
-            .is_some_and(|r| r.run == run && r.phase == RunPhase::Pending);
+            .is_some_and(|r| r.number == run && r.phase == RunPhase::Pending);
         if !is_pending {
             return;
         }
@@ -81,7 +81,7 @@
         let RunPhase::Ordered { unanswered } = run.phase else {
             return;
         };
-        if run.run != order.run {
+        if run.number != order.run {
             return;
         }
         match answer {
@@ -148,7 +148,7 @@
         let Some(run) = self.fleet.get(worker).runs.get(&key) else {
             return;
         };
-        let run = run.run;
+        let run = run.number;
         self.actions
             .push(Action::Stop(StopOrder { worker, key, run }));
         self.stop_checks
@@ -158,11 +158,12 @@
     /// A worker has confirmed an order to stop: the run ends soon, or never begins there.
     pub fn stop_answered(&mut self, now: Now, order: &StopOrder) {
         let worker = self.fleet.get_mut(order.worker);
-        if let Some(run) = worker.runs.get_mut(&order.key) {
-            if run.run == order.run && run.phase == RunPhase::Stopping {
-                run.confirmed_at = Some(now.time);
-                self.actions.push(Action::Wake(order.worker));
-            }
+        if let Some(run) = worker.runs.get_mut(&order.key)
+            && run.number == order.run
+            && run.phase == RunPhase::Stopping
+        {
+            run.confirmed_at = Some(now.time);
+            self.actions.push(Action::Wake(order.worker));
         }
     }
 
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -120,7 +120,10 @@
             }
             worker.processed = row.number;
             let end = &row.end;
-            let is_current = worker.runs.get(&end.key).is_some_and(|r| r.run == end.run);
+            let is_current = worker
+                .runs
+                .get(&end.key)
+                .is_some_and(|r| r.number == end.run);
             let run = if is_current {
                 worker.remove_run(&end.key)
             } else {
@@ -146,7 +149,7 @@
     fn note_running(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
         let worker = self.fleet.get_mut(id);
         if let Some(run) = worker.runs.get_mut(&row.key) {
-            if run.run == row.run {
+            if run.number == row.run {
                 run.checkpoint.clone_from(&row.checkpoint);
                 if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
                     run.phase = RunPhase::Running;
@@ -155,7 +158,7 @@
                 }
                 return;
             }
-            if run.run > row.run {
+            if run.number > row.run {
                 // What is left of an earlier run.
                 let (key, run) = (row.key, row.run);
                 let order = StopOrder {
@@ -177,7 +180,7 @@
             .get(&row.key.job)
             .and_then(|entry| entry.job.steps.get(usize::from(row.key.step)));
         let run = Run {
-            run: row.run,
+            number: row.run,
             size: step.map(jobs::Step::reserved).unwrap_or_default(),
             phase: RunPhase::Stopping,
             confirmed_at: None,
@@ -204,7 +207,7 @@
                     run.confirmed_at.is_some_and(|at| at < sent_at)
                 }
             };
-            is_confirmed && !listed.contains(&(*key, run.run))
+            is_confirmed && !listed.contains(&(*key, run.number))
         };
         let missing: Vec<TaskKey> = self
             .fleet
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -66,7 +66,7 @@
             .map(jobs::Step::reserved)
             .unwrap_or_default();
         let run = Run {
-            run,
+            number: run,
             size,
             phase: RunPhase::Recorded,
             confirmed_at: None,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -257,12 +257,12 @@
                 break;
             }
             self.timed.pop_first();
-            if let Some(entry) = self.jobs.get_mut(&id) {
-                if entry.over_since.is_none() {
-                    entry.progress.open_next(&entry.job);
-                    self.changed(now.time, id);
-                    self.schedule_next(id);
-                }
+            if let Some(entry) = self.jobs.get_mut(&id)
+                && entry.over_since.is_none()
+            {
+                entry.progress.open_next(&entry.job);
+                self.changed(now.time, id);
+                self.schedule_next(id);
             }
         }
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -51,7 +51,8 @@
 /// A run that holds room on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
-    pub(crate) run: u32,
+    /// The run's number.
+    pub(crate) number: u32,
     pub(crate) size: Size,
     pub(crate) phase: RunPhase,
     /// When the worker last confirmed an order about it. A list that was asked for earlier may miss it.
