--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -17,6 +17,6 @@
 pub use self::{
     faults::{CellFault, Mutation},
     judge::{Breach, Report, Served},
-    load::{Arrival, Kind, LoadSpec, generate},
+    load::{Arrival, Burst, Kind, LoadSpec, generate},
     world::{Cell, CellSpec},
 };
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::Order;
+
 /// Settings of a [`Scheduler`](crate::Scheduler).
 #[derive(Clone, Copy, Debug)]
 pub struct SchedConfig {
@@ -50,8 +52,16 @@
     pub quarantine: Duration,
     /// The longest quarantine.
     pub quarantine_max: Duration,
+    /// In which order steps get room.
+    pub order: Order,
     /// How many times a pass may search all workers for a step. Each search takes some 20 us for 350.
     pub searches: usize,
+    /// How much room is kept for tasks of the first rank, in percent of what they have lately held and
+    /// waited for together.
+    pub headroom_percent: u64,
+    /// The most room that is kept for them, in percent of all. What is kept serves nobody while they do
+    /// not come.
+    pub headroom_max_percent: u64,
     /// How many gangs at the head of the line have room kept for them.
     pub kept_gangs: usize,
     /// How long a job that is over is remembered. The platform asks for 120 s.
@@ -80,7 +90,10 @@
             failure_streak: 3,
             quarantine: Duration::from_millis(1_500),
             quarantine_max: Duration::from_secs(12),
+            order: Order::Hope,
             searches: 16,
+            headroom_percent: 130,
+            headroom_max_percent: 15,
             kept_gangs: 2,
             remember: Duration::from_secs(150),
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -52,6 +52,7 @@
     approval::Ticket,
     config::SchedConfig,
     leader::{Candidacy, CandidacyConfig, LeaseRow, LinkState, Step},
+    line::Order,
     recovery::Recovered,
     scheduler::{Scheduler, Summary},
     worker::WorkerInfo,
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -13,6 +13,20 @@
 /// How many times its objective a job may take before it is past hope.
 const HOPE: u32 = 3;
 
+/// In which order steps get room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Order {
+    /// What can still be in time first, by the rank of its queue and then by age; then the rest.
+    #[default]
+    Hope,
+    /// By age alone. A baseline.
+    Arrival,
+    /// By rank, then by age. A baseline.
+    Rank,
+    /// The least remaining work first. A baseline.
+    Shortest,
+}
+
 /// A step that waits for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Waiting {
@@ -34,11 +48,20 @@
 }
 
 /// Sorts steps by the order in which they get room.
-pub(crate) fn sort(now: Time, steps: &mut [Waiting]) {
-    steps.sort_by(|a, b| compare(now, a, b));
+pub(crate) fn sort(order: Order, now: Time, steps: &mut [Waiting]) {
+    steps.sort_by(|a, b| compare(order, now, a, b));
 }
 
-fn compare(now: Time, a: &Waiting, b: &Waiting) -> Ordering {
-    let order = |w: &Waiting| (w.is_past_hope(now), w.rank, w.accepted_at, w.key);
-    order(a).cmp(&order(b))
+fn compare(order: Order, now: Time, a: &Waiting, b: &Waiting) -> Ordering {
+    let age = a.accepted_at.cmp(&b.accepted_at).then(a.key.cmp(&b.key));
+    let rank = a.rank.cmp(&b.rank);
+    match order {
+        Order::Hope => {
+            let hope = a.is_past_hope(now).cmp(&b.is_past_hope(now));
+            hope.then(rank).then(age)
+        }
+        Order::Arrival => age,
+        Order::Rank => rank.then(age),
+        Order::Shortest => a.remaining.cmp(&b.remaining).then(age),
+    }
 }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -185,6 +185,7 @@
             phase: RunPhase::Stopping,
             confirmed_at: None,
             since: now,
+            is_urgent: false,
             is_of_past_life: false,
             checkpoint: row.checkpoint.clone(),
         };
