--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -56,12 +56,6 @@
     pub order: Order,
     /// How many times a pass may search all workers for a step. Each search takes some 20 us for 350.
     pub searches: usize,
-    /// How much room is kept for tasks of the first rank, in percent of what they have lately held and
-    /// waited for together.
-    pub headroom_percent: u64,
-    /// The most room that is kept for them, in percent of all. What is kept serves nobody while they do
-    /// not come.
-    pub headroom_max_percent: u64,
     /// How many gangs at the head of the line have room kept for them.
     pub kept_gangs: usize,
     /// How long a job that is over is remembered. The platform asks for 120 s.
@@ -92,8 +86,6 @@
             quarantine_max: Duration::from_secs(12),
             order: Order::Hope,
             searches: 16,
-            headroom_percent: 130,
-            headroom_max_percent: 15,
             kept_gangs: 2,
             remember: Duration::from_secs(150),
         }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -27,8 +27,6 @@
     room: Vec<Size>,
     /// The workers that have room for the smallest task that waits.
     open: Vec<WorkerId>,
-    /// The processors that steps of lower ranks may still take, in thousandths. The rest is headroom.
-    for_others: u64,
     /// How many gangs may still have room kept for them.
     kept_gangs: usize,
     /// How many searches over all workers may still be made.
@@ -94,7 +92,6 @@
                 .map(|worker| worker.id)
                 .filter(|&id| least.fits(&room[index(id)]))
                 .collect(),
-            for_others: self.room_for_others(now.time, &steps, &room),
             room,
             kept_gangs: self.cfg.kept_gangs,
             searches: self.cfg.searches,
@@ -134,35 +131,6 @@
         self.needs_pass |= !self.waiting.is_empty();
     }
 
-    /// The processors that steps of lower ranks may take now, in thousandths.
-    ///
-    /// Load pattern: while all is full, room comes free at the pace at which long tasks end, and a lookup
-    /// that has half a second to spare waits for it. So some room stays free of long tasks, as much as
-    /// tasks of the first rank have lately needed beyond what they hold now.
-    fn room_for_others(&mut self, now: Time, steps: &[Waiting], room: &[Size]) -> u64 {
-        let processors = |size: Size| size.milli_processors;
-        let held: u64 = self
-            .fleet
-            .iter()
-            .map(|worker| processors(worker.urgent()))
-            .sum();
-        let urgent = steps.iter().filter(|waiting| waiting.rank == 0);
-        let wanted: u64 = urgent
-            .filter_map(|waiting| self.want(waiting.key))
-            .map(|want| {
-                let tasks = u64::try_from(want.tasks.len()).unwrap_or(u64::MAX);
-                processors(want.step().reserved()) * tasks
-            })
-            .sum();
-        let open = self.fleet.iter().filter(|worker| worker.takes_work(now));
-        let whole: u64 = open.map(|worker| processors(worker.info.size)).sum();
-        let need = self.urgent_need.note(now, held + wanted);
-        let headroom = (need * self.cfg.headroom_percent / 100).saturating_sub(held);
-        let headroom = headroom.min(whole * self.cfg.headroom_max_percent / 100);
-        let free: u64 = room.iter().copied().map(processors).sum();
-        free.saturating_sub(headroom)
-    }
-
     /// The least that any task of the steps needs, in each dimension.
     fn least_size(&self, steps: &[Waiting]) -> Size {
         let sizes = steps.iter().filter_map(|waiting| {
@@ -249,18 +217,9 @@
             return;
         }
         let is_gang = want.step().gang;
-        let mut placed = self.fit(now, &want, want.tasks.len(), Approved::Now, pass);
-        let each = want.step().reserved().milli_processors;
-        if waiting.rank > 0 {
-            let count = pass.for_others / each.max(1);
-            placed.truncate(usize::try_from(count).unwrap_or(usize::MAX));
-        }
+        let placed = self.fit(now, &want, want.tasks.len(), Approved::Now, pass);
         let is_whole = placed.len() == want.tasks.len();
         if is_whole || (!is_gang && !placed.is_empty()) {
-            if waiting.rank > 0 {
-                let taken = each * u64::try_from(placed.len()).unwrap_or(u64::MAX);
-                pass.for_others = pass.for_others.saturating_sub(taken);
-            }
             pass.take(want.step().reserved(), &placed);
             self.start(now, want.key, &want.tasks, &placed);
         }
@@ -369,12 +328,6 @@
             return;
         };
         let size = entry.job.steps[usize::from(key.step)].reserved();
-        let is_urgent = self
-            .queues
-            .get(&entry.job.queue.name)
-            .unwrap_or(&entry.job.queue)
-            .rank
-            == 0;
         let pairs: Vec<(TaskKey, WorkerId)> = tasks
             .iter()
             .zip(placed)
@@ -406,7 +359,6 @@
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
-                is_urgent,
                 is_of_past_life: false,
                 checkpoint: String::new(),
             };
@@ -435,7 +387,6 @@
         let empty = Pass {
             room: self.fleet.iter().map(|worker| worker.info.size).collect(),
             open: self.fleet.iter().map(|worker| worker.id).collect(),
-            for_others: u64::MAX,
             kept_gangs: 0,
             searches: 0,
         };
--- a/crates/sched/src/learn.rs
+++ b/crates/sched/src/learn.rs
@@ -5,8 +5,6 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use model::Time;
-
 /// The weight of a new run in the mean, as one part in this many. About the last 64 runs count.
 const MEMORY: f64 = 64.0;
 
@@ -20,32 +18,6 @@
     runs: u32,
 }
 
-/// For how long a need counts: bursts last some seconds.
-const RECENT: Duration = Duration::from_secs(4);
-
-/// A mean over the last seconds.
-#[derive(Debug, Default)]
-pub(crate) struct Recent {
-    mean: f64,
-    at: Time,
-}
-
-impl Recent {
-    /// Takes the value at `now` into the mean, and returns that.
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "processors of a cell are far below 2^52 thousandths, and none is negative"
-    )]
-    pub(crate) fn note(&mut self, now: Time, value: u64) -> u64 {
-        let weight = 1.0 - (-(now - self.at).as_secs_f64() / RECENT.as_secs_f64()).exp();
-        self.mean += weight * (value as f64 - self.mean);
-        self.at = now;
-        self.mean as u64
-    }
-}
-
 /// Mean run times by queue.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -185,7 +185,6 @@
             phase: RunPhase::Stopping,
             confirmed_at: None,
             since: now,
-            is_urgent: false,
             is_of_past_life: false,
             checkpoint: row.checkpoint.clone(),
         };
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -71,7 +71,6 @@
             phase: RunPhase::Recorded,
             confirmed_at: None,
             since: now.time,
-            is_urgent: false,
             is_of_past_life,
             checkpoint: String::new(),
         };
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -10,13 +10,8 @@
 use model::{Time, WorkerId};
 
 use crate::{
-    Action, Batch, Now, Recovered, SchedConfig, Ticket, WorkerInfo,
-    approval::Approvals,
-    approvers::Approvers,
-    entry::Entry,
-    fleet::Fleet,
-    journal::Journal,
-    learn::{Recent, RunTimes},
+    Action, Batch, Now, Recovered, SchedConfig, Ticket, WorkerInfo, approval::Approvals,
+    approvers::Approvers, entry::Entry, fleet::Fleet, journal::Journal, learn::RunTimes,
     worker::Worker,
 };
 
@@ -53,8 +48,6 @@
     pub(crate) journal: Journal<Effect>,
     pub(crate) actions: Vec<Action>,
     pub(crate) run_times: RunTimes,
-    /// What tasks of the first rank need.
-    pub(crate) urgent_need: Recent,
     /// Jobs whose cancelling was seen before the job.
     pub(crate) early_cancels: HashSet<JobId>,
     /// When to look again whether a stop was answered.
@@ -103,7 +96,6 @@
             journal: Journal::default(),
             actions: Vec::new(),
             run_times: RunTimes::default(),
-            urgent_need: Recent::default(),
             early_cancels: HashSet::new(),
             stop_checks: BTreeSet::new(),
             over: VecDeque::new(),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -59,8 +59,6 @@
     pub(crate) confirmed_at: Option<Time>,
     /// When it was decided.
     pub(crate) since: Time,
-    /// Whether its queue is of the first rank.
-    pub(crate) is_urgent: bool,
     /// Whether it was given to an earlier life of the worker.
     pub(crate) is_of_past_life: bool,
     /// What it has saved, as the worker last listed it; empty if nothing.
@@ -162,12 +160,6 @@
         Some(run)
     }
 
-    /// What tasks of the first rank hold.
-    pub(crate) fn urgent(&self) -> Size {
-        let urgent = self.runs.values().filter(|run| run.is_urgent);
-        urgent.fold(Size::ZERO, |sum, run| sum + run.size)
-    }
-
     /// How many tasks of a step are on the worker.
     pub(crate) fn count_of(&self, step: StepKey) -> u32 {
         let count = self
