Requests for batches go to the nodes that ask for gangs

Cause: at 2.0 times the load the nodes that ask for lookups were also busy with batches' requests of 85 ms each, 3.7 of their 4 seconds a second, so that lookups had their approvals late.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -32,7 +32,7 @@
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Requests for approvals that take longer are left to the scheduler, which picks the node.
-const OWN_REQUEST_MAX: Duration = Duration::from_millis(100);
+const OWN_REQUEST_MAX: Duration = Duration::from_millis(40);
 
 /// What becomes of a submitted job.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/sched/src/approvers.rs
+++ b/crates/sched/src/approvers.rs
@@ -8,9 +8,9 @@
 
 use model::Time;
 
-/// Requests that take longer go to the nodes set aside for them. It lies between what batches of
-/// hundreds of workers and gangs of a few take on the platform.
-const LONG_REQUEST: Duration = Duration::from_millis(200);
+/// Requests that take longer go to the nodes set aside for them. It lies between what lookups and what
+/// batches take on the platform.
+const LONG_REQUEST: Duration = Duration::from_millis(40);
 
 /// The share of nodes that ask for what takes long: one in this many.
 const LONG_SHARE: usize = 2;
