--- a/crates/sched/benches/load.rs
+++ b/crates/sched/benches/load.rs
@@ -104,8 +104,7 @@
 
 fn main() {
     let seeds = env::args()
-        .filter_map(|word| word.parse::<u64>().ok())
-        .next()
+        .find_map(|word| word.parse::<u64>().ok())
         .unwrap_or(3);
     for factor in FACTORS {
         for (name, order) in ORDERS {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -87,7 +87,7 @@
     TakeOver,
 }
 
-/// A node's view of who schedules. See the [module documentation](self).
+/// A node's view of who schedules, and when it should try to become the scheduler itself.
 #[derive(Debug)]
 pub struct Candidacy {
     cfg: CandidacyConfig,
