A start that was decided before a standstill is not sent after it

Now whether a start may still be sent is looked at right before it is. Ruled out: the takeover's own waits (the newer run rested on lists and bars of the worker's earlier life). What is left: the same within the 6 s for which a scheduler without the table may order.

--- a/crates/cluster/src/lead.rs
+++ b/crates/cluster/src/lead.rs
@@ -390,8 +390,14 @@
                 scheduler.epoch(),
             )
         };
-        let sent_at = self.now().time;
-        let answer = self.node.0.ports.start(&info, epoch, &order).await;
+        let now = self.now();
+        let sent_at = now.time;
+        let may_send = self.scheduler.borrow().may_send(now);
+        let answer = if may_send {
+            self.node.0.ports.start(&info, epoch, &order).await
+        } else {
+            StartAnswer::Unknown
+        };
         let taken = self.now().time - sent_at;
         self.node.0.metrics.time("start", taken);
         if answer == StartAnswer::Started {
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -633,6 +633,9 @@
 
     fn carry_out(&mut self, node: usize, life: u64, fence: u64, action: Action) {
         match action {
+            Action::Start(order) if !self.may_send(node) => {
+                self.unanswered(node, life, order);
+            }
             Action::Start(order) => {
                 let (fate, sent) = self.send(node, life, fence, order.worker);
                 match fate {
@@ -664,6 +667,12 @@
         }
     }
 
+    fn may_send(&self, node: usize) -> bool {
+        let now = self.moment();
+        let scheduler = self.nodes[node].scheduler.as_ref();
+        scheduler.is_some_and(|scheduler| scheduler.may_send(now))
+    }
+
     /// Sends an order to the host that a scheduler knows under a number.
     fn send(&mut self, node: usize, life: u64, fence: u64, worker: WorkerId) -> (Fate, Sent) {
         let host = self.host_of(node, worker);
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -12,6 +12,14 @@
         !self.is_deposed && now < self.confirmed_at + self.cfg.renew_without_table
     }
 
+    /// Whether an order to start that was decided earlier may still be sent. A process may have stood
+    /// still since, and a worker that has begun another life meanwhile knows of no newer scheduler: only
+    /// the time tells.
+    #[must_use]
+    pub fn may_send(&self, now: Now) -> bool {
+        self.may_order(now.time)
+    }
+
     /// Sends the order for a run that is stored now, unless it has become void in the meantime.
     pub(crate) fn release_start(
         &mut self,
