--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -12,8 +12,8 @@
 use crate::{
     Node, Ports, Table, Transaction,
     commit::{self, Outcome},
-    lead::{self, Lead},
-    link,
+    lead::Lead,
+    lease, link,
     message::Message,
     recover,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART, lease_key},
@@ -76,7 +76,7 @@
     let Some(row) = page.rows.into_iter().find(|row| row.key == LEASE_KEY) else {
         return Ok((None, 0));
     };
-    let lease = lead::decode_lease(&row).map_err(|e| e.to_string())?;
+    let lease = lease::decode_lease(&row).map_err(|e| e.to_string())?;
     Ok((Some(lease), row.version))
 }
 
@@ -131,7 +131,7 @@
         }
         Outcome::Conflict { current } => {
             let current = current.iter().find(|r| r.key == LEASE_KEY);
-            let seen = current.and_then(|r| Some((lead::decode_lease(r).ok()?, r.version)));
+            let seen = current.and_then(|r| Some((lease::decode_lease(r).ok()?, r.version)));
             match seen {
                 // An earlier try was stored, and its answer was lost.
                 Some((seen, version)) if seen == row => {
@@ -164,7 +164,7 @@
     node.0.target_changed.notify_one();
     let epoch = row.epoch;
     let started = node.0.clock.time();
-    let writer = lead::LeaseWriter::new(row, version, started);
+    let writer = lease::LeaseWriter::new(row, version, started);
     node.0.is_recovering.set(true);
     let recovered = recover::recover(node, writer).await;
     node.0.is_recovering.set(false);
--- /dev/null
+++ b/crates/cluster/src/lead/orders.rs
@@ -0,0 +1,152 @@
+//! Orders to workers, and polls of them.
+
+use std::rc::Rc;
+
+use model::WorkerId;
+use sched::{Poll, PollOrder, StartAnswer, StartOrder, StopOrder};
+use tokio::{sync::Notify, time::timeout};
+
+use super::Lead;
+use crate::{Ports, Workers};
+
+impl<P: Ports> Lead<P> {
+    pub(super) async fn start(self: Rc<Self>, order: StartOrder) {
+        let (info, epoch) = {
+            let scheduler = self.scheduler.borrow();
+            (
+                scheduler.worker_info(order.worker).clone(),
+                scheduler.epoch(),
+            )
+        };
+        let now = self.now();
+        let sent_at = now.time;
+        let may_send = self.scheduler.borrow().may_send(now);
+        let answer = if may_send {
+            self.node.0.ports.start(&info, epoch, &order).await
+        } else {
+            StartAnswer::Unknown
+        };
+        let taken = self.now().time - sent_at;
+        self.node.0.metrics.time("start", taken);
+        if answer == StartAnswer::Started {
+            log::info!(
+                "event=started task={} run={} worker={} epoch={epoch} ms={}",
+                order.key,
+                order.run,
+                info.name,
+                taken.as_millis()
+            );
+        } else {
+            log::warn!(
+                "event=not_started task={} run={} worker={} epoch={epoch} answer={answer:?} ms={}",
+                order.key,
+                order.run,
+                info.name,
+                taken.as_millis()
+            );
+            self.node.0.metrics.count("starts_refused");
+        }
+        let now = self.now();
+        self.scheduler
+            .borrow_mut()
+            .start_answered(now, &order, answer);
+        self.wake.notify_one();
+    }
+
+    pub(super) async fn stop(self: Rc<Self>, order: StopOrder) {
+        let (info, epoch) = {
+            let scheduler = self.scheduler.borrow();
+            (
+                scheduler.worker_info(order.worker).clone(),
+                scheduler.epoch(),
+            )
+        };
+        match self.node.0.ports.stop(&info, epoch, &order).await {
+            Ok(()) => {
+                log::info!(
+                    "event=stopped task={} run={} worker={}",
+                    order.key,
+                    order.run,
+                    info.name
+                );
+                let now = self.now();
+                self.scheduler.borrow_mut().stop_answered(now, &order);
+                self.wake.notify_one();
+            }
+            Err(e) => log::warn!(
+                "event=not_stopped task={} run={} worker={} error={:?}",
+                order.key,
+                order.run,
+                info.name,
+                e.to_string()
+            ),
+        }
+    }
+
+    /// Wakes a worker's poller, which is started if there is none yet.
+    pub(super) fn wake_poller(self: &Rc<Self>, worker: WorkerId) {
+        let count = self.scheduler.borrow().worker_count();
+        let mut pollers = self.pollers.borrow_mut();
+        while pollers.len() < count {
+            let id = WorkerId(u32::try_from(pollers.len()).unwrap_or(u32::MAX));
+            let wake = Rc::new(Notify::new());
+            pollers.push(wake.clone());
+            self.spawn(self.clone().poll(id, wake));
+        }
+        if let Some(wake) = pollers.get(usize::try_from(worker.0).unwrap_or(usize::MAX)) {
+            wake.notify_one();
+        }
+    }
+
+    async fn poll(self: Rc<Self>, worker: WorkerId, wake: Rc<Notify>) {
+        loop {
+            let now = self.now();
+            let poll = self.scheduler.borrow_mut().next_poll(now, worker);
+            match poll {
+                Poll::Never => wake.notified().await,
+                Poll::At(at) => {
+                    // Whether it is woken or the time has passed makes no difference.
+                    let _ = timeout(at - now.time, wake.notified()).await;
+                }
+                Poll::Now(order) => self.poll_once(&order).await,
+            }
+        }
+    }
+
+    async fn poll_once(&self, order: &PollOrder) {
+        let (info, epoch) = {
+            let scheduler = self.scheduler.borrow();
+            (
+                scheduler.worker_info(order.worker).clone(),
+                scheduler.epoch(),
+            )
+        };
+        let sent_at = self.now().time;
+        let answer = self.node.0.ports.poll(&info, epoch, order).await;
+        let now = self.now();
+        match answer {
+            Ok(listing) => {
+                for row in &listing.ended {
+                    let end = &row.end;
+                    log::info!(
+                        "event=ended task={} run={} how={:?} worker={} number={}",
+                        end.key,
+                        end.run,
+                        end.kind,
+                        info.name,
+                        row.number
+                    );
+                }
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.polled(now, order.worker, sent_at, &listing);
+            }
+            Err(failure) => {
+                log::warn!("event=worker_lost worker={} reason={failure:?}", info.name);
+                self.node.0.metrics.count("polls_failed");
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.poll_failed(now, order.worker, failure);
+            }
+        }
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/lead/peers.rs
@@ -0,0 +1,178 @@
+//! The scheduler's links to the other nodes.
+
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+
+use sched::Now;
+use tokio::time::{sleep, timeout};
+
+use super::{Lead, Peer};
+use crate::{Ports, link::Link, message::Message};
+
+/// How often the other nodes are told that the scheduler is alive.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Every so many signs of life also tell how much waits.
+const BEATS_PER_SUMMARY: u64 = 2;
+
+/// A node that has not said anything for so long is gone. It does each second.
+const PEER_SILENCE: Duration = Duration::from_millis(3_500);
+
+impl<P: Ports> Lead<P> {
+    pub(super) fn broadcast(&self, message: &Message) {
+        let mut lost = Vec::new();
+        for (name, peer) in self.peers.borrow().iter() {
+            if peer.tx.try_send(message.clone()).is_err() {
+                lost.push(name.clone());
+            }
+        }
+        for name in lost {
+            log::warn!("event=peer_lost node={name} reason=behind");
+            self.peers.borrow_mut().remove(&name);
+            self.set_approvers();
+        }
+    }
+
+    /// Tells the other nodes that the scheduler is alive, and how much waits.
+    pub(super) async fn beat(self: Rc<Self>) {
+        let mut count = 0;
+        let mut workers = BTreeMap::new();
+        loop {
+            let now = self.now();
+            self.broadcast(&self.sign_of_life(now));
+            if count % BEATS_PER_SUMMARY == 0 {
+                self.tell_summary(now, &mut workers);
+            }
+            count += 1;
+            if self.node.0.table.is_lost() {
+                sleep(BEAT).await;
+            } else {
+                // That the table is lost is told at once. Else the time passes.
+                let _ = timeout(BEAT, self.node.0.table.until_lost()).await;
+            }
+        }
+    }
+
+    fn tell_summary(&self, now: Now, told: &mut BTreeMap<String, Vec<Arc<str>>>) {
+        let (summary, workers) = {
+            let scheduler = self.scheduler.borrow();
+            (scheduler.summary(now), scheduler.workers_by_pool(now))
+        };
+        let metrics = &self.node.0.metrics;
+        metrics.set("scheduling_epoch", self.epoch());
+        metrics.set(
+            "waiting_steps",
+            u64::try_from(summary.waiting_steps).unwrap_or(0),
+        );
+        metrics.set("running_tasks", u64::try_from(summary.runs).unwrap_or(0));
+        metrics.set("open_workers", u64::try_from(summary.workers).unwrap_or(0));
+        metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
+        self.broadcast(&Message::Pending(summary.pending.clone()));
+        *self.node.0.pending.borrow_mut() = Some(summary.pending);
+        self.node.0.heard_at.set(Some(now.time));
+        if *told != workers {
+            self.broadcast(&Message::Workers(workers.clone()));
+            self.node.0.workers.borrow_mut().clone_from(&workers);
+            *told = workers;
+        }
+    }
+
+    /// Serves the link of another node until it is gone.
+    pub(crate) async fn serve(self: Rc<Self>, mut link: Link) {
+        let hello = timeout(PEER_SILENCE, link.rx.recv()).await;
+        if let Ok(Some(Message::Who)) = hello {
+            let row = self.node.0.candidacy.borrow().row().cloned();
+            // A node that asks again is answered again.
+            let _ = row.map(|row| link.tx.try_send(Message::Scheduler(row)));
+            return;
+        }
+        let Ok(Some(Message::Hello { node, address })) = hello else {
+            return;
+        };
+        log::info!("event=peer_up node={node}");
+        let greeting = self.greeting();
+        for message in greeting {
+            if link.tx.try_send(message).is_err() {
+                return;
+            }
+        }
+        let tx = link.tx;
+        let peer = Peer {
+            tx: tx.clone(),
+            address,
+        };
+        self.peers.borrow_mut().insert(node.clone(), peer);
+        self.set_approvers();
+        self.tell_nodes();
+        let reason = loop {
+            match timeout(PEER_SILENCE, link.rx.recv()).await {
+                Ok(Some(Message::Relay { number, request })) => {
+                    let node = self.node.clone();
+                    self.spawn(node.serve_relay(number, request, tx.clone()));
+                }
+                Ok(Some(message)) => self.hear(message),
+                Ok(None) => break "closed",
+                Err(_) => break "silent",
+            }
+        };
+        log::info!("event=peer_lost node={node} reason={reason}");
+        let is_same = |peer: &Peer| peer.tx.same_channel(&tx);
+        if self.peers.borrow().get(&node).is_some_and(is_same) {
+            self.peers.borrow_mut().remove(&node);
+            self.set_approvers();
+        }
+    }
+
+    fn sign_of_life(&self, now: Now) -> Message {
+        let age = now.time - self.scheduler.borrow().confirmed_at();
+        Message::Beat {
+            table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            is_table_lost: self.node.0.table.is_lost(),
+        }
+    }
+
+    /// Tells all nodes where the others are.
+    pub(super) fn tell_nodes(&self) {
+        let peers = self.peers.borrow();
+        let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
+        drop(peers);
+        nodes.push(self.node.0.settings.link_address.to_string());
+        self.node.0.nodes.borrow_mut().clone_from(&nodes);
+        self.broadcast(&Message::Nodes(nodes));
+    }
+
+    /// What a node has to know first.
+    fn greeting(&self) -> [Message; 4] {
+        let now = self.now();
+        let scheduler = self.scheduler.borrow();
+        [
+            self.sign_of_life(now),
+            Message::States(scheduler.states().collect()),
+            Message::Pending(scheduler.summary(now).pending),
+            Message::Workers(scheduler.workers_by_pool(now)),
+        ]
+    }
+
+    /// Something that a node says.
+    pub(crate) fn hear(&self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Ping => {}
+            Message::Approved {
+                step,
+                asked,
+                allowed,
+                valid_ms,
+            } => {
+                let valid = Duration::from_millis(valid_ms);
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.approved(now, step, &asked, &allowed, valid);
+                self.wake.notify_one();
+            }
+            Message::NotApproved { step } => {
+                let now = self.now();
+                self.scheduler.borrow_mut().approval_failed(now, step);
+            }
+            other => log::warn!("event=unexpected_message message={other:?}"),
+        }
+    }
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -32,6 +32,7 @@
 mod health;
 mod intake;
 mod lead;
+mod lease;
 mod link;
 mod logs;
 mod message;
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     CallError, Directory, Node, Page, Ports, Row, Table,
-    lead::LeaseWriter,
+    lease::LeaseWriter,
     rows::{JOBS, JobRow, PROGRESS, SCHEDULER_PART, all_job_parts, parse_job_key},
 };
 
