One reading of job rows, one way to stop a job's tasks, and less state

Found in a last read of the change; behaviour stays as it is. - The scheduler's feed and the recovery each decoded rows of jobs, and the entry rows of progress, with the same faults logged: rows::read_job_row and rows::read_content serve all three. - Stopping a job's tasks and a gang's members were the same search with another condition. - LeaseWriter kept a time that nobody read; Scheduler::ticket had no caller. - A recovery took its epoch from the node's view of the lease row, which another node's word may change; it takes it from the writer of its own row now. - Three tests of two nodes share their set-up.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -14,7 +14,7 @@
     relay::Relayed,
     rows::{
         CANCELLED, JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part,
-        job_range_end, parse_job_key, progress_key,
+        job_range_end, parse_job_key, progress_key, read_content,
     },
 };
 
@@ -325,17 +325,11 @@
             return StateAnswer::Unknown;
         };
         let progress = page.rows.iter().find(|row| row.key == key.key);
-        let state = match progress.and_then(|row| row.value.as_deref()) {
+        let state = match progress {
             None => State::Queued,
-            Some(value) => match jobs::decode::<Progress>(value) {
-                Ok(progress) => progress.state(),
-                Err(e) => {
-                    log::error!(
-                        "event=bad_row table={PROGRESS} key={id} error={:?}",
-                        e.to_string()
-                    );
-                    return StateAnswer::Unknown;
-                }
+            Some(row) => match read_content::<Progress>(PROGRESS, row) {
+                Some(progress) => progress.state(),
+                None => return StateAnswer::Unknown,
             },
         };
         if rows.cancel && !state.is_final() {
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -164,7 +164,7 @@
     node.0.target_changed.notify_one();
     let epoch = row.epoch;
     let started = node.0.clock.time();
-    let writer = lease::LeaseWriter::new(row, version, started);
+    let writer = lease::LeaseWriter::new(row, version);
     node.0.is_recovering.set(true);
     let recovered = recover::recover(node, writer).await;
     node.0.is_recovering.set(false);
--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -8,7 +8,7 @@
 use crate::{
     Change, Directory, FeedError, Ports, Row, Table, Transaction, WorkerChanges,
     commit::{self, Outcome},
-    rows::{JOBS, JobRow, cancel_key, job_key, parse_job_key},
+    rows::{JOBS, JobContent, cancel_key, job_key, read_job_row},
 };
 
 /// The pause between two reads of new jobs. Each read is a call that is paid for.
@@ -79,29 +79,14 @@
     }
 
     fn note_job_row(&self, row: &Row) {
-        let Some(value) = &row.value else {
-            return;
-        };
         let now = self.now();
-        match parse_job_key(&row.key) {
-            Some(JobRow::Job(id)) => match jobs::decode(value) {
-                Ok(job) => self.scheduler.borrow_mut().job_stored(now, id, job),
-                Err(e) => {
-                    log::error!(
-                        "event=bad_row table={JOBS} key={} error={:?}",
-                        row.key,
-                        e.to_string()
-                    );
-                }
-            },
-            Some(JobRow::Cancel(id)) => {
+        match read_job_row(row) {
+            Some(JobContent::Job(id, job)) => self.scheduler.borrow_mut().job_stored(now, id, *job),
+            Some(JobContent::Cancel(id)) => {
                 log::info!("event=cancel_seen job={id} version={}", row.version);
                 self.scheduler.borrow_mut().job_cancelled(now, id);
             }
-            None => log::error!(
-                "event=bad_row table={JOBS} key={:?} error=\"no job id\"",
-                row.key
-            ),
+            None => {}
         }
     }
 
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use jobs::CodecError;
-use model::Time;
 use sched::{Batch, LeaseRow};
 use tokio::time::Instant;
 
@@ -26,17 +25,15 @@
 pub(crate) struct LeaseWriter {
     row: LeaseRow,
     version: u64,
-    /// When the last stored transaction was sent.
-    confirmed_at: Time,
 }
 
 impl LeaseWriter {
-    pub(crate) const fn new(row: LeaseRow, version: u64, confirmed_at: Time) -> Self {
-        Self {
-            row,
-            version,
-            confirmed_at,
-        }
+    pub(crate) const fn new(row: LeaseRow, version: u64) -> Self {
+        Self { row, version }
+    }
+
+    pub(crate) const fn epoch(&self) -> u64 {
+        self.row.epoch
     }
 
     /// Stores a batch, however long it takes. Returns false if another node has taken over.
@@ -115,7 +112,6 @@
             );
             self.row = next;
             self.version = version;
-            self.confirmed_at = sent_at;
             return true;
         }
     }
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use jobs::{JobId, Progress};
 use sched::{Recovered, Scheduler};
 use tokio::{
     task::{JoinSet, spawn_local},
@@ -12,7 +11,7 @@
 use crate::{
     CallError, Directory, Node, Page, Ports, Row, Table,
     lease::LeaseWriter,
-    rows::{JOBS, JobRow, PROGRESS, SCHEDULER_PART, all_job_parts, parse_job_key},
+    rows::{JOBS, JobContent, PROGRESS, SCHEDULER_PART, all_job_parts, read_content, read_job_row},
 };
 
 /// The pause after a failed read.
@@ -32,7 +31,8 @@
     mut writer: LeaseWriter,
 ) -> Option<(Scheduler, LeaseWriter, Versions)> {
     let reader = node.clone();
-    let mut reading = spawn_local(async move { read_all(&reader, writer_epoch(&reader)).await });
+    let epoch = writer.epoch();
+    let mut reading = spawn_local(async move { read_all(&reader, epoch).await });
     loop {
         tokio::select! {
             read = &mut reading => return read.ok().map(|(scheduler, versions)| (scheduler, writer, versions)),
@@ -51,10 +51,6 @@
     }
 }
 
-fn writer_epoch<P: Ports>(node: &Node<P>) -> u64 {
-    node.0.candidacy.borrow().row().map_or(0, |row| row.epoch)
-}
-
 async fn read_all<P: Ports>(node: &Node<P>, epoch: u64) -> (Scheduler, Versions) {
     let (recovered, jobs) = read_jobs(node).await;
     log::info!(
@@ -87,7 +83,7 @@
     let mut after = u64::MAX;
     let (progress, _) = read_part(node, PROGRESS, SCHEDULER_PART).await;
     for row in progress {
-        if let Some((id, progress)) = decode_progress(&row) {
+        if let (Ok(id), Some(progress)) = (row.key.parse(), read_content(PROGRESS, &row)) {
             recovered.progress.insert(id, progress);
         }
     }
@@ -99,51 +95,16 @@
     while let Some(read) = reads.join_next().await {
         let (rows, version) = read.expect("a read does not panic");
         after = after.min(version);
-        for row in rows {
-            note_job_row(&row, &mut recovered);
-        }
-    }
-    (recovered, after)
-}
-
-fn decode_progress(row: &Row) -> Option<(JobId, Progress)> {
-    let id = row.key.parse().ok()?;
-    match jobs::decode(row.value.as_deref()?) {
-        Ok(progress) => Some((id, progress)),
-        Err(e) => {
-            log::error!(
-                "event=bad_row table={PROGRESS} key={} error={:?}",
-                row.key,
-                e.to_string()
-            );
-            None
-        }
-    }
-}
-
-fn note_job_row(row: &Row, recovered: &mut Recovered) {
-    let Some(value) = &row.value else {
-        return;
-    };
-    match parse_job_key(&row.key) {
-        Some(JobRow::Job(id)) => match jobs::decode(value) {
-            Ok(job) => recovered.jobs.push((id, job)),
-            Err(e) => {
-                log::error!(
-                    "event=bad_row table={JOBS} key={} error={:?}",
-                    row.key,
-                    e.to_string()
-                );
+        for content in rows.iter().filter_map(read_job_row) {
+            match content {
+                JobContent::Job(id, job) => recovered.jobs.push((id, *job)),
+                JobContent::Cancel(id) => {
+                    recovered.cancelled.insert(id);
+                }
             }
-        },
-        Some(JobRow::Cancel(id)) => {
-            recovered.cancelled.insert(id);
         }
-        None => log::error!(
-            "event=bad_row table={JOBS} key={:?} error=\"no job id\"",
-            row.key
-        ),
     }
+    (recovered, after)
 }
 
 /// Reads a whole part, and the version from which its changes are to be followed.
--- a/crates/cluster/src/rows.rs
+++ b/crates/cluster/src/rows.rs
@@ -7,9 +7,10 @@
 //! | `progress` | [`SCHEDULER_PART`] | job id | its progress | the scheduler |
 //! | `lease` | [`SCHEDULER_PART`] | [`LEASE_KEY`] | who schedules | the scheduler, with each transaction |
 
-use jobs::JobId;
+use jobs::{Job, JobId};
+use serde::de::DeserializeOwned;
 
-use crate::RowKey;
+use crate::{Row, RowKey};
 
 /// Jobs and their cancellings.
 pub(crate) const JOBS: &str = "jobs";
@@ -83,6 +84,47 @@
     Cancel(JobId),
 }
 
+/// What a row of the table of jobs holds.
+#[derive(Debug)]
+pub(crate) enum JobContent {
+    Job(JobId, Box<Job>),
+    Cancel(JobId),
+}
+
+/// Reads a row of the table of jobs. None for a deleted row, and for one that can't be read, which is
+/// logged.
+pub(crate) fn read_job_row(row: &Row) -> Option<JobContent> {
+    row.value.as_ref()?;
+    match parse_job_key(&row.key) {
+        Some(JobRow::Job(id)) => {
+            read_content(JOBS, row).map(|job| JobContent::Job(id, Box::new(job)))
+        }
+        Some(JobRow::Cancel(id)) => Some(JobContent::Cancel(id)),
+        None => {
+            log::error!(
+                "event=bad_row table={JOBS} key={:?} error=\"no job id\"",
+                row.key
+            );
+            None
+        }
+    }
+}
+
+/// Reads the content of a row. None if it can't be read, which is logged.
+pub(crate) fn read_content<T: DeserializeOwned>(table: &str, row: &Row) -> Option<T> {
+    match jobs::decode(row.value.as_deref().unwrap_or_default()) {
+        Ok(content) => Some(content),
+        Err(e) => {
+            log::error!(
+                "event=bad_row table={table} key={} error={:?}",
+                row.key,
+                e.to_string()
+            );
+            None
+        }
+    }
+}
+
 /// Reads the key of a row of the table of jobs. None for a key that no node of this program writes.
 pub(crate) fn parse_job_key(key: &str) -> Option<JobRow> {
     match key.strip_suffix(CANCEL_MARK) {
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -139,6 +139,15 @@
     });
 }
 
+/// Starts a node that schedules, and another one that knows of it.
+async fn start_two(of_first: &Platform, of_second: &Platform) -> (Node<Platform>, Node<Platform>) {
+    let first = start("n1", 0, of_first).await;
+    until_state_known(&first).await;
+    let second = start("n2", 1, of_second).await;
+    until_state_known(&second).await;
+    (first, second)
+}
+
 async fn until_state_known(node: &Node<Platform>) {
     until("the scheduler has told what waits", || {
         node.pending(&queue()).is_some()
@@ -163,11 +172,8 @@
 fn a_node_without_the_table_serves_by_way_of_the_scheduler() {
     run(async {
         let platform = platform();
-        let first = start("n1", 0, &platform).await;
-        until_state_known(&first).await;
         let other = platform.for_another();
-        let second = start("n2", 5, &other).await;
-        until_state_known(&second).await;
+        let (_first, second) = start_two(&platform, &other).await;
         other.fault.set(TableFault::Refuses);
         assert_eq!(submit(&second, ID, 2).await, Submission::Accepted);
         until_state(&second, ID, State::Completed).await;
@@ -183,10 +189,7 @@
 fn a_scheduler_that_shuts_down_hands_over() {
     run(async {
         let platform = platform();
-        let first = start("n1", 0, &platform).await;
-        until_state_known(&first).await;
-        let second = start("n2", 1, &platform.for_another()).await;
-        until_state_known(&second).await;
+        let (first, second) = start_two(&platform, &platform.for_another()).await;
         assert_eq!(submit(&second, ID, 4).await, Submission::Accepted);
         first.drain();
         assert!(!first.is_ready());
@@ -201,10 +204,7 @@
 fn a_scheduler_that_the_table_turns_away_is_followed() {
     run(async {
         let platform = platform();
-        let first = start("n1", 0, &platform).await;
-        until_state_known(&first).await;
-        let second = start("n2", 1, &platform.for_another()).await;
-        until_state_known(&second).await;
+        let (first, second) = start_two(&platform, &platform.for_another()).await;
         platform.fault.set(TableFault::Refuses);
         assert_eq!(submit(&second, ID, 3).await, Submission::Accepted);
         until_state(&second, ID, State::Completed).await;
--- a/crates/sched/src/cancel.rs
+++ b/crates/sched/src/cancel.rs
@@ -19,12 +19,23 @@
 
     /// Stops all tasks of a job.
     pub(crate) fn stop_all(&mut self, now: Time, id: JobId) {
+        self.stop_assigned(now, id, |_, _| true);
+    }
+
+    /// Stops the tasks of a job whose key and run are chosen.
+    pub(crate) fn stop_assigned(
+        &mut self,
+        now: Time,
+        id: JobId,
+        is_chosen: impl Fn(TaskKey, u32) -> bool,
+    ) {
         let Some(entry) = self.jobs.get(&id) else {
             return;
         };
         let runs: Vec<(TaskKey, WorkerId)> = entry
             .progress
             .assigned(id)
+            .filter(|&(key, run, _)| is_chosen(key, run))
             .filter_map(|(key, _, life)| Some((key, self.fleet.id(&life.worker)?)))
             .collect();
         for (key, worker) in runs {
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -6,7 +6,7 @@
 use model::{Size, Time, WorkerId};
 
 use crate::{
-    Action, Now, Scheduler, Ticket,
+    Action, Now, Scheduler,
     approval::Approvals,
     fit::{self, Candidate},
     fleet::index,
@@ -468,13 +468,6 @@
     pub fn approval_count(step: &Step) -> usize {
         approval_count(step)
     }
-
-    /// A ticket for a worker, for tests and dumps.
-    #[must_use]
-    pub fn ticket(&self, now: Now, step: StepKey, worker: WorkerId) -> Option<&Ticket> {
-        let born = self.fleet.get(worker).info.born;
-        self.approvals.get(&step)?.ticket(now.time, worker, born)
-    }
 }
 
 /// How many workers to ask about for a step.
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -67,18 +67,10 @@
 
     /// Stops the other members of a gang's run. They can do nothing without the one that is gone.
     fn stop_gang(&mut self, now: Time, member: TaskKey, run: u32) {
-        let Some(entry) = self.jobs.get(&member.job) else {
-            return;
-        };
-        let others: Vec<(TaskKey, WorkerId)> = entry
-            .progress
-            .assigned(member.job)
-            .filter(|&(key, of, _)| of == run && key.step_key() == member.step_key())
-            .filter_map(|(key, _, life)| Some((key, self.fleet.id(&life.worker)?)))
-            .collect();
-        for (key, worker) in others {
-            self.stop_run(now, worker, key);
-        }
+        let step = member.step_key();
+        self.stop_assigned(now, member.job, |key, of| {
+            of == run && key.step_key() == step
+        });
     }
 
     /// A worker has begun another life, at `born`. What it ran is gone, but orders that are on their way
