Approvers are asked only when one is free, and late gangs ask less

Changes: a request is made only if its approver is free within 150 ms; room is held only while a request is under way; a late gang asks about more workers only while those allowed would not hold three times its tasks; the first gangs of the line alone keep tickets fresh; among what can be in time, what has its approvals goes first.

Conclusion: approvers' time is what binds at the worst load; who may use it has to follow the line.

--- a/crates/sched/benches/load.rs
+++ b/crates/sched/benches/load.rs
@@ -9,11 +9,9 @@
 use model::{Size, Time};
 use sched::{Order, SchedConfig};
 
-const ORDERS: [(&str, Order); 7] = [
-    ("intime", Order::InTime),
-    ("newest", Order::InTimeNewest),
-    ("short", Order::InTimeShort),
-    ("policy", Order::Hope),
+const ORDERS: [(&str, Order); 5] = [
+    ("policy", Order::InTime),
+    ("before", Order::Hope),
     ("arrival", Order::Arrival),
     ("rank", Order::Rank),
     ("shortest", Order::Shortest),
--- a/crates/sched/src/approval.rs
+++ b/crates/sched/src/approval.rs
@@ -8,6 +8,9 @@
 
 use model::{Time, WorkerId};
 
+/// How long a count of what the allowed workers hold is used: workers come and go.
+const CAPACITY_AGE: Duration = Duration::from_secs(2);
+
 /// The proof of an approval that a start has to carry.
 pub type Ticket = Arc<str>;
 
@@ -43,9 +46,9 @@
     pending_until: Option<Time>,
     /// When to look again for workers that were not asked about.
     widen_at: Time,
-    /// Whether the step was found to fit on the allowed workers if they were empty, and how many workers
-    /// were asked about by then.
-    fits: Option<(usize, bool)>,
+    /// How many tasks of the step would fit on the allowed workers if they were empty, when that was looked
+    /// at, and how many workers were asked about by then.
+    capacity: Option<(usize, Time, usize)>,
 }
 
 impl Approvals {
@@ -142,15 +145,15 @@
         self.pending_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the step fits on the allowed workers if they were empty, if that was looked at since the
-    /// last answer.
-    pub(crate) fn fits(&self) -> Option<bool> {
-        self.fits
-            .filter(|(asked, _)| *asked == self.asked.len())
-            .map(|(_, fits)| fits)
+    /// How many tasks of the step would fit on the allowed workers if they were empty, if that was looked at
+    /// lately and since the last answer.
+    pub(crate) fn capacity(&self, now: Time) -> Option<usize> {
+        self.capacity
+            .filter(|&(_, at, asked)| asked == self.asked.len() && now < at + CAPACITY_AGE)
+            .map(|(capacity, _, _)| capacity)
     }
 
-    pub(crate) fn note_fits(&mut self, fits: bool) {
-        self.fits = Some((self.asked.len(), fits));
+    pub(crate) fn note_capacity(&mut self, now: Time, capacity: usize) {
+        self.capacity = Some((capacity, now, self.asked.len()));
     }
 }
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -8,7 +8,7 @@
 use std::{cmp::Reverse, time::Duration};
 
 use jobs::Step;
-use model::{Time, WorkerId};
+use model::{Size, Time, WorkerId};
 
 use crate::{
     Action, Scheduler,
@@ -28,9 +28,18 @@
 /// The most requests that are made at a time for one step.
 const REQUESTS_MAX: usize = 2;
 
-/// A gang asks for room for so many times its tasks among those that are likely to be allowed: the room is
+/// A step asks for room for so many times its tasks among those that are likely to be allowed: the room is
 /// shared with all others that ask at the same time.
-const GANG_ROOM: f64 = 2.0;
+const ROOM: f64 = 2.0;
+
+/// The least number of workers that a step asks about: so many, and so many for each of its tasks. A third to
+/// two thirds of those asked are allowed, and some of them are full.
+const BASE: usize = 12;
+const PER_TASK: usize = 3;
+
+/// The same for a gang, all of whose tasks have to find room at once.
+const GANG_BASE: usize = 24;
+const GANG_PER_TASK: usize = 2;
 
 impl Scheduler {
     /// Asks about workers with room that were not there, or not free, when the others were asked about.
@@ -81,16 +90,20 @@
 
     /// Asks for new tickets of workers that are known to be allowed: of those that the tasks fit on at
     /// present, and of some to spare. Where `missing` tasks fit nowhere, asks about more workers as well.
+    /// Returns whether a request is under way.
     pub(crate) fn ask_again(
         &mut self,
         now: Time,
         want: &Want,
         placed: &[WorkerId],
         missing: usize,
-    ) {
+    ) -> bool {
         let Some(approvals) = self.approvals.get(&want.key) else {
-            return;
+            return false;
         };
+        if approvals.is_pending(now) {
+            return true;
+        }
         let mut spare: Vec<&Worker> = approvals
             .allowed()
             .iter()
@@ -106,61 +119,62 @@
             workers.extend(self.unasked(now, want));
         }
         workers.truncate(self.cfg.approval_workers);
-        self.ask(now, want, &workers);
+        self.ask(now, want, &workers)
     }
 
     /// The workers to ask about: those that suit the step and were not asked about, the emptiest first.
     pub(crate) fn unasked(&self, now: Time, want: &Want) -> Vec<WorkerId> {
         let known = self.approvals.get(&want.key);
-        let mut workers: Vec<&Worker> = self
-            .fleet
-            .iter()
-            .filter(|worker| {
-                worker.suits(now, &want.pool, want.step())
-                    && known.is_none_or(|approvals| !approvals.is_known(worker.id))
-            })
-            .collect();
-        let least = approval_count(want.step());
-        if !want.step().gang {
-            let mut workers = emptiest_first(&mut workers);
-            workers.truncate(least);
-            return workers;
-        }
-        // Room that others make way for counts as well.
-        let size = want.step().reserved();
+        let workers = self.fleet.iter().filter(|worker| {
+            worker.suits(now, &want.pool, want.step())
+                && known.is_none_or(|approvals| !approvals.is_known(worker.id))
+        });
+        let step = want.step();
+        let size = step.reserved();
         let fitting = |worker: &Worker| {
-            let room = worker.room() + preempt::yielding(now, worker, want.rank);
-            size.times_in(room)
+            // Room that others make way for counts as well.
+            let yielding = if step.gang {
+                preempt::yielding(now, worker, want.rank)
+            } else {
+                Size::ZERO
+            };
+            size.times_in(worker.room() + yielding)
         };
-        let mut workers: Vec<(u32, WorkerId)> = workers
-            .iter()
-            .map(|worker| (fitting(worker), worker.id))
-            .collect();
+        let mut workers: Vec<(u32, WorkerId)> =
+            workers.map(|worker| (fitting(worker), worker.id)).collect();
         workers.sort_by_key(|&(fitting, id)| (Reverse(fitting), id));
         let share = self.allowed_shares.expect(&want.job.queue.name);
-        let needed = GANG_ROOM * f64::from(u32::try_from(want.tasks.len()).unwrap_or(u32::MAX));
+        let needed = ROOM * f64::from(u32::try_from(want.tasks.len()).unwrap_or(u32::MAX));
         let mut found = 0.0;
         let count = workers.iter().take_while(|(fitting, _)| {
             let is_needed = found < needed && *fitting > 0;
             found += share * f64::from(*fitting);
             is_needed
         });
-        let most = self.cfg.approval_workers * REQUESTS_MAX;
+        let least = approval_count(step);
+        let most = if step.gang {
+            self.cfg.approval_workers * REQUESTS_MAX
+        } else {
+            least
+        };
         let count = count.count().max(least).min(most);
         workers.iter().take(count).map(|&(_, id)| id).collect()
     }
 
-    pub(crate) fn ask(&mut self, now: Time, want: &Want, workers: &[WorkerId]) {
+    /// Has approvers asked about workers, if one is free and no request for the step is under way. Returns
+    /// whether that is done.
+    pub(crate) fn ask(&mut self, now: Time, want: &Want, workers: &[WorkerId]) -> bool {
         let is_pending = self
             .approvals
             .get(&want.key)
             .is_some_and(|approvals| approvals.is_pending(now));
         let Some(cost) = want.approval else {
-            return;
+            return false;
         };
         if workers.is_empty() || is_pending {
-            return;
+            return false;
         }
+        let mut is_asked = false;
         let requests = workers.len().div_ceil(self.cfg.approval_workers);
         for workers in workers
             .chunks(workers.len().div_ceil(requests))
@@ -169,8 +183,9 @@
             let cost = cost.of(workers.len());
             let backlog = self.cfg.approval_backlog;
             let Some((approver, expected)) = self.approvers.pick(now, cost, backlog) else {
-                return;
+                break;
             };
+            is_asked = true;
             let approvals = self.approvals.entry(want.key).or_default();
             approvals.asked(expected + ASK_SLACK);
             let name = |&id: &WorkerId| self.fleet.get(id).info.name.clone();
@@ -181,6 +196,7 @@
                 cost,
             });
         }
+        is_asked
     }
 
     /// The workers that a node asks about when it takes a job in, before the scheduler knows of it.
@@ -192,14 +208,8 @@
 
 /// How many workers to ask about for a step.
 fn approval_count(step: &Step) -> usize {
-    // A third to two thirds of those asked are allowed, and some of them are full.
-    const BASE: usize = 12;
-    const PER_TASK: usize = 3;
-    const GANG_BASE: usize = 24;
-    const GANG_PER_TASK: usize = 2;
     let tasks = usize::try_from(step.tasks).unwrap_or(usize::MAX);
     if step.gang {
-        // All of its tasks have to find room among the allowed at once.
         GANG_BASE + GANG_PER_TASK * tasks
     } else {
         BASE + PER_TASK * tasks
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -41,8 +41,8 @@
     /// The pause after a request for approvals has failed, and between two searches for workers that a step
     /// was not asked about. Requests for gangs take most of a second.
     pub approval_retry: Duration,
-    /// Requests for approvals that would have to wait longer than this at every node are not made yet.
-    /// Their tickets would come when the room is gone.
+    /// Requests for approvals that would have to wait longer than this at every node are not made yet: more
+    /// urgent ones may come, and room is held meanwhile. It covers the way to the nodes.
     pub approval_backlog: Duration,
     /// The most workers that one request for approvals names. The platform takes 100.
     pub approval_workers: usize,
@@ -79,12 +79,12 @@
             approval_margin: Duration::from_millis(150),
             approval_grace: Duration::from_millis(400),
             approval_retry: Duration::from_millis(700),
-            approval_backlog: Duration::from_millis(1_200),
+            approval_backlog: Duration::from_millis(150),
             approval_workers: 100,
             failure_streak: 3,
             quarantine: Duration::from_millis(1_500),
             quarantine_max: Duration::from_secs(12),
-            order: Order::InTimeNewest,
+            order: Order::InTime,
             searches: 16,
             kept_gangs: 1,
             remember: Duration::from_secs(150),
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -7,15 +7,18 @@
 
 use crate::{
     Action, Now, Scheduler,
-    approval::Approvals,
     fit::{self, Candidate},
     fleet::index,
-    line::{self, Waiting},
+    line::{self, Outlook, Waiting},
     preempt::{self, Claims},
     scheduler::Effect,
     worker::{Run, RunPhase, Worker},
 };
 
+/// A gang that is late already asks about more workers only while those that are allowed would not hold this
+/// many times its tasks: requests of many such gangs would hold up those that can be in time.
+const GANG_CHOICE: usize = 3;
+
 /// The room that is left to the steps that have not had their turn in this pass.
 pub(crate) struct Pass {
     pub(crate) room: Vec<Size>,
@@ -162,6 +165,7 @@
                 accepted_at,
                 objective: policy.target + chain.mul_f64(policy.stretch),
                 remaining: self.chain(key.job, key.step),
+                is_approved: self.has_approvals(key),
             })
         });
         waiting.collect()
@@ -225,8 +229,9 @@
         }
         if !is_whole {
             let missing = want.tasks.len() - if is_gang { 0 } else { placed.len() };
-            if is_gang && waiting.is_in_time(now) {
+            if is_gang && waiting.outlook(now) == Outlook::InTime && pass.searches > 0 {
                 self.keep_tickets(now, &want);
+                self.widen(now, &want, pass);
                 if self.make_way(now, &want, pass) {
                     return;
                 }
@@ -324,14 +329,17 @@
         let is_enough = placed.len() == tasks || (!is_gang && !placed.is_empty());
         if is_enough && want.approval.is_some() {
             // The room is spoken for until the tickets are there, so that not all ask for the same.
-            pass.take(size, &placed);
-            self.ask_again(now, want, &placed, tasks - placed.len());
+            if self.ask_again(now, want, &placed, tasks - placed.len()) {
+                pass.take(size, &placed);
+            }
             return;
         }
-        if want.approval.is_some() {
+        let capacity = if is_gang { self.capacity(now, want) } else { 0 };
+        if want.approval.is_some() && (!is_gang || capacity < GANG_CHOICE * tasks) {
             self.widen(now, want, pass);
         }
-        if is_gang && pass.kept_gangs > 0 && !self.is_too_narrow(now, want, pass) {
+        // Room that is kept for a gang that never finds enough would be lost to all others.
+        if is_gang && pass.kept_gangs > 0 && capacity >= tasks {
             pass.kept_gangs -= 1;
             pass.take(size, &placed);
         }
@@ -451,30 +459,27 @@
         }
     }
 
-    /// Whether a gang finds no room among the allowed workers even if they were empty. Room that is kept
-    /// for such a gang would be lost to all others.
-    fn is_too_narrow(&mut self, now: Time, want: &Want, pass: &mut Pass) -> bool {
-        let known = self.approvals.get(&want.key).and_then(Approvals::fits);
-        if let Some(fits) = known {
-            return !fits;
-        }
-        if want.approval.is_some() && pass.searches == 0 {
-            return true;
+    /// How many tasks of a gang would fit on the allowed workers if they were empty.
+    fn capacity(&mut self, now: Time, want: &Want) -> usize {
+        let known = self.approvals.get(&want.key);
+        if let Some(capacity) = known.and_then(|approvals| approvals.capacity(now)) {
+            return capacity;
         }
-        pass.searches = pass.searches.saturating_sub(1);
-        let empty = Pass {
-            room: self.fleet.iter().map(|worker| worker.info.size).collect(),
-            open: self.fleet.iter().map(|worker| worker.id).collect(),
-            kept_gangs: 0,
-            searches: 0,
-            claims: Claims::default(),
+        let size = want.step().reserved();
+        let times = |worker: &Worker| usize::try_from(size.times_in(worker.info.size)).unwrap_or(0);
+        let suits = |worker: &&Worker| worker.suits(now, &want.pool, want.step());
+        let capacity = match known {
+            Some(approvals) if want.approval.is_some() => {
+                let allowed = approvals.allowed().iter();
+                let workers = allowed.map(|allowed| self.fleet.get(allowed.worker));
+                workers.filter(suits).map(times).sum()
+            }
+            _ => self.fleet.iter().filter(suits).map(times).sum(),
         };
-        let placed = self.fit(now, want, want.tasks.len(), Approved::Ever, &empty);
-        let fits = placed.len() == want.tasks.len();
         if let Some(approvals) = self.approvals.get_mut(&want.key) {
-            approvals.note_fits(fits);
+            approvals.note_capacity(now, capacity);
         }
-        !fits
+        capacity
     }
 }
 
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -1,9 +1,11 @@
 //! The order in which steps get room.
 //!
-//! Load pattern: the cores that are asked for exceed those that are there while a burst lasts, so that
-//! something has to wait. A job counts for its client if it is done within its objective, for a part
-//! within three times that, and hardly after. What can still be in time goes first, by the rank of its
-//! queue and then by age; what is past hope goes last, and is still finished.
+//! Load pattern: the cores that are asked for exceed those that are there while a burst lasts, or once an
+//! outage is over, so that a line stands for longer than most jobs may take. Served by age, each job would get
+//! its turn when its objective has just passed. So what can still be in time goes first, then what is late and
+//! still of use, then the rest, which is finished all the same. Among what can be in time the rank of the queue
+//! decides, then whether the approvals are there, as they have cost an approver's time, and then the newest: it
+//! has the most time left, and so is the most likely to be in time although estimates are off.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -16,8 +18,11 @@
 /// In which order steps get room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Order {
-    /// What can still be in time first, by the rank of its queue and then by age; then the rest.
+    /// What can be in time first, then what is late, then what is past hope; by rank, and the newest of those
+    /// first that have their approvals.
     #[default]
+    InTime,
+    /// What is not past hope first, by rank and then by age. The policy before this one, kept as a baseline.
     Hope,
     /// By age alone. A baseline.
     Arrival,
@@ -25,12 +30,17 @@
     Rank,
     /// The least remaining work first. A baseline.
     Shortest,
-    /// What can be in time first, then what can be late, then the rest; by rank, then by age.
+}
+
+/// What a job can still come to, by the time that it needs at least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outlook {
+    /// It can be done within its objective.
     InTime,
-    /// The same, by rank and then the newest first.
-    InTimeNewest,
-    /// The same, by rank and then by objective.
-    InTimeShort,
+    /// It can be done in a time that counts for something.
+    Late,
+    /// It can't.
+    PastHope,
 }
 
 /// A step that waits for room.
@@ -44,29 +54,21 @@
     pub(crate) objective: Duration,
     /// The least time that its job needs from now on.
     pub(crate) remaining: Duration,
+    /// Whether it has approvals.
+    pub(crate) is_approved: bool,
 }
 
 impl Waiting {
-    /// Whether its job can still be done within its objective.
-    pub(crate) fn is_in_time(&self, now: Time) -> bool {
-        now + self.remaining <= self.accepted_at + self.objective
-    }
-
-    fn tier(&self, now: Time) -> u8 {
+    pub(crate) fn outlook(&self, now: Time) -> Outlook {
         let end = now + self.remaining;
         if end <= self.accepted_at + self.objective {
-            0
+            Outlook::InTime
         } else if end <= self.accepted_at + self.objective * HOPE {
-            1
+            Outlook::Late
         } else {
-            2
+            Outlook::PastHope
         }
     }
-
-    /// Whether its job can't be done any more in a time that counts.
-    pub(crate) fn is_past_hope(&self, now: Time) -> bool {
-        now + self.remaining > self.accepted_at + self.objective * HOPE
-    }
 }
 
 /// Sorts steps by the order in which they get room.
@@ -78,20 +80,18 @@
     let age = a.accepted_at.cmp(&b.accepted_at).then(a.key.cmp(&b.key));
     let rank = a.rank.cmp(&b.rank);
     match order {
+        Order::InTime => {
+            let outlook = a.outlook(now).cmp(&b.outlook(now));
+            let approved = b.is_approved.cmp(&a.is_approved);
+            outlook.then(rank).then(approved).then(age.reverse())
+        }
         Order::Hope => {
-            let hope = a.is_past_hope(now).cmp(&b.is_past_hope(now));
+            let is_past_hope = |waiting: &Waiting| waiting.outlook(now) == Outlook::PastHope;
+            let hope = is_past_hope(a).cmp(&is_past_hope(b));
             hope.then(rank).then(age)
         }
         Order::Arrival => age,
         Order::Rank => rank.then(age),
         Order::Shortest => a.remaining.cmp(&b.remaining).then(age),
-        Order::InTime => a.tier(now).cmp(&b.tier(now)).then(rank).then(age),
-        Order::InTimeNewest => a.tier(now).cmp(&b.tier(now)).then(rank).then(age.reverse()),
-        Order::InTimeShort => a
-            .tier(now)
-            .cmp(&b.tier(now))
-            .then(rank)
-            .then(a.objective.cmp(&b.objective))
-            .then(age),
     }
 }
