--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -32,13 +32,13 @@
 /// shared with all others that ask at the same time.
 const ROOM: f64 = 2.0;
 
-/// The least number of workers that a step asks about, and that a gang does, all of whose tasks have to find
-/// room at once. A third to two thirds of those asked are allowed, and some of them are full.
+/// The least number of workers that a step asks about: so many, and so many for each of its tasks. A third to
+/// two thirds of those asked are allowed, and some of them are full.
 const BASE: usize = 12;
-const GANG_BASE: usize = 24;
-
-/// How many more workers a node asks about for each task, when it takes a job in and knows of no room.
 const PER_TASK: usize = 3;
+
+/// The same for a gang, all of whose tasks have to find room at once.
+const GANG_BASE: usize = 24;
 const GANG_PER_TASK: usize = 2;
 
 impl Scheduler {
@@ -151,12 +151,13 @@
             found += share * f64::from(*fitting);
             is_needed
         });
-        let (least, most) = if step.gang {
-            (GANG_BASE, self.cfg.approval_workers * REQUESTS_MAX)
+        let least = approval_count(step);
+        let most = if step.gang {
+            self.cfg.approval_workers * REQUESTS_MAX
         } else {
-            (BASE, approval_count(step))
+            least
         };
-        let count = count.count().clamp(least, most);
+        let count = count.count().max(least).min(most);
         workers.iter().take(count).map(|&(_, id)| id).collect()
     }
 
