Approvals outlive the scheduler that had them asked for; what runs on hosts apart from the cell's world

Nodes that had asked know the answers.

Ruled out: keeping them in the table, which would cost a write an answer. The test fails with the telling left out (2 requests instead of 1).

fakes::cell: hosts, gangs and judge move out of world.rs (1,141 lines) into floor.rs, for a second owner.

--- a/crates/cluster/src/approve.rs
+++ b/crates/cluster/src/approve.rs
@@ -14,7 +14,11 @@
 use jobs::StepKey;
 use tokio::task::spawn_local;
 
-use crate::{Approver, Node, Ports, message::Message};
+use crate::{
+    Approver, Node, Ports,
+    answers::{Answer, Answers},
+    message::Message,
+};
 
 /// Requests that are under way at a time. More than one hides the way to the service, which is up to
 /// 20 ms each way.
@@ -42,6 +46,7 @@
     under_way: Cell<usize>,
     backlog: Cell<Duration>,
     count: Cell<u64>,
+    answers: RefCell<Answers>,
 }
 
 impl<P: Ports> Node<P> {
@@ -96,12 +101,16 @@
                     approval.allowed.len(),
                     taken.as_millis()
                 );
-                Message::Approved {
+                let now = self.0.clock.time();
+                let answer = Answer {
                     step,
                     asked: request.workers,
                     allowed: approval.allowed,
-                    valid_ms: u64::try_from(approval.valid.as_millis()).unwrap_or(u64::MAX),
-                }
+                    until: now + approval.valid,
+                };
+                let message = answer.message(now);
+                self.0.asker.answers.borrow_mut().keep(answer);
+                message
             }
             Err(e) => {
                 log::warn!(
@@ -121,6 +130,14 @@
         self.ask_next();
     }
 
+    /// The approvals that this node knows of, for a scheduler that does not.
+    pub(crate) fn known_approvals(&self) -> Vec<Message> {
+        let now = self.0.clock.time();
+        let states = self.0.states.borrow();
+        let is_over = |id| states.get(&id).is_some_and(|known| known.state.is_final());
+        self.0.asker.answers.borrow_mut().tell(now, is_over)
+    }
+
     /// Tells the scheduler something that it learns otherwise, if later, when this is lost.
     pub(crate) fn tell(&self, message: Message) {
         let lead = self.0.lead.borrow().clone();
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -175,6 +175,9 @@
             (node.0.clock.time() - started).as_millis()
         );
         *node.0.lead.borrow_mut() = Some(lead.clone());
+        for approval in node.known_approvals() {
+            lead.hear(approval);
+        }
         lead.run(after).await;
         node.0.lead.borrow_mut().take();
         log::info!("event=scheduling_ended epoch={epoch}");
@@ -279,8 +282,15 @@
     if link.tx.send(hello).await.is_err() {
         return;
     }
+    let approvals = node.known_approvals();
+    log::debug!("event=approvals_told to={to} count={}", approvals.len());
     let pings = link.tx.clone();
     let ping = spawn_local(async move {
+        for approval in approvals {
+            if pings.send(approval).await.is_err() {
+                return;
+            }
+        }
         while pings.send(Message::Ping).await.is_ok() {
             sleep(PING).await;
         }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert!(routes.find("desk.example", "/other/").is_none());
 //! ```
 
+mod answers;
 mod approve;
 mod clock;
 mod commit;
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cluster::{Cancelling, Node, StateAnswer, Submission};
-use jobs::{JobId, State};
+use jobs::{JobId, State, StepKey};
 use support::{Platform, TableFault, deadline, job, platform, queue, start, until};
 use tokio::{
     runtime::Builder,
@@ -200,6 +200,30 @@
     });
 }
 
+#[test]
+fn approvals_outlive_the_scheduler_that_had_them_asked_for() {
+    run(async {
+        let platform = platform();
+        let (first, second) = start_two(&platform, &platform.for_another()).await;
+        // The first job fills all workers, so that the second one waits with its approvals.
+        platform.world.task_time.set(Duration::from_millis(1_500));
+        assert_eq!(submit(&second, ID, 24).await, Submission::Accepted);
+        until("the workers are full", || platform.starts() == 24).await;
+        let waiting = JobId(8);
+        assert_eq!(submit(&second, waiting, 1).await, Submission::Accepted);
+        let step = StepKey {
+            job: waiting,
+            occurrence: 0,
+            step: 0,
+        };
+        let asked = || platform.world.asked.borrow().get(&step).copied();
+        until("its approvals are asked for", || asked() == Some(1)).await;
+        first.drain();
+        until_state(&second, waiting, State::Completed).await;
+        assert_eq!(asked(), Some(1));
+    });
+}
+
 #[test]
 fn a_scheduler_that_the_table_turns_away_is_followed() {
     run(async {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -28,6 +28,9 @@
 /// Whatever a test waits for comes within this time, or the test fails.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// How long tickets hold: longer than any test takes.
+const TICKETS_HOLD: Duration = Duration::from_secs(60);
+
 /// What becomes of calls to the table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TableFault {
@@ -65,6 +68,8 @@
     pub routes: RefCell<Routes>,
     /// How long each task takes.
     pub task_time: Cell<Duration>,
+    /// How often approvals were asked for.
+    pub asked: RefCell<BTreeMap<StepKey, u32>>,
     began: Instant,
 }
 
@@ -83,7 +88,7 @@
         approval: Some(ApprovalCost {
             base_ms: 1.0,
             per_worker_ms: 0.1,
-            valid: Duration::from_secs(5),
+            valid: TICKETS_HOLD,
         }),
         ..Queue::default()
     }
@@ -115,6 +120,7 @@
         hosts: hosts.into_iter().collect(),
         routes: RefCell::new(Routes::new(1, [route])),
         task_time: Cell::new(Duration::from_millis(20)),
+        asked: RefCell::default(),
         began: Instant::now(),
     };
     Platform {
@@ -352,13 +358,14 @@
 }
 
 impl Approver for Platform {
-    async fn ask(&self, _: StepKey, workers: &[Arc<str>]) -> Result<Approval, AskError> {
+    async fn ask(&self, step: StepKey, workers: &[Arc<str>]) -> Result<Approval, AskError> {
+        *self.world.asked.borrow_mut().entry(step).or_default() += 1;
         Ok(Approval {
             allowed: workers
                 .iter()
                 .map(|name| (name.clone(), Arc::from("ticket")))
                 .collect(),
-            valid: Duration::from_secs(5),
+            valid: TICKETS_HOLD,
         })
     }
 }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -69,8 +69,9 @@
     pub(super) saves: bool,
 }
 
+/// A worker. See the [module documentation](super).
 #[derive(Debug)]
-pub(super) struct Host {
+pub struct Host {
     pub(super) info: WorkerInfo,
     /// How much slower its clock is than true time, in thousandths.
     slow_milli: u64,
@@ -92,7 +93,10 @@
 }
 
 impl Host {
-    pub(super) fn new(info: WorkerInfo, slow_milli: u64, overrun_ms: u64) -> Self {
+    /// A host that runs nothing. Its clock is so many thousandths slow, and runs go on for so long after their
+    /// lease.
+    #[must_use]
+    pub fn new(info: WorkerInfo, slow_milli: u64, overrun_ms: u64) -> Self {
         Self {
             info,
             slow_milli,
@@ -119,11 +123,25 @@
         self.lease_until_ms = self.lease_until_ms.max(until_ms.unwrap_or(0));
     }
 
+    /// Whether it is up.
+    #[must_use]
+    pub const fn is_up(&self) -> bool {
+        self.is_up
+    }
+
+    /// How the directory describes it.
+    #[must_use]
+    pub const fn info(&self) -> &WorkerInfo {
+        &self.info
+    }
+
     pub(super) fn name(&self) -> &Arc<str> {
         &self.info.name
     }
 
-    pub(super) fn clock_ms(&self, now: Time) -> u64 {
+    /// What its clock shows, in milliseconds since its life began.
+    #[must_use]
+    pub fn clock_ms(&self, now: Time) -> u64 {
         let passed = u64::try_from((now - self.born_at).as_millis()).unwrap_or(0);
         passed - passed * self.slow_milli / 1_000
     }
@@ -149,7 +167,7 @@
     }
 
     /// The host starts again under its name.
-    pub(super) fn start_again(&mut self, now: Time) {
+    pub fn start_again(&mut self, now: Time) {
         self.is_up = true;
         self.born_at = now;
         self.info.born = now.as_ms() + 1;
@@ -270,11 +288,15 @@
         Some(noted.collect())
     }
 
-    pub(super) fn has_ends(&self) -> bool {
+    /// Whether there are ends that are not acknowledged.
+    #[must_use]
+    pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 
-    pub(super) fn list(&self, now: Time) -> Listing {
+    /// Its lists, as a poll is answered with them.
+    #[must_use]
+    pub fn list(&self, now: Time) -> Listing {
         let mut running: Vec<RunningRow> = self
             .runs
             .iter()
--- a/crates/fakes/src/cell/judge.rs
+++ b/crates/fakes/src/cell/judge.rs
@@ -109,8 +109,9 @@
     at: Time,
 }
 
+/// Keeps what was submitted, run and told, and notes broken promises.
 #[derive(Debug, Default)]
-pub(super) struct Judge {
+pub struct Judge {
     pub(super) report: Report,
     jobs: HashMap<JobId, Job>,
     running: HashMap<TaskKey, Begun>,
@@ -133,7 +134,8 @@
         self.jobs.insert(id, job.clone());
     }
 
-    pub(super) fn cancelled(&mut self, now: Time, id: JobId) {
+    /// A client's cancelling of a job was acknowledged.
+    pub fn cancelled(&mut self, now: Time, id: JobId) {
         self.cancelled.insert(id, now);
     }
 
@@ -141,6 +143,12 @@
         self.cancelled.contains_key(&id)
     }
 
+    /// What was found so far.
+    #[must_use]
+    pub const fn report(&self) -> &Report {
+        &self.report
+    }
+
     fn breach(&mut self, breach: Breach) {
         self.report.breaches.push(breach);
     }
@@ -254,7 +262,7 @@
     }
 
     /// Clients can see a job's state.
-    pub(super) fn told(&mut self, now: Time, id: JobId, state: State) {
+    pub fn told(&mut self, now: Time, id: JobId, state: State) {
         let before = self.told.get(&id).map(|(state, _)| *state);
         if before.is_some_and(State::is_final) || before == Some(state) {
             return;
@@ -305,7 +313,8 @@
         self.first_starts.get(&id).copied()
     }
 
-    pub(super) fn unfinished(&mut self, id: JobId) {
+    /// A job was not over long after the last fault.
+    pub fn unfinished(&mut self, id: JobId) {
         self.breach(Breach::Unfinished(id));
     }
 }
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -5,6 +5,7 @@
 
 mod approvals;
 mod faults;
+mod floor;
 mod gangs;
 mod host;
 mod judge;
@@ -16,7 +17,9 @@
 
 pub use self::{
     faults::{CellFault, Mutation},
-    judge::{Breach, Report, Served},
+    floor::{Floor, FloorStart, Timer},
+    host::Host,
+    judge::{Breach, Judge, Report, Served},
     load::{Arrival, Burst, Kind, LoadSpec, generate},
     world::{Cell, CellSpec},
 };
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use jobs::{EndKind, JobId, StepKey, TaskKey};
+use jobs::{JobId, StepKey};
 use model::{Size, Time, WorkerId};
 use sched::{
     Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
@@ -16,9 +16,9 @@
 use super::{
     approvals::Approvals,
     faults::{CellFault, Mutation},
-    gangs::Gangs,
-    host::{Host, HostStart},
-    judge::{Judge, Report, Served, Work},
+    floor::{Floor, FloorStart, Timer},
+    host::Host,
+    judge::{Report, Served},
     load::{Arrival, Kind},
     network::{Fate, Network},
     node::CellNode,
@@ -40,8 +40,6 @@
 const OVERRUN_MS: u64 = 8_000;
 /// How long a gang waits for its members.
 const GANG_WAIT: Duration = Duration::from_secs(3);
-/// How soon a host that fails all it starts does so.
-const QUICK_FAILURE: Duration = Duration::from_millis(50);
 /// A scheduler decides at least this often.
 const LOOK: Duration = Duration::from_millis(250);
 /// Events that come together are handled together.
@@ -125,8 +123,7 @@
         Vec<(Arc<str>, Arc<str>)>,
         Duration,
     ),
-    HostTick(WorkerId),
-    Alone(StepKey, u32),
+    Timer(Timer),
     HostBack(WorkerId),
     HostListed(WorkerId),
     HostUnlisted(WorkerId),
@@ -161,17 +158,13 @@
     sequence: u64,
     events: BTreeMap<(Time, u64), Event>,
     nodes: Vec<CellNode>,
-    hosts: Vec<Host>,
+    floor: Floor,
     waiters: HashMap<WorkerId, Vec<Waiter>>,
     /// The polls that are under way, by node, its life, and the number that it knows the host under.
     polling: HashSet<(usize, u64, WorkerId)>,
-    fails_all_until: HashMap<WorkerId, Time>,
     table: Table,
     approvals: Approvals,
     network: Network,
-    gangs: Gangs,
-    judge: Judge,
-    truth: HashMap<JobId, Arrival>,
     rng: Rng,
 }
 
@@ -183,22 +176,20 @@
         let hosts = (0..spec.hosts)
             .map(|i| make_host(&spec, i, &mut rng))
             .collect();
+        let mut floor = Floor::new(hosts, spec.kinds.clone(), GANG_WAIT);
+        floor.truth = spec.arrivals.iter().map(|a| (a.id, a.clone())).collect();
         let table = Table::new(spec.mutation == Mutation::NoCondition);
         let mut cell = Self {
             now: Time::ZERO,
             sequence: 0,
             events: BTreeMap::new(),
             nodes: (0..spec.nodes).map(CellNode::new).collect(),
-            hosts,
+            floor,
             waiters: HashMap::new(),
             polling: HashSet::new(),
-            fails_all_until: HashMap::new(),
             table,
             approvals: Approvals::new(spec.seed),
             network: Network::new(rng.next_u64()),
-            gangs: Gangs::default(),
-            judge: Judge::default(),
-            truth: spec.arrivals.iter().map(|a| (a.id, a.clone())).collect(),
             rng,
             spec,
         };
@@ -239,24 +230,24 @@
     }
 
     fn is_over(&self) -> bool {
-        let told = &self.judge.told;
+        let told = &self.floor.judge.told;
         let is_over = |id: &JobId| told.get(id).is_some_and(|(state, _)| state.is_final());
-        self.truth.keys().all(is_over)
+        self.floor.truth.keys().all(is_over)
     }
 
     fn finish(mut self) -> Report {
         for arrival in &self.spec.arrivals {
-            let told = self.judge.told.get(&arrival.id).copied();
+            let told = self.floor.judge.told.get(&arrival.id).copied();
             let is_over = told.is_some_and(|(state, _)| state.is_final());
             if !is_over {
-                self.judge.unfinished(arrival.id);
+                self.floor.judge.unfinished(arrival.id);
             }
-            if self.judge.is_cancelled(arrival.id) {
+            if self.floor.judge.is_cancelled(arrival.id) {
                 continue;
             }
             let done_at = told.filter(|(state, _)| *state == jobs::State::Completed);
-            let started = self.judge.first_start(arrival.id).unwrap_or(self.now);
-            self.judge.report.served.push(Served {
+            let started = self.floor.judge.first_start(arrival.id).unwrap_or(self.now);
+            self.floor.judge.report.served.push(Served {
                 job: arrival.id,
                 kind: arrival.kind,
                 at: arrival.at,
@@ -266,7 +257,7 @@
                 work: work(arrival),
             });
         }
-        let mut report = self.judge.report;
+        let mut report = self.floor.judge.report;
         report.writes = self.table.writes;
         report.approval_requests = self.approvals.requests;
         report
@@ -329,14 +320,20 @@
                     self.decide_soon(node, life);
                 }
             }
-            Event::HostTick(host) => self.host_tick(host),
-            Event::Alone(step, run) => self.alone(step, run),
+            Event::Timer(Timer::Tick(host)) => {
+                self.floor.tick(self.now, host);
+                self.settle();
+            }
+            Event::Timer(Timer::Alone(step, run)) => {
+                self.floor.alone(self.now, step, run);
+                self.settle();
+            }
             Event::HostBack(host) => {
-                self.hosts[index(host)].start_again(self.now);
+                self.floor.hosts[index(host)].start_again(self.now);
                 self.at(self.now + DIRECTORY_LAG, Event::HostListed(host));
             }
             Event::HostUnlisted(host) => {
-                let name = self.hosts[index(host)].name().clone();
+                let name = self.floor.hosts[index(host)].name().clone();
                 for node in &mut self.nodes {
                     if let Some(scheduler) = &mut node.scheduler {
                         scheduler.worker_unlisted(&name);
@@ -344,7 +341,7 @@
                 }
             }
             Event::HostListed(host) => {
-                let (now, info) = (self.moment(), self.hosts[index(host)].info.clone());
+                let (now, info) = (self.moment(), self.floor.hosts[index(host)].info.clone());
                 for node in &mut self.nodes {
                     if let Some(scheduler) = &mut node.scheduler {
                         scheduler.worker_listed(now, info.clone());
@@ -372,7 +369,7 @@
         let (now, id) = (self.moment(), arrival.id);
         let mut job = arrival.job;
         job.accepted_unix_ms = now.unix_ms;
-        self.judge.submitted(id, &job);
+        self.floor.judge.submitted(id, &job);
         self.table.add_job(id, job.clone());
         if let Some(at) = arrival.cancelled_at {
             self.at(at, Event::Cancel(id));
@@ -389,6 +386,7 @@
     fn cancel(&mut self, id: JobId) {
         let now = self.moment();
         let is_over = self
+            .floor
             .judge
             .told
             .get(&id)
@@ -397,7 +395,7 @@
             return;
         }
         self.table.cancel(id);
-        self.judge.cancelled(self.now, id);
+        self.floor.judge.cancelled(self.now, id);
         for node in 0..self.nodes.len() {
             let life = self.nodes[node].life;
             if let Some(scheduler) = self.live(node, life) {
@@ -409,7 +407,8 @@
 
     fn fault(&mut self, fault: CellFault) {
         let scheduling = self.nodes.iter().position(CellNode::schedules);
-        let host = WorkerId(u32::try_from(self.rng.below(self.hosts.len() as u64)).unwrap_or(0));
+        let host =
+            WorkerId(u32::try_from(self.rng.below(self.floor.hosts.len() as u64)).unwrap_or(0));
         match fault {
             CellFault::SchedulerDies => {
                 if let Some(node) = scheduling {
@@ -429,26 +428,20 @@
                 self.at(self.now + NOTICE * 2, Event::TakeOver);
             }
             CellFault::HostCrashes(span) => {
-                for (key, run) in self.hosts[index(host)].crash() {
-                    self.judge.over(self.now, key, run, host, Work::Lost);
-                    self.gang_ends(key, run, EndKind::Interrupted);
-                }
+                self.floor.crash(self.now, host);
+                self.settle();
                 self.at(self.now + span, Event::HostBack(host));
             }
             CellFault::HostGone => {
-                for (key, run) in self.hosts[index(host)].crash() {
-                    self.judge.over(self.now, key, run, host, Work::Lost);
-                    self.gang_ends(key, run, EndKind::Interrupted);
-                }
+                self.floor.crash(self.now, host);
+                self.settle();
                 self.at(self.now + UNLISTED, Event::HostUnlisted(host));
             }
             CellFault::HostCut(span) => self.network.cut(host, self.now + span),
             CellFault::TableDown(span) => self.network.table_down_until = self.now + span,
             CellFault::OrdersLate(span) => self.network.orders_late_until = self.now + span,
             CellFault::TableAnswersLost(span) => self.network.answers_lost_until = self.now + span,
-            CellFault::HostFailsAll(span) => {
-                self.fails_all_until.insert(host, self.now + span);
-            }
+            CellFault::HostFailsAll(span) => self.floor.fail_all(host, self.now + span),
         }
     }
 
@@ -487,7 +480,7 @@
         let mut scheduler = Scheduler::new(self.spec.sched, epoch, now, recovered);
         scheduler.set_queues(self.spec.kinds.iter().map(|kind| kind.queue.clone()));
         scheduler.set_approvers(self.nodes.iter().map(|node| node.name.clone()));
-        for host in self.hosts.iter().filter(|host| host.is_up) {
+        for host in self.floor.hosts.iter().filter(|host| host.is_up) {
             scheduler.worker_listed(now, host.info.clone());
         }
         self.mutate(&mut scheduler);
@@ -508,7 +501,7 @@
         if self.spec.mutation != Mutation::NoLists {
             return;
         }
-        for host in &self.hosts {
+        for host in &self.floor.hosts {
             let blank = Listing {
                 born: host.info.born,
                 clock_ms: host.clock_ms(self.now),
@@ -544,7 +537,7 @@
         };
         let actions = scheduler.take_actions();
         let fence = scheduler.epoch();
-        self.judge.report.decisions += 1;
+        self.floor.judge.report.decisions += 1;
         if let Some(batch) = batch {
             let lease = &self.nodes[node].lease;
             let write = Write {
@@ -662,9 +655,9 @@
                 workers,
                 cost,
             } => self.ask(node, life, &approver, step, workers, cost),
-            Action::Publish { job, state } => self.judge.told(self.now, job, state),
+            Action::Publish { job, state } => self.floor.judge.told(self.now, job, state),
             Action::Wake(worker) => self.at(self.now, Event::PollLoop(node, life, worker)),
-            Action::Preempted { .. } => self.judge.report.preempted += 1,
+            Action::Preempted { .. } => self.floor.judge.report.preempted += 1,
         }
     }
 
@@ -679,7 +672,7 @@
         let host = self.host_of(node, worker);
         let fate = self.network.fate_of_order(self.now, host);
         let is_late = matches!(fate, Fate::Unanswered(_));
-        let late = is_late.then_some(self.hosts[index(host)].info.born);
+        let late = is_late.then_some(self.floor.hosts[index(host)].info.born);
         let sent = Sent {
             node,
             life,
@@ -701,6 +694,7 @@
 
     fn host_named(&self, name: &str) -> WorkerId {
         let i = self
+            .floor
             .hosts
             .iter()
             .position(|host| **host.name() == *name)
@@ -726,7 +720,7 @@
         cost: Duration,
     ) {
         let at = self.approvals.answer_at(self.now, approver, cost) + self.network.delay() * 2;
-        let Some(arrival) = self.truth.get(&step.job) else {
+        let Some(arrival) = self.floor.truth.get(&step.job) else {
             return;
         };
         let share = self
@@ -762,7 +756,7 @@
             late,
         } = sent;
         let answers = late.is_none();
-        let host = &mut self.hosts[index(id)];
+        let host = &mut self.floor.hosts[index(id)];
         // An order that a life has received and not carried out dies with it.
         if late.is_some_and(|born| born != host.info.born) {
             return;
@@ -773,156 +767,21 @@
             }
             return;
         }
-        let step = self
-            .truth
-            .get(&order.key.job)
-            .and_then(|arrival| arrival.job.steps.get(usize::from(order.key.step)));
-        let size = step.map(jobs::Step::reserved).unwrap_or_default();
-        let start = HostStart {
+        let start = FloorStart {
             key: order.key,
             run: order.run,
-            size,
+            checkpoint: order.checkpoint.clone(),
             lease_until_ms: order.lease_until_ms,
             fence,
-            checkpoint: order.checkpoint.clone(),
-            saves: step.is_some_and(|step| step.saves && !step.gang),
         };
-        let (answer, is_new) = host.start(self.now, &start);
-        if is_new {
-            self.begun(id, order.key, order.run);
-        }
+        let answer = self.floor.start(self.now, &mut self.rng, id, start);
+        self.settle();
         if answers {
             let at = self.now + self.network.delay();
             self.at(at, Event::StartAnswered(node, life, order, answer));
         }
     }
 
-    /// A run has begun.
-    fn begun(&mut self, id: WorkerId, key: TaskKey, run: u32) {
-        let host = &self.hosts[index(id)];
-        let beside = host
-            .runs
-            .keys()
-            .filter(|other| other.step_key() == key.step_key())
-            .count();
-        let beside = u32::try_from(beside).unwrap_or(u32::MAX);
-        let room = (host.used(), host.info.size);
-        self.judge.began(self.now, (key, run), id, beside, room);
-        let Some(arrival) = self.truth.get(&key.job) else {
-            return;
-        };
-        let (kind, job) = (arrival.kind, arrival.job.clone());
-        let step = &job.steps[usize::from(key.step)];
-        let whole = Duration::from_secs_f64(arrival.seconds[usize::from(key.step)]);
-        let saved = host.runs.get(&key).and_then(|run| run.saved);
-        let took = saved.map_or(whole, |saved| saved.left(self.now, whole));
-        let failing = self.spec.kinds.get(kind).map_or(0.0, |kind| kind.failing);
-        let fails_all = self
-            .fails_all_until
-            .get(&id)
-            .is_some_and(|&until| self.now < until);
-        let end = if fails_all {
-            (self.now + QUICK_FAILURE, EndKind::Failed)
-        } else if chance(&mut self.rng, failing) {
-            (self.now + took / 2, EndKind::Failed)
-        } else {
-            (self.now + took, EndKind::Done)
-        };
-        if step.gang {
-            let size = usize::try_from(step.tasks).unwrap_or(0);
-            let members = self.gangs.join(key.step_key(), run, (key.index, id), size);
-            match members {
-                Some(members) => {
-                    for (member, host) in members {
-                        let task = key.step_key().task(member);
-                        self.set_end(host, task, run, end);
-                    }
-                }
-                None => self.at(self.now + GANG_WAIT, Event::Alone(key.step_key(), run)),
-            }
-        } else {
-            self.set_end(id, key, run, end);
-        }
-        self.tick_later(id);
-    }
-
-    fn set_end(&mut self, host: WorkerId, key: TaskKey, run: u32, end: (Time, EndKind)) {
-        if let Some(r) = self.hosts[index(host)].runs.get_mut(&key)
-            && r.run == run
-        {
-            r.ends = Some(end);
-        }
-        self.tick_later(host);
-    }
-
-    fn tick_later(&mut self, host: WorkerId) {
-        if let Some((at, _, _)) = self.hosts[index(host)].next_end() {
-            self.at(at.max(self.now), Event::HostTick(host));
-        }
-    }
-
-    fn host_tick(&mut self, id: WorkerId) {
-        while let Some((at, key, kind)) = self.hosts[index(id)].next_end() {
-            if at > self.now {
-                break;
-            }
-            self.end_run(id, key, kind);
-        }
-        self.answer_polls(id);
-        self.tick_later(id);
-    }
-
-    fn end_run(&mut self, id: WorkerId, key: TaskKey, kind: EndKind) {
-        let saves = self.hosts[index(id)].saves(&key);
-        let Some(run) = self.hosts[index(id)].end(self.now, key, kind) else {
-            return;
-        };
-        let work = Work::of(kind, saves);
-        self.judge.over(self.now, key, run, id, work);
-        if kind == EndKind::Failed {
-            self.judge.failed(key);
-        }
-        self.gang_ends(key, run, kind);
-    }
-
-    /// What ends a member of a gang's run ends the others: all are done together, or broken.
-    fn gang_ends(&mut self, key: TaskKey, run: u32, kind: EndKind) {
-        let kind = if kind == EndKind::Done {
-            EndKind::Done
-        } else {
-            EndKind::Interrupted
-        };
-        for (member, host) in self.gangs.end(key.step_key(), run, key.index) {
-            let task = key.step_key().task(member);
-            let is_same = self.hosts[index(host)]
-                .runs
-                .get(&task)
-                .is_some_and(|r| r.run == run);
-            if is_same && self.hosts[index(host)].end(self.now, task, kind).is_some() {
-                let work = Work::of(kind, false);
-                self.judge.over(self.now, task, run, host, work);
-                self.answer_polls(host);
-            }
-        }
-    }
-
-    /// A gang that is not complete in time ends.
-    fn alone(&mut self, step: StepKey, run: u32) {
-        for i in 0..self.hosts.len() {
-            let waiting: Vec<TaskKey> = self.hosts[i]
-                .runs
-                .iter()
-                .filter(|(key, r)| key.step_key() == step && r.run == run && r.ends.is_none())
-                .map(|(&key, _)| key)
-                .collect();
-            let id = WorkerId(u32::try_from(i).unwrap_or(u32::MAX));
-            for key in waiting {
-                self.end_run(id, key, EndKind::Interrupted);
-                self.answer_polls(id);
-            }
-        }
-    }
-
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
         let Sent {
             node,
@@ -932,20 +791,14 @@
             late,
         } = sent;
         let answers = late.is_none();
-        let host = &mut self.hosts[index(id)];
+        let host = &mut self.floor.hosts[index(id)];
         if !host.is_up || late.is_some_and(|born| born != host.info.born) {
             return;
         }
-        let saves = host.saves(&order.key);
-        let Some(was_there) = host.stop(self.now, order.key, order.run, fence) else {
+        if !self.floor.stop(self.now, id, order.key, order.run, fence) {
             return;
-        };
-        if was_there {
-            let work = Work::of(EndKind::Interrupted, saves);
-            self.judge.over(self.now, order.key, order.run, id, work);
-            self.gang_ends(order.key, order.run, EndKind::Interrupted);
-            self.answer_polls(id);
         }
+        self.settle();
         if answers {
             let at = self.now + self.network.delay();
             self.at(at, Event::StopAnswered(node, life, order));
@@ -989,7 +842,7 @@
             order,
         };
         match self.network.fate_of_order(self.now, host) {
-            Fate::Arrives(at) if self.hosts[index(host)].is_up => {
+            Fate::Arrives(at) if self.floor.hosts[index(host)].is_up => {
                 self.at(at, Event::PollArrives(waiter, fence));
             }
             _ => {
@@ -1011,36 +864,44 @@
             return;
         };
         let (now, order) = (self.now, waiter.order.clone());
-        let host = &mut self.hosts[index(id)];
-        let noted = host.poll(now, fence, order.acknowledged, order.lease_until_ms);
-        let Some(noted) = noted else {
+        let is_current = self
+            .floor
+            .poll(now, id, fence, order.acknowledged, order.lease_until_ms);
+        if !is_current {
             let answer = Err(PollFailure::Fenced);
             self.answer_poll(&waiter, answer);
             return;
-        };
-        for row in noted {
-            let kind = row.end.kind;
-            self.judge
-                .noted(row.end.key, kind == EndKind::Done, kind == EndKind::Failed);
         }
         let until = waiter.until;
         self.waiters.entry(id).or_default().push(waiter);
         self.answer_polls(id);
         self.at(until.max(self.now), Event::PollWaited(id));
-        self.tick_later(id);
+        self.floor.tick_later(self.now, id);
+        self.settle();
+    }
+
+    /// Takes up what has come of a change on the hosts.
+    fn settle(&mut self) {
+        for (at, timer) in self.floor.take_timers() {
+            self.at(at, Event::Timer(timer));
+        }
+        for host in self.floor.take_touched() {
+            self.answer_polls(host);
+        }
     }
 
     /// Answers the polls at a host that have waited long enough, or for which there is an end.
     fn answer_polls(&mut self, id: WorkerId) {
-        let has_ends = self.hosts[index(id)].has_ends();
+        let has_ends = self.floor.hosts[index(id)].has_ends();
         let waiters = self.waiters.remove(&id).unwrap_or_default();
         let (due, waiting): (Vec<Waiter>, Vec<Waiter>) = waiters
             .into_iter()
             .partition(|waiter| has_ends || self.now >= waiter.until);
         self.waiters.insert(id, waiting);
         for waiter in due {
-            let listing = self.hosts[index(id)].list(self.now);
-            let answer = if self.hosts[index(id)].is_up && !self.network.is_cut(self.now, id) {
+            let listing = self.floor.hosts[index(id)].list(self.now);
+            let answer = if self.floor.hosts[index(id)].is_up && !self.network.is_cut(self.now, id)
+            {
                 Ok(Box::new(listing))
             } else {
                 Err(PollFailure::Silent)
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -137,12 +137,16 @@
 fn a_start_that_the_next_life_has_answered_is_not_judged_by_an_older_list() {
     let crash = CellFault::HostCrashes(4 * SECOND);
     let cut = CellFault::HostCut(2 * SECOND);
+    assert_kept_after(crash, cut, &[(440, 1_480), (501, 937), (2_430, 910)]);
+}
+
+/// One fault after another, by seed and gap in milliseconds. These were found among 3,000 with the guard
+/// left out.
+fn assert_kept_after(first: CellFault, second: CellFault, cases: &[(u64, u64)]) {
     let at = Time::ZERO + 3 * SECOND;
-    for seed in 1_090..1_130 {
-        for gap in [800, 1_011] {
-            let gap = Duration::from_millis(gap);
-            assert_kept(seed, &[(at, crash), (at + gap, cut)]);
-        }
+    for &(seed, gap) in cases {
+        let gap = Duration::from_millis(gap);
+        assert_kept(seed, &[(at, first), (at + gap, second)]);
     }
 }
 
@@ -232,9 +236,12 @@
     // by the host's next life, as the stop may come later than it.
     let crash = CellFault::HostCrashes(4 * SECOND);
     let late = CellFault::OrdersLate(5 * SECOND);
-    let at = Time::ZERO + 3 * SECOND;
-    let gap = Duration::from_millis(1_159);
-    for seed in 1_100..1_140 {
-        assert_kept(seed, &[(at, crash), (at + gap, late)]);
-    }
+    let found = [
+        (732, 1_084),
+        (984, 608),
+        (2_247, 1_139),
+        (2_412, 1_644),
+        (2_473, 1_101),
+    ];
+    assert_kept_after(crash, late, &found);
 }
