Ends are acknowledged only to a life that was heard of, and only once

Numbers begin anew in each life, and the worker keeps its id, so the order to another life is not refused.

Ruled out: the two faults mended before (the list was newer than the start, nothing was being stopped).

Change: a poll acknowledges only what is new, and only if the last poll was answered in the same life; what a failed poll acknowledged is acknowledged again.

--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -49,7 +49,15 @@
             return Poll::At(polled_at + pause);
         }
         worker.polled_at = Some(now);
-        worker.told = worker.acked;
+        // Ends are numbered anew in each life. One that was not heard of since it may have begun would forget
+        // ends that nobody has read.
+        let is_certain = worker.is_open && worker.silent_since.is_none();
+        let acknowledged = if is_certain && worker.acked > worker.told {
+            worker.told = worker.acked;
+            worker.acked
+        } else {
+            0
+        };
         let is_calm = worker.is_open && worker.silent_since.is_none() && !is_acknowledging;
         let wait = if is_calm && !worker.runs.is_empty() {
             cfg.poll_wait
@@ -61,7 +69,7 @@
         let renews = may_renew && !worker.runs.is_empty() && worker.silent_since.is_none();
         Poll::Now(PollOrder {
             worker: id,
-            acknowledged: worker.acked,
+            acknowledged,
             lease_until_ms: if renews {
                 worker.grant_lease(now, &cfg)
             } else {
@@ -108,6 +116,8 @@
             self.worker_replaced(now.time, id);
         }
         let worker = self.fleet.get_mut(id);
+        // What the poll acknowledged may not have arrived.
+        worker.told = 0;
         worker.silent_since.get_or_insert(now.time);
     }
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -104,7 +104,7 @@
     pub(crate) ack_after: u64,
     /// The last end that may be acknowledged.
     pub(crate) acked: u64,
-    /// The last end that a poll has acknowledged.
+    /// The last end that a poll has acknowledged, as far as it is known to have arrived.
     pub(crate) told: u64,
     pub(crate) runs: HashMap<TaskKey, Run>,
     pub(crate) used: Size,
