--- a/crates/fakes/src/cell/floor.rs
+++ b/crates/fakes/src/cell/floor.rs
@@ -189,17 +189,14 @@
         if is_gang {
             let size = usize::try_from(tasks).unwrap_or(0);
             let members = self.gangs.join(key.step_key(), run, (key.index, id), size);
-            match members {
-                Some(members) => {
-                    for (member, host) in members {
-                        let task = key.step_key().task(member);
-                        self.set_end(now, host, task, run, end);
-                    }
-                }
-                None => {
-                    let timer = Timer::Alone(key.step_key(), run);
-                    self.timers.push((now + self.gang_wait, timer));
+            if let Some(members) = members {
+                for (member, host) in members {
+                    let task = key.step_key().task(member);
+                    self.set_end(now, host, task, run, end);
                 }
+            } else {
+                let timer = Timer::Alone(key.step_key(), run);
+                self.timers.push((now + self.gang_wait, timer));
             }
         } else {
             self.set_end(now, id, key, run, end);
--- a/crates/fakes/src/cell/judge.rs
+++ b/crates/fakes/src/cell/judge.rs
@@ -309,7 +309,9 @@
         }
     }
 
-    pub(super) fn first_start(&self, id: JobId) -> Option<Time> {
+    /// When the first task of a job began.
+    #[must_use]
+    pub fn first_start(&self, id: JobId) -> Option<Time> {
         self.first_starts.get(&id).copied()
     }
 
