lacewing load; only urgent work preempts, and goes first though it is late; one seed gives the same figures

Cause: the bench took minutes and showed no sizes, windows or waits, and could not replay a recorded load.

Changes: crate load and the command; urgent work (rank 0) goes first by age though it is late, and it alone has tasks stopped that can resume. sched and the cell iterate over ordered maps: figures of one seed differed from run to run.

--- a/bench.sh
+++ b/bench.sh
@@ -8,4 +8,5 @@
     config:audit node:router node:capacity; do
     cargo bench --quiet -p "${bench%%:*}" --bench "${bench##*:}" | grep '^figure ' || true
 done
+target/release/lacewing load | grep '^figure '
 target/release/examples/real_domain measure | grep '^figure '
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -7,10 +7,12 @@
 use cli::TryOptions;
 use fakes::FaultLevel;
 use getopts::{Matches, Options};
+use load::Policy;
 use model::{DomainId, NodeId};
 use node::api::RecallTarget;
 
 use self::spec::{CommandSpec, OPTIONS};
+use crate::load_run::LoadOptions;
 
 /// What to do, and where.
 #[derive(Clone, Debug)]
@@ -32,6 +34,7 @@
         options: TryOptions,
         log: bool,
     },
+    Load(LoadOptions),
     Publish {
         dir: PathBuf,
         dry_run: bool,
@@ -213,6 +216,7 @@
             options: try_options(matches)?,
             log: matches.opt_present("log"),
         },
+        "load" => Command::Load(load_options(matches)?),
         "publish" => Command::Publish {
             dir: first().into(),
             dry_run: matches.opt_present("dry-run"),
@@ -276,6 +280,50 @@
     })
 }
 
+fn load_options(matches: &Matches) -> Result<LoadOptions, UsageError> {
+    let defaults = LoadOptions::default();
+    let list = |name: &'static str| matches.opt_str(name);
+    let factors = match list("factors") {
+        None => defaults.factors,
+        Some(text) => text
+            .split(',')
+            .map(|part| part.trim().parse().ok())
+            .map(|factor| factor.filter(|factor| (FACTOR_MIN..=FACTOR_MAX).contains(factor)))
+            .collect::<Option<Vec<f64>>>()
+            .ok_or_else(|| bad_value("factors", &text, "a list of numbers from 0.01 to 20"))?,
+    };
+    let policies = match list("policies") {
+        None => defaults.policies,
+        Some(text) => text
+            .split(',')
+            .map(|part| part.trim().parse::<Policy>())
+            .collect::<Result<Vec<Policy>, _>>()
+            .map_err(|_| bad_value("policies", &text, "a list of policies"))?,
+    };
+    let bounded = |name, default: u64, most: u64| match number::<u64>(matches, name)? {
+        None => Ok(default),
+        Some(n) if (1..=most).contains(&n) => Ok(n),
+        Some(n) => Err(bad_value(name, &n.to_string(), "a whole number in range")),
+    };
+    let small = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    Ok(LoadOptions {
+        seed: number(matches, "seed")?.unwrap_or(defaults.seed),
+        seeds: bounded("seeds", defaults.seeds, 1_000)?,
+        workers: small(bounded("workers", 48, u64::from(WORKERS_MAX))?),
+        factors,
+        seconds: bounded("seconds", defaults.seconds, 600)?,
+        policies,
+        lost_workers: number(matches, "lost")?.unwrap_or(0),
+        recorded: matches.opt_str("recorded").map(PathBuf::from),
+        record: matches.opt_str("record").map(PathBuf::from),
+        plot: matches.opt_str("plot").map(PathBuf::from),
+    })
+}
+
+/// The least and the largest load, as multiples of the usual one.
+const FACTOR_MIN: f64 = 0.01;
+const FACTOR_MAX: f64 = 20.0;
+
 /// The most workers of an embedded cell.
 const WORKERS_MAX: u32 = 2_000;
 
--- a/crates/cli/src/args/spec.rs
+++ b/crates/cli/src/args/spec.rs
@@ -26,7 +26,7 @@
 const NODE: &[&str] = &["node", "operator-token"];
 const NODE_JSON: &[&str] = &["node", "operator-token", "json"];
 
-pub(super) const COMMANDS: [CommandSpec; 11] = [
+pub(super) const COMMANDS: [CommandSpec; 12] = [
     CommandSpec {
         name: "check",
         args: "DIR",
@@ -45,6 +45,19 @@
                   One seed gives the same output each time. Exits with 1 if a promise was broken.",
         options: &["seed", "workers", "faults", "log", "json"],
     },
+    CommandSpec {
+        name: "load",
+        args: "",
+        count: (0, 0),
+        about: "compare scheduling policies on a load of jobs, on virtual time",
+        details: "Plays a generated load, or a recorded one, under each policy, and shows what the jobs\n\
+                  were worth, how long they waited, and what work was lost. One seed gives the same\n\
+                  figures each time. Exits with 1 if a promise was broken.",
+        options: &[
+            "seed", "seeds", "workers", "factors", "seconds", "policies", "lost", "recorded",
+            "record", "plot", "json",
+        ],
+    },
     CommandSpec {
         name: "publish",
         args: "DIR",
@@ -123,7 +136,7 @@
     },
 ];
 
-pub(super) const OPTIONS: [OptionSpec; 10] = [
+pub(super) const OPTIONS: [OptionSpec; 18] = [
     OptionSpec {
         name: "node",
         hint: "URL",
@@ -157,7 +170,47 @@
     OptionSpec {
         name: "workers",
         hint: "N",
-        about: "how many workers there are (12)",
+        about: "how many workers there are (12; 48 for `load`)",
+    },
+    OptionSpec {
+        name: "seeds",
+        hint: "N",
+        about: "how many seeds to take the mean of (1)",
+    },
+    OptionSpec {
+        name: "factors",
+        hint: "X,..",
+        about: "loads, as multiples of one that asks for 0.8 of 48 workers (1,1.3,2)",
+    },
+    OptionSpec {
+        name: "seconds",
+        hint: "N",
+        about: "for how long jobs come (20)",
+    },
+    OptionSpec {
+        name: "policies",
+        hint: "NAME,..",
+        about: "standard, no-preemption, gangs-preempt, hope, arrival, rank, shortest (all)",
+    },
+    OptionSpec {
+        name: "lost",
+        hint: "N",
+        about: "workers that are lost for good in the second half (0)",
+    },
+    OptionSpec {
+        name: "recorded",
+        hint: "FILE",
+        about: "play the jobs of a file instead, a line of JSON each",
+    },
+    OptionSpec {
+        name: "record",
+        hint: "FILE",
+        about: "write the load of the first factor to a file, and play nothing",
+    },
+    OptionSpec {
+        name: "plot",
+        hint: "FILE",
+        about: "draw worth over time as SVG; with several loads, one file each",
     },
     OptionSpec {
         name: "faults",
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod exit;
+mod load_run;
 mod print;
 mod publish;
 
@@ -38,6 +39,7 @@
     match args.command.clone() {
         Command::Check { dir } => check(&dir, args.json),
         Command::Try { dir, options, log } => try_dir(&dir, options, log, args.json),
+        Command::Load(options) => load_run::run(&options, args.json),
         Command::Publish { dir, dry_run } => match checked(&dir) {
             Ok((files, _)) => publish(&Client::new(args), &files, dry_run, args.json),
             Err(exit) => exit,
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -92,6 +92,45 @@
         2,
         "`lots` is not none, some or many",
     ),
+    (&["load", "examples"], 2, "usage: lacewing load"),
+    (
+        &["load", "--factors", "1,0"],
+        2,
+        "--factors: `1,0` is not a list of numbers from 0.01 to 20",
+    ),
+    (
+        &["load", "--policies", "standard,best"],
+        2,
+        "--policies: `standard,best` is not a list of policies",
+    ),
+    (
+        &["load", "--seconds", "0"],
+        2,
+        "--seconds: `0` is not a whole number in range",
+    ),
+    (
+        &["load", "--recorded", "no such file"],
+        2,
+        "no such file: No such file",
+    ),
+    (
+        &[
+            "load",
+            "--factors",
+            "0.2",
+            "--seconds",
+            "2",
+            "--policies",
+            "standard,arrival",
+        ],
+        0,
+        "figure load/0.2/arrival/lookup/wait_p99",
+    ),
+    (
+        &["load", "--factors", "0.2", "--seconds", "2", "--json"],
+        0,
+        "\"policy\": \"gangs-preempt\"",
+    ),
     (
         &["recall", "batch"],
         2,
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -1,6 +1,10 @@
 //! A worker that follows the platform's rules: fences, leases on its own clock, lists of runs.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use jobs::{End, EndKind, TaskKey};
 use model::{Size, Time};
@@ -79,7 +83,7 @@
     overrun_ms: u64,
     pub(super) born_at: Time,
     fence: u64,
-    pub(super) runs: HashMap<TaskKey, HostRun>,
+    pub(super) runs: BTreeMap<TaskKey, HostRun>,
     /// The highest run of each task that was stopped or has ended.
     past: HashMap<TaskKey, u32>,
     ended: Vec<EndedRow>,
@@ -103,7 +107,7 @@
             overrun_ms,
             born_at: Time::ZERO,
             fence: 0,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             past: HashMap::new(),
             ended: Vec::new(),
             last_number: 0,
@@ -155,7 +159,10 @@
     /// The host crashes: it runs nothing and remembers nothing. The runs are returned.
     pub(super) fn crash(&mut self) -> Vec<(TaskKey, u32)> {
         self.is_up = false;
-        let runs = self.runs.drain().map(|(key, run)| (key, run.run)).collect();
+        let runs = std::mem::take(&mut self.runs)
+            .into_iter()
+            .map(|(key, run)| (key, run.run))
+            .collect();
         self.past.clear();
         self.ended.clear();
         self.last_number = 0;
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::Order;
+use crate::{Order, line::URGENT};
 
 /// Settings of a [`Scheduler`](crate::Scheduler).
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +56,9 @@
     pub order: Order,
     /// How many times a pass may search all workers for a step. Each search takes some 20 us for 350.
     pub searches: usize,
+    /// Running tasks that can resume elsewhere make way for queues of up to this rank; none for no queue. For
+    /// gangs of lower ranks it gained nothing: what made way had to find room again.
+    pub preempting_rank: Option<u32>,
     /// How many gangs at the head of the line have room kept for them.
     pub kept_gangs: usize,
     /// How long a job that is over is remembered. The platform asks for 120 s.
@@ -86,6 +89,7 @@
             quarantine_max: Duration::from_secs(12),
             order: Order::InTime,
             searches: 16,
+            preempting_rank: Some(URGENT),
             kept_gangs: 1,
             remember: Duration::from_secs(150),
         }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -9,7 +9,7 @@
     Action, Now, Scheduler,
     fit::{self, Candidate},
     fleet::index,
-    line::{self, Outlook, Waiting},
+    line::{self, Outlook, URGENT, Waiting},
     preempt::{self, Claims},
     scheduler::Effect,
     worker::{Run, RunPhase, Worker},
@@ -163,7 +163,7 @@
                 key,
                 rank: policy.rank,
                 accepted_at,
-                objective: policy.target + chain.mul_f64(policy.stretch),
+                objective: policy.objective(chain),
                 remaining: self.chain(key.job, key.step),
                 is_approved: self.has_approvals(key),
             })
@@ -229,9 +229,12 @@
         }
         if !is_whole {
             let missing = want.tasks.len() - if is_gang { 0 } else { placed.len() };
-            if is_gang && waiting.outlook(now) == Outlook::InTime && pass.searches > 0 {
-                self.keep_tickets(now, &want);
-                self.widen(now, &want, pass);
+            let is_pressing = is_gang || (waiting.rank == URGENT && placed.is_empty());
+            if is_pressing && waiting.outlook(now) == Outlook::InTime && pass.searches > 0 {
+                if is_gang {
+                    self.keep_tickets(now, &want);
+                    self.widen(now, &want, pass);
+                }
                 if self.make_way(now, &want, pass) {
                     return;
                 }
@@ -243,7 +246,11 @@
     /// Has less urgent runs stopped for a gang that would fit in their room, or keeps the room that is
     /// about to be free for it. Returns whether that is done.
     fn make_way(&mut self, now: Time, want: &Want, pass: &mut Pass) -> bool {
-        if pass.searches == 0 {
+        let is_allowed = self
+            .cfg
+            .preempting_rank
+            .is_some_and(|most| want.rank <= most);
+        if !is_allowed || pass.searches == 0 {
             return false;
         }
         pass.searches -= 1;
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -6,6 +6,8 @@
 //! still of use, then the rest, which is finished all the same. Among what can be in time the rank of the queue
 //! decides, then whether the approvals are there, as they have cost an approver's time, and then the newest: it
 //! has the most time left, and so is the most likely to be in time although estimates are off.
+//!
+//! Somebody looks on while urgent work waits, and it is small: it goes first though it is late, by age.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -43,6 +45,18 @@
     PastHope,
 }
 
+/// The rank of queues whose clients wait while they look on.
+pub(crate) const URGENT: u32 = 0;
+
+/// Who goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    Urgent,
+    InTime,
+    Late,
+    Last,
+}
+
 /// A step that waits for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Waiting {
@@ -59,6 +73,16 @@
 }
 
 impl Waiting {
+    /// Whether it is urgent or can be in time, in the order of turns.
+    fn turn(&self, now: Time) -> Turn {
+        match self.outlook(now) {
+            Outlook::PastHope => Turn::Last,
+            _ if self.rank == URGENT => Turn::Urgent,
+            Outlook::InTime => Turn::InTime,
+            Outlook::Late => Turn::Late,
+        }
+    }
+
     pub(crate) fn outlook(&self, now: Time) -> Outlook {
         let end = now + self.remaining;
         if end <= self.accepted_at + self.objective {
@@ -81,9 +105,12 @@
     let rank = a.rank.cmp(&b.rank);
     match order {
         Order::InTime => {
-            let outlook = a.outlook(now).cmp(&b.outlook(now));
+            let turn = a.turn(now).cmp(&b.turn(now)).then(rank);
+            if a.rank == URGENT {
+                return turn.then(age);
+            }
             let approved = b.is_approved.cmp(&a.is_approved);
-            outlook.then(rank).then(approved).then(age.reverse())
+            turn.then(approved).then(age.reverse())
         }
         Order::Hope => {
             let is_past_hope = |waiting: &Waiting| waiting.outlook(now) == Outlook::PastHope;
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -5,7 +5,7 @@
 //! What a worker that can't be reached may run holds until every lease that the old scheduler could have
 //! renewed has lapsed.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{Job, JobId, Life, Progress, TaskKey};
 
@@ -20,9 +20,9 @@
     /// All jobs.
     pub jobs: Vec<(JobId, Job)>,
     /// The progress of those that have any.
-    pub progress: HashMap<JobId, Progress>,
+    pub progress: BTreeMap<JobId, Progress>,
     /// Those that were cancelled by a client.
-    pub cancelled: HashSet<JobId>,
+    pub cancelled: BTreeSet<JobId>,
 }
 
 impl Scheduler {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -42,9 +42,9 @@
     pub(crate) epoch: u64,
     /// The queues in force, by name.
     pub(crate) queues: HashMap<String, Queue>,
-    pub(crate) jobs: HashMap<JobId, Entry>,
+    pub(crate) jobs: BTreeMap<JobId, Entry>,
     /// The steps with tasks that wait to be started.
-    pub(crate) waiting: HashSet<StepKey>,
+    pub(crate) waiting: BTreeSet<StepKey>,
     /// Jobs whose next occurrence is not due yet, by that time in Unix milliseconds.
     pub(crate) timed: BTreeSet<(u64, JobId)>,
     pub(crate) fleet: Fleet,
@@ -97,8 +97,8 @@
             cfg,
             epoch,
             queues: HashMap::new(),
-            jobs: HashMap::new(),
-            waiting: HashSet::new(),
+            jobs: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             timed: BTreeSet::new(),
             fleet: Fleet::default(),
             approvals: HashMap::new(),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,6 +1,6 @@
 //! What the scheduler knows of a worker.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jobs::{Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
@@ -106,7 +106,7 @@
     pub(crate) acked: u64,
     /// The last end that a poll has acknowledged, as far as it is known to have arrived.
     pub(crate) told: u64,
-    pub(crate) runs: HashMap<TaskKey, Run>,
+    pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Size,
     /// Since when it does not answer.
     pub(crate) silent_since: Option<Time>,
@@ -130,7 +130,7 @@
             ack_after: 0,
             acked: 0,
             told: 0,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             used: Size::ZERO,
             silent_since: None,
             polled_at: None,
