A node that takes over tells so; takeovers wait for a slow table

The scheduler was killed while the table took 50 times as long, and six takeovers followed each other: a node whose takeover was stored, but not answered yet, told others that it does not schedule (they then wait 0.1 s only); one that was reading its state closed their links; and its row, renewed each 1.5 s, stood still for longer than the 0.9 s that others wait.

Ruled out: the processor (0.10 of a core at the most), approvals (those came back after it).

Changes: from the try of a takeover on, a node tells others that it recovers, and how old its last stored transaction is; a scheduler gets five times as long as a read takes, at most 2.5 s, for each of its transactions.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -57,9 +57,13 @@
                 }
             }
             Step::TakeOver => {
-                if let Some((row, version)) = take_over(&node, version).await {
+                // Others may see the row before the answer is here.
+                node.0.recovering.set(Some(now));
+                let taken = take_over(&node, version).await;
+                if let Some((row, version)) = taken {
                     schedule(&node, row, version).await;
                 }
+                node.0.recovering.set(None);
             }
         }
     }
@@ -165,9 +169,9 @@
     let epoch = row.epoch;
     let started = node.0.clock.time();
     let writer = lease::LeaseWriter::new(row, version);
-    node.0.is_recovering.set(true);
+    node.0.recovering.set(Some(started));
     let recovered = recover::recover(node, writer).await;
-    node.0.is_recovering.set(false);
+    node.0.recovering.set(None);
     if let Some((scheduler, writer, after)) = recovered {
         let lead = Lead::new(node.clone(), scheduler, writer);
         log::info!(
@@ -341,6 +345,16 @@
 /// Something that the scheduler says.
 fn hear<P: Ports>(node: &Node<P>, message: Message) {
     let now = node.0.clock.time();
+    if let Message::Recovering { table_age_ms } = message {
+        // Nothing is known of jobs yet.
+        let link = LinkState::Up {
+            heard_at: now,
+            table_age: Duration::from_millis(table_age_ms),
+            is_table_lost: false,
+        };
+        note_link(node, link);
+        return;
+    }
     node.0.heard_at.set(Some(now));
     match message {
         Message::Beat {
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -62,6 +62,11 @@
     },
     /// From a node that does not schedule, or not any more, with what it knows of who does.
     NotScheduler(Option<LeaseRow>),
+    /// From a node that has taken over, and reads what it goes on from.
+    Recovering {
+        /// How long ago its last stored transaction was sent, in milliseconds.
+        table_age_ms: u64,
+    },
     /// From the scheduler: where the other nodes are reached, so that one that does not reach the table
     /// can ask them who schedules.
     Nodes(Vec<String>),
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -28,6 +28,7 @@
     lead::Lead,
     link,
     message::Message,
+    recover,
     relay::Relays,
 };
 
@@ -87,8 +88,9 @@
     pub(crate) asker: Asker,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) draining: Notify,
-    /// Whether the node is about to schedule, and reads what it goes on from.
-    pub(crate) is_recovering: Cell<bool>,
+    /// Set while the node takes over and reads what it goes on from: when the last of its transactions was sent
+    /// that may be stored.
+    pub(crate) recovering: Cell<Option<Time>>,
     pub(crate) table: Rc<TableHealth>,
     pub(crate) intake: Intake,
     pub(crate) relays: Relays,
@@ -131,7 +133,7 @@
             asker: Asker::default(),
             is_draining: Cell::default(),
             draining: Notify::new(),
-            is_recovering: Cell::default(),
+            recovering: Cell::default(),
             table,
             intake: Intake::default(),
             relays: Relays::default(),
@@ -194,8 +196,9 @@
             Some(lead) => {
                 spawn_local(lead.serve(link));
             }
-            // The link is closed, and opened again shortly after.
-            None if self.0.is_recovering.get() => {}
+            None if self.0.recovering.get().is_some() => {
+                spawn_local(recover::serve_meanwhile(self.clone(), link));
+            }
             None => {
                 let row = self.0.candidacy.borrow().row().cloned();
                 // A link that is closed before this arrives tells the same.
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -11,9 +11,15 @@
 use crate::{
     CallError, Directory, Node, Page, Ports, Row, Table,
     lease::LeaseWriter,
+    link::Link,
+    message::Message,
     rows::{JOBS, JobContent, PROGRESS, SCHEDULER_PART, all_job_parts, read_content, read_job_row},
 };
 
+/// How often others are told that this node is about to schedule: several times within the silence after which
+/// they would take over.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(200);
+
 /// The pause after a failed read.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -37,10 +43,12 @@
         tokio::select! {
             read = &mut reading => return read.ok().map(|(scheduler, versions)| (scheduler, writer, versions)),
             () = sleep(node.0.settings.sched.beat) => {
+                let sent_at = node.0.clock.time();
                 if !writer.commit(node, &sched::Batch::default()).await {
                     reading.abort();
                     return None;
                 }
+                node.0.recovering.set(Some(sent_at));
             }
         }
         if node.0.is_draining.get() {
@@ -51,6 +59,21 @@
     }
 }
 
+/// Tells another node that this one is about to schedule, so that it does not take over. The link is closed
+/// once that is so, and opened again by the other side.
+pub(crate) async fn serve_meanwhile<P: Ports>(node: Node<P>, link: Link) {
+    while let Some(stored_at) = node.0.recovering.get() {
+        let age = node.0.clock.time() - stored_at;
+        let message = Message::Recovering {
+            table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        };
+        if link.tx.try_send(message).is_err() {
+            return;
+        }
+        sleep(SIGN_OF_LIFE).await;
+    }
+}
+
 async fn read_all<P: Ports>(node: &Node<P>, epoch: u64) -> (Scheduler, Versions) {
     let (recovered, jobs) = read_jobs(node).await;
     log::info!(
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -38,6 +38,11 @@
     pub patience_gone: Duration,
     /// The same if it has said itself that the table fails it.
     pub patience_without_table: Duration,
+    /// Where the table is slow, a scheduler gets this many times as long as a read takes for each of its
+    /// transactions, if that is more. A write takes two to three times as long as a read.
+    pub slow_reads: u32,
+    /// The most that a scheduler gets on account of a slow table.
+    pub slow_max: Duration,
     /// The pause between two reads of the row of a suspected scheduler.
     pub read_interval: Duration,
     /// Nodes try one after the other, so that the first one is not disturbed by the rest.
@@ -52,6 +57,8 @@
             patience: Duration::from_millis(900),
             patience_gone: Duration::from_millis(100),
             patience_without_table: Duration::from_millis(200),
+            slow_reads: 5,
+            slow_max: Duration::from_millis(2_500),
             read_interval: Duration::from_millis(200),
             stagger: Duration::from_millis(60),
         }
@@ -98,6 +105,10 @@
     /// When the row was last asked for, and whether that brought an answer.
     asked_at: Option<Time>,
     is_read: bool,
+    /// When a read began that is not answered.
+    reading_since: Option<Time>,
+    /// How long the last read took.
+    read_took: Duration,
     link: LinkState,
     /// Since when the scheduler is suspected.
     suspected_at: Option<Time>,
@@ -114,6 +125,8 @@
             changed_at: Time::ZERO,
             asked_at: None,
             is_read: false,
+            reading_since: None,
+            read_took: Duration::ZERO,
             link: LinkState::Unknown,
             suspected_at: None,
         }
@@ -128,10 +141,14 @@
     /// A read of the row has begun.
     pub const fn asked(&mut self, now: Time) {
         self.asked_at = Some(now);
+        self.reading_since = Some(now);
     }
 
     /// The row was read; there may be none yet.
     pub fn row_read(&mut self, now: Time, row: Option<LeaseRow>) {
+        if let Some(asked_at) = self.reading_since.take() {
+            self.read_took = now - asked_at;
+        }
         if !self.is_read || self.row != row {
             self.changed_at = now;
             let holder = |row: &Option<LeaseRow>| row.as_ref().map(|r| (r.epoch, r.holder.clone()));
@@ -171,13 +188,18 @@
                 is_table_lost,
             } => {
                 now < heard_at + self.cfg.link_silence
-                    && table_age < self.cfg.table_silence
+                    && table_age < self.cfg.table_silence.max(self.slow())
                     && !is_table_lost
             }
             LinkState::Unknown | LinkState::Gone => false,
         }
     }
 
+    /// How long a scheduler may take for a transaction where the table is slow.
+    fn slow(&self) -> Duration {
+        (self.read_took * self.cfg.slow_reads).min(self.cfg.slow_max)
+    }
+
     /// What to do next.
     pub fn step(&mut self, now: Time) -> Step {
         let next_read = match self.asked_at {
@@ -201,7 +223,7 @@
                 is_table_lost: true,
                 ..
             } => self.cfg.patience_without_table,
-            LinkState::Up { .. } | LinkState::Unknown => self.cfg.patience,
+            LinkState::Up { .. } | LinkState::Unknown => self.cfg.patience.max(self.slow()),
         };
         // The row has to have been seen unchanged at the end of the patience, not only at its start.
         let is_seen = self.is_read && self.asked_at.is_some_and(|at| at >= since);
--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -20,6 +20,24 @@
     WithoutTable,
     /// Only the link to it is cut.
     LinkCut,
+    /// The table is slow: reads take 0.4 s, and its transactions come each 1.5 s.
+    TableSlow,
+    /// The same, and the link to it is cut.
+    TableSlowLinkCut,
+}
+
+impl Scheduler {
+    const fn is_slow(self) -> bool {
+        matches!(self, Self::TableSlow | Self::TableSlowLinkCut)
+    }
+
+    const fn is_storing(self) -> bool {
+        matches!(self, Self::Lives | Self::LinkCut) || self.is_slow()
+    }
+
+    const fn is_heard(self) -> bool {
+        matches!(self, Self::Lives | Self::WithoutTable | Self::TableSlow)
+    }
 }
 
 fn row(seq: u64) -> LeaseRow {
@@ -33,27 +51,32 @@
 
 /// Watches a scheduler that behaves as told from 5 s on. Returns when it is taken over.
 fn taken_over_at(behaviour: Scheduler, rank: u32) -> Option<Duration> {
-    const READ_MS: u64 = 45;
     let turn = Time::from_ms(5_000);
     let mut candidacy = Candidacy::new(CandidacyConfig::default(), rank);
     let mut read_due: Option<(Time, LeaseRow)> = None;
     for ms in 0..20_000 {
         let now = Time::from_ms(ms);
         let is_after = now >= turn;
-        let is_storing = !is_after || matches!(behaviour, Scheduler::Lives | Scheduler::LinkCut);
+        let is_storing = !is_after || behaviour.is_storing();
         // The scheduler stores something every 400 ms, and tells of itself every 250 ms.
+        let is_slow = is_after && behaviour.is_slow();
+        let (interval, read_ms) = if is_slow { (1_500, 400) } else { (400, 45) };
         let seq = if is_storing {
-            ms / 400
+            ms / interval
         } else {
             turn.as_ms() / 400
         };
         if let Some((_, row)) = read_due.take_if(|(due, _)| *due <= now) {
             candidacy.row_read(now, Some(row));
         }
-        let is_heard = !is_after || matches!(behaviour, Scheduler::Lives | Scheduler::WithoutTable);
+        let is_heard = !is_after || behaviour.is_heard();
         if ms % 250 == 0 && is_heard {
-            let stored_at = if is_storing {
-                ms / 400 * 400
+            // When the last transaction was sent that is known to be stored: one is always on its way while
+            // the table is slow.
+            let stored_at = if is_slow {
+                (ms / interval - 1) * interval
+            } else if is_storing {
+                ms / interval * interval
             } else {
                 turn.as_ms()
             };
@@ -67,11 +90,15 @@
         if is_after && behaviour == Scheduler::Dead && (ms - turn.as_ms()) % 150 == 2 {
             candidacy.link(now, LinkState::Gone);
         }
+        if read_due.is_some() {
+            // A node does one thing at a time.
+            continue;
+        }
         match candidacy.step(now) {
             Step::Wait(_) => {}
             Step::Read => {
                 candidacy.asked(now);
-                read_due = Some((now + MS * u32::try_from(READ_MS).unwrap(), row(seq)));
+                read_due = Some((now + MS * read_ms, row(seq)));
             }
             Step::TakeOver => return Some(now - turn),
         }
@@ -80,7 +107,9 @@
 }
 
 /// Behaviour, and the longest time until the first node takes over.
-const BOUNDS: [(Scheduler, Option<Duration>); 5] = [
+const BOUNDS: [(Scheduler, Option<Duration>); 7] = [
+    (Scheduler::TableSlow, None),
+    (Scheduler::TableSlowLinkCut, None),
     (Scheduler::Lives, None),
     (Scheduler::LinkCut, None),
     (Scheduler::Dead, Some(Duration::from_secs(1))),
