--- a/crates/fakes/src/cell/judge.rs
+++ b/crates/fakes/src/cell/judge.rs
@@ -68,7 +68,7 @@
     pub served: Vec<Served>,
     /// Runs that began.
     pub starts: u64,
-    /// Runs that were stopped to make room for a gang.
+    /// Runs that were stopped to make room for urgent work.
     pub preempted: u64,
     /// Core-seconds of runs that came to nothing.
     pub wasted: f64,
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -32,7 +32,7 @@
     pub windows: Vec<Window>,
     /// Core-seconds of runs that came to nothing, of all.
     pub wasted: f64,
-    /// Runs that made way for gangs.
+    /// Runs that made way for others.
     pub preempted: u64,
     /// Requests for approvals.
     pub approval_requests: u64,
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -51,7 +51,7 @@
     },
     /// Look whether a worker is to be polled.
     Wake(WorkerId),
-    /// A run is being stopped to make room for a gang. It is only told; the stop is an action of its own.
+    /// A run is being stopped to make room for urgent work. It is only told; the stop is an action of its own.
     Preempted {
         /// The task that makes way.
         key: TaskKey,
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -132,7 +132,7 @@
         let step = want.step();
         let size = step.reserved();
         let fitting = |worker: &Worker| {
-            // Room that others make way for counts as well.
+            // What less urgent runs hold that resume elsewhere is likely to be free soon.
             let yielding = if step.gang {
                 preempt::yielding(now, worker, want.rank)
             } else {
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -243,8 +243,8 @@
         }
     }
 
-    /// Has less urgent runs stopped for a gang that would fit in their room, or keeps the room that is
-    /// about to be free for it. Returns whether that is done.
+    /// Has less urgent runs stopped for a step that would fit in their room, or keeps the room that is about to
+    /// be free for it. Returns whether that is done.
     fn make_way(&mut self, now: Time, want: &Want, pass: &mut Pass) -> bool {
         let is_allowed = self
             .cfg
@@ -267,8 +267,8 @@
         is_whole
     }
 
-    /// The workers that the tasks of a gang fit on in the room that is there, is about to be free or is held
-    /// by runs that make way. Room that is there is used first.
+    /// The workers that all tasks of a step fit on in the room that is there, is about to be free or is held by
+    /// runs that make way. Room that is there is used first.
     fn fit_with_way(
         &self,
         now: Time,
@@ -295,7 +295,7 @@
         placed
     }
 
-    /// Stops what is in the way of a gang, and keeps the room for it.
+    /// Stops what is in the way of a step, and keeps the room for it.
     fn preempt(&mut self, now: Time, want: &Want, placed: &[WorkerId], pass: &mut Pass) {
         let mut needs: BTreeMap<WorkerId, u32> = BTreeMap::new();
         for &id in placed {
@@ -319,7 +319,7 @@
         }
     }
 
-    /// The rank that the runs of a task make way for any lower one of, if they can resume elsewhere.
+    /// The rank below which work has the runs of a task make way, if they can resume elsewhere.
     pub(crate) fn yields_to(&self, key: TaskKey) -> Option<u32> {
         let job = &self.jobs.get(&key.job)?.job;
         let step = job.steps.get(usize::from(key.step))?;
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -1,9 +1,8 @@
-//! Which running tasks make way for a gang.
+//! Which running tasks make way for urgent work.
 //!
-//! Load pattern: nearly all processors are in use, half of them by small tasks of less urgent queues that
-//! resume from checkpoints and fill every gap. A gang needs room for all its tasks at the same time, and
-//! only on the workers that approvals allow, so it would wait until its objective has passed. A task that
-//! saves what it does loses only the time to restore it.
+//! Load pattern: nearly all processors are in use, half of them by tasks that run for seconds, and lookups of
+//! half a second find room only as those end, on the workers that approvals allow. A task that saves what it
+//! does loses only the time to restore it, and has time to spare.
 
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -63,7 +63,7 @@
     pub(crate) is_of_past_life: bool,
     /// What it has saved, as the worker last listed it; empty if nothing.
     pub(crate) checkpoint: String,
-    /// The rank that it makes way for any lower one of, if it can resume.
+    /// It makes way for work of a lower rank than this, if it can resume.
     pub(crate) yields_to: Option<u32>,
 }
 
