--- a/crates/cli/src/load_run.rs
+++ b/crates/cli/src/load_run.rs
@@ -115,10 +115,7 @@
         }));
     }
     if json {
-        match serde_json::to_string_pretty(&all) {
-            Ok(text) => println!("{text}"),
-            Err(e) => return Err(LoadError::Plot(e.to_string())),
-        }
+        println!("{}", serde_json::to_string_pretty(&all)?);
     } else {
         print_text(&all, began.elapsed());
     }
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -25,6 +25,9 @@
     /// A recorded load holds no jobs.
     #[error("the load holds no jobs")]
     Empty,
+    /// The figures can't be written as JSON.
+    #[error("the figures: {0}")]
+    Json(#[from] serde_json::Error),
     /// The plot can't be drawn.
     #[error("the plot: {0}")]
     Plot(String),
