One order to start on the stand-ins' floor, one walk over allowed workers, one way to make candidates

Read once more: FloorStart and HostStart repeated the fields of StartOrder; the cell checked twice, in two ways, whether a late order still reaches its host's life; ask.rs walked over the allowed workers three times and decide.rs made candidates in three places, and fit_with_way took an argument that only one value was passed for.

--- a/crates/fakes/src/cell/floor.rs
+++ b/crates/fakes/src/cell/floor.rs
@@ -7,11 +7,11 @@
 
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
-use sched::{EndedRow, StartAnswer};
+use sched::{EndedRow, StartAnswer, StartOrder};
 
 use super::{
     gangs::Gangs,
-    host::{Host, HostStart},
+    host::Host,
     judge::{Judge, Work},
     load::{Arrival, Kind},
     world::chance,
@@ -30,21 +30,6 @@
     Alone(StepKey, u32),
 }
 
-/// An order to start as it reaches a host.
-#[derive(Clone, Debug)]
-pub struct FloorStart {
-    /// The task.
-    pub key: TaskKey,
-    /// The run.
-    pub run: u32,
-    /// What it resumes from.
-    pub checkpoint: String,
-    /// Until when its lease runs, on the host's clock.
-    pub lease_until_ms: u64,
-    /// The fence of the order.
-    pub fence: u64,
-}
-
 /// The hosts and what runs on them.
 #[derive(Debug)]
 pub struct Floor {
@@ -121,31 +106,20 @@
         now: Time,
         rng: &mut Rng,
         id: WorkerId,
-        order: FloorStart,
+        order: &StartOrder,
+        fence: u64,
     ) -> StartAnswer {
-        let FloorStart {
-            key,
-            run,
-            checkpoint,
-            lease_until_ms,
-            fence,
-        } = order;
+        let key = order.key;
         let step = self
             .truth
             .get(&key.job)
             .and_then(|arrival| arrival.job.steps.get(usize::from(key.step)));
-        let start = HostStart {
-            key,
-            run,
-            size: step.map(jobs::Step::reserved).unwrap_or_default(),
-            lease_until_ms,
-            fence,
-            checkpoint,
-            saves: step.is_some_and(|step| step.saves && !step.gang),
-        };
-        let (answer, is_new) = self.hosts[index(id)].start(now, &start);
+        let size = step.map(jobs::Step::reserved).unwrap_or_default();
+        let saves = step.is_some_and(|step| step.saves && !step.gang);
+        let host = &mut self.hosts[index(id)];
+        let (answer, is_new) = host.start(now, order, fence, size, saves);
         if is_new {
-            self.begun(now, rng, id, key, run);
+            self.begun(now, rng, id, key, order.run);
         }
         answer
     }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -8,7 +8,7 @@
 
 use jobs::{End, EndKind, TaskKey};
 use model::{Size, Time};
-use sched::{EndedRow, Listing, RunningRow, StartAnswer, WorkerInfo};
+use sched::{EndedRow, Listing, RunningRow, StartAnswer, StartOrder, WorkerInfo};
 
 /// How long a run takes to restore what was saved.
 const RESTORE: Duration = Duration::from_millis(600);
@@ -61,18 +61,6 @@
     }
 }
 
-/// A start as the host sees it.
-#[derive(Clone, Debug)]
-pub(super) struct HostStart {
-    pub(super) key: TaskKey,
-    pub(super) run: u32,
-    pub(super) size: Size,
-    pub(super) lease_until_ms: u64,
-    pub(super) fence: u64,
-    pub(super) checkpoint: String,
-    pub(super) saves: bool,
-}
-
 /// A worker. See the [module documentation](super).
 #[derive(Debug)]
 pub struct Host {
@@ -186,9 +174,17 @@
         is_current
     }
 
-    /// An order to start. `Started` together with true if the run has begun just now.
-    pub(super) fn start(&mut self, now: Time, start: &HostStart) -> (StartAnswer, bool) {
-        if !self.check_fence(start.fence) {
+    /// An order to start a task of that size, which may save what it does. `Started` together with true if
+    /// the run has begun just now.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        start: &StartOrder,
+        fence: u64,
+        size: Size,
+        saves: bool,
+    ) -> (StartAnswer, bool) {
+        if !self.check_fence(fence) {
             return (StartAnswer::Fenced, false);
         }
         if self
@@ -211,10 +207,10 @@
         self.renew(now, Some(start.lease_until_ms));
         let run = HostRun {
             run: start.run,
-            size: start.size,
+            size,
             lease_until_ms: start.lease_until_ms,
             ends: None,
-            saved: start.saves.then(|| Saved::resume(now, &start.checkpoint)),
+            saved: saves.then(|| Saved::resume(now, &start.checkpoint)),
         };
         self.runs.insert(start.key, run);
         (StartAnswer::Started, true)
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     faults::{CellFault, Mutation},
-    floor::{Floor, FloorStart, Timer},
+    floor::{Floor, Timer},
     host::Host,
     judge::{Breach, Judge, Report, Served},
     load::{Arrival, Burst, Kind, LoadSpec, generate},
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -16,7 +16,7 @@
 use super::{
     approvals::Approvals,
     faults::{CellFault, Mutation},
-    floor::{Floor, FloorStart, Timer},
+    floor::{Floor, Timer},
     host::Host,
     judge::{Report, Served},
     load::{Arrival, Kind},
@@ -747,34 +747,25 @@
         );
     }
 
+    /// Whether an order reaches the host that it was sent to. One that a life has received and not carried out
+    /// dies with it.
+    fn reaches(&self, sent: Sent) -> bool {
+        let host = &self.floor.hosts[index(sent.host)];
+        host.is_up && sent.late.is_none_or(|born| born == host.info.born)
+    }
+
     fn start_arrives(&mut self, sent: Sent, order: StartOrder) {
-        let Sent {
-            node,
-            life,
-            host: id,
-            fence,
-            late,
-        } = sent;
-        let answers = late.is_none();
-        let host = &mut self.floor.hosts[index(id)];
-        // An order that a life has received and not carried out dies with it.
-        if late.is_some_and(|born| born != host.info.born) {
-            return;
-        }
-        if !host.is_up {
+        let Sent { node, life, .. } = sent;
+        let answers = sent.late.is_none();
+        if !self.reaches(sent) {
             if answers {
                 self.unanswered(node, life, order);
             }
             return;
         }
-        let start = FloorStart {
-            key: order.key,
-            run: order.run,
-            checkpoint: order.checkpoint.clone(),
-            lease_until_ms: order.lease_until_ms,
-            fence,
-        };
-        let answer = self.floor.start(self.now, &mut self.rng, id, start);
+        let answer = self
+            .floor
+            .start(self.now, &mut self.rng, sent.host, &order, sent.fence);
         self.settle();
         if answers {
             let at = self.now + self.network.delay();
@@ -783,25 +774,16 @@
     }
 
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
-        let Sent {
-            node,
-            life,
-            host: id,
-            fence,
-            late,
-        } = sent;
-        let answers = late.is_none();
-        let host = &mut self.floor.hosts[index(id)];
-        if !host.is_up || late.is_some_and(|born| born != host.info.born) {
-            return;
-        }
-        if !self.floor.stop(self.now, id, order.key, order.run, fence) {
+        let (key, run) = (order.key, order.run);
+        let is_done =
+            self.reaches(sent) && self.floor.stop(self.now, sent.host, key, run, sent.fence);
+        if !is_done {
             return;
         }
         self.settle();
-        if answers {
+        if sent.late.is_none() {
             let at = self.now + self.network.delay();
-            self.at(at, Event::StopAnswered(node, life, order));
+            self.at(at, Event::StopAnswered(sent.node, sent.life, order));
         }
     }
 
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Action, Scheduler,
+    approval::Approvals,
     decide::{Pass, Want},
     fleet::index,
     preempt,
@@ -77,17 +78,19 @@
         if want.approval.is_none() || approvals.is_pending(now) || approvals.has_tickets(now) {
             return;
         }
-        let allowed = approvals.allowed().iter();
-        let mut workers: Vec<&Worker> = allowed
-            .map(|allowed| self.fleet.get(allowed.worker))
-            .filter(|worker| worker.takes_work(now))
-            .collect();
-        let mut workers = emptiest_first(&mut workers);
+        let allowed = self.allowed_workers(approvals);
+        let mut workers = emptiest_first(allowed.filter(|worker| worker.takes_work(now)));
         workers.extend(self.unasked(now, want));
         workers.truncate(self.cfg.approval_workers);
         self.ask(now, want, &workers);
     }
 
+    /// The workers that are known to be allowed, whether their tickets still hold or not.
+    pub(crate) fn allowed_workers(&self, approvals: &Approvals) -> impl Iterator<Item = &Worker> {
+        let allowed = approvals.allowed().iter();
+        allowed.map(|allowed| self.fleet.get(allowed.worker))
+    }
+
     /// Asks for new tickets of workers that are known to be allowed: of those that the tasks fit on at
     /// present, and of some to spare. Where `missing` tasks fit nowhere, asks about more workers as well.
     /// Returns whether a request is under way.
@@ -104,17 +107,13 @@
         if approvals.is_pending(now) {
             return true;
         }
-        let mut spare: Vec<&Worker> = approvals
-            .allowed()
-            .iter()
-            .map(|allowed| self.fleet.get(allowed.worker))
-            .filter(|worker| worker.takes_work(now) && !placed.contains(&worker.id))
-            .collect();
+        let is_spare = |worker: &&Worker| worker.takes_work(now) && !placed.contains(&worker.id);
+        let spare = self.allowed_workers(approvals).filter(is_spare);
         let mut workers = placed.to_vec();
         workers.sort_unstable();
         workers.dedup();
         let spares = workers.len() / 2 + SPARE_TICKETS;
-        workers.extend(emptiest_first(&mut spare).into_iter().take(spares));
+        workers.extend(emptiest_first(spare).into_iter().take(spares));
         if missing > 0 {
             workers.extend(self.unasked(now, want));
         }
@@ -216,7 +215,8 @@
     }
 }
 
-fn emptiest_first(workers: &mut [&Worker]) -> Vec<WorkerId> {
+fn emptiest_first<'a>(workers: impl Iterator<Item = &'a Worker>) -> Vec<WorkerId> {
+    let mut workers: Vec<&Worker> = workers.collect();
     workers.sort_by_key(|worker| (Reverse(worker.room().milli_processors), worker.id));
     workers.iter().map(|worker| worker.id).collect()
 }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -254,12 +254,7 @@
             return false;
         }
         pass.searches -= 1;
-        let usable = if want.approval.is_some() {
-            Approved::Now
-        } else {
-            Approved::Ever
-        };
-        let placed = self.fit_with_way(now, want, usable, pass);
+        let placed = self.fit_with_way(now, want, pass);
         let is_whole = placed.len() == want.tasks.len();
         if is_whole {
             self.preempt(now, want, &placed, pass);
@@ -269,16 +264,15 @@
 
     /// The workers that all tasks of a step fit on in the room that is there, is about to be free or is held by
     /// runs that make way. Room that is there is used first.
-    fn fit_with_way(
-        &self,
-        now: Time,
-        want: &Want,
-        approved: Approved,
-        pass: &Pass,
-    ) -> Vec<WorkerId> {
+    fn fit_with_way(&self, now: Time, want: &Want, pass: &Pass) -> Vec<WorkerId> {
         let step = want.step();
         let size = step.reserved();
-        let mut candidates = self.candidates(now, want, approved, pass);
+        let usable = if want.approval.is_some() {
+            Approved::Now
+        } else {
+            Approved::Ever
+        };
+        let mut candidates = self.candidates(now, want, usable, pass);
         for candidate in &mut candidates {
             let worker = self.fleet.get(candidate.worker);
             candidate.room += pass.claims.unclaimed(worker);
@@ -382,19 +376,14 @@
         approved: Approved,
         pass: &Pass,
     ) -> Vec<Candidate<'a>> {
-        let suits = |worker: &&Worker| worker.suits(now, &want.pool, want.step());
         if want.approval.is_none() {
-            if approved == Approved::Ever {
-                let suitable = self.fleet.iter().filter(suits);
-                return suitable
-                    .map(|worker| candidate(worker, want, pass))
-                    .collect();
-            }
-            let open = pass.open.iter().map(|&id| self.fleet.get(id));
-            let suitable = open.filter(suits);
-            return suitable
-                .map(|worker| candidate(worker, want, pass))
-                .collect();
+            return match approved {
+                Approved::Ever => suitable(now, want, pass, self.fleet.iter()),
+                Approved::Now => {
+                    let open = pass.open.iter().map(|&id| self.fleet.get(id));
+                    suitable(now, want, pass, open)
+                }
+            };
         }
         let Some(approvals) = self.approvals.get(&want.key) else {
             return Vec::new();
@@ -407,10 +396,7 @@
             approved == Approved::Ever || allowed.ticket(now, born).is_some()
         });
         let workers = allowed.map(|allowed| self.fleet.get(allowed.worker));
-        let suitable = workers.filter(suits);
-        suitable
-            .map(|worker| candidate(worker, want, pass))
-            .collect()
+        suitable(now, want, pass, workers)
     }
 
     /// Starts the first of `tasks` on the workers of `placed`.
@@ -477,9 +463,8 @@
         let suits = |worker: &&Worker| worker.suits(now, &want.pool, want.step());
         let capacity = match known {
             Some(approvals) if want.approval.is_some() => {
-                let allowed = approvals.allowed().iter();
-                let workers = allowed.map(|allowed| self.fleet.get(allowed.worker));
-                workers.filter(suits).map(times).sum()
+                let allowed = self.allowed_workers(approvals);
+                allowed.filter(suits).map(times).sum()
             }
             _ => self.fleet.iter().filter(suits).map(times).sum(),
         };
@@ -499,6 +484,19 @@
     }
 }
 
+/// Those of the workers that suit a step, as candidates for it.
+fn suitable<'a>(
+    now: Time,
+    want: &Want,
+    pass: &Pass,
+    workers: impl Iterator<Item = &'a Worker>,
+) -> Vec<Candidate<'a>> {
+    workers
+        .filter(|worker| worker.suits(now, &want.pool, want.step()))
+        .map(|worker| candidate(worker, want, pass))
+        .collect()
+}
+
 fn candidate<'a>(worker: &'a Worker, want: &Want, pass: &Pass) -> Candidate<'a> {
     let step = want.step();
     let left = |limit: u32| limit.saturating_sub(worker.count_of(want.key));
