lacewing load: the large fleet's shape, an outage of the table and a restart

Change: `--shape large` (540 workers, a third of them 1.3 times as slow, 97 nodes, bursts), `--outage` and `--restart`; clients of jobs that are refused in an outage come back. Before and after: `--shape desk` draws the same jobs as before.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -2,7 +2,7 @@
 
 mod spec;
 
-use std::{env, path::PathBuf};
+use std::{env, path::PathBuf, time::Duration};
 
 use cli::TryOptions;
 use fakes::FaultLevel;
@@ -326,15 +326,36 @@
         Some(n) if (1..=max).contains(&n) => Ok(n),
         Some(n) => Err(bad_value(name, &n.to_string(), "a whole number in range")),
     };
-    let to_usize = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    let shape = match text_of("shape") {
+        None => defaults.shape,
+        Some(text) => text
+            .parse()
+            .map_err(|_| bad_value("shape", &text, "desk or large"))?,
+    };
+    let workers = match number::<usize>(matches, "workers")? {
+        None => None,
+        Some(n) if (1..=MAX_LOAD_WORKERS).contains(&n) => Some(n),
+        Some(n) => Err(bad_value(
+            "workers",
+            &n.to_string(),
+            "a whole number in range",
+        ))?,
+    };
+    let outage = match text_of("outage") {
+        None => defaults.outage,
+        Some(_) => Duration::from_millis(bounded("outage", 0, MAX_OUTAGE_MS)?),
+    };
     Ok(LoadOptions {
         seed: number(matches, "seed")?.unwrap_or(defaults.seed),
         seeds: bounded("seeds", defaults.seeds, 1_000)?,
-        workers: to_usize(bounded("workers", 48, u64::from(MAX_WORKERS))?),
+        shape,
+        workers,
         factors,
         seconds: bounded("seconds", defaults.seconds, 600)?,
         policies,
         lost_workers: number(matches, "lost")?.unwrap_or(0),
+        outage,
+        restart: matches.opt_present("restart"),
         recorded: matches.opt_str("recorded").map(PathBuf::from),
         record: matches.opt_str("record").map(PathBuf::from),
         plot: matches.opt_str("plot").map(PathBuf::from),
@@ -346,6 +367,12 @@
 /// The largest factor of a load.
 const MAX_FACTOR: f64 = 20.0;
 
+/// The largest number of workers of a load.
+const MAX_LOAD_WORKERS: usize = 2_000;
+
+/// The longest outage of the table in a load, in milliseconds.
+const MAX_OUTAGE_MS: u64 = 60_000;
+
 /// The largest number of workers of a simulated cell.
 const MAX_WORKERS: u32 = 2_000;
 
--- a/crates/cli/src/args/spec.rs
+++ b/crates/cli/src/args/spec.rs
@@ -56,8 +56,8 @@
                   were worth, how long they waited, and what work was lost. One seed gives the same\n\
                   figures each time. Exits with 1 if a promise was broken.",
         options: &[
-            "seed", "seeds", "workers", "factors", "seconds", "policies", "lost", "recorded",
-            "record", "plot", "json",
+            "seed", "seeds", "shape", "workers", "factors", "seconds", "policies", "lost",
+            "outage", "restart", "recorded", "record", "plot", "json",
         ],
     },
     CommandSpec {
@@ -138,7 +138,7 @@
     },
 ];
 
-pub(super) const OPTIONS: [OptionSpec; 18] = [
+pub(super) const OPTIONS: [OptionSpec; 21] = [
     OptionSpec {
         name: "node",
         hint: "URL",
@@ -172,17 +172,32 @@
     OptionSpec {
         name: "workers",
         hint: "N",
-        about: "how many workers there are (12; 48 for `load`)",
+        about: "how many workers there are (12; for `load` those of the shape)",
     },
     OptionSpec {
         name: "seeds",
         hint: "N",
         about: "how many seeds to take the mean of (1)",
     },
+    OptionSpec {
+        name: "shape",
+        hint: "desk|large",
+        about: "the fleet: 48 workers, or 540 with wide gangs (desk)",
+    },
+    OptionSpec {
+        name: "outage",
+        hint: "MS",
+        about: "for how long the table is away, from two fifths of the time on (never)",
+    },
+    OptionSpec {
+        name: "restart",
+        hint: "",
+        about: "restart all nodes at four fifths of the time",
+    },
     OptionSpec {
         name: "factors",
         hint: "X,..",
-        about: "loads, as multiples of one that asks for 0.8 of 48 workers (1,1.3,2)",
+        about: "loads, as multiples of one that asks for 0.8 of the shape's workers (1,1.3,2)",
     },
     OptionSpec {
         name: "seconds",
@@ -192,7 +207,8 @@
     OptionSpec {
         name: "policies",
         hint: "NAME,..",
-        about: "standard, no-preemption, gangs-preempt, hope, arrival, rank, shortest (all)",
+        about: "standard, no-preemption, gangs-preempt, no-holding, few-approvals, hope, arrival,\n\
+                rank, shortest (all)",
     },
     OptionSpec {
         name: "lost",
--- a/crates/cli/src/load_run.rs
+++ b/crates/cli/src/load_run.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use load::{Experiment, LoadError, Outcome, Policy};
+use load::{Experiment, LoadError, Outcome, Policy, Shape};
 use serde::Serialize;
 
 use crate::exit::{Exit, failed};
@@ -19,14 +19,20 @@
     pub(crate) seed: u64,
     /// The number of consecutive seeds whose mean is shown.
     pub(crate) seeds: u64,
-    pub(crate) workers: usize,
-    /// The sizes of the load. At 1.0 the load requires 0.8 of the processors of 48 workers.
+    pub(crate) shape: Shape,
+    /// The number of workers; `None` for that of the shape.
+    pub(crate) workers: Option<usize>,
+    /// The sizes of the load. At 1.0 the load requires 0.8 of the processors of [`Shape::workers`].
     pub(crate) factors: Vec<f64>,
     /// The time in which jobs arrive, in seconds.
     pub(crate) seconds: u64,
     pub(crate) policies: Vec<Policy>,
     /// The number of workers that fail permanently.
     pub(crate) lost_workers: usize,
+    /// How long the table is unreachable.
+    pub(crate) outage: Duration,
+    /// Whether all nodes restart.
+    pub(crate) restart: bool,
     /// The file of a recorded load to run.
     pub(crate) recorded: Option<PathBuf>,
     /// The file to which the load is written instead of running it.
@@ -40,11 +46,14 @@
         Self {
             seed: 1,
             seeds: 1,
-            workers: 48,
+            shape: Shape::Desk,
+            workers: None,
             factors: vec![1.0, 1.3, 2.0],
             seconds: 20,
             policies: Policy::ALL.to_vec(),
             lost_workers: 0,
+            outage: Duration::ZERO,
+            restart: false,
             recorded: None,
             record: None,
             plot: None,
@@ -75,12 +84,14 @@
 /// Runs or records the load and prints the results. Returns whether no promise was broken.
 fn run_load(options: &LoadOptions, json: bool) -> Result<bool, LoadError> {
     let experiment = Experiment {
-        workers: options.workers,
+        workers: options.workers.unwrap_or_else(|| options.shape.workers()),
         duration: Duration::from_secs(options.seconds),
         lost_workers: options.lost_workers,
+        outage: options.outage,
+        restart: options.restart,
         seed: options.seed,
         factor: options.factors.first().copied().unwrap_or(1.0),
-        ..Experiment::default()
+        ..Experiment::of(options.shape)
     };
     if let Some(path) = &options.record {
         record(&experiment, path)?;
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -71,6 +71,8 @@
     clock_slow_per_mille: u64,
     /// How long runs continue after their lease, in milliseconds; 0 without a mutation.
     overrun_ms: u64,
+    /// The factor of the run times of tasks.
+    pub(super) run_time_factor: f64,
     pub(super) started_at: Time,
     fence: u64,
     pub(super) runs: BTreeMap<TaskKey, HostRun>,
@@ -95,6 +97,7 @@
             info,
             clock_slow_per_mille,
             overrun_ms,
+            run_time_factor: 1.0,
             started_at: Time::ZERO,
             fence: 0,
             runs: BTreeMap::new(),
@@ -108,6 +111,15 @@
         }
     }
 
+    /// Returns the host with run times multiplied by `factor`.
+    #[must_use]
+    pub(super) fn with_run_time_factor(self, factor: f64) -> Self {
+        Self {
+            run_time_factor: factor,
+            ..self
+        }
+    }
+
     /// Extends the host's lease; an earlier `until_ms` leaves it as it is. Records the end of a lease that
     /// has lapsed before this renewal.
     fn renew(&mut self, now: Time, until_ms: Option<u64>) {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use crate::{
     error::LoadError,
-    experiment::Experiment,
+    experiment::{Experiment, Shape},
     outcome::{KindFigures, Outcome, Window},
     plot::draw,
     policy::Policy,
