--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -71,7 +71,7 @@
     /// A text to print, such as the help.
     Text(String),
     /// A command to run.
-    Run(Args),
+    Run(Box<Args>),
 }
 
 /// An error in the command line.
@@ -202,12 +202,12 @@
     if let ("dump", [address]) = (command.name, args) {
         (*address).clone_into(&mut node);
     }
-    Ok(Parsed::Run(Args {
+    Ok(Parsed::Run(Box::new(Args {
         node: with_scheme(&node),
         token: setting("operator-token", "LACEWING_OPERATOR_TOKEN"),
         json: matches.opt_present("json"),
         command: parse_command(command, matches, args)?,
-    }))
+    })))
 }
 
 /// Adds `http://` to an address without a scheme.
@@ -341,9 +341,9 @@
             "a whole number in range",
         ))?,
     };
-    let outage = match text_of("outage") {
-        None => defaults.outage,
-        Some(_) => Duration::from_millis(bounded("outage", 0, MAX_OUTAGE_MS)?),
+    let span = |name, default: Duration| match text_of(name) {
+        None => Ok(default),
+        Some(_) => bounded(name, 0, MAX_OUTAGE_MS).map(Duration::from_millis),
     };
     Ok(LoadOptions {
         seed: number(matches, "seed")?.unwrap_or(defaults.seed),
@@ -354,7 +354,8 @@
         seconds: bounded("seconds", defaults.seconds, 600)?,
         policies,
         lost_workers: number(matches, "lost")?.unwrap_or(0),
-        outage,
+        outage: span("outage", defaults.outage)?,
+        slow_table: span("slow-table", defaults.slow_table)?,
         restart: matches.opt_present("restart"),
         recorded: matches.opt_str("recorded").map(PathBuf::from),
         record: matches.opt_str("record").map(PathBuf::from),
@@ -370,7 +371,7 @@
 /// The largest number of workers of a load.
 const MAX_LOAD_WORKERS: usize = 2_000;
 
-/// The longest outage of the table in a load, in milliseconds.
+/// The longest time for which the table is away or slow in a load, in milliseconds.
 const MAX_OUTAGE_MS: u64 = 60_000;
 
 /// The largest number of workers of a simulated cell.
--- a/crates/cli/src/args/spec.rs
+++ b/crates/cli/src/args/spec.rs
@@ -56,8 +56,21 @@
                   were worth, how long they waited, and what work was lost. One seed gives the same\n\
                   figures each time. Exits with 1 if a promise was broken.",
         options: &[
-            "seed", "seeds", "shape", "workers", "factors", "seconds", "policies", "lost",
-            "outage", "restart", "recorded", "record", "plot", "json",
+            "seed",
+            "seeds",
+            "shape",
+            "workers",
+            "factors",
+            "seconds",
+            "policies",
+            "lost",
+            "outage",
+            "slow-table",
+            "restart",
+            "recorded",
+            "record",
+            "plot",
+            "json",
         ],
     },
     CommandSpec {
@@ -138,7 +151,7 @@
     },
 ];
 
-pub(super) const OPTIONS: [OptionSpec; 21] = [
+pub(super) const OPTIONS: [OptionSpec; 22] = [
     OptionSpec {
         name: "node",
         hint: "URL",
@@ -189,6 +202,11 @@
         hint: "MS",
         about: "for how long the table is away, from two fifths of the time on (never)",
     },
+    OptionSpec {
+        name: "slow-table",
+        hint: "MS",
+        about: "for how long the table is slow, from a fifth of the time on (never)",
+    },
     OptionSpec {
         name: "restart",
         hint: "",
--- a/crates/cli/src/load_run.rs
+++ b/crates/cli/src/load_run.rs
@@ -31,6 +31,8 @@
     pub(crate) lost_workers: usize,
     /// How long the table is unreachable.
     pub(crate) outage: Duration,
+    /// How long the table is slow.
+    pub(crate) slow_table: Duration,
     /// Whether all nodes restart.
     pub(crate) restart: bool,
     /// The file of a recorded load to run.
@@ -53,6 +55,7 @@
             policies: Policy::ALL.to_vec(),
             lost_workers: 0,
             outage: Duration::ZERO,
+            slow_table: Duration::ZERO,
             restart: false,
             recorded: None,
             record: None,
@@ -88,6 +91,7 @@
         duration: Duration::from_secs(options.seconds),
         lost_workers: options.lost_workers,
         outage: options.outage,
+        slow_table: options.slow_table,
         restart: options.restart,
         seed: options.seed,
         factor: options.factors.first().copied().unwrap_or(1.0),
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -21,6 +21,8 @@
     HostCut(Duration),
     /// The table is unreachable.
     TableDown(Duration),
+    /// Each transaction of the table takes half a second longer.
+    TableSlow(Duration),
     /// A share of the orders to hosts is unanswered and carried out seconds later.
     OrdersLate(Duration),
     /// A share of the table's answers is lost.
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -16,6 +16,9 @@
 /// [`CellFault::TableAnswersLost`](super::CellFault::TableAnswersLost).
 const LOST_ANSWERS_PER_MILLE: u32 = 300;
 
+/// The additional delay of a transaction during [`CellFault::TableSlow`](super::CellFault::TableSlow).
+const SLOW_TRANSACTION: Duration = Duration::from_millis(500);
+
 /// The least and the most delay of a late order.
 const LATE_DELAY: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(6));
 
@@ -35,6 +38,7 @@
     rng: Rng,
     cut_until: HashMap<WorkerId, Time>,
     pub(super) table_down_until: Time,
+    pub(super) table_slow_until: Time,
     pub(super) orders_late_until: Time,
     pub(super) answers_lost_until: Time,
 }
@@ -45,6 +49,7 @@
             rng: Rng::new(seed),
             cut_until: HashMap::new(),
             table_down_until: Time::ZERO,
+            table_slow_until: Time::ZERO,
             orders_late_until: Time::ZERO,
             answers_lost_until: Time::ZERO,
         }
@@ -80,7 +85,10 @@
         if now < self.table_down_until {
             return Delivery::Lost;
         }
-        let at = now + self.delay();
+        let mut at = now + self.delay();
+        if now < self.table_slow_until {
+            at += SLOW_TRANSACTION;
+        }
         if now < self.answers_lost_until && self.rng.chance(LOST_ANSWERS_PER_MILLE) {
             return Delivery::Unanswered(at);
         }
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -496,6 +496,7 @@
             }
             CellFault::HostCut(span) => self.network.cut(host, self.now + span),
             CellFault::TableDown(span) => self.network.table_down_until = self.now + span,
+            CellFault::TableSlow(span) => self.network.table_slow_until = self.now + span,
             CellFault::OrdersLate(span) => self.network.orders_late_until = self.now + span,
             CellFault::TableAnswersLost(span) => self.network.answers_lost_until = self.now + span,
             CellFault::HostFailsAll(span) => self.fleet.fail_all(host, self.now + span),
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -94,6 +94,8 @@
     /// How long the table is unreachable, from two fifths of `duration` on. Jobs submitted meanwhile are refused,
     /// and their clients come back after `retry_after`.
     pub outage: Duration,
+    /// How long the table is slow, from one fifth of `duration` on, while the burst of lookups comes.
+    pub slow_table: Duration,
     /// When the clients of refused jobs submit them again.
     pub retry_after: Duration,
     /// Whether all nodes restart at four fifths of `duration`.
@@ -114,6 +116,7 @@
             duration: Duration::from_secs(20),
             lost_workers: 0,
             outage: Duration::ZERO,
+            slow_table: Duration::ZERO,
             retry_after: Duration::from_secs(2),
             restart: false,
             recorded: None,
@@ -206,6 +209,10 @@
             let at = Time::ZERO + self.duration * 2 / 5;
             faults.push((at, CellFault::TableDown(self.outage)));
         }
+        if !self.slow_table.is_zero() {
+            let at = Time::ZERO + self.duration / 5;
+            faults.push((at, CellFault::TableSlow(self.slow_table)));
+        }
         if self.restart {
             let at = Time::ZERO + self.duration * 4 / 5;
             faults.push((at, CellFault::AllNodesDie));
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -48,7 +48,7 @@
 /// Which of the approved workers are candidates.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum TicketFilter {
-    /// Only workers whose ticket is valid now.
+    /// Only workers whose ticket is still valid when a start that is decided now is ordered.
     Valid,
     /// All workers that are known to be allowed. Their tickets can be renewed.
     Any,
@@ -428,12 +428,14 @@
         let Some(approvals) = self.approvals.get(&demand.key) else {
             return Vec::new();
         };
-        if filter == TicketFilter::Valid && !approvals.has_tickets(now) {
+        // A start is ordered once it is stored, and its ticket must be valid then.
+        let ordered_at = now + self.store_delay(now);
+        if filter == TicketFilter::Valid && !approvals.has_tickets(ordered_at) {
             return Vec::new();
         }
         let allowed = approvals.allowed().iter().filter(|allowed| {
             let started_unix_ms = self.fleet.get(allowed.worker).info.started_unix_ms;
-            filter == TicketFilter::Any || allowed.ticket(now, started_unix_ms).is_some()
+            filter == TicketFilter::Any || allowed.ticket(ordered_at, started_unix_ms).is_some()
         });
         let workers = allowed.map(|allowed| self.fleet.get(allowed.worker));
         suitable(now, demand, pass, workers)
@@ -441,6 +443,8 @@
 
     /// Starts the first of `tasks` on the workers of `placed`, one task per entry.
     fn start(&mut self, now: Time, key: StepKey, tasks: &[u32], placed: &[WorkerId]) {
+        let job = self.jobs.get(&key.job).map(|entry| &entry.job);
+        let needs_ticket = job.is_some_and(|job| self.policy(job).approval.is_some());
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -466,11 +470,6 @@
         let preemptible_below = self.preemptible_below(key.task(0));
         for (task, id) in pairs {
             let worker = self.fleet.get_mut(id);
-            let ticket = self
-                .approvals
-                .get(&key)
-                .and_then(|a| a.ticket(now, id, worker.info.started_unix_ms))
-                .cloned();
             let new = Run {
                 number: run,
                 size,
@@ -486,7 +485,7 @@
                 key: task,
                 run,
                 worker: id,
-                ticket,
+                needs_ticket,
             };
             self.defer_until_stored(now, start);
         }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -29,7 +29,7 @@
         key: TaskKey,
         run: u32,
         worker: WorkerId,
-        ticket: Option<Ticket>,
+        needs_ticket: bool,
     ) {
         let is_pending = self
             .fleet
@@ -40,6 +40,11 @@
         if !is_pending {
             return;
         }
+        let ticket = self.current_ticket(now, key, worker);
+        if needs_ticket && ticket.is_none() {
+            // The ticket has lapsed while the run was being stored. The worker would refuse the order.
+            return self.interrupt(now, worker, key);
+        }
         let Some(order) = self.start_order(now, key, run, worker, ticket) else {
             self.interrupt(now, worker, key);
             return;
@@ -51,6 +56,13 @@
         self.actions.push(Action::Wake(worker));
     }
 
+    /// Returns the ticket for a task's step on a worker, if one is valid now.
+    fn current_ticket(&self, now: Time, key: TaskKey, worker: WorkerId) -> Option<Ticket> {
+        let started_unix_ms = self.fleet.get(worker).info.started_unix_ms;
+        let approvals = self.approvals.get(&key.step_key())?;
+        approvals.ticket(now, worker, started_unix_ms).cloned()
+    }
+
     /// Returns the start order for a run, if orders may be sent, the run is still wanted and the
     /// worker's clock is known.
     fn start_order(
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -21,13 +21,13 @@
 };
 
 /// A side effect that must wait until the changes before it are stored.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) enum Effect {
     Start {
         key: TaskKey,
         run: u32,
         worker: WorkerId,
-        ticket: Option<Ticket>,
+        needs_ticket: bool,
     },
     Publish {
         job: JobId,
@@ -66,6 +66,8 @@
     /// When the last transaction that is known to be stored was sent.
     pub(crate) confirmed_at: Time,
     batch_sent_at: Time,
+    /// The time that the last batch took to be stored.
+    batch_duration: Duration,
     /// Whether something has changed that may allow a task to start.
     pub(crate) needs_pass: bool,
 }
@@ -115,6 +117,7 @@
             is_deposed: false,
             confirmed_at: now.time,
             batch_sent_at: now.time,
+            batch_duration: Duration::ZERO,
             needs_pass: true,
         };
         scheduler.recover(now, recovered);
@@ -426,9 +429,21 @@
         Some(Batch { rows, forgotten })
     }
 
+    /// Returns how long it takes to store a change that is made now: the rest of the batch in flight and
+    /// a batch of its own, each estimated to take as long as the last one or as the one in flight so far.
+    pub(crate) fn store_delay(&self, now: Time) -> Duration {
+        if !self.journal.is_busy() {
+            return self.batch_duration;
+        }
+        let age = now - self.batch_sent_at;
+        let rest = self.batch_duration.saturating_sub(age);
+        rest + self.batch_duration.max(age)
+    }
+
     /// Records that the batch taken last is stored, and releases the effects that waited for it.
     pub fn batch_stored(&mut self, now: Now) {
         self.confirmed_at = self.batch_sent_at;
+        self.batch_duration = now.time - self.batch_sent_at;
         for effect in self.journal.batch_stored() {
             self.release(now.time, effect);
         }
@@ -450,8 +465,8 @@
                 key,
                 run,
                 worker,
-                ticket,
-            } => self.release_start(now, key, run, worker, ticket),
+                needs_ticket,
+            } => self.release_start(now, key, run, worker, needs_ticket),
         }
     }
 
