--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -15,7 +15,7 @@
 
 use sched::{Action, Now, Scheduler};
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, Semaphore, mpsc},
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -32,6 +32,10 @@
 /// quarantines expire without an event.
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The number of workers that are polled for the first time at the same time. It covers the latency between
+/// regions, and leaves room beside workers that do not answer.
+const MAX_FIRST_POLLS: usize = 128;
+
 /// Another node that has opened a link to this one.
 struct Peer {
     tx: mpsc::Sender<Message>,
@@ -47,6 +51,8 @@
     wake: Notify,
     /// Wakes the poller of each worker, by worker id.
     pollers: RefCell<Vec<Rc<Notify>>>,
+    /// Limits the number of workers that are polled for the first time at the same time.
+    first_polls: Semaphore,
     /// The linked nodes, by name.
     peers: RefCell<BTreeMap<Arc<str>, Peer>>,
     tasks: RefCell<JoinSet<()>>,
@@ -65,6 +71,7 @@
             scheduler: RefCell::new(scheduler),
             wake: Notify::new(),
             pollers: RefCell::default(),
+            first_polls: Semaphore::new(MAX_FIRST_POLLS),
             peers: RefCell::default(),
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -89,11 +89,14 @@
     pub(super) fn wake_poller(self: &Rc<Self>, worker: WorkerId) {
         let count = self.scheduler.borrow().worker_count();
         let mut pollers = self.pollers.borrow_mut();
-        while pollers.len() < count {
-            let id = WorkerId(u32::try_from(pollers.len()).unwrap_or(u32::MAX));
-            let wake = Rc::new(Notify::new());
-            pollers.push(wake.clone());
-            self.spawn(self.clone().poll(id, wake));
+        if pollers.len() < count {
+            let known = pollers.len();
+            pollers.resize_with(count, || Rc::new(Notify::new()));
+            let new = self.scheduler.borrow().emptiest_workers(known);
+            for id in new {
+                let wake = &pollers[usize::try_from(id.0).unwrap_or(usize::MAX)];
+                self.spawn(self.clone().poll(id, wake.clone()));
+            }
         }
         if let Some(wake) = pollers.get(usize::try_from(worker.0).unwrap_or(usize::MAX)) {
             wake.notify_one();
@@ -102,6 +105,7 @@
 
     /// Polls a worker whenever the scheduler asks for it. Never returns.
     async fn poll(self: Rc<Self>, worker: WorkerId, wake: Rc<Notify>) {
+        self.poll_first(worker).await;
         loop {
             let now = self.now();
             let poll = self.scheduler.borrow_mut().next_poll(now, worker);
@@ -116,6 +120,20 @@
         }
     }
 
+    /// Polls a worker for the first time, if it has to be polled. A new scheduler has hundreds of workers to
+    /// poll, and no task starts on one before it has answered. Polled all at once they would answer at about
+    /// the same time, the last of them not earlier; so only some are polled at a time.
+    async fn poll_first(&self, worker: WorkerId) {
+        let Ok(_permit) = self.first_polls.acquire().await else {
+            return;
+        };
+        let now = self.now();
+        let poll = self.scheduler.borrow_mut().next_poll(now, worker);
+        if let Poll::Now(order) = poll {
+            self.poll_once(&order).await;
+        }
+    }
+
     /// Polls a worker once, and passes the result to the scheduler.
     async fn poll_once(&self, order: &PollOrder) {
         let (info, epoch) = {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The state of the scheduler, and the handlers for events about jobs, workers and approvals.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
@@ -360,6 +361,15 @@
         self.fleet.len()
     }
 
+    /// Returns the workers whose ids are at least `from`, those with the most free processors first. New
+    /// tasks can start there soonest.
+    #[must_use]
+    pub fn emptiest_workers(&self, from: usize) -> Vec<WorkerId> {
+        let mut workers: Vec<&Worker> = self.fleet.iter().skip(from).collect();
+        workers.sort_by_key(|worker| (Reverse(worker.free().milli_processors), worker.id));
+        workers.iter().map(|worker| worker.id).collect()
+    }
+
     /// Handles the answer to a request for approvals. The workers in `asked` that are not in
     /// `allowed` may not run the step. Tickets are used for `valid`, less a safety margin.
     pub fn approved(
