Read the progress of all jobs in ranges of ids at the same time

Change: sixteen ranges by the first digit of the id are read at the same time. The test fails if a range is left out (the jobs of it run again).

--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -106,16 +106,25 @@
     let mut after = u64::MAX;
     // The progress is read before the jobs. A job's progress is deleted only after its row, so a row that is
     // read later without progress is never that of an ended job that is being deleted.
-    let (progress, _) = read_part(node, PROGRESS, SCHEDULER_PART).await;
-    for row in progress {
-        if let (Ok(id), Some(progress)) = (row.key.parse(), read_content(PROGRESS, &row)) {
-            recovered.progress.insert(id, progress);
+    let mut reads = JoinSet::new();
+    for (from, to) in id_ranges() {
+        let node = node.clone();
+        reads.spawn_local(async move {
+            read_range(&node, PROGRESS, SCHEDULER_PART, &from, to.as_deref()).await
+        });
+    }
+    while let Some(read) = reads.join_next().await {
+        let (rows, _) = read.expect("a read does not panic");
+        for row in rows {
+            if let (Ok(id), Some(progress)) = (row.key.parse(), read_content(PROGRESS, &row)) {
+                recovered.progress.insert(id, progress);
+            }
         }
     }
     let mut reads = JoinSet::new();
     for part in all_job_parts() {
         let node = node.clone();
-        reads.spawn_local(async move { read_part(&node, JOBS, &part).await });
+        reads.spawn_local(async move { read_range(&node, JOBS, &part, "", None).await });
     }
     while let Some(read) = reads.join_next().await {
         let (rows, version) = read.expect("a read does not panic");
@@ -132,14 +141,31 @@
     (recovered, after)
 }
 
-/// Reads all rows of a part. Also returns the version from which to follow its changes.
-async fn read_part<P: Ports>(node: &Node<P>, table: &'static str, part: &str) -> (Vec<Row>, u64) {
+/// Returns ranges of keys that together hold all job ids: one for each first digit. The progress of all jobs
+/// lies in one part, and its pages would otherwise be read one after the other, each a round trip.
+fn id_ranges() -> impl Iterator<Item = (String, Option<String>)> {
+    (0..16).map(|digit: u32| {
+        let from = format!("{digit:x}");
+        let to = (digit < 15).then(|| format!("{:x}", digit + 1));
+        (from, to)
+    })
+}
+
+/// Reads the rows of a part with keys from `from` up to, not including, `to`. Also returns the version from
+/// which to follow the part's changes.
+async fn read_range<P: Ports>(
+    node: &Node<P>,
+    table: &'static str,
+    part: &str,
+    from: &str,
+    to: Option<&str>,
+) -> (Vec<Row>, u64) {
     // A row that changes between two pages may be read twice.
     let mut rows: HashMap<String, Row> = HashMap::new();
-    let mut from = String::new();
+    let mut from = from.to_owned();
     let mut first_version = None;
     loop {
-        let page = read_page(node, table, part, &from).await;
+        let page = read_page(node, table, part, &from, to).await;
         first_version.get_or_insert(page.version);
         if let Some(last) = page.rows.last() {
             // The smallest key above the last one.
@@ -152,9 +178,15 @@
     }
 }
 
-async fn read_page<P: Ports>(node: &Node<P>, table: &'static str, part: &str, from: &str) -> Page {
+async fn read_page<P: Ports>(
+    node: &Node<P>,
+    table: &'static str,
+    part: &str,
+    from: &str,
+    to: Option<&str>,
+) -> Page {
     loop {
-        match node.0.ports.read(table, part, from, None).await {
+        match node.0.ports.read(table, part, from, to).await {
             Ok(page) => return page,
             Err(e) => log_and_pause(table, &e).await,
         }
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -281,3 +281,25 @@
         assert_eq!(version(), 5);
     });
 }
+
+/// Guards against a new scheduler that reads only a part of the progress: it would run the tasks of the other jobs
+/// again. The progress is read in ranges of ids.
+#[test]
+fn a_new_scheduler_recovers_the_progress_of_all_ids() {
+    run(async {
+        let platform = platform();
+        let (first, second) = start_two(&platform, &platform).await;
+        let ids: Vec<JobId> = (0..16).map(|digit| JobId(digit << 60 | 5)).collect();
+        for &id in &ids {
+            assert_eq!(submit(&first, id, 1).await, SubmitOutcome::Accepted);
+        }
+        for &id in &ids {
+            until_state(&first, id, State::Completed).await;
+        }
+        first.drain();
+        assert_eq!(submit(&second, ID, 1).await, SubmitOutcome::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(platform.starts(), 17);
+    });
+}
