--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -67,14 +67,16 @@
             "waiting_steps",
             u64::try_from(summary.waiting_steps).unwrap_or(0),
         );
+        metrics.set("held_steps", u64::try_from(summary.held_steps).unwrap_or(0));
         metrics.set("running_tasks", u64::try_from(summary.runs).unwrap_or(0));
         metrics.set("open_workers", u64::try_from(summary.workers).unwrap_or(0));
         metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
         metrics.set("processors_milli", summary.size.milli_processors);
         metrics.set("used_processors_milli", summary.used.milli_processors);
         log::info!(
-            "event=load waiting={} runs={} workers={} used={} of={}",
+            "event=load waiting={} held={} runs={} workers={} used={} of={}",
             summary.waiting_steps,
+            summary.held_steps,
             summary.runs,
             summary.workers,
             summary.used,
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -35,6 +35,8 @@
     claims: Claims,
     /// What the gangs considered so far wait for.
     holding: Holding,
+    /// The number of steps that were held back.
+    held_steps: usize,
 }
 
 impl Pass {
@@ -113,10 +115,12 @@
             searches_left: self.cfg.max_searches,
             claims: Claims::default(),
             holding: Holding::new(fleet_processors),
+            held_steps: 0,
         };
         for waiting in steps {
             self.place(now.time, &waiting, &mut pass);
         }
+        self.held_steps = pass.held_steps;
     }
 
     /// Returns when [`decide`](Self::decide) next has something to do even if no event occurs.
@@ -241,6 +245,7 @@
         }
         let is_gang = demand.step().gang;
         if !is_gang && pass.holding.holds(now, &self.cfg, waiting) {
+            pass.held_steps += 1;
             return;
         }
         let placed = self.fit(now, &demand, demand.tasks.len(), TicketFilter::Valid, pass);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -71,6 +71,8 @@
     batch_duration: Duration,
     /// Whether something has changed that may allow a task to start.
     pub(crate) needs_pass: bool,
+    /// The number of steps that the last pass held back for gangs.
+    pub(crate) held_steps: usize,
 }
 
 /// Counts and sizes for metrics and for clients' queries.
@@ -80,6 +82,8 @@
     pub pending: BTreeMap<String, u64>,
     /// The number of steps that wait for free capacity or for approvals.
     pub waiting_steps: usize,
+    /// The number of these steps that the last pass held back for gangs.
+    pub held_steps: usize,
     /// The number of runs that occupy capacity on workers.
     pub runs: usize,
     /// The number of workers that accept new work.
@@ -120,6 +124,7 @@
             batch_sent_at: now.time,
             batch_duration: Duration::ZERO,
             needs_pass: true,
+            held_steps: 0,
         };
         scheduler.recover(now, recovered);
         scheduler
@@ -527,6 +532,7 @@
     pub fn summary(&self, now: Now) -> Summary {
         let mut summary = Summary {
             waiting_steps: self.waiting.len(),
+            held_steps: self.held_steps,
             jobs: self.jobs.len(),
             ..Summary::default()
         };
