Never hold back tasks that last, nor for gangs that can't run

Cause: read on the diff: a service's task that waits to be started again would be held like a batch while gangs wait, and a gang that fits nowhere, or a fleet that is mostly free, held batches as well.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -100,9 +100,14 @@
             .map(|worker| free_size(now.time, worker))
             .collect();
         let least = self.least_size(&steps);
-        let processors = |worker: &Worker| worker.info.size.milli_processors;
-        let listed = self.fleet.iter().filter(|worker| worker.is_listed);
-        let fleet_processors = listed.map(processors).sum();
+        let (fleet_processors, used_processors) = self
+            .fleet
+            .iter()
+            .filter(|worker| worker.is_listed)
+            .fold((0, 0), |(fleet, used), worker| {
+                let size = worker.info.size.milli_processors;
+                (fleet + size, used + worker.used.milli_processors)
+            });
         let mut pass = Pass {
             workers_with_room: self
                 .fleet
@@ -114,7 +119,7 @@
             gang_reservations: self.cfg.max_gang_reservations,
             searches_left: self.cfg.max_searches,
             claims: Claims::default(),
-            holding: Holding::new(fleet_processors),
+            holding: Holding::new(fleet_processors, used_processors),
             held_steps: 0,
         };
         for waiting in steps {
@@ -244,7 +249,9 @@
             return;
         }
         let is_gang = demand.step().gang;
-        if !is_gang && pass.holding.holds(now, &self.cfg, waiting) {
+        // Tasks that last are never held back: their clients expect them to be there all the time.
+        let may_hold = !is_gang && !demand.step().is_long_running;
+        if may_hold && pass.holding.holds(now, &self.cfg, waiting) {
             pass.held_steps += 1;
             return;
         }
@@ -255,7 +262,8 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
-            if is_gang {
+            // Nothing is gained by holding back work for a gang that could not run on empty workers either.
+            if is_gang && self.capacity(now, &demand) >= demand.tasks.len() {
                 pass.holding.gang_waits(now, waiting, demand.processors());
             }
             let missing = demand.tasks.len() - if is_gang { 0 } else { placed.len() };
--- a/crates/sched/src/holding.rs
+++ b/crates/sched/src/holding.rs
@@ -20,14 +20,19 @@
 pub(crate) struct Holding {
     /// The processors of the fleet, in thousandths.
     fleet_processors: u64,
+    /// Whether less than half of them are in use. Gangs then wait for something else than capacity.
+    is_fleet_idle: bool,
     /// The processors that gangs wait for, in thousandths.
     awaited_processors: u64,
 }
 
 impl Holding {
-    pub(crate) const fn new(fleet_processors: u64) -> Self {
+    /// Returns the state at the start of a pass. `fleet_processors` and `used_processors` are in
+    /// thousandths.
+    pub(crate) const fn new(fleet_processors: u64, used_processors: u64) -> Self {
         Self {
             fleet_processors,
+            is_fleet_idle: used_processors < fleet_processors / 2,
             awaited_processors: 0,
         }
     }
@@ -40,12 +45,13 @@
         }
     }
 
-    /// Returns whether a step whose tasks start one by one has to wait.
+    /// Returns whether a step has to wait whose tasks start one by one and end by themselves.
     pub(crate) fn holds(&self, now: Time, cfg: &SchedConfig, step: &WaitingStep) -> bool {
         let awaited = u128::from(self.awaited_processors) * 1_000;
         let enough = u128::from(self.fleet_processors) * u128::from(cfg.holding_gang_share_milli);
         let reserve: Duration = step.initial_slack() * cfg.holding_slack_percent / 100;
-        step.rank != URGENT
+        !self.is_fleet_idle
+            && step.rank != URGENT
             && awaited > 0
             && awaited >= enough
             && step.timeliness(now) == Timeliness::InTime
