Log why a run is given up, and ends that change nothing

The incident's hypotheses differ in why the scheduler took a run for ended while it was alive, and in whether the end of such a run was counted. Neither was logged: a run that was given up after a refusal, a lapse or a missing entry looked the same, and a listed end was logged whether it counted or not.

event=interrupted names the cause, event=end_ignored the ends that were acknowledged without being counted; both have counters. A run whose start was not ordered yet is withdrawn without a line.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -212,6 +212,30 @@
                     log::info!("event=preempted task={key} worker={worker} by={by}");
                     self.node.0.metrics.count("preempted");
                 }
+                Action::Interrupted {
+                    key,
+                    run,
+                    worker,
+                    cause,
+                } => {
+                    let scheduler = self.scheduler.borrow();
+                    let worker = &scheduler.worker_info(worker).name;
+                    log::info!(
+                        "event=interrupted task={key} run={run} worker={worker} cause={cause:?}"
+                    );
+                    self.node.0.metrics.count("interrupted");
+                }
+                Action::EndIgnored { worker, end } => {
+                    let scheduler = self.scheduler.borrow();
+                    let worker = &scheduler.worker_info(worker).name;
+                    log::warn!(
+                        "event=end_ignored task={} run={} how={:?} worker={worker}",
+                        end.key,
+                        end.run,
+                        end.kind
+                    );
+                    self.node.0.metrics.count("ends_ignored");
+                }
                 Action::Ask {
                     approver,
                     step,
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jobs::{JobId, State, StepKey, TaskKey};
+use jobs::{End, JobId, State, StepKey, TaskKey};
 use model::{Time, WorkerId};
 
 use crate::Ticket;
@@ -63,6 +63,40 @@
         /// The step that gets the capacity.
         by: StepKey,
     },
+    /// Report that a run counts as interrupted though its worker has not listed its end.
+    Interrupted {
+        /// The task.
+        key: TaskKey,
+        /// The run.
+        run: u32,
+        /// Its worker.
+        worker: WorkerId,
+        /// Why the run counts as interrupted.
+        cause: Interruption,
+    },
+    /// Report that a worker has listed an end that changes nothing, because the task has another run
+    /// by now or waits for one. This is normal for ends that an earlier scheduler has stored.
+    EndIgnored {
+        /// The worker.
+        worker: WorkerId,
+        /// The end.
+        end: End,
+    },
+}
+
+/// Why a run whose start was ordered counts as interrupted before its worker has listed its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interruption {
+    /// The worker has refused the start order.
+    Refused(StartAnswer),
+    /// The worker's lists contain neither the run nor its end.
+    NotListed,
+    /// The worker has restarted, and its new incarnation does not list the run.
+    Restarted,
+    /// Another worker has taken the place of this one.
+    Replaced,
+    /// Every lease that the worker could have been granted has lapsed.
+    Lapsed,
 }
 
 impl Action {
@@ -185,7 +219,7 @@
     /// The number of the end, which increases within an incarnation.
     pub number: u64,
     /// The end.
-    pub end: jobs::End,
+    pub end: End,
 }
 
 /// Why a poll failed.
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -4,16 +4,16 @@
 use model::{Time, WorkerId};
 
 use crate::{
-    Listing, Scheduler,
+    Action, Interruption, Listing, Scheduler,
     worker::{Run, RunPhase},
 };
 
 impl Scheduler {
-    /// Applies the end of a run to the job's progress.
-    pub(crate) fn apply_end(&mut self, now: Time, end: &End) {
+    /// Applies the end of a run to the job's progress. Returns whether anything changed.
+    pub(crate) fn apply_end(&mut self, now: Time, end: &End) -> bool {
         let id = end.key.job;
         let Some(entry) = self.jobs.get(&id) else {
-            return;
+            return false;
         };
         let max_failures = self.policy(&entry.job).max_failures;
         let is_gang = entry
@@ -22,16 +22,17 @@
             .get(usize::from(end.key.step))
             .is_some_and(|step| step.gang);
         let Some(entry) = self.jobs.get_mut(&id) else {
-            return;
+            return false;
         };
         if !entry.progress.end(&entry.job, end, max_failures) {
-            return;
+            return false;
         }
         self.needs_pass = true;
         self.job_changed(now, id);
         if is_gang && end.kind == EndKind::Interrupted {
             self.stop_gang(now, end.key, end.run);
         }
+        true
     }
 
     /// Records the duration of a successful run, unless its start is not known to this scheduler.
@@ -50,13 +51,29 @@
             .record(&entry.job.queue.name, estimate, now - run.since);
     }
 
-    /// Ends a run as interrupted, so that its task waits again and resumes from the last
-    /// checkpoint. The run must not be in progress on the worker: it never began, was refused, or
-    /// is gone.
-    pub(crate) fn interrupt(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
-        let Some(run) = self.fleet.get_mut(worker).remove_run(&key) else {
-            return;
-        };
+    /// Ends a run as interrupted, and reports why. The run must not be in progress on the worker, nor may it
+    /// begin there later.
+    pub(crate) fn interrupt(
+        &mut self,
+        now: Time,
+        worker: WorkerId,
+        key: TaskKey,
+        cause: Interruption,
+    ) {
+        if let Some(run) = self.withdraw(now, worker, key) {
+            self.actions.push(Action::Interrupted {
+                key,
+                run,
+                worker,
+                cause,
+            });
+        }
+    }
+
+    /// Ends a run whose start was not ordered yet, so that its task waits again and resumes from the last
+    /// checkpoint. Returns the run's number.
+    pub(crate) fn withdraw(&mut self, now: Time, worker: WorkerId, key: TaskKey) -> Option<u32> {
+        let run = self.fleet.get_mut(worker).remove_run(&key)?;
         self.needs_pass = true;
         let end = End {
             key,
@@ -65,6 +82,7 @@
             checkpoint: run.checkpoint,
         };
         self.apply_end(now, &end);
+        Some(run.number)
     }
 
     /// Stops the other members of a gang's run, which cannot work without the one that ended.
@@ -117,7 +135,7 @@
                 .iter()
                 .any(|row| row.key == key && row.run == run);
             if !is_listed && !may_still_begin {
-                self.interrupt(now, worker, key);
+                self.interrupt(now, worker, key, Interruption::Restarted);
                 continue;
             }
             if let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) {
@@ -135,7 +153,7 @@
         gone.is_listed = false;
         gone.is_synced = false;
         for key in keys {
-            self.interrupt(now, worker, key);
+            self.interrupt(now, worker, key, Interruption::Replaced);
         }
     }
 
@@ -156,7 +174,7 @@
             }
         }
         for (worker, key) in lapsed {
-            self.interrupt(now, worker, key);
+            self.interrupt(now, worker, key, Interruption::Lapsed);
         }
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -51,8 +51,8 @@
 
 pub use crate::{
     action::{
-        Action, Batch, EndedRow, Listing, Now, Poll, PollFailure, PollOrder, RunningRow,
-        StartAnswer, StartOrder, StopOrder,
+        Action, Batch, EndedRow, Interruption, Listing, Now, Poll, PollFailure, PollOrder,
+        RunningRow, StartAnswer, StartOrder, StopOrder,
     },
     approval::Ticket,
     config::SchedConfig,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -3,7 +3,10 @@
 use jobs::{Phase, TaskKey};
 use model::{Time, WorkerId};
 
-use crate::{Action, Now, Scheduler, StartAnswer, StartOrder, StopOrder, Ticket, worker::RunPhase};
+use crate::{
+    Action, Interruption, Now, Scheduler, StartAnswer, StartOrder, StopOrder, Ticket,
+    worker::RunPhase,
+};
 
 impl Scheduler {
     /// Returns whether orders may be sent: the table has confirmed a transaction of this scheduler
@@ -43,10 +46,11 @@
         let ticket = self.current_ticket(now, key, worker);
         if needs_ticket && ticket.is_none() {
             // The ticket has lapsed while the run was being stored. The worker would refuse the order.
-            return self.interrupt(now, worker, key);
+            self.withdraw(now, worker, key);
+            return;
         }
         let Some(order) = self.start_order(now, key, run, worker, ticket) else {
-            self.interrupt(now, worker, key);
+            self.withdraw(now, worker, key);
             return;
         };
         if let Some(r) = self.fleet.get_mut(worker).runs.get_mut(&key) {
@@ -124,11 +128,11 @@
                 if let Some(approvals) = self.approvals.get_mut(&order.key.step_key()) {
                     approvals.revoke(order.worker);
                 }
-                self.interrupt(now, order.worker, order.key);
+                self.interrupt(now, order.worker, order.key, Interruption::Refused(answer));
             }
             StartAnswer::Unhealthy | StartAnswer::Faulty | StartAnswer::OtherLife => {
                 worker.quarantine_until = now + self.cfg.quarantine;
-                self.interrupt(now, order.worker, order.key);
+                self.interrupt(now, order.worker, order.key, Interruption::Refused(answer));
             }
             StartAnswer::Fenced => self.depose(),
             StartAnswer::Unknown if unanswered < self.cfg.start_retries => {
@@ -157,7 +161,9 @@
             return;
         };
         match run.phase {
-            RunPhase::Pending => self.interrupt(now, worker, key),
+            RunPhase::Pending => {
+                self.withdraw(now, worker, key);
+            }
             RunPhase::Stopping => {}
             RunPhase::Recorded | RunPhase::Ordered { .. } | RunPhase::Running => {
                 run.phase = RunPhase::Stopping;
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -3,11 +3,12 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use jobs::{EndKind, TaskKey};
+use jobs::{EndKind, Phase, TaskKey};
 use model::{Time, WorkerId};
 
 use crate::{
-    Action, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler, StopOrder,
+    Action, Interruption, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler,
+    StopOrder,
     worker::{Run, RunPhase},
 };
 
@@ -156,11 +157,21 @@
             if let Some(run) = run.filter(|_| end.kind == EndKind::Done) {
                 self.record_run_time(now, end.key, &run);
             }
-            self.apply_end(now, end);
+            let is_applied = self.apply_end(now, end);
+            if !is_applied && end.kind != EndKind::Interrupted && !self.is_done(end.key) {
+                let end = end.clone();
+                self.actions.push(Action::EndIgnored { worker: id, end });
+            }
             self.fleet.get_mut(id).ack_after = self.journal.last();
         }
     }
 
+    /// Returns whether a task has succeeded, as one member's success counts for its whole gang.
+    fn is_done(&self, key: TaskKey) -> bool {
+        let entry = self.jobs.get(&key.job);
+        entry.is_some_and(|entry| entry.progress.task(key).phase == Phase::Done)
+    }
+
     /// Updates a run from the worker's list, or stops the listed run if it is not the current one.
     fn update_running(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
         let worker = self.fleet.get_mut(id);
@@ -236,7 +247,7 @@
             .map(|(&key, _)| key)
             .collect();
         for key in missing {
-            self.interrupt(now, id, key);
+            self.interrupt(now, id, key, Interruption::NotListed);
         }
     }
 }
