--- /dev/null
+++ b/crates/sched/tests/refusals.rs
@@ -0,0 +1,225 @@
+//! Refusals of start orders that are sent again because an earlier one was not answered.
+
+use std::time::Duration;
+
+use jobs::{End, EndKind, Job, JobId, Queue, State, Step, TaskKey};
+use model::{Size, Time, WorkerId};
+use sched::{
+    Action, EndedRow, Listing, Now, Recovered, SchedConfig, Scheduler, StartAnswer, StartOrder,
+    StopOrder, WorkerInfo,
+};
+
+const JOB: JobId = JobId(7);
+
+/// The task that the tests look at.
+const TASK: TaskKey = TaskKey {
+    job: JOB,
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
+/// The refusals that say nothing about an earlier order for the same run.
+const REFUSALS: [StartAnswer; 4] = [
+    StartAnswer::Unhealthy,
+    StartAnswer::NoApproval,
+    StartAnswer::NoRoom,
+    StartAnswer::Faulty,
+];
+
+fn at_ms(ms: u64) -> Now {
+    Now {
+        time: Time::from_ms(ms),
+        unix_ms: 1_700_000_000_000 + ms,
+    }
+}
+
+fn queue(max_failures: u32) -> Queue {
+    Queue {
+        name: "lookup".into(),
+        pool: "desk".into(),
+        max_failures,
+        ..Queue::default()
+    }
+}
+
+/// Returns a scheduler with three workers and a job of `tasks` tasks, one for each worker.
+fn scheduler(now: Now, tasks: u32, is_gang: bool, max_failures: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new(SchedConfig::default(), 1, now, Recovered::default());
+    scheduler.set_queues([queue(max_failures)]);
+    for name in ["w1", "w2", "w3"] {
+        let info = WorkerInfo {
+            name: name.into(),
+            address: name.to_owned(),
+            pool: "desk".into(),
+            size: Size::new(8_000, 32_000, 0),
+            started_unix_ms: 1,
+            ..WorkerInfo::default()
+        };
+        scheduler.worker_listed(now, info);
+        let id = scheduler.worker_id(name).unwrap();
+        poll(&mut scheduler, now, id, Vec::new());
+    }
+    let job = Job {
+        queue: queue(max_failures),
+        steps: vec![Step {
+            tasks,
+            size: Size::new(8_000, 16_000, 0),
+            estimate_ms: 800,
+            gang: is_gang,
+            ..Step::default()
+        }],
+        ..Job::default()
+    };
+    scheduler.job_stored(now, JOB, job);
+    scheduler
+}
+
+/// Answers a poll with these ends and no runs in progress.
+fn poll(scheduler: &mut Scheduler, now: Now, worker: WorkerId, ended: Vec<EndedRow>) {
+    let listing = Listing {
+        started_unix_ms: 1,
+        clock_ms: 500 + now.time.as_ms(),
+        ended,
+        ..Listing::default()
+    };
+    scheduler.polled(now, worker, now.time, &listing);
+}
+
+/// Runs a pass, stores its changes, and returns the orders.
+fn orders(scheduler: &mut Scheduler, now: Now) -> (Vec<StartOrder>, Vec<StopOrder>) {
+    scheduler.request_pass();
+    scheduler.decide(now);
+    let mut actions = scheduler.take_actions();
+    if scheduler.take_batch(now).is_some() {
+        scheduler.batch_stored(now);
+    }
+    actions.extend(scheduler.take_actions());
+    let mut starts = Vec::new();
+    let mut stops = Vec::new();
+    for action in actions {
+        match action {
+            Action::Start(order) => starts.push(order),
+            Action::Stop(order) => stops.push(order),
+            _ => {}
+        }
+    }
+    (starts, stops)
+}
+
+/// Starts the job's tasks. The order for [`TASK`] is not answered, and the one that is sent again is answered
+/// with `refusal`. The other tasks are running. Returns the order for [`TASK`].
+fn refuse_second_order(scheduler: &mut Scheduler, now: Now, refusal: StartAnswer) -> StartOrder {
+    let (starts, _) = orders(scheduler, now);
+    for order in starts.iter().filter(|order| order.key != TASK) {
+        scheduler.start_answered(now, order, StartAnswer::Started);
+    }
+    let first = starts.iter().find(|order| order.key == TASK).unwrap();
+    scheduler.start_answered(now, first, StartAnswer::Unknown);
+    let (again, _) = orders(scheduler, now);
+    assert_eq!(again.len(), 1, "the order is sent again");
+    scheduler.start_answered(now, &again[0], refusal);
+    first.clone()
+}
+
+/// Guards against a second run of a task beside the first, which was started by an unanswered order while the
+/// worker refused the repeated one.
+#[test]
+fn a_task_does_not_run_twice_after_its_repeated_start_is_refused() {
+    for refusal in REFUSALS {
+        let now = at_ms(1_000);
+        let mut scheduler = scheduler(now, 1, false, 3);
+        let order = refuse_second_order(&mut scheduler, now, refusal);
+        let (starts, stops) = orders(&mut scheduler, now);
+        assert_eq!(
+            starts,
+            [],
+            "{refusal:?}: the first order may be carried out"
+        );
+        let stop = StopOrder {
+            worker: order.worker,
+            key: TASK,
+            run: order.run,
+        };
+        assert_eq!(stops, [stop], "{refusal:?}");
+        // Lists that were requested before the stop was answered do not show that the run cannot begin.
+        poll(&mut scheduler, at_ms(1_010), order.worker, Vec::new());
+        assert_eq!(orders(&mut scheduler, at_ms(1_010)).0, [], "{refusal:?}");
+        scheduler.stop_answered(at_ms(1_020), &stop);
+        poll(&mut scheduler, at_ms(1_030), order.worker, Vec::new());
+        let (starts, _) = orders(&mut scheduler, at_ms(1_030));
+        assert_eq!(starts.len(), 1, "{refusal:?}: the task starts again");
+        assert_eq!(starts[0].run, order.run + 1);
+    }
+}
+
+/// Guards against a second run of a gang beside a member of the first one.
+#[test]
+fn a_gang_does_not_run_twice_after_a_members_repeated_start_is_refused() {
+    for refusal in REFUSALS {
+        let now = at_ms(1_000);
+        let mut scheduler = scheduler(now, 2, true, 3);
+        refuse_second_order(&mut scheduler, now, refusal);
+        // All other members end at once.
+        for name in ["w1", "w2", "w3"] {
+            let id = scheduler.worker_id(name).unwrap();
+            let ended = TaskKey { index: 1, ..TASK };
+            let row = EndedRow {
+                number: 1,
+                end: End {
+                    key: ended,
+                    run: 1,
+                    kind: EndKind::Interrupted,
+                    checkpoint: String::new(),
+                },
+            };
+            poll(&mut scheduler, at_ms(1_010), id, vec![row]);
+        }
+        let (starts, _) = orders(&mut scheduler, at_ms(1_010));
+        assert_eq!(starts, [], "{refusal:?}: a member may still begin");
+    }
+}
+
+/// Guards against more failed runs than the queue allows: a run that the scheduler took for never begun fails,
+/// and its failure is acknowledged without being counted.
+#[test]
+fn a_failure_counts_though_the_repeated_start_was_refused() {
+    for refusal in REFUSALS {
+        let now = at_ms(1_000);
+        let mut scheduler = scheduler(now, 1, false, 1);
+        let order = refuse_second_order(&mut scheduler, now, refusal);
+        let row = EndedRow {
+            number: 1,
+            end: End {
+                key: TASK,
+                run: order.run,
+                kind: EndKind::Failed,
+                checkpoint: String::new(),
+            },
+        };
+        poll(&mut scheduler, at_ms(1_500), order.worker, vec![row]);
+        assert_eq!(
+            orders(&mut scheduler, at_ms(1_500)).0,
+            [],
+            "{refusal:?}: the task has failed as often as it may"
+        );
+        let states: Vec<_> = scheduler.states().collect();
+        assert_eq!(states, [(JOB, State::Failed)], "{refusal:?}");
+    }
+}
+
+/// A refusal of the only order sent so far is final: the task starts elsewhere at once.
+#[test]
+fn a_task_whose_only_order_is_refused_starts_again_at_once() {
+    for refusal in REFUSALS {
+        let now = at_ms(1_000);
+        let mut scheduler = scheduler(now, 1, false, 3);
+        let (starts, _) = orders(&mut scheduler, now);
+        scheduler.start_answered(now, &starts[0], refusal);
+        let later = Now {
+            time: now.time + Duration::from_millis(10),
+            ..now
+        };
+        assert_eq!(orders(&mut scheduler, later).0.len(), 1, "{refusal:?}");
+    }
+}
