Stop a run whose repeated start is refused before its task starts elsewhere

Cause: an unanswered start order is sent again with the same run. A refusal of the repeated order (ill worker, lapsed ticket, no room) was taken as the outcome of the run: the scheduler gave it up at once and started the task elsewhere. But the refusal covers only the order that it answers. The first one may have been carried out with its answer lost, may lie behind a cut that heals, or may be carried out seconds later. The run that was given up then runs beside the new one, and its failure is acknowledged without being counted, as the task has a higher run by then.

After a refusal with an earlier order open, the run is stopped instead. Its task waits until the worker has answered the stop, after which it refuses the run, and a later list does not hold the run; or until its leases have lapsed. A refusal of the only order still frees the task at once.

--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -128,11 +128,11 @@
                 if let Some(approvals) = self.approvals.get_mut(&order.key.step_key()) {
                     approvals.revoke(order.worker);
                 }
-                self.interrupt(now, order.worker, order.key, Interruption::Refused(answer));
+                self.start_refused(now, order, answer, unanswered);
             }
             StartAnswer::Unhealthy | StartAnswer::Faulty | StartAnswer::OtherLife => {
                 worker.quarantine_until = now + self.cfg.quarantine;
-                self.interrupt(now, order.worker, order.key, Interruption::Refused(answer));
+                self.start_refused(now, order, answer, unanswered);
             }
             StartAnswer::Fenced => self.depose(),
             StartAnswer::Unknown if unanswered < self.cfg.start_retries => {
@@ -155,6 +155,23 @@
         }
     }
 
+    /// Handles the refusal of a start order after `unanswered` earlier orders for the same run. The refusal
+    /// covers only the order that it answers: an earlier one may have been carried out, or may still be.
+    fn start_refused(
+        &mut self,
+        now: Time,
+        order: &StartOrder,
+        answer: StartAnswer,
+        unanswered: u32,
+    ) {
+        if unanswered > 0 {
+            self.stop_run(now, order.worker, order.key);
+        } else {
+            let cause = Interruption::Refused(answer);
+            self.interrupt(now, order.worker, order.key, cause);
+        }
+    }
+
     /// Stops a run. A run whose start order was not sent yet ends at once.
     pub(crate) fn stop_run(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
         let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) else {
