Stop a run whose start order was answered as outdated

Callers could not stop such a run by a cancellation. Cause: the scheduler noted a confirmed stop for it, which it had never sent; every later stop of the run was then skipped.

The run now gets a stop order like any other that may be open, and the lists after it settle what became of it.

--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -117,13 +117,9 @@
                 run.confirmed_at = Some(now);
                 self.mark_begun(order.key.job);
             }
-            // An order that was sent twice may have been carried out the first time, and the run
-            // may have ended. The worker's next lists show which.
-            StartAnswer::Outdated => {
-                run.phase = RunPhase::Stopping;
-                run.confirmed_at = Some(now);
-                self.actions.push(Action::Wake(order.worker));
-            }
+            // The run has ended, never begins, or is in progress under a lease that this order does not
+            // extend. The stop order and the lists after it settle which.
+            StartAnswer::Outdated => self.stop_run(now, order.worker, order.key),
             StartAnswer::NoRoom | StartAnswer::NoApproval => {
                 if let Some(approvals) = self.approvals.get_mut(&order.key.step_key()) {
                     approvals.revoke(order.worker);
--- a/crates/sched/tests/refusals.rs
+++ b/crates/sched/tests/refusals.rs
@@ -223,3 +223,38 @@
         assert_eq!(orders(&mut scheduler, later).0.len(), 1, "{refusal:?}");
     }
 }
+
+/// Guards against a run that no cancellation can stop: an outdated order was taken for a stop, which was never sent.
+#[test]
+fn a_run_whose_repeated_start_is_outdated_is_stopped() {
+    let now = at_ms(1_000);
+    let mut scheduler = scheduler(now, 1, false, 3);
+    let order = refuse_second_order(&mut scheduler, now, StartAnswer::Outdated);
+    let (starts, stops) = orders(&mut scheduler, now);
+    assert_eq!(starts, []);
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].run, order.run);
+}
+
+/// Guards against a second run of a task whose first run has succeeded before its start was repeated.
+#[test]
+fn a_success_counts_though_the_repeated_start_is_outdated() {
+    let now = at_ms(1_000);
+    let mut scheduler = scheduler(now, 1, false, 3);
+    let order = refuse_second_order(&mut scheduler, now, StartAnswer::Outdated);
+    let (_, stops) = orders(&mut scheduler, now);
+    scheduler.stop_answered(at_ms(1_010), &stops[0]);
+    let row = EndedRow {
+        number: 1,
+        end: End {
+            key: TASK,
+            run: order.run,
+            kind: EndKind::Done,
+            checkpoint: String::new(),
+        },
+    };
+    poll(&mut scheduler, at_ms(1_020), order.worker, vec![row]);
+    assert_eq!(orders(&mut scheduler, at_ms(1_020)).0, []);
+    let states: Vec<_> = scheduler.states().collect();
+    assert_eq!(states, [(JOB, State::Completed)]);
+}
