--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -117,9 +117,6 @@
                 run.confirmed_at = Some(now);
                 self.mark_begun(order.key.job);
             }
-            // The run has ended, never begins, or is in progress under a lease that this order does not
-            // extend. The stop order and the lists after it settle which.
-            StartAnswer::Outdated => self.stop_run(now, order.worker, order.key),
             StartAnswer::NoRoom | StartAnswer::NoApproval => {
                 if let Some(approvals) = self.approvals.get_mut(&order.key.step_key()) {
                     approvals.revoke(order.worker);
@@ -147,7 +144,11 @@
                     None => self.stop_run(now, order.worker, order.key),
                 }
             }
-            StartAnswer::Unknown => self.stop_run(now, order.worker, order.key),
+            // Whether the run began is not known, also after `Outdated`: it may have begun and ended. The stop
+            // order and the lists after it settle this.
+            StartAnswer::Unknown | StartAnswer::Outdated => {
+                self.stop_run(now, order.worker, order.key);
+            }
         }
     }
 
