Let late gangs choose among more workers while most of the fleet is idle

Cause: a late gang asks about more workers only while those that may run it would hold, if empty, less than three times its tasks. Such a gang needs a third of its workers free at the same moment. With many tasks that each take a third of a worker, that can fail for ever on a fleet that is half idle, as other work comes and goes on them.

The limit protects the approvers' time for gangs that can still be in time. While less than half of the processors are in use, that time is not what binds, and the limit no longer applies. Nothing changes on a busier fleet.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -17,8 +17,8 @@
 };
 
 /// A gang that is already late requests approvals for more workers only while its allowed workers
-/// would hold, if empty, fewer than this many times its tasks. Requests of many such gangs would
-/// delay those of gangs that can still be in time.
+/// would hold, if empty, fewer than this many times its tasks, or while most of the fleet is idle.
+/// Requests of many such gangs would delay those of gangs that can still be in time.
 const GANG_CAPACITY_FACTOR: usize = 3;
 
 /// The capacity and the budgets that are left to the steps not yet considered in this pass.
@@ -389,7 +389,9 @@
         } else {
             0
         };
-        if demand.approval.is_some() && (!is_gang || capacity < GANG_CAPACITY_FACTOR * tasks) {
+        let needs_choice =
+            !is_gang || capacity < GANG_CAPACITY_FACTOR * tasks || pass.holding.is_fleet_idle();
+        if demand.approval.is_some() && needs_choice {
             self.widen(now, demand, pass);
         }
         // Reserving capacity for a gang that could never fit would waste it.
--- a/crates/sched/src/holding.rs
+++ b/crates/sched/src/holding.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Returns whether less than half of the fleet's processors are in use.
+    pub(crate) const fn is_fleet_idle(&self) -> bool {
+        self.is_fleet_idle
+    }
+
     /// Records that a gang waits for this many thousandths of a processor. Urgent gangs are small and are
     /// served before all others, and nothing is gained by holding back work for late ones.
     pub(crate) fn gang_waits(&mut self, now: Time, gang: &WaitingStep, processors: u64) {
