--- a/crates/sched/tests/gangs.rs
+++ b/crates/sched/tests/gangs.rs
@@ -32,7 +32,6 @@
         target: Duration::from_secs(1),
         stretch: 2.0,
         approval,
-        ..Queue::default()
     }
 }
 
