--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -34,6 +34,20 @@
     Unfinished(JobId),
 }
 
+impl Breach {
+    /// Returns the task whose runs violate the guarantee, if it is about one.
+    #[must_use]
+    pub const fn task(&self) -> Option<TaskKey> {
+        match *self {
+            Self::RanTwice(key)
+            | Self::RanAgain(key)
+            | Self::OverBudget(key)
+            | Self::Unasked(key) => Some(key),
+            _ => None,
+        }
+    }
+}
+
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -7,13 +7,14 @@
 
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
-use sched::{EndedRow, StartAnswer, StartOrder};
+use sched::{StartAnswer, StartOrder};
 
 use super::{
     checker::{Checker, WorkEnd},
     gangs::Gangs,
     host::Host,
     load::{Arrival, Kind},
+    trace::{RunEvent, TraceRow},
     world::chance,
 };
 use crate::Rng;
@@ -44,6 +45,8 @@
     pub(super) arrivals: HashMap<JobId, Arrival>,
     timers: Vec<(Time, Timer)>,
     changed_hosts: Vec<WorkerId>,
+    /// The events since the last call of [`Fleet::take_trace`]; `None` if they are not kept.
+    trace: Option<Vec<TraceRow>>,
 }
 
 impl Fleet {
@@ -60,6 +63,35 @@
             arrivals: HashMap::new(),
             timers: Vec::new(),
             changed_hosts: Vec::new(),
+            trace: None,
+        }
+    }
+
+    /// Returns the fleet, which keeps its events for [`Fleet::take_trace`] from now on.
+    #[must_use]
+    pub fn with_trace(self) -> Self {
+        Self {
+            trace: Some(Vec::new()),
+            ..self
+        }
+    }
+
+    /// Returns the events since the last call.
+    pub fn take_trace(&mut self) -> Vec<TraceRow> {
+        self.trace.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    fn record(&mut self, at: Time, host: WorkerId, key: TaskKey, run: u32, event: RunEvent) {
+        let clock_ms = self.hosts[index(host)].clock_ms(at);
+        if let Some(trace) = &mut self.trace {
+            trace.push(TraceRow {
+                at,
+                clock_ms,
+                host,
+                key,
+                run,
+                event,
+            });
         }
     }
 
@@ -119,6 +151,9 @@
         let host = &mut self.hosts[index(id)];
         let (answer, is_new) = host.start(now, order, fence, size, saves);
         if is_new {
+            let lease_until_ms = order.lease_until_ms;
+            let event = RunEvent::Began { lease_until_ms };
+            self.record(now, id, key, order.run, event);
             self.run_began(now, rng, id, key, order.run);
         }
         answer
@@ -219,28 +254,30 @@
             if at > now {
                 break;
             }
-            self.end_run(now, id, key, kind);
+            self.end_run((now, at), id, key, kind);
         }
         self.changed_hosts.push(id);
         self.schedule_tick(now, id);
     }
 
-    fn end_run(&mut self, now: Time, id: WorkerId, key: TaskKey, kind: EndKind) {
+    /// Ends a run that was due to end at `due`.
+    fn end_run(&mut self, (now, due): (Time, Time), id: WorkerId, key: TaskKey, kind: EndKind) {
         let saves = self.hosts[index(id)].saves(&key);
         let Some(run) = self.hosts[index(id)].end(now, key, kind) else {
             return;
         };
+        self.record(now, id, key, run, RunEvent::Ended { kind, due });
         self.checker
             .run_ended(now, key, run, id, WorkEnd::of(kind, saves));
         if kind == EndKind::Failed {
             self.checker.task_failed(key);
         }
-        self.end_gang(now, key, run, kind);
+        self.end_gang((now, due), key, run, kind);
     }
 
     /// Ends the other members of a gang after one member has ended: as done if that one is done, otherwise as
     /// interrupted.
-    fn end_gang(&mut self, now: Time, key: TaskKey, run: u32, kind: EndKind) {
+    fn end_gang(&mut self, (now, due): (Time, Time), key: TaskKey, run: u32, kind: EndKind) {
         let kind = if kind == EndKind::Done {
             EndKind::Done
         } else {
@@ -253,6 +290,7 @@
                 .get(&task)
                 .is_some_and(|r| r.run == run);
             if is_same && self.hosts[index(host)].end(now, task, kind).is_some() {
+                self.record(now, host, task, run, RunEvent::Ended { kind, due });
                 self.checker
                     .run_ended(now, task, run, host, WorkEnd::of(kind, false));
                 self.changed_hosts.push(host);
@@ -271,7 +309,7 @@
                 .collect();
             let id = WorkerId(u32::try_from(i).unwrap_or(u32::MAX));
             for key in waiting {
-                self.end_run(now, id, key, EndKind::Interrupted);
+                self.end_run((now, now), id, key, EndKind::Interrupted);
                 self.changed_hosts.push(id);
             }
         }
@@ -285,9 +323,11 @@
             return false;
         };
         if was_there {
-            let work = WorkEnd::of(EndKind::Interrupted, saves);
+            let kind = EndKind::Interrupted;
+            self.record(now, id, key, run, RunEvent::Ended { kind, due: now });
+            let work = WorkEnd::of(kind, saves);
             self.checker.run_ended(now, key, run, id, work);
-            self.end_gang(now, key, run, EndKind::Interrupted);
+            self.end_gang((now, now), key, run, kind);
             self.changed_hosts.push(id);
         }
         true
@@ -303,18 +343,17 @@
         lease_until_ms: Option<u64>,
     ) -> bool {
         let host = &mut self.hosts[index(id)];
-        let Some(acknowledged_ends): Option<Vec<EndedRow>> =
-            host.poll(now, fence, acknowledged, lease_until_ms)
-        else {
+        let Some(acknowledged_ends) = host.poll(now, fence, acknowledged, lease_until_ms) else {
             return false;
         };
-        for row in acknowledged_ends {
-            let kind = row.end.kind;
-            self.checker.end_acknowledged(
-                row.end.key,
-                kind == EndKind::Done,
-                kind == EndKind::Failed,
-            );
+        for (end, acknowledgement) in acknowledged_ends {
+            let event = RunEvent::Acknowledged(acknowledgement);
+            self.record(now, id, end.key, end.run, event);
+            if acknowledgement.is_binding() {
+                let (is_done, is_failure) =
+                    (end.kind == EndKind::Done, end.kind == EndKind::Failed);
+                self.checker.end_acknowledged(end.key, is_done, is_failure);
+            }
         }
         true
     }
@@ -322,8 +361,9 @@
     /// Crashes a host with all its runs.
     pub fn crash(&mut self, now: Time, id: WorkerId) {
         for (key, run) in self.hosts[index(id)].crash() {
+            self.record(now, id, key, run, RunEvent::Lost);
             self.checker.run_ended(now, key, run, id, WorkEnd::Lost);
-            self.end_gang(now, key, run, EndKind::Interrupted);
+            self.end_gang((now, now), key, run, EndKind::Interrupted);
         }
     }
 }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -11,6 +11,8 @@
 use model::{Size, Time};
 use sched::{EndedRow, Listing, RunningRow, StartAnswer, StartOrder, WorkerInfo};
 
+use super::trace::Acknowledgement;
+
 /// How long a run takes to restore a checkpoint.
 const RESTORE_TIME: Duration = Duration::from_millis(600);
 
@@ -277,15 +279,14 @@
     }
 
     /// Handles a poll: forgets the acknowledged ends and renews leases. Returns the acknowledged ends, or
-    /// `None` for an outdated fence. Leaves out ends that came before the host's lease last lapsed, because
-    /// their tasks may have been started elsewhere.
+    /// `None` for an outdated fence.
     pub(super) fn poll(
         &mut self,
         now: Time,
         fence: u64,
         acknowledged: u64,
         lease_until_ms: Option<u64>,
-    ) -> Option<Vec<EndedRow>> {
+    ) -> Option<Vec<(End, Acknowledgement)>> {
         if !self.check_fence(fence) {
             return None;
         }
@@ -297,11 +298,14 @@
         }
         self.renew(now, lease_until_ms);
         let count = self.ended.partition_point(|row| row.number <= acknowledged);
-        let (lapsed_at, ended_at) = (self.lapsed_at_ms, &mut self.ended_at_ms);
-        let forgotten = self.ended.drain(..count);
-        let acknowledged_ends = forgotten.filter(|row| {
-            let at = ended_at.remove(&row.number);
-            at.is_some_and(|at| at > lapsed_at)
+        let (lapsed_at_ms, ended_at) = (self.lapsed_at_ms, &mut self.ended_at_ms);
+        let acknowledged_ends = self.ended.drain(..count).map(|row| {
+            let acknowledgement = Acknowledgement {
+                kind: row.end.kind,
+                ended_at_ms: ended_at.remove(&row.number).unwrap_or(0),
+                lapsed_at_ms,
+            };
+            (row.end, acknowledgement)
         });
         Some(acknowledged_ends.collect())
     }
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod network;
 mod node;
 mod table;
+mod trace;
 mod world;
 
 pub use self::{
@@ -23,5 +24,6 @@
     fleet::{Fleet, Timer},
     host::Host,
     load::{Arrival, Burst, Kind, LoadSpec, generate},
+    trace::{Acknowledgement, RunEvent, TraceRow},
     world::{Cell, CellSpec, ClientRetry},
 };
