Judge ends on stand-in workers by when they were due, not when noticed

Why the check was wrong: the users' rule TWICE takes note of an end when lastSeen reaches it, "unless the minion's lease lapsed between the two; that stands for good". The stand-in worker stamped an end with the time at which its timer was handled. If the process was held up, that is after the lapse, so the end seemed to belong to the time after it and its acknowledgement to bind.

The scheduler did what it may: run 1 counted as interrupted once the lease had certainly lapsed, and its end was read only after that. A poll that was handled before the late timer could also renew a run whose lease had lapsed, and a second run could seem to overlap one that was due to end before it.

Now a fleet first ends the runs that were due, on all hosts and in their order, before it handles an order, a poll, a timer or a crash, and stamps each end with the time at which it was due. What counts against the scheduler is unchanged: an end acknowledged within its lease binds even if it was noticed late, as do failures and overlapping runs.

--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -3,7 +3,10 @@
 //! A [`Fleet`] has no clock and sends no messages. Its owner calls [`Fleet::take_timers`] for the events to
 //! bring about later, and [`Fleet::take_changed_hosts`] for the hosts whose polls may be answered.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
@@ -45,6 +48,8 @@
     pub(super) arrivals: HashMap<JobId, Arrival>,
     timers: Vec<(Time, Timer)>,
     changed_hosts: Vec<WorkerId>,
+    /// The hosts with the times at which a run on them may be due to end. A renewed lease leaves earlier times.
+    due: BTreeSet<(Time, WorkerId)>,
     /// The events since the last call of [`Fleet::take_trace`]; `None` if they are not kept.
     trace: Option<Vec<TraceRow>>,
 }
@@ -63,6 +68,7 @@
             arrivals: HashMap::new(),
             timers: Vec::new(),
             changed_hosts: Vec::new(),
+            due: BTreeSet::new(),
             trace: None,
         }
     }
@@ -141,6 +147,7 @@
         order: &StartOrder,
         fence: u64,
     ) -> StartAnswer {
+        self.catch_up(now);
         let key = order.key;
         let step = self
             .arrivals
@@ -244,31 +251,58 @@
     /// Sets a timer for the next end of a run on a host.
     pub(super) fn schedule_tick(&mut self, now: Time, host: WorkerId) {
         if let Some((at, _, _)) = self.hosts[index(host)].next_end() {
+            self.due.insert((at, host));
             self.timers.push((at.max(now), Timer::Tick(host)));
         }
     }
 
+    /// Ends the runs that were due before `now`, on all hosts and in the order in which they were due. An owner
+    /// that was held up may handle an order or a poll before the timer of an end. The hosts themselves have not
+    /// been held up: the end comes first, and a run whose lease has lapsed is not renewed.
+    pub fn catch_up(&mut self, now: Time) {
+        while let Some(&(at, id)) = self.due.first()
+            && at < now
+        {
+            self.due.pop_first();
+            if self.end_due(now, at, id) {
+                self.changed_hosts.push(id);
+            }
+            // The timer of this end still comes, and sets the next one.
+            let next = self.hosts[index(id)].next_end();
+            self.due.extend(next.map(|(at, _, _)| (at, id)));
+        }
+    }
+
     /// Ends the runs of a host that are due.
     pub fn tick(&mut self, now: Time, id: WorkerId) {
+        self.catch_up(now);
+        self.end_due(now, now, id);
+        self.changed_hosts.push(id);
+        self.schedule_tick(now, id);
+    }
+
+    /// Ends the runs of a host that were due at `until`. Returns whether there were any.
+    fn end_due(&mut self, now: Time, until: Time, id: WorkerId) -> bool {
+        let mut has_ended = false;
         while let Some((at, key, kind)) = self.hosts[index(id)].next_end() {
-            if at > now {
+            if at > until {
                 break;
             }
             self.end_run((now, at), id, key, kind);
+            has_ended = true;
         }
-        self.changed_hosts.push(id);
-        self.schedule_tick(now, id);
+        has_ended
     }
 
     /// Ends a run that was due to end at `due`.
     fn end_run(&mut self, (now, due): (Time, Time), id: WorkerId, key: TaskKey, kind: EndKind) {
         let saves = self.hosts[index(id)].saves(&key);
-        let Some(run) = self.hosts[index(id)].end(now, key, kind) else {
+        let Some(run) = self.hosts[index(id)].end(due, key, kind) else {
             return;
         };
         self.record(now, id, key, run, RunEvent::Ended { kind, due });
         self.checker
-            .run_ended(now, key, run, id, WorkEnd::of(kind, saves));
+            .run_ended(due, key, run, id, WorkEnd::of(kind, saves));
         if kind == EndKind::Failed {
             self.checker.task_failed(key);
         }
@@ -289,10 +323,10 @@
                 .runs
                 .get(&task)
                 .is_some_and(|r| r.run == run);
-            if is_same && self.hosts[index(host)].end(now, task, kind).is_some() {
+            if is_same && self.hosts[index(host)].end(due, task, kind).is_some() {
                 self.record(now, host, task, run, RunEvent::Ended { kind, due });
                 self.checker
-                    .run_ended(now, task, run, host, WorkEnd::of(kind, false));
+                    .run_ended(due, task, run, host, WorkEnd::of(kind, false));
                 self.changed_hosts.push(host);
             }
         }
@@ -300,6 +334,7 @@
 
     /// Interrupts the members of a gang's run that are still waiting for the others.
     pub fn gang_timeout(&mut self, now: Time, step: StepKey, run: u32) {
+        self.catch_up(now);
         for i in 0..self.hosts.len() {
             let waiting: Vec<TaskKey> = self.hosts[i]
                 .runs
@@ -317,6 +352,7 @@
 
     /// Handles an order to stop that reaches a host that is up. Returns whether its fence is current.
     pub fn stop(&mut self, now: Time, id: WorkerId, key: TaskKey, run: u32, fence: u64) -> bool {
+        self.catch_up(now);
         let host = &mut self.hosts[index(id)];
         let saves = host.saves(&key);
         let Some(was_there) = host.stop(now, key, run, fence) else {
@@ -342,6 +378,7 @@
         acknowledged: u64,
         lease_until_ms: Option<u64>,
     ) -> bool {
+        self.catch_up(now);
         let host = &mut self.hosts[index(id)];
         let Some(acknowledged_ends) = host.poll(now, fence, acknowledged, lease_until_ms) else {
             return false;
@@ -360,6 +397,7 @@
 
     /// Crashes a host with all its runs.
     pub fn crash(&mut self, now: Time, id: WorkerId) {
+        self.catch_up(now);
         for (key, run) in self.hosts[index(id)].crash() {
             self.record(now, id, key, run, RunEvent::Lost);
             self.checker.run_ended(now, key, run, id, WorkEnd::Lost);
