--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -3,17 +3,21 @@
 //! A [`Fleet`] has no clock and sends no messages. Its owner calls [`Fleet::take_timers`] for the events to
 //! bring about later, and [`Fleet::take_changed_hosts`] for the hosts whose polls may be answered.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
-use sched::{EndedRow, StartAnswer, StartOrder};
+use sched::{StartAnswer, StartOrder};
 
 use super::{
     checker::{Checker, WorkEnd},
     gangs::Gangs,
     host::Host,
     load::{Arrival, Kind},
+    trace::{RunEvent, TraceRow},
     world::chance,
 };
 use crate::Rng;
@@ -44,6 +48,10 @@
     pub(super) arrivals: HashMap<JobId, Arrival>,
     timers: Vec<(Time, Timer)>,
     changed_hosts: Vec<WorkerId>,
+    /// The hosts with the times at which a run on them may be due to end. A renewed lease leaves earlier times.
+    due: BTreeSet<(Time, WorkerId)>,
+    /// The events since the last call of [`Fleet::take_trace`]; `None` if they are not kept.
+    trace: Option<Vec<TraceRow>>,
 }
 
 impl Fleet {
@@ -60,6 +68,36 @@
             arrivals: HashMap::new(),
             timers: Vec::new(),
             changed_hosts: Vec::new(),
+            due: BTreeSet::new(),
+            trace: None,
+        }
+    }
+
+    /// Returns the fleet, which keeps its events for [`Fleet::take_trace`] from now on.
+    #[must_use]
+    pub fn with_trace(self) -> Self {
+        Self {
+            trace: Some(Vec::new()),
+            ..self
+        }
+    }
+
+    /// Returns the events since the last call.
+    pub fn take_trace(&mut self) -> Vec<TraceRow> {
+        self.trace.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    fn record(&mut self, at: Time, host: WorkerId, key: TaskKey, run: u32, event: RunEvent) {
+        let clock_ms = self.hosts[index(host)].clock_ms(at);
+        if let Some(trace) = &mut self.trace {
+            trace.push(TraceRow {
+                at,
+                clock_ms,
+                host,
+                key,
+                run,
+                event,
+            });
         }
     }
 
@@ -109,6 +147,7 @@
         order: &StartOrder,
         fence: u64,
     ) -> StartAnswer {
+        self.catch_up(now);
         let key = order.key;
         let step = self
             .arrivals
@@ -119,6 +158,9 @@
         let host = &mut self.hosts[index(id)];
         let (answer, is_new) = host.start(now, order, fence, size, saves);
         if is_new {
+            let lease_until_ms = order.lease_until_ms;
+            let event = RunEvent::Began { lease_until_ms };
+            self.record(now, id, key, order.run, event);
             self.run_began(now, rng, id, key, order.run);
         }
         answer
@@ -209,38 +251,67 @@
     /// Sets a timer for the next end of a run on a host.
     pub(super) fn schedule_tick(&mut self, now: Time, host: WorkerId) {
         if let Some((at, _, _)) = self.hosts[index(host)].next_end() {
+            self.due.insert((at, host));
             self.timers.push((at.max(now), Timer::Tick(host)));
         }
     }
 
+    /// Ends the runs that were due before `now`, on all hosts and in the order in which they were due. An owner
+    /// that was held up may handle an order or a poll before the timer of an end. The hosts themselves have not
+    /// been held up: the end comes first, and a run whose lease has lapsed is not renewed.
+    pub fn catch_up(&mut self, now: Time) {
+        while let Some(&(at, id)) = self.due.first()
+            && at < now
+        {
+            self.due.pop_first();
+            if self.end_due(now, at, id) {
+                self.changed_hosts.push(id);
+            }
+            // The timer of this end still comes, and sets the next one.
+            let next = self.hosts[index(id)].next_end();
+            self.due.extend(next.map(|(at, _, _)| (at, id)));
+        }
+    }
+
     /// Ends the runs of a host that are due.
     pub fn tick(&mut self, now: Time, id: WorkerId) {
+        self.catch_up(now);
+        self.end_due(now, now, id);
+        self.changed_hosts.push(id);
+        self.schedule_tick(now, id);
+    }
+
+    /// Ends the runs of a host that were due at `until`. Returns whether there were any.
+    fn end_due(&mut self, now: Time, until: Time, id: WorkerId) -> bool {
+        let mut has_ended = false;
         while let Some((at, key, kind)) = self.hosts[index(id)].next_end() {
-            if at > now {
+            if at > until {
                 break;
             }
-            self.end_run(now, id, key, kind);
+            self.end_run((now, at), id, key, kind);
+            has_ended = true;
         }
-        self.changed_hosts.push(id);
-        self.schedule_tick(now, id);
+        has_ended
     }
 
-    fn end_run(&mut self, now: Time, id: WorkerId, key: TaskKey, kind: EndKind) {
+    /// Ends a run that was due to end at `due`.
+    fn end_run(&mut self, (now, due): (Time, Time), id: WorkerId, key: TaskKey, kind: EndKind) {
         let saves = self.hosts[index(id)].saves(&key);
-        let Some(run) = self.hosts[index(id)].end(now, key, kind) else {
+        let Some(run) = self.hosts[index(id)].end(due, key, kind) else {
             return;
         };
+        self.record(now, id, key, run, RunEvent::Ended { kind, due });
         self.checker
-            .run_ended(now, key, run, id, WorkEnd::of(kind, saves));
+            .run_ended(due, key, run, id, WorkEnd::of(kind, saves));
         if kind == EndKind::Failed {
             self.checker.task_failed(key);
         }
-        self.end_gang(now, key, run, kind);
+        self.end_gang((now, due), key, run, kind);
     }
 
     /// Ends the other members of a gang after one member has ended: as done if that one is done, otherwise as
     /// interrupted.
-    fn end_gang(&mut self, now: Time, key: TaskKey, run: u32, kind: EndKind) {
+    fn end_gang(&mut self, (now, due): (Time, Time), key: TaskKey, run: u32, kind: EndKind) {
         let kind = if kind == EndKind::Done {
             EndKind::Done
         } else {
@@ -252,9 +323,10 @@
                 .runs
                 .get(&task)
                 .is_some_and(|r| r.run == run);
-            if is_same && self.hosts[index(host)].end(now, task, kind).is_some() {
+            if is_same && self.hosts[index(host)].end(due, task, kind).is_some() {
+                self.record(now, host, task, run, RunEvent::Ended { kind, due });
                 self.checker
-                    .run_ended(now, task, run, host, WorkEnd::of(kind, false));
+                    .run_ended(due, task, run, host, WorkEnd::of(kind, false));
                 self.changed_hosts.push(host);
             }
         }
@@ -262,6 +334,7 @@
 
     /// Interrupts the members of a gang's run that are still waiting for the others.
     pub fn gang_timeout(&mut self, now: Time, step: StepKey, run: u32) {
+        self.catch_up(now);
         for i in 0..self.hosts.len() {
             let waiting: Vec<TaskKey> = self.hosts[i]
                 .runs
@@ -271,7 +344,7 @@
                 .collect();
             let id = WorkerId(u32::try_from(i).unwrap_or(u32::MAX));
             for key in waiting {
-                self.end_run(now, id, key, EndKind::Interrupted);
+                self.end_run((now, now), id, key, EndKind::Interrupted);
                 self.changed_hosts.push(id);
             }
         }
@@ -279,15 +352,18 @@
 
     /// Handles an order to stop that reaches a host that is up. Returns whether its fence is current.
     pub fn stop(&mut self, now: Time, id: WorkerId, key: TaskKey, run: u32, fence: u64) -> bool {
+        self.catch_up(now);
         let host = &mut self.hosts[index(id)];
         let saves = host.saves(&key);
         let Some(was_there) = host.stop(now, key, run, fence) else {
             return false;
         };
         if was_there {
-            let work = WorkEnd::of(EndKind::Interrupted, saves);
+            let kind = EndKind::Interrupted;
+            self.record(now, id, key, run, RunEvent::Ended { kind, due: now });
+            let work = WorkEnd::of(kind, saves);
             self.checker.run_ended(now, key, run, id, work);
-            self.end_gang(now, key, run, EndKind::Interrupted);
+            self.end_gang((now, now), key, run, kind);
             self.changed_hosts.push(id);
         }
         true
@@ -302,28 +378,30 @@
         acknowledged: u64,
         lease_until_ms: Option<u64>,
     ) -> bool {
+        self.catch_up(now);
         let host = &mut self.hosts[index(id)];
-        let Some(acknowledged_ends): Option<Vec<EndedRow>> =
-            host.poll(now, fence, acknowledged, lease_until_ms)
-        else {
+        let Some(acknowledged_ends) = host.poll(now, fence, acknowledged, lease_until_ms) else {
             return false;
         };
-        for row in acknowledged_ends {
-            let kind = row.end.kind;
-            self.checker.end_acknowledged(
-                row.end.key,
-                kind == EndKind::Done,
-                kind == EndKind::Failed,
-            );
+        for (end, acknowledgement) in acknowledged_ends {
+            let event = RunEvent::Acknowledged(acknowledgement);
+            self.record(now, id, end.key, end.run, event);
+            if acknowledgement.is_binding() {
+                let (is_done, is_failure) =
+                    (end.kind == EndKind::Done, end.kind == EndKind::Failed);
+                self.checker.end_acknowledged(end.key, is_done, is_failure);
+            }
         }
         true
     }
 
     /// Crashes a host with all its runs.
     pub fn crash(&mut self, now: Time, id: WorkerId) {
+        self.catch_up(now);
         for (key, run) in self.hosts[index(id)].crash() {
+            self.record(now, id, key, run, RunEvent::Lost);
             self.checker.run_ended(now, key, run, id, WorkEnd::Lost);
-            self.end_gang(now, key, run, EndKind::Interrupted);
+            self.end_gang((now, now), key, run, EndKind::Interrupted);
         }
     }
 }
