Give a stand-in host one lease, of 10 s at most

The platform's lease holds for all that runs on a host, is taken from each start that isn't refused for its fence, also from one that is outdated, and is shortened to a maximum. The stand-in had a lease for each run and no maximum. A lease that is given on the clock of an earlier incarnation, as the new one's clock begins anew, is longer than what the scheduler assumes, up to that maximum.

--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -14,13 +14,14 @@
 /// How long a run takes to restore a checkpoint.
 const RESTORE_TIME: Duration = Duration::from_millis(600);
 
+/// The longest lease, in milliseconds on the host's clock. A longer one is shortened to it.
+const MAX_LEASE_MS: u64 = 10_000;
+
 /// A run on a host.
 #[derive(Clone, Debug)]
 pub(super) struct HostRun {
     pub(super) run: u32,
     pub(super) size: Size,
-    /// The end of its lease on the host's clock, in milliseconds.
-    pub(super) lease_until_ms: u64,
     /// When and how it ends by itself; `None` while its gang is incomplete.
     pub(super) ends: Option<(Time, EndKind)>,
     /// The work that it saves, if its step saves progress.
@@ -81,7 +82,7 @@
     ended: Vec<EndedRow>,
     last_end_number: u64,
     pub(super) is_up: bool,
-    /// The end of the host's lease and the end of its last lapsed lease, on its clock.
+    /// The end of the lease of all runs, and the end of the last lapsed lease, on the host's clock.
     lease_until_ms: u64,
     lapsed_at_ms: u64,
     /// The time of each unacknowledged end on the host's clock, by the number of the end.
@@ -120,14 +121,15 @@
         }
     }
 
-    /// Extends the host's lease; an earlier `until_ms` leaves it as it is. Records the end of a lease that
-    /// has lapsed before this renewal.
+    /// Extends the lease of all runs, to [`MAX_LEASE_MS`] from now at most; an earlier `until_ms` leaves it as
+    /// it is. Records the end of a lease that has lapsed before this renewal.
     fn renew(&mut self, now: Time, until_ms: Option<u64>) {
         let clock = self.clock_ms(now);
         if self.lease_until_ms <= clock {
             self.lapsed_at_ms = self.lease_until_ms;
         }
-        self.lease_until_ms = self.lease_until_ms.max(until_ms.unwrap_or(0));
+        let until_ms = until_ms.unwrap_or(0).min(clock + MAX_LEASE_MS);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
     }
 
     /// Returns whether the host is up.
@@ -207,23 +209,24 @@
             .get(&start.key)
             .is_some_and(|run| run.run == start.run)
         {
+            self.renew(now, Some(start.lease_until_ms));
             return (StartAnswer::Started, false);
         }
         let is_ended = self
             .last_ended_run
             .get(&start.key)
             .is_some_and(|&run| run >= start.run);
+        // The lease of an order that is refused as outdated is taken nevertheless.
+        self.renew(now, Some(start.lease_until_ms));
         if is_ended
             || self.runs.contains_key(&start.key)
             || start.lease_until_ms <= self.clock_ms(now)
         {
             return (StartAnswer::Outdated, false);
         }
-        self.renew(now, Some(start.lease_until_ms));
         let run = HostRun {
             run: start.run,
             size,
-            lease_until_ms: start.lease_until_ms,
             ends: None,
             saved: saves.then(|| SavedWork::resume(now, &start.checkpoint)),
         };
@@ -289,12 +292,6 @@
         if !self.check_fence(fence) {
             return None;
         }
-        let clock = self.clock_ms(now);
-        for run in self.runs.values_mut() {
-            if let Some(until) = lease_until_ms.filter(|&until| until > clock) {
-                run.lease_until_ms = run.lease_until_ms.max(until);
-            }
-        }
         self.renew(now, lease_until_ms);
         let count = self.ended.partition_point(|row| row.number <= acknowledged);
         let (lapsed_at, ended_at) = (self.lapsed_at_ms, &mut self.ended_at_ms);
@@ -333,11 +330,11 @@
         }
     }
 
-    /// Returns the next end of a run: its time, task and kind. A run whose lease lapses is interrupted.
+    /// Returns the next end of a run: its time, task and kind. When the lease lapses, all runs are interrupted.
     pub(super) fn next_end(&self) -> Option<(Time, TaskKey, EndKind)> {
+        let lapse_ms = self.lease_until_ms + self.overrun_ms;
+        let lapse = (self.true_time(lapse_ms), EndKind::Interrupted);
         let ends = self.runs.iter().map(|(&key, run)| {
-            let lapse_ms = run.lease_until_ms + self.overrun_ms;
-            let lapse = (self.true_time(lapse_ms), EndKind::Interrupted);
             let (at, kind) = run.ends.filter(|own| own.0 <= lapse.0).unwrap_or(lapse);
             (at, key, kind)
         });
