--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -29,6 +29,15 @@
     TableAnswersLost(Duration),
     /// All runs that a host starts fail.
     HostFailsAll(Duration),
+    /// A host is unhealthy: it answers start orders with a refusal and does nothing.
+    HostUnhealthy(Duration),
+    /// A host is unhealthy half of the time, by turns of a few hundred milliseconds.
+    HostFlaps(Duration),
+    /// Orders and polls reach a host and are carried out, and their answers are lost.
+    HostAnswersCut(Duration),
+    /// A share of the connections to hosts is reset before the answer arrives. Their orders and polls are carried
+    /// out at once or seconds later.
+    OrdersReset(Duration),
 }
 
 /// A safeguard that is left out, to test that the checker detects the consequences.
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -21,6 +21,24 @@
 /// The run time of tasks on a host that fails all its runs.
 const QUICK_FAILURE_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a host that flaps stays healthy or unhealthy, in milliseconds.
+const FLAP_MS: u64 = 400;
+
+/// A time in which a host refuses to start anything.
+#[derive(Clone, Copy, Debug)]
+struct Illness {
+    until: Time,
+    /// Whether the host is healthy in every other interval of [`FLAP_MS`].
+    flaps: bool,
+}
+
+impl Illness {
+    fn is_acute(self, now: Time) -> bool {
+        let is_well = self.flaps && (now.as_ms() / FLAP_MS).is_multiple_of(2);
+        now < self.until && !is_well
+    }
+}
+
 /// An event that the owner of a [`Fleet`] has to bring about at a given time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
@@ -39,6 +57,7 @@
     /// How long the first members of a gang wait for the others.
     gang_wait: Duration,
     fails_all_until: HashMap<WorkerId, Time>,
+    illnesses: HashMap<WorkerId, Illness>,
     gangs: Gangs,
     pub(super) checker: Checker,
     pub(super) arrivals: HashMap<JobId, Arrival>,
@@ -55,6 +74,7 @@
             kinds,
             gang_wait,
             fails_all_until: HashMap::new(),
+            illnesses: HashMap::new(),
             gangs: Gangs::default(),
             checker: Checker::default(),
             arrivals: HashMap::new(),
@@ -100,6 +120,11 @@
         self.fails_all_until.insert(id, until);
     }
 
+    /// Makes the host refuse to start anything before `until`, or half of the time if it flaps.
+    pub fn make_unhealthy(&mut self, id: WorkerId, until: Time, flaps: bool) {
+        self.illnesses.insert(id, Illness { until, flaps });
+    }
+
     /// Handles an order to start that reaches a host that is up.
     pub fn start(
         &mut self,
@@ -109,6 +134,10 @@
         order: &StartOrder,
         fence: u64,
     ) -> StartAnswer {
+        let is_ill = |illness: &Illness| illness.is_acute(now);
+        if self.illnesses.get(&id).is_some_and(is_ill) {
+            return StartAnswer::Unhealthy;
+        }
         let key = order.key;
         let step = self
             .arrivals
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -12,6 +12,9 @@
 
 /// The share of orders that arrive late during [`CellFault::OrdersLate`](super::CellFault::OrdersLate).
 const LATE_ORDERS_PER_MILLE: u32 = 300;
+/// The share of orders whose connection is reset during
+/// [`CellFault::OrdersReset`](super::CellFault::OrdersReset). Half of these orders arrive late.
+const RESET_ORDERS_PER_MILLE: u32 = 300;
 /// The share of the table's answers that are lost during
 /// [`CellFault::TableAnswersLost`](super::CellFault::TableAnswersLost).
 const LOST_ANSWERS_PER_MILLE: u32 = 300;
@@ -29,6 +32,9 @@
     Arrives(Time),
     /// The message arrives at this time, and its answer is lost.
     Unanswered(Time),
+    /// The message arrives at the first time, and at the second one its sender notices that the connection was
+    /// reset.
+    Reset(Time, Time),
     /// The message is lost.
     Lost,
 }
@@ -37,9 +43,11 @@
 pub(super) struct Network {
     rng: Rng,
     cut_until: HashMap<WorkerId, Time>,
+    answers_cut_until: HashMap<WorkerId, Time>,
     pub(super) table_down_until: Time,
     pub(super) table_slow_until: Time,
     pub(super) orders_late_until: Time,
+    pub(super) orders_reset_until: Time,
     pub(super) answers_lost_until: Time,
 }
 
@@ -48,9 +56,11 @@
         Self {
             rng: Rng::new(seed),
             cut_until: HashMap::new(),
+            answers_cut_until: HashMap::new(),
             table_down_until: Time::ZERO,
             table_slow_until: Time::ZERO,
             orders_late_until: Time::ZERO,
+            orders_reset_until: Time::ZERO,
             answers_lost_until: Time::ZERO,
         }
     }
@@ -69,6 +79,17 @@
         self.cut_until.get(&host).is_some_and(|&until| now < until)
     }
 
+    pub(super) fn cut_answers(&mut self, host: WorkerId, until: Time) {
+        let cut = self.answers_cut_until.entry(host).or_default();
+        *cut = (*cut).max(until);
+    }
+
+    /// Returns whether the answers of a host are lost while its orders arrive.
+    pub(super) fn are_answers_cut(&self, now: Time, host: WorkerId) -> bool {
+        let cut = self.answers_cut_until.get(&host);
+        cut.is_some_and(|&until| now < until)
+    }
+
     /// Draws the delivery of an order or a poll to a host.
     pub(super) fn deliver_order(&mut self, now: Time, host: WorkerId) -> Delivery {
         if self.is_cut(now, host) {
@@ -77,6 +98,14 @@
         if now < self.orders_late_until && self.rng.chance(LATE_ORDERS_PER_MILLE) {
             return Delivery::Unanswered(now + self.rng.span(LATE_DELAY.0, LATE_DELAY.1));
         }
+        if now < self.orders_reset_until && self.rng.chance(RESET_ORDERS_PER_MILLE) {
+            let at = if self.rng.chance(500) {
+                now + self.rng.span(LATE_DELAY.0, LATE_DELAY.1)
+            } else {
+                now + self.delay()
+            };
+            return Delivery::Reset(at, now + self.delay() * 2);
+        }
         Delivery::Arrives(now + self.delay())
     }
 
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -76,6 +76,9 @@
     pub arrivals: Vec<Arrival>,
     /// The faults with their times.
     pub faults: Vec<(Time, CellFault)>,
+    /// Whether an order or a poll that is carried out late may be carried out by the next incarnation of its host.
+    /// The platform's description does not say. `false` by default.
+    pub orders_outlive_hosts: bool,
     /// The safeguard that is left out, if any.
     pub mutation: Mutation,
     /// The seed of the random delays, faults and failures.
@@ -96,6 +99,7 @@
             kinds: Vec::new(),
             arrivals: Vec::new(),
             faults: Vec::new(),
+            orders_outlive_hosts: false,
             mutation: Mutation::None,
             seed: 0,
         }
@@ -129,7 +133,7 @@
     Stop(Sent, StopOrder),
     StopAnswered(usize, u64, StopOrder),
     NextPoll(usize, u64, WorkerId),
-    PollArrives(PendingPoll, u64),
+    PollArrives(PendingPoll),
     PollTimeout(WorkerId),
     PollAnswered(
         usize,
@@ -159,15 +163,17 @@
     incarnation: u64,
     host: WorkerId,
     fence: u64,
-    /// For an order that is carried out late: the start time of the host incarnation that received it.
+    /// Whether the sender waits for an answer that may arrive.
+    is_answered: bool,
+    /// For an order that is carried out late: the start time of the host incarnation that received it, unless it
+    /// survives the end of that incarnation.
     late_incarnation: Option<u64>,
 }
 
 /// A long poll that a node has sent to a host.
 #[derive(Clone, Debug)]
 struct PendingPoll {
-    node: usize,
-    incarnation: u64,
+    sent: Sent,
     order: PollOrder,
     sent_at: Time,
     deadline: Time,
@@ -352,7 +358,7 @@
             Event::NextPoll(node, incarnation, host) => {
                 self.continue_polling(node, incarnation, host);
             }
-            Event::PollArrives(poll, fence) => self.poll_arrives(poll, fence),
+            Event::PollArrives(poll) => self.poll_arrives(poll),
             Event::PollTimeout(host) => self.answer_polls(host),
             Event::PollAnswered(node, incarnation, host, sent_at, answer) => {
                 self.poll_answered(node, incarnation, host, sent_at, answer);
@@ -500,6 +506,12 @@
             CellFault::OrdersLate(span) => self.network.orders_late_until = self.now + span,
             CellFault::TableAnswersLost(span) => self.network.answers_lost_until = self.now + span,
             CellFault::HostFailsAll(span) => self.fleet.fail_all(host, self.now + span),
+            CellFault::HostUnhealthy(span) => {
+                self.fleet.make_unhealthy(host, self.now + span, false);
+            }
+            CellFault::HostFlaps(span) => self.fleet.make_unhealthy(host, self.now + span, true),
+            CellFault::HostAnswersCut(span) => self.network.cut_answers(host, self.now + span),
+            CellFault::OrdersReset(span) => self.network.orders_reset_until = self.now + span,
         }
     }
 
@@ -637,7 +649,7 @@
         };
         let (at, answers) = match self.network.deliver_write(self.now) {
             Delivery::Arrives(at) => (Some(at), true),
-            Delivery::Unanswered(at) => (Some(at), false),
+            Delivery::Unanswered(at) | Delivery::Reset(at, _) => (Some(at), false),
             Delivery::Lost => (None, false),
         };
         if let Some(at) = at {
@@ -697,13 +709,23 @@
                         self.schedule(at, Event::Start(sent, order.clone()));
                         self.start_unanswered(node, incarnation, order);
                     }
+                    Delivery::Reset(at, noticed_at) => {
+                        self.schedule(at, Event::Start(sent, order.clone()));
+                        let answer = StartAnswer::Unknown;
+                        self.schedule(
+                            noticed_at,
+                            Event::StartAnswered(node, incarnation, order, answer),
+                        );
+                    }
                     Delivery::Lost => self.start_unanswered(node, incarnation, order),
                 }
             }
             Action::Stop(order) => {
                 let (delivery, sent) = self.send(node, incarnation, fence, order.worker);
                 match delivery {
-                    Delivery::Arrives(at) | Delivery::Unanswered(at) => {
+                    Delivery::Arrives(at)
+                    | Delivery::Unanswered(at)
+                    | Delivery::Reset(at, _) => {
                         self.schedule(at, Event::Stop(sent, order));
                     }
                     Delivery::Lost => {}
@@ -741,15 +763,16 @@
     ) -> (Delivery, Sent) {
         let host = self.host_of(node, worker);
         let delivery = self.network.deliver_order(self.now, host);
-        let is_late = matches!(delivery, Delivery::Unanswered(_));
-        let late_incarnation =
-            is_late.then_some(self.fleet.hosts[index(host)].info.started_unix_ms);
+        let is_late = matches!(delivery, Delivery::Unanswered(_) | Delivery::Reset(..));
+        let started_unix_ms = self.fleet.hosts[index(host)].info.started_unix_ms;
         let sent = Sent {
             node,
             incarnation,
             host,
             fence,
-            late_incarnation,
+            is_answered: matches!(delivery, Delivery::Arrives(_)),
+            late_incarnation: (is_late && !self.spec.orders_outlive_hosts)
+                .then_some(started_unix_ms),
         };
         (delivery, sent)
     }
@@ -827,9 +850,8 @@
         let Sent {
             node, incarnation, ..
         } = sent;
-        let answers = sent.late_incarnation.is_none();
         if !self.is_received(sent) {
-            if answers {
+            if sent.is_answered {
                 self.start_unanswered(node, incarnation, order);
             }
             return;
@@ -838,10 +860,14 @@
             .fleet
             .start(self.now, &mut self.rng, sent.host, &order, sent.fence);
         self.process_host_changes();
-        if answers {
-            let at = self.now + self.network.delay();
-            self.schedule(at, Event::StartAnswered(node, incarnation, order, answer));
+        if !sent.is_answered {
+            return;
+        }
+        if self.network.are_answers_cut(self.now, sent.host) {
+            return self.start_unanswered(node, incarnation, order);
         }
+        let at = self.now + self.network.delay();
+        self.schedule(at, Event::StartAnswered(node, incarnation, order, answer));
     }
 
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
@@ -852,7 +878,7 @@
             return;
         }
         self.process_host_changes();
-        if sent.late_incarnation.is_none() {
+        if sent.is_answered && !self.network.are_answers_cut(self.now, sent.host) {
             let at = self.now + self.network.delay();
             self.schedule(at, Event::StopAnswered(sent.node, sent.incarnation, order));
         }
@@ -894,48 +920,69 @@
         }
         self.open_polls.insert((node, incarnation, order.worker));
         let fence = self.nodes[node].lease.row.epoch;
+        let (delivery, sent) = self.send(node, incarnation, fence, order.worker);
         let poll = PendingPoll {
-            node,
-            incarnation,
+            sent,
             sent_at: self.now,
             deadline: self.now + order.wait,
             order,
         };
-        match self.network.deliver_order(self.now, host) {
+        let timeout = poll.deadline + CALL_TIMEOUT;
+        match delivery {
             Delivery::Arrives(at) if self.fleet.hosts[index(host)].is_up => {
-                self.schedule(at, Event::PollArrives(poll, fence));
+                self.schedule(at, Event::PollArrives(poll));
             }
-            _ => {
-                let at = poll.deadline + CALL_TIMEOUT;
-                let (worker, sent_at) = (poll.order.worker, poll.sent_at);
-                let failure = Err(PollFailure::Silent);
-                self.schedule(
-                    at,
-                    Event::PollAnswered(node, incarnation, worker, sent_at, failure),
-                );
+            Delivery::Unanswered(at) => {
+                self.poll_fails_at(timeout, &poll);
+                self.schedule(at, Event::PollArrives(poll));
+            }
+            Delivery::Reset(at, noticed_at) => {
+                self.poll_fails_at(noticed_at, &poll);
+                self.schedule(at, Event::PollArrives(poll));
             }
+            Delivery::Arrives(_) | Delivery::Lost => self.poll_fails_at(timeout, &poll),
         }
     }
 
-    fn poll_arrives(&mut self, poll: PendingPoll, fence: u64) {
-        let id = if self.nodes[poll.node].incarnation == poll.incarnation {
-            self.host_of(poll.node, poll.order.worker)
-        } else {
+    fn poll_fails_at(&mut self, at: Time, poll: &PendingPoll) {
+        let Sent {
+            node, incarnation, ..
+        } = poll.sent;
+        let failure = Err(PollFailure::Silent);
+        self.schedule(
+            at,
+            Event::PollAnswered(node, incarnation, poll.order.worker, poll.sent_at, failure),
+        );
+    }
+
+    fn poll_arrives(&mut self, poll: PendingPoll) {
+        let (now, sent, order) = (self.now, poll.sent, poll.order.clone());
+        let id = sent.host;
+        if !self.is_received(sent) {
+            if sent.is_answered {
+                self.poll_fails_at(poll.deadline + CALL_TIMEOUT, &poll);
+            }
             return;
-        };
-        let (now, order) = (self.now, poll.order.clone());
-        let is_current = self
-            .fleet
-            .poll(now, id, fence, order.acknowledged, order.lease_until_ms);
+        }
+        let is_current = self.fleet.poll(
+            now,
+            id,
+            sent.fence,
+            order.acknowledged,
+            order.lease_until_ms,
+        );
+        let deadline = poll.deadline;
         if !is_current {
-            let answer = Err(PollFailure::Fenced);
-            self.answer_poll(&poll, answer);
+            if sent.is_answered {
+                self.answer_poll(&poll, Err(PollFailure::Fenced));
+            }
             return;
         }
-        let deadline = poll.deadline;
-        self.pending_polls.entry(id).or_default().push(poll);
-        self.answer_polls(id);
-        self.schedule(deadline.max(self.now), Event::PollTimeout(id));
+        if sent.is_answered {
+            self.pending_polls.entry(id).or_default().push(poll);
+            self.answer_polls(id);
+            self.schedule(deadline.max(self.now), Event::PollTimeout(id));
+        }
         self.fleet.schedule_tick(self.now, id);
         self.process_host_changes();
     }
@@ -961,6 +1008,10 @@
         self.pending_polls.insert(id, waiting);
         for poll in due {
             let listing = self.fleet.hosts[index(id)].list(self.now);
+            if self.network.are_answers_cut(self.now, id) {
+                self.poll_fails_at(poll.deadline + CALL_TIMEOUT, &poll);
+                continue;
+            }
             let answer = if self.fleet.hosts[index(id)].is_up && !self.network.is_cut(self.now, id)
             {
                 Ok(Box::new(listing))
@@ -973,15 +1024,12 @@
 
     fn answer_poll(&mut self, poll: &PendingPoll, answer: Result<Box<Listing>, PollFailure>) {
         let at = self.now + self.network.delay();
-        let PendingPoll {
-            node,
-            incarnation,
-            sent_at,
-            ..
-        } = *poll;
+        let Sent {
+            node, incarnation, ..
+        } = poll.sent;
         self.schedule(
             at,
-            Event::PollAnswered(node, incarnation, poll.order.worker, sent_at, answer),
+            Event::PollAnswered(node, incarnation, poll.order.worker, poll.sent_at, answer),
         );
     }
 
