Let hosts refuse tickets that have lapsed

A ticket is valid for a step on one incarnation of a host, for the time that its queue states; the stand-in took any.

--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -125,6 +125,11 @@
         self.illnesses.insert(id, Illness { until, flaps });
     }
 
+    pub(super) fn is_unhealthy(&self, now: Time, id: WorkerId) -> bool {
+        let is_acute = |illness: &Illness| illness.is_acute(now);
+        self.illnesses.get(&id).is_some_and(is_acute)
+    }
+
     /// Handles an order to start that reaches a host that is up.
     pub fn start(
         &mut self,
@@ -134,8 +139,7 @@
         order: &StartOrder,
         fence: u64,
     ) -> StartAnswer {
-        let is_ill = |illness: &Illness| illness.is_acute(now);
-        if self.illnesses.get(&id).is_some_and(is_ill) {
+        if self.is_unhealthy(now, id) {
             return StartAnswer::Unhealthy;
         }
         let key = order.key;
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -808,7 +808,8 @@
         workers: Vec<Arc<str>>,
         cost: Duration,
     ) {
-        let at = self.approvals.answer_at(self.now, approver, cost) + self.network.delay() * 2;
+        let issued_at = self.approvals.answer_at(self.now, approver, cost);
+        let at = issued_at + self.network.delay() * 2;
         let Some(arrival) = self.fleet.arrivals.get(&step.job) else {
             return;
         };
@@ -822,14 +823,15 @@
             .queue
             .approval
             .map_or(Duration::ZERO, |approval| approval.valid);
-        let allowed = workers
-            .iter()
-            .filter(|worker| {
-                self.approvals
-                    .is_allowed(step, self.host_named(worker), share)
-            })
-            .map(|worker| (worker.clone(), Arc::from("ticket")))
-            .collect();
+        let mut allowed = Vec::new();
+        for worker in &workers {
+            let host = self.host_named(worker);
+            if self.approvals.is_allowed(step, host, share) {
+                let born = self.fleet.hosts[index(host)].info.started_unix_ms;
+                let ticket = self.approvals.issue(step, host, born, issued_at + valid);
+                allowed.push((worker.clone(), ticket));
+            }
+        }
         self.schedule(
             at,
             Event::Approved(node, incarnation, step, workers, allowed, valid),
@@ -856,9 +858,14 @@
             }
             return;
         }
-        let answer = self
-            .fleet
-            .start(self.now, &mut self.rng, sent.host, &order, sent.fence);
+        let answer = if self.fleet.is_unhealthy(self.now, sent.host)
+            || self.is_approved(sent.host, &order)
+        {
+            self.fleet
+                .start(self.now, &mut self.rng, sent.host, &order, sent.fence)
+        } else {
+            StartAnswer::NoApproval
+        };
         self.process_host_changes();
         if !sent.is_answered {
             return;
@@ -870,6 +877,21 @@
         self.schedule(at, Event::StartAnswered(node, incarnation, order, answer));
     }
 
+    /// Returns whether an order carries a ticket that is valid now, if its queue needs one.
+    fn is_approved(&self, host: WorkerId, order: &StartOrder) -> bool {
+        let arrival = self.fleet.arrivals.get(&order.key.job);
+        if arrival.is_none_or(|arrival| arrival.job.queue.approval.is_none()) {
+            return true;
+        }
+        let born = self.fleet.hosts[index(host)].info.started_unix_ms;
+        let step = order.key.step_key();
+        let ticket = order.ticket.as_ref();
+        ticket.is_some_and(|ticket| {
+            self.approvals
+                .is_valid(self.now, ticket, step, host, born)
+        })
+    }
+
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
         let (key, run) = (order.key, order.run);
         let is_done =
