Judge gangs as one, and starts before an end was acknowledged

A gang's failed runs may each end at another member, so its budget was hardly checked. Runs of two numbers of one gang at a time are now an overlap, whichever members they are.

--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -12,15 +12,16 @@
 /// A violated guarantee.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Breach {
-    /// Two runs of one task overlapped.
+    /// Two runs of one task, or of one gang, overlapped.
     RanTwice(TaskKey),
-    /// A run began after a successful end of the same task was acknowledged to its host.
+    /// A run began after a successful end of the same task or gang that was acknowledged to its host, then or later.
     RanAgain(TaskKey),
     /// The runs on a host exceeded its capacity.
     OverCapacity(WorkerId),
     /// A step began before a step that it depends on was done.
     OutOfOrder(StepKey),
-    /// A task began after its acknowledged failures had reached the limit of its queue.
+    /// A task or gang began after as many of its runs had failed as its queue allows, and these ends were
+    /// acknowledged, then or later.
     OverBudget(TaskKey),
     /// More tasks of a step ran on one host than the step allows.
     OverSpread(StepKey),
@@ -118,15 +119,27 @@
     running: HashMap<TaskKey, ActiveRun>,
     /// Tasks that were done on a host.
     done: BTreeSet<TaskKey>,
-    /// Tasks whose successful end was acknowledged to the host.
+    /// The last start of each task, or of any member of a gang.
+    last_starts: HashMap<TaskKey, Time>,
+    /// Tasks and gangs whose successful end was acknowledged to the host.
     acknowledged_done: BTreeSet<TaskKey>,
     failures: HashMap<TaskKey, u32>,
-    acknowledged_failures: HashMap<TaskKey, u32>,
+    /// The runs of each task or gang whose failure was acknowledged, with the time of the failure.
+    acknowledged_failures: HashMap<TaskKey, BTreeMap<u32, Time>>,
     cancelled: BTreeMap<JobId, Time>,
     pub(super) published: HashMap<JobId, (State, Time)>,
     first_starts: HashMap<JobId, Time>,
 }
 
+/// Returns the key for what is counted for a task: its own, or that of the first member of its gang.
+fn unit(job: &Job, key: TaskKey) -> TaskKey {
+    if job.steps[usize::from(key.step)].gang {
+        key.step_key().task(0)
+    } else {
+        key
+    }
+}
+
 /// How long after the acknowledgement of its cancellation a task of a job may still begin.
 const CANCEL_GRACE: Duration = Duration::from_secs(3);
 
@@ -187,7 +200,15 @@
             .per_worker
             .is_none_or(|limit| step_tasks_on_host <= limit);
         let limit = job.queue.max_failures;
-        let failures = self.acknowledged_failures.get(&key).copied().unwrap_or(0);
+        let unit = unit(job, key);
+        let failures = self.acknowledged_failures.get(&unit);
+        let failures = failures.map_or(0, BTreeMap::len);
+        let members = if step.gang { 0..step.tasks } else { 0..0 };
+        let is_other_run = |index| {
+            let member = self.running.get(&TaskKey { index, ..key });
+            member.is_some_and(|active| active.run != run)
+        };
+        let overlaps = self.running.contains_key(&key) || members.into_iter().any(is_other_run);
         let is_after_cancel = self
             .cancelled
             .get(&key.job)
@@ -198,7 +219,7 @@
         if !is_spread {
             self.record(Breach::OverSpread(key.step_key()));
         }
-        if failures >= limit {
+        if failures >= usize::try_from(limit).unwrap_or(usize::MAX) {
             self.record(Breach::OverBudget(key));
         }
         if is_after_cancel {
@@ -207,12 +228,13 @@
         if !used.fits(&size) {
             self.record(Breach::OverCapacity(host));
         }
-        if self.acknowledged_done.contains(&key) {
+        if self.acknowledged_done.contains(&unit) {
             self.record(Breach::RanAgain(key));
         }
-        if self.running.contains_key(&key) {
+        if overlaps {
             self.record(Breach::RanTwice(key));
         }
+        self.last_starts.insert(unit, now);
         self.running.insert(key, ActiveRun { host, run, at: now });
     }
 
@@ -255,13 +277,37 @@
         *self.failures.entry(key).or_default() += 1;
     }
 
-    /// Records that an end was acknowledged to its host, which forgets it.
-    pub(super) fn end_acknowledged(&mut self, key: TaskKey, is_done: bool, is_failure: bool) {
-        if is_done {
-            self.acknowledged_done.insert(key);
-        }
-        if is_failure {
-            *self.acknowledged_failures.entry(key).or_default() += 1;
+    /// Records that the end of a run at `ended_at` was acknowledged to its host, which forgets it. Checks the
+    /// starts between the two.
+    pub(super) fn end_acknowledged(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        kind: EndKind,
+        ended_at: Time,
+    ) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let unit = unit(job, key);
+        let limit = usize::try_from(job.queue.max_failures).unwrap_or(usize::MAX);
+        let last_start = self.last_starts.get(&unit).copied().unwrap_or_default();
+        match kind {
+            EndKind::Done => {
+                if last_start > ended_at && self.acknowledged_done.insert(unit) {
+                    self.record(Breach::RanAgain(key));
+                }
+                self.acknowledged_done.insert(unit);
+            }
+            EndKind::Failed => {
+                let failures = self.acknowledged_failures.entry(unit).or_default();
+                failures.insert(run, ended_at);
+                let earlier = failures.values().filter(|&&at| at < last_start).count();
+                if last_start > ended_at && earlier >= limit {
+                    self.record(Breach::OverBudget(key));
+                }
+            }
+            EndKind::Interrupted => {}
         }
     }
 
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -336,18 +336,12 @@
         lease_until_ms: Option<u64>,
     ) -> bool {
         let host = &mut self.hosts[index(id)];
-        let Some(acknowledged_ends): Option<Vec<EndedRow>> =
-            host.poll(now, fence, acknowledged, lease_until_ms)
-        else {
+        let Some(acknowledged_ends) = host.poll(now, fence, acknowledged, lease_until_ms) else {
             return false;
         };
-        for row in acknowledged_ends {
-            let kind = row.end.kind;
-            self.checker.end_acknowledged(
-                row.end.key,
-                kind == EndKind::Done,
-                kind == EndKind::Failed,
-            );
+        for (EndedRow { end, .. }, ended_at) in acknowledged_ends {
+            self.checker
+                .end_acknowledged(end.key, end.run, end.kind, ended_at);
         }
         true
     }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -85,8 +85,8 @@
     /// The end of the lease of all runs, and the end of the last lapsed lease, on the host's clock.
     lease_until_ms: u64,
     lapsed_at_ms: u64,
-    /// The time of each unacknowledged end on the host's clock, by the number of the end.
-    ended_at_ms: HashMap<u64, u64>,
+    /// The time of each unacknowledged end, by its number.
+    ended_at: HashMap<u64, Time>,
 }
 
 impl Host {
@@ -108,7 +108,7 @@
             is_up: true,
             lease_until_ms: 0,
             lapsed_at_ms: 0,
-            ended_at_ms: HashMap::new(),
+            ended_at: HashMap::new(),
         }
     }
 
@@ -174,7 +174,7 @@
         self.fence = 0;
         self.lease_until_ms = 0;
         self.lapsed_at_ms = 0;
-        self.ended_at_ms.clear();
+        self.ended_at.clear();
         runs
     }
 
@@ -260,8 +260,7 @@
         let last_ended_run = self.last_ended_run.entry(key).or_default();
         *last_ended_run = (*last_ended_run).max(run.run);
         self.last_end_number += 1;
-        self.ended_at_ms
-            .insert(self.last_end_number, self.clock_ms(now));
+        self.ended_at.insert(self.last_end_number, now);
         let end = End {
             key,
             run: run.run,
@@ -279,8 +278,8 @@
         Some(run.run)
     }
 
-    /// Handles a poll: forgets the acknowledged ends and renews leases. Returns the acknowledged ends, or
-    /// `None` for an outdated fence. Leaves out ends that came before the host's lease last lapsed, because
+    /// Handles a poll: forgets the acknowledged ends and renews leases. Returns the acknowledged ends with their
+    /// times, or `None` for an outdated fence. Leaves out ends that came before the host's lease last lapsed, because
     /// their tasks may have been started elsewhere.
     pub(super) fn poll(
         &mut self,
@@ -288,17 +287,16 @@
         fence: u64,
         acknowledged: u64,
         lease_until_ms: Option<u64>,
-    ) -> Option<Vec<EndedRow>> {
+    ) -> Option<Vec<(EndedRow, Time)>> {
         if !self.check_fence(fence) {
             return None;
         }
         self.renew(now, lease_until_ms);
         let count = self.ended.partition_point(|row| row.number <= acknowledged);
-        let (lapsed_at, ended_at) = (self.lapsed_at_ms, &mut self.ended_at_ms);
-        let forgotten = self.ended.drain(..count);
-        let acknowledged_ends = forgotten.filter(|row| {
-            let at = ended_at.remove(&row.number);
-            at.is_some_and(|at| at > lapsed_at)
+        let forgotten: Vec<EndedRow> = self.ended.drain(..count).collect();
+        let acknowledged_ends = forgotten.into_iter().filter_map(|row| {
+            let at = self.ended_at.remove(&row.number)?;
+            (self.clock_ms(at) > self.lapsed_at_ms).then_some((row, at))
         });
         Some(acknowledged_ends.collect())
     }
