--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -723,9 +723,7 @@
             Action::Stop(order) => {
                 let (delivery, sent) = self.send(node, incarnation, fence, order.worker);
                 match delivery {
-                    Delivery::Arrives(at)
-                    | Delivery::Unanswered(at)
-                    | Delivery::Reset(at, _) => {
+                    Delivery::Arrives(at) | Delivery::Unanswered(at) | Delivery::Reset(at, _) => {
                         self.schedule(at, Event::Stop(sent, order));
                     }
                     Delivery::Lost => {}
@@ -886,10 +884,7 @@
         let born = self.fleet.hosts[index(host)].info.started_unix_ms;
         let step = order.key.step_key();
         let ticket = order.ticket.as_ref();
-        ticket.is_some_and(|ticket| {
-            self.approvals
-                .is_valid(self.now, ticket, step, host, born)
-        })
+        ticket.is_some_and(|ticket| self.approvals.is_valid(self.now, ticket, step, host, born))
     }
 
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
