Wait for the longest lease that a restarted worker may have been given

Callers may see one task run twice. Cause: an order that reaches a worker's new incarnation before the scheduler knows of the restart names the end of the lease on the old clock, far in the future of the new one, so that the worker runs for as long as it accepts at all (10 s). The scheduler waited for its own lease (5.25 s), and lowered an earlier, later bound on the way. If the worker is cut off meanwhile, its tasks start elsewhere while they run.

Not covered: a worker that is cut off before its restart is noticed at all.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -11,6 +11,8 @@
     /// takeover including the start of processes (about 4 s), and short enough to replace the tasks
     /// of a silent worker soon.
     pub task_lease: Duration,
+    /// The longest lease that a worker accepts. It shortens longer ones.
+    pub max_task_lease: Duration,
     /// By how much a worker's clock may be slower than this process's clock, in thousandths. The
     /// platform states 2 %.
     pub clock_drift_milli: u64,
@@ -86,6 +88,7 @@
     fn default() -> Self {
         Self {
             task_lease: Duration::from_secs(5),
+            max_task_lease: Duration::from_secs(10),
             clock_drift_milli: 20,
             lapse_margin: Duration::from_millis(150),
             renew_without_table: Duration::from_secs(6),
@@ -120,7 +123,17 @@
     /// Returns the time after which a lease that is granted or renewed now has certainly lapsed, by
     /// this process's clock.
     pub(crate) fn lapse_after(&self) -> Duration {
-        let lease = self.task_lease;
+        self.lapse_after_lease(self.task_lease)
+    }
+
+    /// Returns the time after which every lease has certainly lapsed that an order may give to a new incarnation
+    /// of a worker while the scheduler does not know of the restart. Such an order names a time on the clock of
+    /// the old incarnation, which may lie far in the future of the new one.
+    pub(crate) fn lapse_after_restart(&self) -> Duration {
+        self.lapse_after_lease(self.max_task_lease)
+    }
+
+    fn lapse_after_lease(&self, lease: Duration) -> Duration {
         // A clock that is 2 % slow takes 1 / 0.98 times as long.
         let slow = lease * 1_000 / u32::try_from(1_000 - self.clock_drift_milli).unwrap_or(1_000);
         slow + self.lapse_margin
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -97,13 +97,10 @@
     /// of the earlier incarnation are gone, but orders in flight may still reach the new one. So
     /// the runs keep their capacity until the new incarnation's lists have been read.
     pub(crate) fn worker_restarted(&mut self, now: Time, worker: WorkerId, started_unix_ms: u64) {
-        let lapse_at = now + self.cfg.lapse_after();
+        let lapse_at = now + self.cfg.lapse_after_restart();
         let worker = self.fleet.get_mut(worker);
-        let has_runs = !worker.runs.is_empty();
         worker.begin_incarnation(started_unix_ms);
-        if has_runs {
-            worker.lapse_at = lapse_at;
-        }
+        worker.lapse_at = worker.lapse_at.max(lapse_at);
         for run in worker.runs.values_mut() {
             if run.phase != RunPhase::Pending {
                 run.is_of_earlier_incarnation = true;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -221,7 +221,6 @@
         self.failure_streak = 0;
         self.quarantines = 0;
         self.quarantine_until = Time::ZERO;
-        self.lapse_at = Time::ZERO;
     }
 
     /// Records the result of a run, and quarantines the worker after too many failures in a row.
