Stop a gang at once when the start of a member is given up

Callers' gangs lost time: since a refused retry is settled by a stop, the other members held their room until that stop was answered and listed, or until a lease lapsed (5.25 s); the same held before for a member whose orders all went unanswered.

All members of the run are stopped as soon as one start is given up.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -16,11 +16,7 @@
             return false;
         };
         let max_failures = self.policy(&entry.job).max_failures;
-        let is_gang = entry
-            .job
-            .steps
-            .get(usize::from(end.key.step))
-            .is_some_and(|step| step.gang);
+        let is_gang = self.is_gang(end.key);
         let Some(entry) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -85,8 +81,15 @@
         Some(run.number)
     }
 
+    /// Returns whether a task is a member of a gang.
+    pub(crate) fn is_gang(&self, key: TaskKey) -> bool {
+        let entry = self.jobs.get(&key.job);
+        let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.step)));
+        step.is_some_and(|step| step.gang)
+    }
+
     /// Stops the other members of a gang's run, which cannot work without the one that ended.
-    fn stop_gang(&mut self, now: Time, member: TaskKey, run: u32) {
+    pub(crate) fn stop_gang(&mut self, now: Time, member: TaskKey, run: u32) {
         let step = member.step_key();
         self.stop_assigned(now, member.job, |key, number| {
             number == run && key.step_key() == step
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -141,14 +141,13 @@
                 );
                 match again {
                     Some(again) => self.actions.push(Action::Start(again)),
-                    None => self.stop_run(now, order.worker, order.key),
+                    None => self.stop_member(now, order.worker, order.key, order.run),
                 }
             }
-            // Whether the run began is not known, also after `Outdated`: it may have begun and ended. The stop
-            // order and the lists after it settle this.
-            StartAnswer::Unknown | StartAnswer::Outdated => {
-                self.stop_run(now, order.worker, order.key);
-            }
+            StartAnswer::Unknown => self.stop_member(now, order.worker, order.key, order.run),
+            // The run may have begun and ended, as done with its whole gang. The lists show this; the stop order
+            // keeps it from beginning later.
+            StartAnswer::Outdated => self.stop_run(now, order.worker, order.key),
         }
     }
 
@@ -162,13 +161,21 @@
         unanswered: u32,
     ) {
         if unanswered > 0 {
-            self.stop_run(now, order.worker, order.key);
+            self.stop_member(now, order.worker, order.key, order.run);
         } else {
             let cause = Interruption::Refused(answer);
             self.interrupt(now, order.worker, order.key, cause);
         }
     }
 
+    /// Stops a run whose start is given up and, for a gang, its other members, which cannot work without it.
+    fn stop_member(&mut self, now: Time, worker: WorkerId, key: TaskKey, run: u32) {
+        self.stop_run(now, worker, key);
+        if self.is_gang(key) {
+            self.stop_gang(now, key, run);
+        }
+    }
+
     /// Stops a run. A run whose start order was not sent yet ends at once.
     pub(crate) fn stop_run(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
         let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) else {
--- a/crates/sched/tests/refusals.rs
+++ b/crates/sched/tests/refusals.rs
@@ -20,7 +20,8 @@
 };
 
 /// The refusals that say nothing about an earlier order for the same run.
-const REFUSALS: [StartAnswer; 4] = [
+const REFUSALS: [StartAnswer; 5] = [
+    StartAnswer::OtherLife,
     StartAnswer::Unhealthy,
     StartAnswer::NoApproval,
     StartAnswer::NoRoom,
@@ -86,6 +87,18 @@
     scheduler.polled(now, worker, now.time, &listing);
 }
 
+fn end(key: TaskKey, run: u32, kind: EndKind) -> EndedRow {
+    EndedRow {
+        number: 1,
+        end: End {
+            key,
+            run,
+            kind,
+            checkpoint: String::new(),
+        },
+    }
+}
+
 /// Runs a pass, stores its changes, and returns the orders.
 fn orders(scheduler: &mut Scheduler, now: Now) -> (Vec<StartOrder>, Vec<StopOrder>) {
     scheduler.request_pass();
@@ -107,19 +120,23 @@
     (starts, stops)
 }
 
-/// Starts the job's tasks. The order for [`TASK`] is not answered, and the one that is sent again is answered
-/// with `refusal`. The other tasks are running. Returns the order for [`TASK`].
-fn refuse_second_order(scheduler: &mut Scheduler, now: Now, refusal: StartAnswer) -> StartOrder {
+/// Starts the job's tasks. The order for [`TASK`] goes unanswered twice, and the third one is answered with
+/// `refusal`. The other tasks are running. Returns the order for [`TASK`].
+fn refuse_repeated_order(scheduler: &mut Scheduler, now: Now, refusal: StartAnswer) -> StartOrder {
     let (starts, _) = orders(scheduler, now);
     for order in starts.iter().filter(|order| order.key != TASK) {
         scheduler.start_answered(now, order, StartAnswer::Started);
     }
     let first = starts.iter().find(|order| order.key == TASK).unwrap();
-    scheduler.start_answered(now, first, StartAnswer::Unknown);
-    let (again, _) = orders(scheduler, now);
-    assert_eq!(again.len(), 1, "the order is sent again");
-    scheduler.start_answered(now, &again[0], refusal);
-    first.clone()
+    let mut last = first.clone();
+    for _ in 0..2 {
+        scheduler.start_answered(now, &last, StartAnswer::Unknown);
+        let (mut again, _) = orders(scheduler, now);
+        assert_eq!(again.len(), 1, "the order is sent again");
+        last = again.remove(0);
+    }
+    scheduler.start_answered(now, &last, refusal);
+    last
 }
 
 /// Guards against a second run of a task beside the first, which was started by an unanswered order while the
@@ -129,7 +146,7 @@
     for refusal in REFUSALS {
         let now = at_ms(1_000);
         let mut scheduler = scheduler(now, 1, false, 3);
-        let order = refuse_second_order(&mut scheduler, now, refusal);
+        let order = refuse_repeated_order(&mut scheduler, now, refusal);
         let (starts, stops) = orders(&mut scheduler, now);
         assert_eq!(
             starts,
@@ -153,30 +170,34 @@
     }
 }
 
-/// Guards against a second run of a gang beside a member of the first one.
+/// Guards against a second run of a gang beside a member of the first one, and against members that wait in
+/// vain for the one whose start is given up.
 #[test]
 fn a_gang_does_not_run_twice_after_a_members_repeated_start_is_refused() {
     for refusal in REFUSALS {
         let now = at_ms(1_000);
         let mut scheduler = scheduler(now, 2, true, 3);
-        refuse_second_order(&mut scheduler, now, refusal);
-        // All other members end at once.
-        for name in ["w1", "w2", "w3"] {
-            let id = scheduler.worker_id(name).unwrap();
-            let ended = TaskKey { index: 1, ..TASK };
-            let row = EndedRow {
-                number: 1,
-                end: End {
-                    key: ended,
-                    run: 1,
-                    kind: EndKind::Interrupted,
-                    checkpoint: String::new(),
-                },
-            };
-            poll(&mut scheduler, at_ms(1_010), id, vec![row]);
-        }
+        let order = refuse_repeated_order(&mut scheduler, now, refusal);
+        let (starts, stops) = orders(&mut scheduler, now);
+        assert_eq!(starts, [], "{refusal:?}");
+        let mut stopped: Vec<u32> = stops.iter().map(|stop| stop.key.index).collect();
+        stopped.sort_unstable();
+        assert_eq!(stopped, [0, 1], "{refusal:?}: all members are stopped");
+        let other = stops.iter().find(|stop| stop.key != TASK).unwrap();
+        let row = end(other.key, other.run, EndKind::Interrupted);
+        poll(&mut scheduler, at_ms(1_010), other.worker, vec![row]);
         let (starts, _) = orders(&mut scheduler, at_ms(1_010));
         assert_eq!(starts, [], "{refusal:?}: a member may still begin");
+        let own = stops.iter().find(|stop| stop.key == TASK).unwrap();
+        scheduler.stop_answered(at_ms(1_020), own);
+        poll(&mut scheduler, at_ms(1_030), own.worker, Vec::new());
+        let (starts, _) = orders(&mut scheduler, at_ms(1_030));
+        let runs: Vec<u32> = starts.iter().map(|start| start.run).collect();
+        assert_eq!(
+            runs,
+            [order.run + 1; 2],
+            "{refusal:?}: the gang starts again"
+        );
     }
 }
 
@@ -187,16 +208,8 @@
     for refusal in REFUSALS {
         let now = at_ms(1_000);
         let mut scheduler = scheduler(now, 1, false, 1);
-        let order = refuse_second_order(&mut scheduler, now, refusal);
-        let row = EndedRow {
-            number: 1,
-            end: End {
-                key: TASK,
-                run: order.run,
-                kind: EndKind::Failed,
-                checkpoint: String::new(),
-            },
-        };
+        let order = refuse_repeated_order(&mut scheduler, now, refusal);
+        let row = end(TASK, order.run, EndKind::Failed);
         poll(&mut scheduler, at_ms(1_500), order.worker, vec![row]);
         assert_eq!(
             orders(&mut scheduler, at_ms(1_500)).0,
@@ -229,7 +242,7 @@
 fn a_run_whose_repeated_start_is_outdated_is_stopped() {
     let now = at_ms(1_000);
     let mut scheduler = scheduler(now, 1, false, 3);
-    let order = refuse_second_order(&mut scheduler, now, StartAnswer::Outdated);
+    let order = refuse_repeated_order(&mut scheduler, now, StartAnswer::Outdated);
     let (starts, stops) = orders(&mut scheduler, now);
     assert_eq!(starts, []);
     assert_eq!(stops.len(), 1);
@@ -241,18 +254,10 @@
 fn a_success_counts_though_the_repeated_start_is_outdated() {
     let now = at_ms(1_000);
     let mut scheduler = scheduler(now, 1, false, 3);
-    let order = refuse_second_order(&mut scheduler, now, StartAnswer::Outdated);
+    let order = refuse_repeated_order(&mut scheduler, now, StartAnswer::Outdated);
     let (_, stops) = orders(&mut scheduler, now);
     scheduler.stop_answered(at_ms(1_010), &stops[0]);
-    let row = EndedRow {
-        number: 1,
-        end: End {
-            key: TASK,
-            run: order.run,
-            kind: EndKind::Done,
-            checkpoint: String::new(),
-        },
-    };
+    let row = end(TASK, order.run, EndKind::Done);
     poll(&mut scheduler, at_ms(1_020), order.worker, vec![row]);
     assert_eq!(orders(&mut scheduler, at_ms(1_020)).0, []);
     let states: Vec<_> = scheduler.states().collect();
