Start a task again though its worker refuses every stop order

Cause: a run whose start is given up waits for an answer to its stop order, so that a late start order cannot begin it. A worker that refuses stop orders but answers polls has its leases renewed by each poll, so the wait for a lapse never ends.

A worker judges a late order by the lease that the order itself carries. Once the leases of all start orders for the run have lapsed, lists that were requested later and do not hold the run settle it, answered stop or not. That takes 5.25 s from the last order. In a new incarnation the lease names a time on the old clock; there the answer to the stop is still waited for. A start order for a run that is no longer wanted grants no lease any more.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -491,6 +491,7 @@
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
+                orders_lapse_at: Time::ZERO,
                 is_of_earlier_incarnation: false,
                 checkpoint: String::new(),
                 preemptible_below,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -107,6 +107,8 @@
         for run in worker.runs.values_mut() {
             if run.phase != RunPhase::Pending {
                 run.is_of_earlier_incarnation = true;
+                // The leases of its orders name times on the old clock.
+                run.orders_lapse_at = Time::MAX;
             }
         }
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -86,12 +86,20 @@
         let is_wanted = entry.ended_at.is_none()
             && task.run == run
             && matches!(&task.phase, Phase::Assigned(incarnation) if incarnation.started_unix_ms == started_unix_ms);
-        let lease_until_ms = self.fleet.get_mut(worker).grant_lease(now, &self.cfg)?;
-        is_wanted.then(|| StartOrder {
+        if !is_wanted {
+            return None;
+        }
+        let spec = entry.job.spec.clone();
+        let target = self.fleet.get_mut(worker);
+        let lease_until_ms = target.grant_lease(now, &self.cfg)?;
+        if let Some(run) = target.runs.get_mut(&key) {
+            run.orders_lapse_at = now + self.cfg.lapse_after();
+        }
+        Some(StartOrder {
             worker,
             key,
             run,
-            spec: entry.job.spec.clone(),
+            spec,
             checkpoint: task.checkpoint,
             ticket,
             lease_until_ms,
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -213,6 +213,7 @@
             phase: RunPhase::Stopping,
             confirmed_at: None,
             since: now,
+            orders_lapse_at: Time::ZERO,
             is_of_earlier_incarnation: false,
             checkpoint: row.checkpoint.clone(),
             preemptible_below: None,
@@ -232,8 +233,10 @@
             let is_confirmed = match run.phase {
                 RunPhase::Recorded => true,
                 RunPhase::Pending | RunPhase::Ordered { .. } => false,
-                RunPhase::Running | RunPhase::Stopping => {
-                    run.confirmed_at.is_some_and(|at| at < sent_at)
+                RunPhase::Running => run.confirmed_at.is_some_and(|at| at < sent_at),
+                // A worker that refuses all stop orders may still answer polls.
+                RunPhase::Stopping => {
+                    run.confirmed_at.is_some_and(|at| at < sent_at) || run.orders_lapse_at < sent_at
                 }
             };
             is_confirmed && !listed.contains(&(*key, run.number))
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{Incarnation, Job, JobId, Progress, TaskKey};
+use model::Time;
 
 use crate::{
     Now, Scheduler, WorkerInfo,
@@ -72,6 +73,7 @@
             phase: RunPhase::Recorded,
             confirmed_at: None,
             since: now.time,
+            orders_lapse_at: Time::ZERO,
             is_of_earlier_incarnation,
             checkpoint: String::new(),
             preemptible_below: self.preemptible_below(key),
--- a/crates/sched/tests/refusals.rs
+++ b/crates/sched/tests/refusals.rs
@@ -263,3 +263,38 @@
     let states: Vec<_> = scheduler.states().collect();
     assert_eq!(states, [(JOB, State::Completed)]);
 }
+
+/// Guards against a task that never starts again because its worker answers polls and refuses every stop order,
+/// and against one that starts while a late order may still be carried out.
+#[test]
+fn a_task_whose_stop_is_never_answered_starts_again_once_its_orders_have_lapsed() {
+    let now = at_ms(1_000);
+    let mut scheduler = scheduler(now, 1, false, 3);
+    let order = refuse_repeated_order(&mut scheduler, now, StartAnswer::Unhealthy);
+    let mut restarted_at = None;
+    for ms in (1_100..12_000).step_by(100) {
+        let (starts, _) = orders(&mut scheduler, at_ms(ms));
+        if !starts.is_empty() {
+            restarted_at.get_or_insert(ms);
+        }
+        scheduler.next_poll(at_ms(ms), order.worker);
+        poll(&mut scheduler, at_ms(ms), order.worker, Vec::new());
+    }
+    // The lease of 5 s takes 2 % longer on the slowest clock, and a margin is added.
+    let restarted_at = restarted_at.expect("the task starts again");
+    assert!((6_250..6_600).contains(&restarted_at), "{restarted_at}");
+}
+
+/// Guards against a worker that is given more than it holds: a run that may still begin keeps its room.
+#[test]
+fn a_run_that_may_still_begin_keeps_its_room() {
+    let now = at_ms(1_000);
+    let mut scheduler = scheduler(now, 3, false, 3);
+    refuse_repeated_order(&mut scheduler, now, StartAnswer::Unhealthy);
+    // Each worker has room for one task. The quarantine of the one that refused is over by then.
+    let later = at_ms(4_000);
+    assert_eq!(scheduler.summary(later).runs, 3);
+    let (starts, _) = orders(&mut scheduler, later);
+    assert_eq!(starts, []);
+    assert_eq!(scheduler.summary(later).used, Size::new(24_000, 48_000, 0));
+}
