Never repeat a request under another policy than the one it was sent under

Mirror: a request that may have run under `safe` took a claim and ran once the policy was `never`.

Cause: a retry was judged by the policy of the moment. An attempt that was cut short or silent may still have run under the policy that it was sent with; the claim, a promise of at most one run, was not asked.

Each attempt now records the policy under which it began, and one under a claim counts as `never`; the claim also keeps the full first-byte timeout and a new connection. A request that may have run is neither claimed, sent nor forwarded under `never`: its retry is refused, and one that waits for a slot ends with may-have-run when its turn comes, or at the latest time to start.

Not covered: nodes that hold different versions of the policy, so that a request forwarded under `safe` is claimed by the other node under `never`.

--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -55,7 +55,7 @@
                 } else {
                     service.counters.forwarded += 1;
                 }
-                let attempt = request.begin_attempt(now, target);
+                let attempt = request.begin_attempt(now, target, service.policy.repeat);
                 let timeout = request.deadline.since(now);
                 Some(RouteAction::Forward(Forward {
                     req,
@@ -172,9 +172,10 @@
                 }
             }
             Outcome::CutShort | Outcome::Silent => {
-                let is_safe = self.is_safe(req);
+                let mut is_safe = false;
                 if let Some(request) = self.requests.get_mut(&req) {
                     request.may_have_run = true;
+                    is_safe = request.last_repeat == Repeat::Safe;
                 }
                 if !(is_safe && end.is_replayable && self.retry(now, req)) {
                     self.give_up(req, Reason::AnswerLost, None, out);
@@ -201,15 +202,8 @@
         }
     }
 
-    /// Whether the request's service allows requests to be repeated.
-    fn is_safe(&self, req: ReqId) -> bool {
-        let request = self.requests.get(&req);
-        let service = request.and_then(|request| self.services.get(&request.service));
-        service.is_some_and(|service| service.policy.repeat == Repeat::Safe)
-    }
-
-    /// Schedules another attempt after a randomized backoff, if attempts, time and retry budget are left.
-    /// Returns whether it did.
+    /// Schedules another attempt after a randomized backoff, if it may start and attempts, time and retry
+    /// budget are left. Returns whether it did.
     fn retry(&mut self, now: Time, req: ReqId) -> bool {
         let Some(request) = self.requests.get_mut(&req) else {
             return false;
@@ -217,6 +211,9 @@
         let Some(service) = self.services.get_mut(&request.service) else {
             return false;
         };
+        if request.must_not_start(service) {
+            return false;
+        }
         let max_wait = self.cfg.backoff * (1 << request.attempts.clamp(1, 6));
         let wait = self.jitter.duration_up_to(max_wait / 2);
         let is_in_time = now + wait < request.start_by;
@@ -242,10 +239,10 @@
         worker: WorkerId,
         endpoint: String,
     ) -> Dispatch {
-        let attempt = self.begin_attempt(now, Target::Worker(worker));
+        let attempt = self.begin_attempt(now, Target::Worker(worker), service.policy.repeat);
         service.counters.dispatched += 1;
         let timeout = self.deadline.since(now);
-        let is_safe = service.policy.repeat == Repeat::Safe;
+        let is_safe = self.last_repeat == Repeat::Safe;
         // A safe request that gets no answer is retried on another server while half of its time is left.
         let first_byte_timeout = (timeout / 2).max(cfg.min_first_byte_timeout).min(timeout);
         Dispatch {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -5,7 +5,7 @@
 use model::{Class, Time};
 
 use crate::{
-    IncomingRequest, Remote, ReqId, RouteAction, Router,
+    IncomingRequest, Reason, Remote, ReqId, RouteAction, Router,
     health::Health,
     request::{Request, Target},
     service::Service,
@@ -15,6 +15,10 @@
     /// Starts attempts for all queued requests that can be sent now, in fair queueing order.
     pub(crate) fn dispatch_ready(&mut self, now: Time, out: &mut Vec<RouteAction>) {
         while let Some((req, target)) = self.next_dispatch(now) {
+            if self.must_not_start(req) {
+                self.give_up(req, Reason::AnswerLost, None, out);
+                continue;
+            }
             if let Some(request) = self.requests.get(&req)
                 && let Some(service) = self.services.get_mut(&request.service)
             {
@@ -27,6 +31,15 @@
         }
     }
 
+    /// Whether the request may have run, and its service's policy became `never` while it waited for a retry.
+    fn must_not_start(&self, req: ReqId) -> bool {
+        let request = self.requests.get(&req);
+        let service = request.and_then(|request| self.services.get(&request.service));
+        request
+            .zip(service)
+            .is_some_and(|(request, service)| request.must_not_start(service))
+    }
+
     /// Returns the request to send next and its target. Only the first request of each queue is considered.
     fn next_dispatch(&self, now: Time) -> Option<(ReqId, Target)> {
         let flows = self.fair.order();
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use model::{NodeId, Time, WorkerId};
+use model::{NodeId, Repeat, Time, WorkerId};
 
-use crate::{IncomingRequest, Reason, ReqId};
+use crate::{IncomingRequest, Reason, ReqId, service::Service};
 
 /// The target of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +62,8 @@
     pub(crate) last_target: Option<Target>,
     /// Whether its claim has been committed.
     pub(crate) is_claimed: bool,
+    /// Whether the last attempt may be repeated: the policy when it began, or `Never` under a claim.
+    pub(crate) last_repeat: Repeat,
     /// Whether an earlier attempt may have run.
     pub(crate) may_have_run: bool,
     /// The slot time that was charged in advance for its attempt or claim, in microseconds.
@@ -90,14 +92,26 @@
             attempts: 0,
             last_target: None,
             is_claimed: false,
+            last_repeat: Repeat::Never,
             may_have_run: false,
             charged_us: 0,
         }
     }
 
-    /// Begins an attempt, and returns its number.
-    pub(crate) fn begin_attempt(&mut self, now: Time, target: Target) -> u32 {
+    /// Whether the request must not be claimed or sent any more, as it may have run and must not be repeated.
+    pub(crate) fn must_not_start(&self, service: &Service) -> bool {
+        self.may_have_run && service.policy.repeat == Repeat::Never
+    }
+
+    /// Begins an attempt under a policy, and returns its number.
+    pub(crate) fn begin_attempt(&mut self, now: Time, target: Target, repeat: Repeat) -> u32 {
         self.attempts += 1;
+        // A claim promises that the request runs at most once, whatever the policy is now.
+        self.last_repeat = if self.is_claimed {
+            Repeat::Never
+        } else {
+            repeat
+        };
         self.last_target = Some(target);
         self.phase = Phase::Running {
             attempt: self.attempts,
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -4,8 +4,8 @@
 
 use model::{Class, NodeId, Repeat, Time, Verdict, WorkerId};
 use route::{
-    AttemptEnd, Backend, Grant, IncomingRequest, Outcome, Reason, Remote, ReqId, RouteAction,
-    RouteConfig, Router, ServicePolicy,
+    AttemptEnd, Backend, ClaimResult, Grant, IncomingRequest, Outcome, Reason, Remote, ReqId,
+    RouteAction, RouteConfig, Router, ServicePolicy,
 };
 
 const W1: WorkerId = WorkerId(1);
@@ -38,6 +38,17 @@
         self.set_backends(name, workers);
     }
 
+    /// Changes whether the requests of a service may be repeated.
+    fn set_repeat(&mut self, name: &str, repeat: Repeat) {
+        let policy = ServicePolicy {
+            team: "t".to_owned(),
+            class: Class::Standard,
+            repeat,
+            deadline: Duration::from_secs(1),
+        };
+        self.inner.set_service(name, policy);
+    }
+
     fn set_backends(&mut self, name: &str, workers: &[WorkerId]) {
         let backend = |worker: &WorkerId| Backend {
             worker: *worker,
@@ -63,12 +74,19 @@
         let incoming = IncomingRequest {
             req,
             service: service.to_owned(),
+            key: Some(format!("key {req:?}")),
             ..IncomingRequest::default()
         };
         self.inner.submit(self.now, &incoming, &mut out);
         (req, out)
     }
 
+    fn finish_claim(&mut self, req: ReqId, result: ClaimResult) -> Vec<RouteAction> {
+        let mut out = Vec::new();
+        self.inner.claim_finished(self.now, req, result, &mut out);
+        out
+    }
+
     fn finish(&mut self, req: ReqId, attempt: u32, outcome: Outcome) -> Vec<RouteAction> {
         let mut out = Vec::new();
         let end = AttemptEnd::new(req, attempt, outcome);
@@ -301,6 +319,92 @@
     assert_eq!(refused(&out)[0].0, Verdict::MayHaveRun);
 }
 
+/// A request that was sent under a claim must not run twice because its service became safe in the meantime.
+#[test]
+fn a_claimed_request_runs_once_though_its_service_becomes_safe() {
+    for becomes_safe_during_claim in [false, true] {
+        let mut router = TestRouter::new();
+        router.add_service("s", "t", Class::Standard, &[W1, W2]);
+        router.set_repeat("s", Repeat::Never);
+        router.grant(W1, 1);
+        router.grant(W2, 1);
+        let (req, out) = router.submit("s");
+        assert!(matches!(out[..], [RouteAction::Claim { .. }]), "{out:?}");
+        if becomes_safe_during_claim {
+            router.set_repeat("s", Repeat::Safe);
+        }
+        let out = router.finish_claim(req, ClaimResult::Claimed);
+        let [RouteAction::Dispatch(dispatch)] = &out[..] else {
+            panic!("{out:?}");
+        };
+        router.set_repeat("s", Repeat::Safe);
+        let mut out = router.finish(req, 1, Outcome::CutShort);
+        out.extend(router.advance(100));
+        let lost = (Verdict::MayHaveRun, Reason::AnswerLost, None);
+        assert_eq!((dispatched(&out), refused(&out)), (vec![], vec![lost]));
+        // No time is kept for a retry, and a connection that may have broken unnoticed is not used.
+        assert_eq!(dispatch.first_byte_timeout, dispatch.timeout);
+        assert!(dispatch.needs_new_connection);
+    }
+}
+
+/// A request that was forwarded under `never` must not run twice because its service became safe.
+#[test]
+fn a_forwarded_request_runs_once_though_its_service_becomes_safe() {
+    let mut router = TestRouter::new();
+    router.add_service("s", "t", Class::Standard, &[]);
+    router.set_repeat("s", Repeat::Never);
+    let remote = Remote {
+        node: NodeId(9),
+        is_same_region: true,
+    };
+    router.inner.set_remotes("s", vec![remote]);
+    let (req, out) = router.submit("s");
+    assert!(matches!(out[..], [RouteAction::Forward(_)]), "{out:?}");
+    router.set_repeat("s", Repeat::Safe);
+    router.set_backends("s", &[W1]);
+    router.grant(W1, 1);
+    let mut out = router.finish(req, 1, Outcome::CutShort);
+    out.extend(router.advance(100));
+    let lost = (Verdict::MayHaveRun, Reason::AnswerLost, None);
+    assert_eq!((dispatched(&out), refused(&out)), (vec![], vec![lost]));
+}
+
+/// A request that may have run must not be claimed or sent again once its service became `never`.
+#[test]
+fn a_request_that_may_have_run_is_not_claimed_once_its_service_becomes_never() {
+    for has_second_attempt in [false, true] {
+        let mut router = TestRouter::new();
+        router.add_service("s", "t", Class::Standard, &[W1, W2]);
+        router.grant(W1, 1);
+        router.grant(W2, 1);
+        // These requests leave enough of the retry budget for both retries.
+        for _ in 0..20 {
+            let (req, _) = router.submit("s");
+            router.finish(req, 1, Outcome::Answered);
+        }
+        let (req, _) = router.submit("s");
+        let mut out = router.finish(req, 1, Outcome::CutShort);
+        assert!(out.is_empty(), "a retry is scheduled: {out:?}");
+        if has_second_attempt {
+            assert_eq!(dispatched(&router.advance(100)).len(), 1);
+            router.set_repeat("s", Repeat::Never);
+            out = router.finish(req, 2, Outcome::NotSent);
+        } else {
+            router.set_repeat("s", Repeat::Never);
+            out = router.advance(100);
+        }
+        let lost = (Verdict::MayHaveRun, Reason::AnswerLost, None);
+        assert_eq!(refused(&out), [lost], "{out:?}");
+        assert_eq!(out.len(), 1, "no claim and no dispatch: {out:?}");
+        assert!(!router.inner.is_open(req));
+        // The request took no slot with it.
+        router.set_repeat("s", Repeat::Safe);
+        let sent = (0..2).map(|_| dispatched(&router.submit("s").1).len());
+        assert_eq!(sent.sum::<usize>(), 2);
+    }
+}
+
 /// A failing server must get no requests while it is ejected, and must come back once a probe succeeds.
 #[test]
 fn a_failing_server_is_ejected_and_returns_after_a_probe() {
