Keep a claimed request on the node that holds its claim

Callers of a service that must not repeat requests could be told that a request had run which never did, and so on each resend (found in review; the forward was seen in the test below, the answers were read in the code, not measured).

Cause: a claimed request whose server or grant went away during the claim, or whose attempt was not sent, is queued again. It could then be forwarded with its claim kept. The other node finds the key claimed and answers 409 may-have-run, which counts as the answer and is recorded with the claim as that of a request that ran.

A claimed request is never forwarded any more. It waits for a local server, or is refused as not run once it can no longer start in time, with its claim voided first, so that a resend may run on any node. As only the head of a queue used to be considered, a claimed head would have held back all others of its service; the first request without a claim is considered too now. A local slot still goes to the head.

Evidence: a_claimed_request_is_not_forwarded (after a claim and after an attempt that was not sent, with and without a server that returns) and a_waiting_claimed_request_does_not_block_its_queue fail before, with a `Forward` of the claimed request, and pass now. Three mutations (forwarded as before, only the head considered, the other request first) each fail a test. Requests that were forwarded to this node still hold back others when at the head.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -19,14 +19,7 @@
                 self.give_up(req, Reason::AnswerLost, None, out);
                 continue;
             }
-            if let Some(request) = self.requests.get(&req)
-                && let Some(service) = self.services.get_mut(&request.service)
-            {
-                service.queue.pop_front();
-                if service.queue.is_empty() {
-                    self.fair.set_idle(&service.flow);
-                }
-            }
+            self.remove_from_queue(req);
             out.extend(self.start_attempt(now, req, target));
         }
     }
@@ -40,17 +33,28 @@
             .is_some_and(|(request, service)| request.must_not_start(service))
     }
 
-    /// Returns the request to send next and its target. Only the first request of each queue is considered.
+    /// Returns the request to send next and its target. Only the first request of each queue is considered,
+    /// and the first without a claim, which may be forwarded while claimed ones wait for a local server.
     fn next_dispatch(&self, now: Time) -> Option<(ReqId, Target)> {
         let flows = self.fair.order();
         flows.iter().find_map(|flow| {
             let service = self.services.get(&flow.service)?;
-            let req = *service.queue.front()?;
-            let request = self.requests.get(&req)?;
-            let max_in_flight = self.max_in_flight(flow.class);
-            let target = (now < request.start_by && max_in_flight > self.in_flight)
-                .then(|| self.choose_target(now, service, request))??;
-            Some((req, target))
+            if self.max_in_flight(flow.class) <= self.in_flight {
+                return None;
+            }
+            let mut queue = service.queue.iter().map_while(|req| self.requests.get(req));
+            let first = queue.next()?;
+            let unclaimed = (first.is_claimed)
+                .then(|| queue.find(|request| !request.is_claimed))
+                .flatten();
+            [Some(first), unclaimed]
+                .into_iter()
+                .flatten()
+                .filter(|request| now < request.start_by)
+                .find_map(|request| {
+                    let target = self.choose_target(now, service, request)?;
+                    Some((request.id, target))
+                })
         })
     }
 
@@ -71,7 +75,8 @@
         if let Some(target) = self.local_target(now, service, request) {
             return Some(target);
         }
-        if request.is_forwarded {
+        // Another node would take the claim of a claimed request for that of an earlier one.
+        if request.is_forwarded || request.is_claimed {
             return None;
         }
         // While this domain has a usable backend server, a request first waits for a slot here: for a
--- a/crates/route/src/claims.rs
+++ b/crates/route/src/claims.rs
@@ -51,7 +51,7 @@
     }
 
     /// Sends a claimed request to the backend server whose slot it holds. If the server was removed or
-    /// its grant has expired in the meantime, the request is queued for another slot.
+    /// its grant has expired in the meantime, the request is queued for another local slot.
     fn claim_granted(
         &mut self,
         now: Time,
--- a/crates/route/src/completion.rs
+++ b/crates/route/src/completion.rs
@@ -71,7 +71,7 @@
     }
 
     /// Removes a request from the queue of its service, if it is there.
-    fn remove_from_queue(&mut self, req: ReqId) {
+    pub(crate) fn remove_from_queue(&mut self, req: ReqId) {
         let request = self.requests.get(&req);
         let service = request.and_then(|request| self.services.get_mut(&request.service));
         let Some(service) = service else {
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -370,6 +370,90 @@
     assert_eq!((dispatched(&out), refused(&out)), (vec![], vec![lost]));
 }
 
+/// Another node would refuse a claimed request as one that may have run, and that refusal would be stored.
+#[test]
+fn a_claimed_request_is_not_forwarded() {
+    let remote = Remote {
+        node: NodeId(9),
+        is_same_region: true,
+    };
+    for was_sent in [false, true] {
+        for server_returns in [false, true] {
+            let mut router = TestRouter::new();
+            router.add_service("s", "t", Class::Standard, &[W1]);
+            router.set_repeat("s", Repeat::Never);
+            router.grant(W1, 1);
+            let (req, _) = router.submit("s");
+            if was_sent {
+                let out = router.finish_claim(req, ClaimResult::Claimed);
+                assert_eq!(dispatched(&out), [(req, W1)]);
+            }
+            router.set_backends("s", &[]);
+            router.inner.set_remotes("s", vec![remote]);
+            let out = if was_sent {
+                let mut out = router.finish(req, 1, Outcome::NotSent);
+                out.extend(router.advance(100));
+                out
+            } else {
+                router.finish_claim(req, ClaimResult::Claimed)
+            };
+            assert!(out.is_empty(), "it waits for a local server: {out:?}");
+            if server_returns {
+                router.set_backends("s", &[W1]);
+                assert_eq!(dispatched(&router.advance(200)), [(req, W1)]);
+                continue;
+            }
+            // Once it can no longer start in time, it is refused as not run, with its claim voided first.
+            let out = router.advance(if was_sent { 850 } else { 950 });
+            assert_eq!(out, [RouteAction::VoidClaim(req)]);
+            let mut out = Vec::new();
+            router.inner.void_finished(router.now, req, true, &mut out);
+            let [(verdict, reason, Some(_))] = refused(&out)[..] else {
+                panic!("{out:?}");
+            };
+            assert_eq!((verdict, reason), (Verdict::NotRun, Reason::TooLate));
+            assert_eq!(out.len(), 1);
+        }
+    }
+}
+
+/// A claimed request that waits for a local server must not keep those behind it from other nodes.
+#[test]
+fn a_waiting_claimed_request_does_not_block_its_queue() {
+    let mut router = TestRouter::new();
+    router.add_service("s", "t", Class::Standard, &[W1]);
+    router.set_repeat("s", Repeat::Never);
+    router.grant(W1, 1);
+    let (claimed, _) = router.submit("s");
+    let (behind, out) = router.submit("s");
+    assert!(out.is_empty(), "no slot is left");
+    router.set_backends("s", &[]);
+    let remote = Remote {
+        node: NodeId(9),
+        is_same_region: true,
+    };
+    router.inner.set_remotes("s", vec![remote]);
+    let out = router.finish_claim(claimed, ClaimResult::Claimed);
+    let [RouteAction::Forward(forward)] = &out[..] else {
+        panic!("{out:?}");
+    };
+    assert_eq!(forward.req, behind);
+    // A local slot goes to the claimed request, which came first.
+    let (later, out) = router.submit("s");
+    assert!(matches!(out[..], [RouteAction::Forward(_)]), "{out:?}");
+    assert!(router.inner.is_open(later));
+    router.set_backends("s", &[W1]);
+    let (last, out) = router.submit("s");
+    assert_eq!(dispatched(&out), [(claimed, W1)]);
+    // The last request is still queued, and is claimed once the slot is free again.
+    let out = router.finish(claimed, 1, Outcome::Answered);
+    assert!(
+        out.iter()
+            .any(|action| matches!(action, RouteAction::Claim { req, .. } if *req == last)),
+        "{out:?}"
+    );
+}
+
 /// A request that may have run must not be claimed or sent again once its service became `never`.
 #[test]
 fn a_request_that_may_have_run_is_not_claimed_once_its_service_becomes_never() {
