--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Ends a run whose start was not ordered yet, so that its task waits again and resumes from the last
-    /// checkpoint. Returns the run's number.
+    /// Ends a run as interrupted, so that its task waits again and resumes from the last checkpoint. Returns
+    /// the run's number. Without a report, this is for runs whose start was not ordered yet.
     pub(crate) fn withdraw(&mut self, now: Time, worker: WorkerId, key: TaskKey) -> Option<u32> {
         let run = self.fleet.get_mut(worker).remove_run(&key)?;
         self.needs_pass = true;
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -222,7 +222,8 @@
         self.order_stop(now, id, row.key);
     }
 
-    /// Ends the runs that the worker had confirmed before the poll was sent but does not list.
+    /// Ends the runs that the worker does not list although it had confirmed them before the poll was sent, or
+    /// although no order for them could still be carried out by then.
     fn end_missing(&mut self, now: Time, id: WorkerId, sent_at: Time, listing: &Listing) {
         let listed: HashSet<(TaskKey, u32)> = listing
             .running
@@ -230,7 +231,7 @@
             .map(|row| (row.key, row.run))
             .collect();
         let is_missing = |key: &TaskKey, run: &Run| {
-            let is_confirmed = match run.phase {
+            let must_be_listed = match run.phase {
                 RunPhase::Recorded => true,
                 RunPhase::Pending | RunPhase::Ordered { .. } => false,
                 RunPhase::Running => run.confirmed_at.is_some_and(|at| at < sent_at),
@@ -239,7 +240,7 @@
                     run.confirmed_at.is_some_and(|at| at < sent_at) || run.orders_lapse_at < sent_at
                 }
             };
-            is_confirmed && !listed.contains(&(*key, run.number))
+            must_be_listed && !listed.contains(&(*key, run.number))
         };
         let missing: Vec<TaskKey> = self
             .fleet
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -60,7 +60,8 @@
     pub(crate) confirmed_at: Option<Time>,
     /// When the scheduler decided to start it.
     pub(crate) since: Time,
-    /// When the leases of all its start orders have lapsed, so that the worker refuses those that are late.
+    /// When the leases of all its start orders have lapsed, so that the worker refuses those that are late. Zero
+    /// if this scheduler has sent none.
     pub(crate) orders_lapse_at: Time,
     /// Whether it was given to an earlier incarnation of the worker.
     pub(crate) is_of_earlier_incarnation: bool,
