Tell a resend that its publication may have run while its entry is open

Operators saw: the table goes away after a publication's commit and before its reply; the call is answered `may-have-run`, "resend it to learn what became of it"; the resend at the same node is answered `not-run`; then the table comes back and the change is in force (found in review).

Cause: the resend waits for a refresh that the table does not give. A waiting call that is overdue after 10 s was answered without a look at the entry in progress, which may include the first call under the same submission id and may still be committed.

An overdue call whose submission id is in the entry in progress is now answered `may-have-run`. Once the entry is settled and the table answers, the next resend finds the change done, or is merged anew. The ids of first calls are in no entry, so that they are still answered `not-run`.

Evidence: a_resend_is_called_not_run_while_its_entry_is_open fails before (`not-run` for the resend) and passes now; it also checks that another call is still answered `not-run`. An entry whose rows are being read counts too; the test has only one that is being committed. Left open, by reading: a resend at another node, or after a restart, while the table does not answer is still answered `not-run`. The command line gives first calls an id too, so that a node cannot tell them apart.

--- a/crates/node/src/core/operators/publishing.rs
+++ b/crates/node/src/core/operators/publishing.rs
@@ -23,7 +23,7 @@
     submitted::{evacuates_last, message},
 };
 
-/// The time after which an undecided change is answered: as not run if its entry was not sent to the
+/// The time after which an undecided change is answered: as not run if no entry with it was sent to the
 /// table, and otherwise as uncertain.
 const DECISION_TIMEOUT: Duration = Duration::from_secs(10);
 /// The minimum interval between two entries of a node, so that a burst of changes makes few versions.
@@ -32,6 +32,10 @@
 /// The maximum number of retries of a change after conflicts with other entries.
 const MAX_CONFLICTS: u32 = 50;
 
+/// The answer to an overdue call whose change is in an open entry.
+const MAY_COME_INTO_FORCE: &str = "the platform's table gives no answer: the change may come into force; \
+                                   resend it to learn what became of it";
+
 /// An operator's change that is not settled.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -143,8 +147,12 @@
     fn answer_overdue(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now;
         let is_overdue = |pending: &Pending| now >= pending.since + DECISION_TIMEOUT;
+        let progress = &self.progress;
         self.waiting.retain(|pending| {
-            if is_overdue(pending) {
+            if is_overdue(pending) && progress.includes(&pending.submission.id) {
+                // This call is a resend, and the entry with the first call may still be committed.
+                pending.refuse(cx, Verdict::MayHaveRun, MAY_COME_INTO_FORCE);
+            } else if is_overdue(pending) {
                 let message = "the platform's table gives no answer; try again later";
                 pending.refuse(cx, Verdict::NotRun, message);
             }
@@ -156,9 +164,7 @@
                 .iter_mut()
                 .filter(|pending| is_overdue(pending))
             {
-                let message = "the platform's table gives no answer: the change may come into force; \
-                               resend it to learn what became of it";
-                pending.refuse(cx, Verdict::MayHaveRun, message);
+                pending.refuse(cx, Verdict::MayHaveRun, MAY_COME_INTO_FORCE);
                 pending.call = None;
             }
         }
@@ -371,6 +377,18 @@
     }
 }
 
+impl EntryProgress {
+    /// Whether the entry in progress includes the submission with this id.
+    fn includes(&self, id: &str) -> bool {
+        match self {
+            Self::Idle | Self::Members => false,
+            Self::Rows { plan, .. } | Self::Committing(plan) => {
+                plan.included.iter().any(|p| p.submission.id == id)
+            }
+        }
+    }
+}
+
 impl PendingEntry {
     /// Whether the entry sets units but no failure domain takes new work.
     fn lacks_domain(&self) -> bool {
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -204,6 +204,38 @@
     insta::assert_snapshot!(session.log);
 }
 
+/// Guards against a resend that is answered not run while the entry with its first call may come into force.
+#[test]
+fn a_resend_is_called_not_run_while_its_entry_is_open() {
+    let mut session = Session::new();
+    let fleet = &mut session.fleet;
+    fleet.losing_replies.insert(NodeId(1));
+    let req = publish("ayla", "id-1", None, &service("desk", 1));
+    let first = fleet.ask(1, req.clone());
+    while fleet.head().is_none() {
+        fleet.run(Duration::from_millis(2));
+    }
+    fleet.cut.extend([domain(1), domain(2), domain(3)]);
+    fleet.run(SECOND * 12);
+    let answer = fleet.answer(first);
+    assert!(answer.starts_with("may-have-run: "), "{answer}");
+    let resent = fleet.ask(1, req.clone());
+    let other = fleet.ask(1, publish("berk", "id-2", None, &service("mail", 1)));
+    fleet.run(SECOND * 11);
+    let answer = fleet.answer(resent);
+    assert!(answer.starts_with("may-have-run: "), "{answer}");
+    let answer = fleet.answer(other);
+    assert!(answer.starts_with("not-run: "), "{answer}");
+    fleet.cut.clear();
+    fleet.losing_replies.clear();
+    fleet.run(SECOND * 4);
+    assert_eq!(fleet.node(1).config().version(), 1);
+    assert!(fleet.node(1).config().units().contains_key("desk"));
+    assert!(!fleet.node(1).config().units().contains_key("mail"));
+    let answer = fleet.call(1, req);
+    assert!(answer.starts_with("done: version 1: "), "{answer}");
+}
+
 /// Guards against a domain without access to the table that misses new versions: its nodes get them
 /// from the nodes of other domains, also after a restart.
 #[test]
