Tell a resend that its first request may have run while any claim is stuck

Callers of services whose requests must not be repeated saw: the replies of the table are lost; a request is running, or its claim is not settled; 0.5 s later a resend with the same key at the same node is answered `not-run` ("it did not run and will not"), and then the first request runs. A caller that takes this at its word and sends it under a new key gets a second run (found in review).

Cause: claim() looked for an overdue claim of any request, and then gave up, before it looked for this node's own claim with the same key.

The look for an own claim comes first now. It needs no table, so that an outage is no reason to skip it; the resend is answered `may-have-run`, as without an outage. A key that this node has no claim for is refused as before.

Evidence: a_resend_is_called_not_run_while_its_first_request_is_open fails before (`not-run` for the resends of a running request and of one whose claim is not settled) and passes now; both first requests run in it later, and a new key is still answered `not-run`. Left open, by reading: a resend at another node that cannot reach the table.

--- a/crates/node/src/core/entry/claims.rs
+++ b/crates/node/src/core/entry/claims.rs
@@ -99,9 +99,6 @@
         key: &str,
         fingerprint: u64,
     ) -> Option<ClaimResult> {
-        if self.is_stuck(cx.now) {
-            return Some(ClaimResult::Unreachable);
-        }
         let key = format!("claim/{service}/{key}");
         let mut others = self.claims.values();
         if let Some(other) = others.find(|claim| claim.key == key && claim.is_own()) {
@@ -112,6 +109,10 @@
                 ClaimResult::Mismatch
             });
         }
+        // Checked last, as another request with the key may be running or be dispatched later.
+        if self.is_stuck(cx.now) {
+            return Some(ClaimResult::Unreachable);
+        }
         let row = ClaimRow {
             fingerprint,
             state: ClaimState::Claimed,
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -51,6 +51,40 @@
     insta::assert_snapshot!(session(&world));
 }
 
+/// Guards against a resend that is answered not run while its first request is open at the same node.
+#[test]
+fn a_resend_is_called_not_run_while_its_first_request_is_open() {
+    let mut world = World::new(1, FaultLevel::None, 1, 1);
+    world.run_for(500 * MS);
+    world.run_time = (1_500 * MS, 1_501 * MS);
+    let running = world.send(0, "send", "reminder-1");
+    world.run_for(100 * MS);
+    assert_eq!(world.tries[running].runs, 1);
+    world.run_time = (20 * MS, 21 * MS);
+    world.loses_replies = true;
+    let claiming = world.send(0, "send", "reminder-2");
+    world.run_for(700 * MS);
+    let verdict = |world: &World, id: usize| world.tries[id].answers.first().map(|(v, _)| *v);
+    assert_eq!(verdict(&world, running), None);
+    assert_eq!(verdict(&world, claiming), None);
+    let resends = [
+        world.send(0, "send", "reminder-1"),
+        world.send(0, "send", "reminder-2"),
+    ];
+    let other = world.send(0, "send", "reminder-3");
+    world.run_for(50 * MS);
+    let may_have_run = Some(Verdict::MayHaveRun);
+    let seen = resends.map(|id| verdict(&world, id));
+    assert_eq!(seen, [may_have_run; 2], "{}", session(&world));
+    assert_eq!(verdict(&world, other), Some(Verdict::NotRun));
+    world.loses_replies = false;
+    world.run_for(3_000 * MS);
+    for first in [running, claiming] {
+        assert_eq!(verdict(&world, first), Some(Verdict::Ran));
+    }
+    check(&world, 1);
+}
+
 /// Guards against a node that exits during a drain with open requests, or that leaves late requests
 /// without an answer.
 #[test]
--- a/crates/node/tests/requests/world.rs
+++ b/crates/node/tests/requests/world.rs
@@ -74,6 +74,8 @@
     pub faults: Faults,
     pub rng: Rng,
     pub table: FakeTable,
+    /// Whether the table carries out all calls but its replies are lost.
+    pub loses_replies: bool,
     /// Workers whose backend servers do not answer before the given time.
     pub silent: BTreeMap<WorkerId, Time>,
     /// Workers whose backend servers get no new requests.
@@ -106,6 +108,7 @@
             faults: Faults::new(seed, level),
             rng: Rng::new(seed),
             table: FakeTable::default(),
+            loses_replies: false,
             silent: BTreeMap::new(),
             leaving: BTreeSet::new(),
             run_time: (Duration::from_millis(20), Duration::from_millis(21)),
@@ -358,7 +361,8 @@
     }
 
     fn call_table(&mut self, i: usize, start: u64, call: CallId, req: TableReq) {
-        let delivery = self.faults.draw(LINK_DELAY * 2);
+        let mut delivery = self.faults.draw(LINK_DELAY * 2);
+        delivery.is_answered &= !self.loses_replies;
         let txn = match &req {
             TableReq::Commit(txn) => txn.writes.as_slice(),
             TableReq::Get { .. } | TableReq::Scan { .. } => &[],
