cluster: log acknowledgements of ends, and what an unanswered poll carried

Nothing in the logs told which ends a poll had acknowledged, nor whether a lost poll had renewed leases, so neither could be ruled out. event=acknowledged names the number that a poll carries; event=worker_lost names what the unanswered poll carried and how long it took.

--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -144,6 +144,13 @@
             )
         };
         let sent_at = self.now().time;
+        if order.acknowledged > 0 {
+            log::info!(
+                "event=acknowledged worker={} number={} epoch={epoch}",
+                info.name,
+                order.acknowledged
+            );
+        }
         let answer = self.node.0.ports.poll(&info, epoch, order).await;
         let now = self.now();
         match answer {
@@ -163,7 +170,13 @@
                 scheduler.polled(now, order.worker, sent_at, &listing);
             }
             Err(failure) => {
-                log::warn!("event=worker_lost worker={} reason={failure:?}", info.name);
+                log::warn!(
+                    "event=worker_lost worker={} reason={failure:?} acknowledged={} renewed={} epoch={epoch} ms={}",
+                    info.name,
+                    order.acknowledged,
+                    order.lease_until_ms.is_some(),
+                    (now.time - sent_at).as_millis()
+                );
                 self.node.0.metrics.count("polls_failed");
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.poll_failed(now, order.worker, failure);
