sched: count the room of runs that a worker has beside the current ones

Cause: runs were kept by task, one each. The room in use followed from what the scheduler wants on a worker, not from what the worker has.

A run that is listed and is not the current one is a stray now: it is kept by task and run number, counts for room and for the most tasks of a step on a worker, and is stopped after each list that has it. It is gone when the worker no longer lists it, when the worker is replaced, or when the longest lease that a worker accepts has lapsed. Before, the lapse of a run that this scheduler had not ordered could lie in the past. event=stray reports it.

The test failed before: the waiting task was started beside the two.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -225,6 +225,12 @@
                     );
                     self.node.0.metrics.count("interrupted");
                 }
+                Action::Stray { key, run, worker } => {
+                    let scheduler = self.scheduler.borrow();
+                    let worker = &scheduler.worker_info(worker).name;
+                    log::warn!("event=stray task={key} run={run} worker={worker}");
+                    self.node.0.metrics.count("strays");
+                }
                 Action::EndIgnored { worker, end } => {
                     let scheduler = self.scheduler.borrow();
                     let worker = &scheduler.worker_info(worker).name;
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -742,7 +742,7 @@
                 self.schedule(self.now, Event::NextPoll(node, incarnation, worker));
             }
             Action::Preempted { .. } => self.fleet.checker.report.preempted += 1,
-            Action::Interrupted { .. } | Action::EndIgnored { .. } => {}
+            Action::Interrupted { .. } | Action::Stray { .. } | Action::EndIgnored { .. } => {}
         }
     }
 
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -74,6 +74,16 @@
         /// Why the run counts as interrupted.
         cause: Interruption,
     },
+    /// Report that a worker has listed a run as running that is not the current one of its task there. It is
+    /// being stopped.
+    Stray {
+        /// The task.
+        key: TaskKey,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerId,
+    },
     /// Report that a worker has listed an end that changes nothing, because the task has another run
     /// by now or waits for one. This is normal for ends that an earlier scheduler has stored.
     EndIgnored {
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -126,10 +126,10 @@
         self.lapse_after_lease(self.task_lease)
     }
 
-    /// Returns the time after which every lease has certainly lapsed that an order may give to a new incarnation
-    /// of a worker while the scheduler does not know of the restart. Such an order names a time on the clock of
-    /// the old incarnation, which may lie far in the future of the new one.
-    pub(crate) fn lapse_after_restart(&self) -> Duration {
+    /// Returns the time after which every lease has certainly lapsed that a worker may hold now, whoever granted
+    /// it. After a restart that is not noticed yet, an order names a time on the clock of the old incarnation,
+    /// which may lie far in the future of the new one.
+    pub(crate) fn longest_lapse(&self) -> Duration {
         self.lapse_after_lease(self.max_task_lease)
     }
 
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -139,7 +139,7 @@
         let lapse = self
             .fleet
             .iter()
-            .filter(|worker| !worker.runs.is_empty() && worker.lapse_at > now.time)
+            .filter(|worker| !worker.is_idle() && worker.lapse_at > now.time)
             .map(|worker| worker.lapse_at)
             .min();
         let quarantine_end = self
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -100,7 +100,7 @@
     /// of the earlier incarnation are gone, but orders in flight may still reach the new one. So
     /// the runs keep their capacity until the new incarnation's lists have been read.
     pub(crate) fn worker_restarted(&mut self, now: Time, worker: WorkerId, started_unix_ms: u64) {
-        let lapse_at = now + self.cfg.lapse_after_restart();
+        let lapse_at = now + self.cfg.longest_lapse();
         let worker = self.fleet.get_mut(worker);
         worker.begin_incarnation(started_unix_ms);
         worker.lapse_at = worker.lapse_at.max(lapse_at);
@@ -154,6 +154,7 @@
         let gone = self.fleet.get_mut(worker);
         gone.is_listed = false;
         gone.is_synced = false;
+        gone.retain_strays(|_, _| false);
         for key in keys {
             self.interrupt(now, worker, key, Interruption::Replaced);
         }
@@ -170,7 +171,8 @@
             let before = lapsed.len();
             let runs = worker.runs.iter().filter(|(_, run)| was_sent(run));
             lapsed.extend(runs.map(|(&key, _)| (worker.id, key)));
-            if lapsed.len() > before {
+            let had_strays = worker.retain_strays(|_, _| false);
+            if lapsed.len() > before || had_strays {
                 // The worker's lists must be read again before it gets new work.
                 worker.is_synced = false;
             }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -26,7 +26,7 @@
             return Poll::Never;
         }
         let worker = self.fleet.get_mut(id);
-        if worker.info.address.is_empty() || (!worker.is_listed && worker.runs.is_empty()) {
+        if worker.info.address.is_empty() || (!worker.is_listed && worker.is_idle()) {
             return Poll::Never;
         }
         if worker.ack_after <= stored {
@@ -42,7 +42,7 @@
             // Until the ends are stored, the worker would only list them again. Leases still have
             // to be renewed.
             cfg.task_lease / 4
-        } else if worker.runs.is_empty() && worker.ackable == worker.ack_sent {
+        } else if worker.is_idle() && worker.ackable == worker.ack_sent {
             cfg.idle_poll
         } else {
             Duration::ZERO
@@ -63,7 +63,7 @@
             0
         };
         let may_wait = worker.is_synced && worker.silent_since.is_none() && !is_acknowledging;
-        let wait = if may_wait && !worker.runs.is_empty() {
+        let wait = if may_wait && !worker.is_idle() {
             cfg.poll_wait
         } else {
             Duration::ZERO
@@ -102,6 +102,7 @@
         // ended there.
         self.apply_ends(now, id, listing);
         self.end_earlier_incarnations(now, id, sent_at, listing);
+        self.end_strays(id, listing);
         for row in &listing.running {
             self.update_running(now, id, row);
         }
@@ -175,51 +176,52 @@
     /// Updates a run from the worker's list, or stops the listed run if it is not the current one.
     fn update_running(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
         let worker = self.fleet.get_mut(id);
-        if let Some(run) = worker.runs.get_mut(&row.key) {
-            if run.number == row.run {
-                run.checkpoint.clone_from(&row.checkpoint);
-                if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
-                    run.phase = RunPhase::Running;
-                    run.confirmed_at = Some(now);
-                    self.mark_begun(row.key.job);
-                }
-                return;
-            }
-            if run.number > row.run {
-                // The worker still has an earlier run of the task.
-                let (key, run) = (row.key, row.run);
-                let order = StopOrder {
-                    worker: id,
-                    key,
-                    run,
-                };
-                self.actions.push(Action::Stop(order));
-                return;
-            }
+        let current = worker.runs.get_mut(&row.key);
+        let Some(run) = current.filter(|run| run.number == row.run) else {
+            self.stop_stray(now, id, row);
+            return;
+        };
+        run.checkpoint.clone_from(&row.checkpoint);
+        if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
+            run.phase = RunPhase::Running;
+            run.confirmed_at = Some(now);
+            self.mark_begun(row.key.job);
         }
-        self.stop_unknown_run(now, id, row);
     }
 
-    /// Stops a run that this scheduler did not order, and counts its size as used until it has
-    /// ended.
-    fn stop_unknown_run(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
+    /// Stops a run that is not the current one of its task. Its capacity stays occupied until the worker no
+    /// longer lists it, or until its lease has lapsed. The order is sent again after each list that has it.
+    fn stop_stray(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
         let step = self
             .jobs
             .get(&row.key.job)
             .and_then(|entry| entry.job.steps.get(usize::from(row.key.step)));
-        let run = Run {
-            number: row.run,
-            size: step.map(jobs::Step::reserved).unwrap_or_default(),
-            phase: RunPhase::Stopping,
-            confirmed_at: None,
-            since: now,
-            orders_lapse_at: Time::ZERO,
-            is_of_earlier_incarnation: false,
-            checkpoint: row.checkpoint.clone(),
-            preemptible_below: None,
-        };
-        self.fleet.get_mut(id).add_run(row.key, run);
-        self.order_stop(now, id, row.key);
+        let size = step.map(jobs::Step::reserved).unwrap_or_default();
+        // An earlier scheduler may have granted the lease, or an order that was carried out late.
+        let lapse_at = now + self.cfg.longest_lapse();
+        let worker = self.fleet.get_mut(id);
+        if worker.add_stray(row.key, row.run, size) {
+            worker.lapse_at = worker.lapse_at.max(lapse_at);
+            self.actions.push(Action::Stray {
+                key: row.key,
+                run: row.run,
+                worker: id,
+            });
+        }
+        self.actions.push(Action::Stop(StopOrder {
+            worker: id,
+            key: row.key,
+            run: row.run,
+        }));
+    }
+
+    /// Releases the capacity of the strays that the worker no longer lists.
+    fn end_strays(&mut self, id: WorkerId, listing: &Listing) {
+        let is_listed =
+            |key, run| (listing.running.iter()).any(|row| row.key == key && row.run == run);
+        if self.fleet.get_mut(id).retain_strays(is_listed) {
+            self.needs_pass = true;
+        }
     }
 
     /// Ends the runs that the worker does not list although it had confirmed them before the poll was sent, or
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -546,7 +546,7 @@
             }
         }
         for worker in self.fleet.iter() {
-            summary.runs += worker.runs.len();
+            summary.runs += worker.run_count();
             if worker.takes_work(now.time) {
                 summary.workers += 1;
                 summary.size += worker.info.size;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -112,6 +112,10 @@
     /// lost.
     pub(crate) ack_sent: u64,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
+    /// The sizes of the runs that it has listed as running and that are not the current run of their task, by
+    /// task and run number.
+    strays: BTreeMap<(TaskKey, u32), Size>,
+    /// The capacity that the runs and the strays occupy.
     pub(crate) used: Size,
     /// The time since which it does not answer.
     pub(crate) silent_since: Option<Time>,
@@ -138,6 +142,7 @@
             ackable: 0,
             ack_sent: 0,
             runs: BTreeMap::new(),
+            strays: BTreeMap::new(),
             used: Size::ZERO,
             silent_since: None,
             polled_at: None,
@@ -182,13 +187,44 @@
         Some(run)
     }
 
-    /// Returns the number of tasks of a step on the worker.
+    /// Returns whether it has no runs.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.strays.is_empty()
+    }
+
+    /// Returns the number of runs that occupy capacity.
+    pub(crate) fn run_count(&self) -> usize {
+        self.runs.len() + self.strays.len()
+    }
+
+    /// Adds a stray. Returns whether it is new.
+    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size) -> bool {
+        let is_new = self.strays.insert((key, run), size).is_none();
+        if is_new {
+            self.used += size;
+        }
+        is_new
+    }
+
+    /// Removes the strays for which `is_left` returns false. Returns whether there were any.
+    pub(crate) fn retain_strays(&mut self, is_left: impl Fn(TaskKey, u32) -> bool) -> bool {
+        let before = self.strays.len();
+        let used = &mut self.used;
+        self.strays.retain(|&(key, run), size| {
+            let is_left = is_left(key, run);
+            if !is_left {
+                *used -= *size;
+            }
+            is_left
+        });
+        self.strays.len() < before
+    }
+
+    /// Returns the number of runs of a step's tasks on the worker.
     pub(crate) fn count_of(&self, step: StepKey) -> u32 {
-        let count = self
-            .runs
-            .keys()
-            .filter(|key| key.step_key() == step)
-            .count();
+        let strays = self.strays.keys().map(|(key, _)| key);
+        let keys = self.runs.keys().chain(strays);
+        let count = keys.filter(|key| key.step_key() == step).count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
--- /dev/null
+++ b/crates/sched/tests/room.rs
@@ -0,0 +1,151 @@
+//! The capacity of a worker that holds more than the scheduler has ordered.
+
+use jobs::{End, EndKind, Incarnation, Job, JobId, Progress, Queue, Step, TaskKey};
+use model::{Size, Time, WorkerId};
+use sched::{
+    Action, Listing, Now, Recovered, RunningRow, SchedConfig, Scheduler, StartOrder, StopOrder,
+    WorkerInfo,
+};
+
+/// The job whose run the worker still has.
+const EARLIER: JobId = JobId(7);
+
+/// The job that waits for capacity.
+const WAITING: JobId = JobId(8);
+
+fn at_ms(ms: u64) -> Now {
+    Now {
+        time: Time::from_ms(ms),
+        unix_ms: 1_700_000_000_000 + ms,
+    }
+}
+
+fn task(job: JobId) -> TaskKey {
+    TaskKey {
+        job,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "lookup".into(),
+        pool: "desk".into(),
+        max_failures: 3,
+        ..Queue::default()
+    }
+}
+
+/// Returns a job of one task that needs this many processors.
+fn job(processors: u64) -> Job {
+    Job {
+        queue: queue(),
+        steps: vec![Step {
+            tasks: 1,
+            size: Size::new(processors * 1_000, 1_000, 0),
+            estimate_ms: 800,
+            ..Step::default()
+        }],
+        ..Job::default()
+    }
+}
+
+/// Returns the entry of a worker with this many processors, in the incarnation `started_unix_ms`.
+fn worker(name: &str, processors: u64, started_unix_ms: u64) -> WorkerInfo {
+    WorkerInfo {
+        name: name.into(),
+        address: name.to_owned(),
+        pool: "desk".into(),
+        size: Size::new(processors * 1_000, 32_000, 0),
+        started_unix_ms,
+        ..WorkerInfo::default()
+    }
+}
+
+/// Returns a scheduler with a worker of eight processors. Its task of four processors is in the second run there.
+fn scheduler(now: Now) -> (Scheduler, WorkerId) {
+    let job = job(4);
+    let mut progress = Progress::new(&job);
+    let incarnation = Incarnation::new("w1", 1);
+    let run = progress.assign(&[(task(EARLIER), incarnation.clone())]);
+    let end = End {
+        key: task(EARLIER),
+        run,
+        kind: EndKind::Interrupted,
+        checkpoint: String::new(),
+    };
+    progress.end(&job, &end, 3);
+    progress.assign(&[(task(EARLIER), incarnation)]);
+    let recovered = Recovered {
+        jobs: vec![(EARLIER, job)],
+        progress: [(EARLIER, progress)].into(),
+        ..Recovered::default()
+    };
+    let mut scheduler = Scheduler::new(SchedConfig::default(), 1, now, recovered);
+    scheduler.set_queues([queue()]);
+    scheduler.worker_listed(now, worker("w1", 8, 1));
+    let id = scheduler.worker_id("w1").unwrap();
+    (scheduler, id)
+}
+
+/// Answers a poll of an incarnation with these runs in progress.
+fn poll(scheduler: &mut Scheduler, now: Now, id: WorkerId, born: u64, runs: &[(JobId, u32)]) {
+    let running = runs.iter().map(|&(job, run)| RunningRow {
+        key: task(job),
+        run,
+        ..RunningRow::default()
+    });
+    let listing = Listing {
+        started_unix_ms: born,
+        clock_ms: 500 + now.time.as_ms(),
+        running: running.collect(),
+        ..Listing::default()
+    };
+    scheduler.polled(now, id, now.time, &listing);
+}
+
+/// Runs a pass, stores its changes, and returns the orders.
+fn orders(scheduler: &mut Scheduler, now: Now) -> (Vec<StartOrder>, Vec<StopOrder>) {
+    scheduler.request_pass();
+    scheduler.decide(now);
+    let mut actions = scheduler.take_actions();
+    if scheduler.take_batch(now).is_some() {
+        scheduler.batch_stored(now);
+    }
+    actions.extend(scheduler.take_actions());
+    let mut starts = Vec::new();
+    let mut stops = Vec::new();
+    for action in actions {
+        match action {
+            Action::Start(order) => starts.push(order),
+            Action::Stop(order) => stops.push(order),
+            _ => {}
+        }
+    }
+    (starts, stops)
+}
+
+/// Guards against a worker that is given more than it holds, because an earlier run of a task that it still has
+/// beside the current one counts as gone.
+#[test]
+fn an_earlier_run_beside_the_current_one_keeps_its_capacity() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    scheduler.job_stored(at_ms(1_000), WAITING, job(4));
+    poll(
+        &mut scheduler,
+        at_ms(1_010),
+        w1,
+        1,
+        &[(EARLIER, 1), (EARLIER, 2)],
+    );
+    let (starts, stops) = orders(&mut scheduler, at_ms(1_010));
+    assert_eq!(starts, [], "both runs use all of the worker");
+    let stopped: Vec<u32> = stops.iter().map(|stop| stop.run).collect();
+    assert_eq!(stopped, [1], "only the earlier run is stopped");
+    poll(&mut scheduler, at_ms(1_100), w1, 1, &[(EARLIER, 2)]);
+    let (starts, _) = orders(&mut scheduler, at_ms(1_100));
+    assert_eq!(starts.len(), 1, "the earlier run is gone");
+    assert_eq!(starts[0].key, task(WAITING));
+}
