sched: leave no room beside a run whose job is not known

What callers saw: nothing that a run shows yet. Read in stop_unknown_run: a listed run whose job is not known counted with the size zero, so that a worker could be given more than it holds (LIMIT). A job is forgotten 150 s after its end, and only a run that has kept its lease for so long without this scheduler could be met.

Its size is not known, so it counts as all of the worker until it has ended. The test failed before: the waiting task was started beside it.

--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -196,10 +196,12 @@
             .jobs
             .get(&row.key.job)
             .and_then(|entry| entry.job.steps.get(usize::from(row.key.step)));
-        let size = step.map(jobs::Step::reserved).unwrap_or_default();
+        let size = step.map(jobs::Step::reserved);
         // An earlier scheduler may have granted the lease, or an order that was carried out late.
         let lapse_at = now + self.cfg.longest_lapse();
         let worker = self.fleet.get_mut(id);
+        // A run of unknown size may use all of the worker.
+        let size = size.unwrap_or(worker.info.size);
         if worker.add_stray(row.key, row.run, size) {
             worker.lapse_at = worker.lapse_at.max(lapse_at);
             self.actions.push(Action::Stray {
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -149,3 +149,25 @@
     assert_eq!(starts.len(), 1, "the earlier run is gone");
     assert_eq!(starts[0].key, task(WAITING));
 }
+
+/// Guards against a worker that is given more than it holds, because a run of a job that is not known counts as
+/// if it used nothing.
+#[test]
+fn a_run_of_an_unknown_job_leaves_no_capacity() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    scheduler.job_stored(at_ms(1_000), WAITING, job(4));
+    let unknown = JobId(9);
+    poll(
+        &mut scheduler,
+        at_ms(1_010),
+        w1,
+        1,
+        &[(EARLIER, 2), (unknown, 1)],
+    );
+    let (starts, stops) = orders(&mut scheduler, at_ms(1_010));
+    assert_eq!(starts, [], "the size of the unknown run is not known");
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].key, task(unknown));
+    poll(&mut scheduler, at_ms(1_100), w1, 1, &[(EARLIER, 2)]);
+    assert_eq!(orders(&mut scheduler, at_ms(1_100)).0.len(), 1);
+}
