sched: give no work to a new incarnation before its size is known

The worker counts as not listed until its entry names the new incarnation. Entries without a start time never would, so there nothing changes; a test holds that.

The test failed before: a task of eight processors was started on an incarnation of four.

--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -92,6 +92,11 @@
         }
         if listing.started_unix_ms > started_unix_ms {
             self.worker_restarted(now, id, listing.started_unix_ms);
+            if started_unix_ms > 0 {
+                // The new incarnation may have another size or other labels, which its own entry in the directory
+                // tells. Entries without a start time are not replaced.
+                self.fleet.get_mut(id).is_listed = false;
+            }
         }
         let worker = self.fleet.get_mut(id);
         worker.read_clock(listing.clock_ms, now);
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -171,3 +171,35 @@
     poll(&mut scheduler, at_ms(1_100), w1, 1, &[(EARLIER, 2)]);
     assert_eq!(orders(&mut scheduler, at_ms(1_100)).0.len(), 1);
 }
+
+/// Guards against a worker that is given more than it holds after it has restarted as one of another size.
+#[test]
+fn a_new_incarnation_takes_no_work_until_its_size_is_known() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    poll(&mut scheduler, at_ms(1_010), w1, 1, &[(EARLIER, 2)]);
+    scheduler.job_stored(at_ms(1_010), WAITING, job(8));
+    poll(&mut scheduler, at_ms(1_100), w1, 2, &[]);
+    assert_eq!(
+        orders(&mut scheduler, at_ms(1_100)).0,
+        [],
+        "the size is that of the earlier incarnation"
+    );
+    scheduler.worker_listed(at_ms(1_200), worker("w1", 4, 2));
+    poll(&mut scheduler, at_ms(1_200), w1, 2, &[]);
+    let (starts, _) = orders(&mut scheduler, at_ms(1_200));
+    let started: Vec<TaskKey> = starts.iter().map(|start| start.key).collect();
+    assert_eq!(started, [task(EARLIER)], "only the smaller task fits");
+}
+
+/// Guards against a worker that is never used again because its entry in the directory has no start time.
+#[test]
+fn a_worker_whose_entry_has_no_start_time_takes_work() {
+    let (mut scheduler, _) = scheduler(at_ms(1_000));
+    scheduler.worker_listed(at_ms(1_000), worker("w2", 8, 0));
+    let w2 = scheduler.worker_id("w2").unwrap();
+    scheduler.job_stored(at_ms(1_000), WAITING, job(8));
+    poll(&mut scheduler, at_ms(1_010), w2, 5, &[]);
+    let (starts, _) = orders(&mut scheduler, at_ms(1_010));
+    let started: Vec<TaskKey> = starts.iter().map(|start| start.key).collect();
+    assert_eq!(started, [task(WAITING)]);
+}
