sched: start no task while a worker still has a run of it

Cause: that a task waits was taken to mean that no run of it is left. A pass leaves out the tasks that have a stray now, and the whole gang if a member has one. They may start once no worker lists the run, or its longest lease has lapsed.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -1,6 +1,10 @@
 //! The scheduling pass: goes over all waiting steps and decides which tasks start on which workers.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use jobs::{ApprovalCost, Incarnation, Job, JobId, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
@@ -37,6 +41,8 @@
     holding: Holding,
     /// The number of steps that were held back.
     held_steps: usize,
+    /// The tasks of which a worker still has a run that was given up.
+    strays: HashSet<TaskKey>,
 }
 
 impl Pass {
@@ -121,6 +127,7 @@
             claims: Claims::default(),
             holding: Holding::new(fleet_processors, used_processors),
             held_steps: 0,
+            strays: self.fleet.iter().flat_map(Worker::stray_tasks).collect(),
         };
         for waiting in steps {
             self.place(now.time, &waiting, &mut pass);
@@ -218,11 +225,15 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the tasks of a step that must be placed, or `None` if no task of the step waits.
-    fn demand(&self, key: StepKey) -> Option<Demand> {
+    /// Returns the tasks of a step that must be placed, or `None` if no task of the step can be. A task of which
+    /// a worker still has a run, or whose gang has such a member, is left out.
+    fn demand(&self, key: StepKey, strays: &HashSet<TaskKey>) -> Option<Demand> {
         let entry = self.jobs.get(&key.job)?;
-        let tasks = entry.progress.waiting(&entry.job, key);
-        if tasks.is_empty() {
+        let mut tasks = entry.progress.waiting(&entry.job, key);
+        let count = tasks.len();
+        tasks.retain(|&index| !strays.contains(&key.task(index)));
+        let is_gang = entry.job.steps[usize::from(key.step)].gang;
+        if tasks.is_empty() || (is_gang && tasks.len() < count) {
             return None;
         }
         let policy = self.policy(&entry.job);
@@ -238,7 +249,7 @@
 
     /// Places as many tasks of a step as possible. A gang is placed whole or not at all.
     fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
-        let Some(demand) = self.demand(waiting.key) else {
+        let Some(demand) = self.demand(waiting.key, &pass.strays) else {
             return;
         };
         if demand.approval.is_some() && !self.has_approvals(demand.key) {
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -163,6 +163,7 @@
     /// Ends the runs whose leases have certainly lapsed.
     pub(crate) fn end_lapsed(&mut self, now: Time) {
         let mut lapsed: Vec<(WorkerId, TaskKey)> = Vec::new();
+        let mut any_strays = false;
         for worker in self.fleet.iter_mut() {
             if now < worker.lapse_at {
                 continue;
@@ -171,12 +172,14 @@
             let before = lapsed.len();
             let runs = worker.runs.iter().filter(|(_, run)| was_sent(run));
             lapsed.extend(runs.map(|(&key, _)| (worker.id, key)));
-            let had_strays = worker.retain_strays(|_, _| false);
-            if lapsed.len() > before || had_strays {
+            let has_strays = worker.retain_strays(|_, _| false);
+            any_strays |= has_strays;
+            if lapsed.len() > before || has_strays {
                 // The worker's lists must be read again before it gets new work.
                 worker.is_synced = false;
             }
         }
+        self.needs_pass |= any_strays;
         for (worker, key) in lapsed {
             self.interrupt(now, worker, key, Interruption::Lapsed);
         }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -206,6 +206,11 @@
         is_new
     }
 
+    /// Returns the tasks of its strays.
+    pub(crate) fn stray_tasks(&self) -> impl Iterator<Item = TaskKey> {
+        self.strays.keys().map(|&(key, _)| key)
+    }
+
     /// Removes the strays for which `is_left` returns false. Returns whether there were any.
     pub(crate) fn retain_strays(&mut self, is_left: impl Fn(TaskKey, u32) -> bool) -> bool {
         let before = self.strays.len();
