--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -272,8 +272,8 @@
 }
 
 impl<P: Ports> Workers for MonitoredPorts<P> {
-    async fn start(&self, to: &WorkerInfo, fence: u64, order: &StartOrder) -> StartAnswer {
-        self.ports.start(to, fence, order).await
+    async fn start(&self, to: &WorkerInfo, order: &StartOrder) -> StartAnswer {
+        self.ports.start(to, order).await
     }
 
     async fn stop(&self, to: &WorkerInfo, fence: u64, order: &StopOrder) -> Result<(), CallError> {
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -23,7 +23,7 @@
         let sent_at = now.time;
         let may_send = self.scheduler.borrow().may_send(now);
         let answer = if may_send {
-            self.node.0.ports.start(&info, order.fence, &order).await
+            self.node.0.ports.start(&info, &order).await
         } else {
             StartAnswer::Unknown
         };
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -92,13 +92,8 @@
 /// Calls to workers. `fence` is the fencing token that [`Scheduler::fence`](sched::Scheduler::fence) returns. A
 /// worker refuses calls with a lower token than it has seen since it started.
 pub trait Workers {
-    /// Orders a worker to start a task.
-    fn start(
-        &self,
-        to: &WorkerInfo,
-        fence: u64,
-        order: &StartOrder,
-    ) -> impl Future<Output = StartAnswer>;
+    /// Orders a worker to start a task. The order has its fencing token.
+    fn start(&self, to: &WorkerInfo, order: &StartOrder) -> impl Future<Output = StartAnswer>;
 
     /// Orders a worker to stop a task.
     fn stop(
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -285,14 +285,14 @@
 }
 
 impl Workers for Platform {
-    async fn start(&self, to: &WorkerInfo, fence: u64, order: &StartOrder) -> StartAnswer {
+    async fn start(&self, to: &WorkerInfo, order: &StartOrder) -> StartAnswer {
         let worker = &self.shared.workers[&to.name];
         {
             let mut worker = worker.borrow_mut();
-            if fence < worker.fence {
+            if order.fence < worker.fence {
                 return StartAnswer::Fenced;
             }
-            worker.fence = fence;
+            worker.fence = order.fence;
             assert!(order.ticket.is_some(), "a start without a ticket");
             if !worker.started.insert((order.key, order.run)) {
                 return StartAnswer::Started;
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -175,7 +175,6 @@
         rng: &mut Rng,
         id: WorkerId,
         order: &StartOrder,
-        fence: u64,
     ) -> StartAnswer {
         self.catch_up(now);
         if self.is_unhealthy(now, id) {
@@ -189,7 +188,7 @@
         let size = step.map(jobs::Step::reserved).unwrap_or_default();
         let saves = step.is_some_and(|step| step.saves_progress && !step.gang);
         let host = &mut self.hosts[index(id)];
-        let (answer, is_new) = host.start(now, order, fence, size, saves);
+        let (answer, is_new) = host.start(now, order, size, saves);
         if is_new {
             let lease_until_ms = order.lease_until_ms;
             let event = RunEvent::Began { lease_until_ms };
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -199,11 +199,10 @@
         &mut self,
         now: Time,
         start: &StartOrder,
-        fence: u64,
         size: Size,
         saves: bool,
     ) -> (StartAnswer, bool) {
-        if !self.check_fence(fence) {
+        if !self.check_fence(start.fence) {
             return (StartAnswer::Fenced, false);
         }
         if self
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -866,8 +866,7 @@
         let answer = if self.fleet.is_unhealthy(self.now, sent.host)
             || self.is_approved(sent.host, &order)
         {
-            self.fleet
-                .start(self.now, &mut self.rng, sent.host, &order, sent.fence)
+            self.fleet.start(self.now, &mut self.rng, sent.host, &order)
         } else {
             StartAnswer::NoApproval
         };
--- a/crates/fakes/tests/late_ends.rs
+++ b/crates/fakes/tests/late_ends.rs
@@ -82,9 +82,7 @@
             lease_until_ms,
             fence: 1,
         };
-        let answer = self
-            .fleet
-            .start(at(at_ms), &mut self.rng, worker, &order, 1);
+        let answer = self.fleet.start(at(at_ms), &mut self.rng, worker, &order);
         assert_eq!(answer, StartAnswer::Started);
     }
 
