sched: show newly linked nodes only states that are stored

Cause: a node that links to the scheduler is sent the states of all jobs. They included those that were decided and not yet stored. After a takeover all nodes link within a few hundred milliseconds, just when the first ends are read. If the table then loses answers until the next takeover, the end is not stored, but clients have been shown the job as completed. The worker may crash before its end is read again; then the job runs again.

A job's entry keeps the state that is stored beside the one to be published.

--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -13,8 +13,10 @@
     pub(crate) has_begun: bool,
     /// When a node accepted the job from its client.
     pub(crate) accepted_at: Time,
-    /// The state that was last published, or will be once it is stored.
+    /// The state that was last published, or is to be once it is stored.
     pub(crate) published: Option<State>,
+    /// The state that was last published. It is stored.
+    pub(crate) stored: Option<State>,
     /// When the job ended.
     pub(crate) ended_at: Option<Time>,
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -210,6 +210,7 @@
             progress,
             accepted_at: now.ago(age),
             published: None,
+            stored: None,
             ended_at: None,
         };
         self.jobs.insert(id, entry);
@@ -489,7 +490,12 @@
 
     fn release(&mut self, now: Time, effect: Effect) {
         match effect {
-            Effect::Publish { job, state } => self.actions.push(Action::Publish { job, state }),
+            Effect::Publish { job, state } => {
+                if let Some(entry) = self.jobs.get_mut(&job) {
+                    entry.stored = Some(state);
+                }
+                self.actions.push(Action::Publish { job, state });
+            }
             Effect::Start {
                 key,
                 run,
@@ -534,11 +540,12 @@
         }
     }
 
-    /// Returns the published state of every known job.
+    /// Returns the state of every known job as it is stored. A later state could still be lost with this
+    /// scheduler.
     pub fn states(&self) -> impl Iterator<Item = (JobId, State)> {
         self.jobs
             .iter()
-            .filter_map(|(&id, entry)| Some((id, entry.published?)))
+            .filter_map(|(&id, entry)| Some((id, entry.stored?)))
     }
 
     /// Returns counts and sizes for metrics and clients' queries.
