sched: keep the size that a stray was counted with

A stray is listed again until it is gone, and its size was replaced each time, without the room in use. If its job became known in between, all of the worker had been counted and only the task's size was released: the rest stayed occupied for as long as the scheduler lasted.

The test failed before: one of two tasks that fit was started.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,6 +1,10 @@
 //! The scheduler's view of a worker.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    sync::Arc,
+    time::Duration,
+};
 
 use jobs::{Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
@@ -199,13 +203,14 @@
         self.runs.len() + self.strays.len()
     }
 
-    /// Adds a stray. Returns whether it is new.
+    /// Adds a stray of this size, unless it is known. Returns whether it is new.
     pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size) -> bool {
-        let is_new = self.strays.insert((key, run), size).is_none();
-        if is_new {
-            self.used += size;
-        }
-        is_new
+        let Entry::Vacant(entry) = self.strays.entry((key, run)) else {
+            return false;
+        };
+        entry.insert(size);
+        self.used += size;
+        true
     }
 
     /// Returns the tasks of its strays.
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -172,6 +172,32 @@
     assert_eq!(orders(&mut scheduler, at_ms(1_100)).0.len(), 1);
 }
 
+/// Guards against capacity that stays occupied for ever, because a run's job becomes known only while it is stopped.
+#[test]
+fn a_run_whose_job_becomes_known_releases_all_of_its_capacity() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    let late = JobId(9);
+    poll(
+        &mut scheduler,
+        at_ms(1_010),
+        w1,
+        1,
+        &[(EARLIER, 2), (late, 1)],
+    );
+    scheduler.job_stored(at_ms(1_020), late, job(1));
+    poll(
+        &mut scheduler,
+        at_ms(1_030),
+        w1,
+        1,
+        &[(EARLIER, 2), (late, 1)],
+    );
+    scheduler.job_stored(at_ms(1_040), WAITING, job(3));
+    poll(&mut scheduler, at_ms(1_050), w1, 1, &[(EARLIER, 2)]);
+    let (starts, _) = orders(&mut scheduler, at_ms(1_050));
+    assert_eq!(starts.len(), 2, "both jobs fit beside the first one");
+}
+
 /// Guards against a worker that is given more than it holds after it has restarted as one of another size.
 #[test]
 fn a_new_incarnation_takes_no_work_until_its_size_is_known() {
