--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -23,13 +23,16 @@
     /// A task or gang began after as many of its runs had failed as its queue allows, and these ends were
     /// acknowledged, then or later.
     OverBudget(TaskKey),
+    /// A task that crashes its hosts was started three more times after three hosts had crashed under it.
+    OverCrashed(TaskKey),
     /// More tasks of a step ran on one host than the step allows.
     OverSpread(StepKey),
     /// A task began whose job was not submitted, or had been cancelled for longer than a grace period.
     Unasked(TaskKey),
     /// A job was shown as completed while a task was not done.
     FalselyCompleted(JobId),
-    /// A job was shown as failed although no step had reached the limit of failures.
+    /// A job was shown as failed although no step had reached the limit of failures and no two hosts had crashed
+    /// under one of its tasks.
     FalselyFailed(JobId),
     /// A job was not over at the end of the run, long after the last arrival and fault.
     Unfinished(JobId),
@@ -43,6 +46,7 @@
             Self::RanTwice(key)
             | Self::RanAgain(key)
             | Self::OverBudget(key)
+            | Self::OverCrashed(key)
             | Self::Unasked(key) => Some(key),
             _ => None,
         }
@@ -83,6 +87,10 @@
     pub outcomes: Vec<JobOutcome>,
     /// The number of runs that began.
     pub starts: u64,
+    /// The number of hosts that were crashed by a task.
+    pub crashes: u64,
+    /// The number of jobs that were shown as failed because of crashes though none of their tasks crashes hosts.
+    pub failed_in_vain: u64,
     /// The number of preempted runs.
     pub preempted: u64,
     /// The core-seconds of runs whose work was lost.
@@ -138,6 +146,12 @@
     /// Tasks and gangs whose successful end was acknowledged to the host.
     acknowledged_done: BTreeSet<TaskKey>,
     failures: HashMap<TaskKey, u32>,
+    /// The number of hosts that have crashed under each task.
+    crashes: HashMap<TaskKey, u32>,
+    /// The number of starts of tasks that crash their hosts, after as many crashes as are allowed.
+    late_starts: HashMap<TaskKey, u32>,
+    /// The jobs with a task that crashes its hosts.
+    crashing_jobs: BTreeSet<JobId>,
     /// The runs of each task or gang whose failure was acknowledged, with the time of the failure.
     acknowledged_failures: HashMap<TaskKey, BTreeMap<u32, Time>>,
     cancelled: BTreeMap<JobId, Time>,
@@ -154,6 +168,15 @@
     }
 }
 
+/// The number of crashes under a task after which each further start counts.
+const CRASH_LIMIT: u32 = 3;
+
+/// The number of starts after that many crashes which are too many.
+const LATE_START_LIMIT: u32 = 3;
+
+/// The number of crashes under a task after which its job may be shown as failed.
+const CRASHES_TO_FAIL: u32 = 2;
+
 /// How long after the acknowledgement of its cancellation a task of a job may still begin.
 const CANCEL_GRACE: Duration = Duration::from_secs(3);
 
@@ -287,6 +310,24 @@
         }
     }
 
+    /// Records the beginning of a run of a task that crashes its hosts.
+    pub(super) fn crashing_run_began(&mut self, key: TaskKey) {
+        self.crashing_jobs.insert(key.job);
+        if self.crashes.get(&key).is_none_or(|&n| n < CRASH_LIMIT) {
+            return;
+        }
+        let starts = self.late_starts.entry(key).or_default();
+        *starts += 1;
+        if *starts >= LATE_START_LIMIT {
+            self.record(Breach::OverCrashed(key));
+        }
+    }
+
+    /// Records that a host has crashed while it had a run of this task.
+    pub(super) fn host_crashed_under(&mut self, key: TaskKey) {
+        *self.crashes.entry(key).or_default() += 1;
+    }
+
     pub(super) fn task_failed(&mut self, key: TaskKey) {
         *self.failures.entry(key).or_default() += 1;
     }
@@ -361,7 +402,17 @@
                             *sum += *n;
                             sums
                         });
-                !tasks.any(|key| failures.get(&key.step_key()).is_some_and(|&n| n >= limit))
+                let has_failed =
+                    |key: TaskKey| failures.get(&key.step_key()).is_some_and(|&n| n >= limit);
+                let has_crashed = |key: TaskKey| {
+                    let crashes = self.crashes.get(&key);
+                    crashes.is_some_and(|&n| n >= CRASHES_TO_FAIL)
+                };
+                let is_failed = tasks.clone().any(has_failed);
+                if !is_failed && !self.crashing_jobs.contains(&id) {
+                    self.report.failed_in_vain += 1;
+                }
+                !is_failed && !tasks.any(has_crashed)
             }
             State::Queued | State::Running | State::Cancelled => false,
         };
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -38,6 +38,10 @@
     /// A share of the connections to hosts is reset before the answer arrives. Their orders and polls are carried
     /// out at once or seconds later.
     OrdersReset(Duration),
+    /// A host has half of its size. It is listed with it after the delay of the list.
+    HostShrinks(Duration),
+    /// The schedulers see no changes of the list of hosts.
+    DirectoryStuck(Duration),
 }
 
 /// A safeguard that is left out, to test that the checker detects the consequences.
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -14,6 +14,7 @@
 
 use super::{
     checker::{Checker, WorkEnd},
+    crashing::{CrashingStep, CrashingSteps},
     gangs::Gangs,
     host::Host,
     load::{Arrival, Kind},
@@ -50,6 +51,8 @@
     Tick(WorkerId),
     /// Call [`Fleet::gang_timeout`]: the run of a gang may still be incomplete.
     GangTimeout(StepKey, u32),
+    /// Call [`Fleet::crash_by_task`]: a run on the host crashes it.
+    Crash(WorkerId, TaskKey, u32),
 }
 
 /// The hosts and their runs.
@@ -63,6 +66,7 @@
     fails_all_until: HashMap<WorkerId, Time>,
     illnesses: HashMap<WorkerId, Illness>,
     gangs: Gangs,
+    crashing: CrashingSteps,
     pub(super) checker: Checker,
     pub(super) arrivals: HashMap<JobId, Arrival>,
     timers: Vec<(Time, Timer)>,
@@ -84,6 +88,7 @@
             fails_all_until: HashMap::new(),
             illnesses: HashMap::new(),
             gangs: Gangs::default(),
+            crashing: CrashingSteps::default(),
             checker: Checker::default(),
             arrivals: HashMap::new(),
             timers: Vec::new(),
@@ -153,6 +158,11 @@
         self.arrivals.insert(arrival.id, arrival);
     }
 
+    /// Makes tasks crash each host that starts them.
+    pub fn add_crashing_step(&mut self, step: CrashingStep) {
+        self.crashing.add(step);
+    }
+
     /// Makes all runs that the host starts before `until` fail.
     pub fn fail_all(&mut self, id: WorkerId, until: Time) {
         self.fails_all_until.insert(id, until);
@@ -207,9 +217,14 @@
             .filter(|other| other.step_key() == key.step_key())
             .count();
         let step_tasks_on_host = u32::try_from(step_tasks_on_host).unwrap_or(u32::MAX);
-        let usage: (Size, Size) = (host.used(), host.info.size);
+        let usage: (Size, Size) = (host.used(), host.size_bound(now));
         self.checker
             .run_began(now, (key, run), id, step_tasks_on_host, usage);
+        if let Some(crash) = self.crashing.of(key) {
+            self.checker.crashing_run_began(key);
+            self.timers
+                .push((now + crash.after, Timer::Crash(id, key, run)));
+        }
         let Some(arrival) = self.arrivals.get(&key.job) else {
             return;
         };
@@ -426,11 +441,32 @@
         true
     }
 
+    /// Crashes a host if it still has the run of a task that crashes its hosts. Returns for how long the host is
+    /// down.
+    pub fn crash_by_task(
+        &mut self,
+        now: Time,
+        id: WorkerId,
+        key: TaskKey,
+        run: u32,
+    ) -> Option<Duration> {
+        self.catch_up(now);
+        let crash = self.crashing.of(key)?;
+        let runs = &self.hosts[index(id)].runs;
+        if runs.get(&key).is_none_or(|r| r.run != run) {
+            return None;
+        }
+        self.checker.report.crashes += 1;
+        self.crash(now, id);
+        Some(crash.down)
+    }
+
     /// Crashes a host with all its runs.
     pub fn crash(&mut self, now: Time, id: WorkerId) {
         self.catch_up(now);
         for (key, run) in self.hosts[index(id)].crash() {
             self.record(now, id, key, run, RunEvent::Lost);
+            self.checker.host_crashed_under(key);
             self.checker.run_ended(now, key, run, id, WorkEnd::Lost);
             self.end_gang((now, now), key, run, EndKind::Interrupted);
         }
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -19,6 +19,9 @@
 /// The longest lease, in milliseconds on the host's clock. A longer one is shortened to it.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// How long after a host has shrunk its former size still counts: `contactMs` and one heartbeat.
+const RESIZE_GRACE: Duration = Duration::from_millis(5_500);
+
 /// A run on a host.
 #[derive(Clone, Debug)]
 pub(super) struct HostRun {
@@ -89,6 +92,8 @@
     lapsed_at_ms: u64,
     /// The time of each unacknowledged end, by its number.
     ended_at: HashMap<u64, Time>,
+    /// The size before the host has shrunk, and until when it counts.
+    former_size: Option<(Size, Time)>,
 }
 
 impl Host {
@@ -111,6 +116,7 @@
             lease_until_ms: 0,
             lapsed_at_ms: 0,
             ended_at: HashMap::new(),
+            former_size: None,
         }
     }
 
@@ -163,6 +169,24 @@
         self.started_at + std::time::Duration::from_millis(passed + 1)
     }
 
+    /// Changes the size of the host. Its runs go on.
+    pub fn resize(&mut self, now: Time, size: Size) {
+        self.former_size = Some((self.info.size, now + RESIZE_GRACE));
+        self.info.size = size;
+    }
+
+    /// Returns the size that the runs on the host must fit into now.
+    pub(super) fn size_bound(&self, now: Time) -> Size {
+        let former = self.former_size.filter(|&(_, until)| now < until);
+        former.map_or(self.info.size, |(size, _)| {
+            Size::new(
+                size.milli_processors.max(self.info.size.milli_processors),
+                size.memory_mb.max(self.info.size.memory_mb),
+                size.accelerators.max(self.info.size.accelerators),
+            )
+        })
+    }
+
     /// Crashes the host, which loses its runs and its state. Returns the runs that were lost.
     pub(super) fn crash(&mut self) -> Vec<(TaskKey, u32)> {
         self.is_up = false;
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -7,6 +7,7 @@
 
 mod approvals;
 mod checker;
+mod crashing;
 mod faults;
 mod fleet;
 mod gangs;
@@ -20,6 +21,7 @@
 
 pub use self::{
     checker::{Breach, Checker, JobOutcome, Report},
+    crashing::CrashingStep,
     faults::{CellFault, Mutation},
     fleet::{Fleet, Timer},
     host::Host,
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -49,6 +49,7 @@
     pub(super) orders_late_until: Time,
     pub(super) orders_reset_until: Time,
     pub(super) answers_lost_until: Time,
+    pub(super) directory_stuck_until: Time,
 }
 
 impl Network {
@@ -62,6 +63,7 @@
             orders_late_until: Time::ZERO,
             orders_reset_until: Time::ZERO,
             answers_lost_until: Time::ZERO,
+            directory_stuck_until: Time::ZERO,
         }
     }
 
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use jobs::{JobId, StepKey};
+use jobs::{JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 use sched::{
     Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
@@ -16,6 +16,7 @@
 use super::{
     approvals::Approvals,
     checker::{JobOutcome, Report},
+    crashing::CrashingStep,
     faults::{CellFault, Mutation},
     fleet::{Fleet, Timer},
     host::Host,
@@ -76,6 +77,8 @@
     pub arrivals: Vec<Arrival>,
     /// The faults with their times.
     pub faults: Vec<(Time, CellFault)>,
+    /// The steps with tasks that crash the hosts that start them.
+    pub crashing_steps: Vec<CrashingStep>,
     /// Whether an order or a poll that is carried out late may be carried out by the next incarnation of its host.
     /// The platform's description does not say. `false` by default.
     pub orders_outlive_hosts: bool,
@@ -99,6 +102,7 @@
             kinds: Vec::new(),
             arrivals: Vec::new(),
             faults: Vec::new(),
+            crashing_steps: Vec::new(),
             orders_outlive_hosts: false,
             mutation: Mutation::None,
             seed: 0,
@@ -152,6 +156,7 @@
     ),
     Timer(Timer),
     HostRestarts(WorkerId),
+    HostResized(WorkerId, Size),
     HostListed(WorkerId),
     HostUnlisted(WorkerId),
 }
@@ -216,6 +221,9 @@
             .map(|(i, host)| (host.name().clone(), WorkerId(i)))
             .collect();
         let mut fleet = Fleet::new(hosts, spec.kinds.clone(), GANG_WAIT);
+        for &step in &spec.crashing_steps {
+            fleet.add_crashing_step(step);
+        }
         fleet.arrivals = spec.arrivals.iter().map(|a| (a.id, a.clone())).collect();
         let table = Table::new(spec.mutation == Mutation::NoCondition);
         let mut cell = Self {
@@ -378,10 +386,20 @@
                 self.fleet.gang_timeout(self.now, step, run);
                 self.process_host_changes();
             }
+            Event::Timer(Timer::Crash(host, key, run)) => self.crash_by_task(host, key, run),
+            Event::HostResized(host, size) => {
+                self.fleet.hosts[index(host)].resize(self.now, size);
+                self.schedule(self.now + DIRECTORY_LAG, Event::HostListed(host));
+            }
             Event::HostRestarts(host) => {
                 self.fleet.hosts[index(host)].restart(self.now);
                 self.schedule(self.now + DIRECTORY_LAG, Event::HostListed(host));
             }
+            Event::HostUnlisted(_) | Event::HostListed(_)
+                if self.now < self.network.directory_stuck_until =>
+            {
+                self.schedule(self.network.directory_stuck_until, event);
+            }
             Event::HostUnlisted(host) => {
                 let name = self.fleet.hosts[index(host)].name().clone();
                 for node in &mut self.nodes {
@@ -512,6 +530,28 @@
             CellFault::HostFlaps(span) => self.fleet.make_unhealthy(host, self.now + span, true),
             CellFault::HostAnswersCut(span) => self.network.cut_answers(host, self.now + span),
             CellFault::OrdersReset(span) => self.network.orders_reset_until = self.now + span,
+            CellFault::HostShrinks(span) => {
+                let Size {
+                    milli_processors,
+                    memory_mb,
+                    accelerators,
+                } = self.spec.host_size;
+                let half = Size::new(milli_processors / 2, memory_mb / 2, accelerators / 2);
+                self.schedule(self.now, Event::HostResized(host, half));
+                let whole = Event::HostResized(host, self.spec.host_size);
+                self.schedule(self.now + span, whole);
+            }
+            CellFault::DirectoryStuck(span) => {
+                self.network.directory_stuck_until = self.now + span;
+            }
+        }
+    }
+
+    /// Crashes a host if it still has the run of a task that crashes its hosts.
+    fn crash_by_task(&mut self, host: WorkerId, key: TaskKey, run: u32) {
+        if let Some(down) = self.fleet.crash_by_task(self.now, host, key, run) {
+            self.process_host_changes();
+            self.schedule(self.now + down, Event::HostRestarts(host));
         }
     }
 
@@ -874,7 +914,8 @@
         if !sent.is_answered {
             return;
         }
-        if self.network.are_answers_cut(self.now, sent.host) {
+        let is_up = self.fleet.hosts[index(sent.host)].is_up;
+        if !is_up || self.network.are_answers_cut(self.now, sent.host) {
             return self.start_unanswered(node, incarnation, order);
         }
         let at = self.now + self.network.delay();
@@ -1013,7 +1054,12 @@
     /// Schedules the timers that a change on the hosts has set, and answers polls at the changed hosts.
     fn process_host_changes(&mut self) {
         for (at, timer) in self.fleet.take_timers() {
-            self.schedule(at, Event::Timer(timer));
+            match timer {
+                Timer::Crash(host, key, run) if at <= self.now => {
+                    self.crash_by_task(host, key, run);
+                }
+                _ => self.schedule(at, Event::Timer(timer)),
+            }
         }
         for host in self.fleet.take_changed_hosts() {
             self.answer_polls(host);
--- /dev/null
+++ b/crates/sched/tests/crashes.rs
@@ -0,0 +1,135 @@
+//! Simulations of a whole cell with tasks that crash the hosts that start them, and with hosts whose size changes.
+
+use std::time::Duration;
+
+use fakes::{
+    Rng,
+    cell::{Cell, CellFault, CellSpec, CrashingStep, LoadSpec, Report, generate},
+};
+use jobs::StepKey;
+use model::{Size, Time};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Which tasks of a job crash their hosts.
+#[derive(Clone, Copy, Debug)]
+enum Crashing {
+    /// One task of the first step.
+    OneTask,
+    /// All tasks of the first step.
+    WholeStep,
+}
+
+/// A small load of ten seconds with this share of gangs.
+fn load(gang_share: f64) -> LoadSpec {
+    let mut load = LoadSpec {
+        duration: 10 * SECOND,
+        factor: 0.12,
+        ..LoadSpec::reminders()
+    };
+    for kind in &mut load.kinds {
+        kind.allowed_share = 0.8;
+        kind.tasks_max = kind.tasks_max.min(6);
+        kind.size.0 = kind.size.0.min(5_000.0);
+        kind.gang_share = gang_share;
+        kind.failure_share = 0.0;
+    }
+    load
+}
+
+/// Returns a cell of twelve hosts, in which every twentieth job has tasks that crash their hosts `after` their start.
+fn cell(
+    seed: u64,
+    gang_share: f64,
+    crashing: Option<(Crashing, Duration)>,
+    faults: Vec<(Time, CellFault)>,
+) -> CellSpec {
+    let load = load(gang_share);
+    let arrivals = generate(&load, seed);
+    let mut rng = Rng::new(seed ^ 0xc4a5);
+    let crashing_steps = crashing.map_or(Vec::new(), |(which, after)| {
+        let jobs = arrivals.iter().skip(5).step_by(20);
+        let steps = jobs.map(|arrival| CrashingStep {
+            step: StepKey {
+                job: arrival.id,
+                ..StepKey::default()
+            },
+            index: matches!(which, Crashing::OneTask).then_some(0),
+            after,
+            down: rng.span(SECOND, 3 * SECOND),
+        });
+        steps.collect()
+    });
+    CellSpec {
+        arrivals,
+        kinds: load.kinds,
+        hosts: 12,
+        host_size: Size::new(32_000, 131_072, 0),
+        crashing_steps,
+        faults,
+        seed,
+        ..CellSpec::default()
+    }
+}
+
+fn run(spec: CellSpec) -> Report {
+    Cell::new(spec).run()
+}
+
+/// The combinations of tasks and of times until the crash. Without any time, the start is not answered.
+const CRASHES: [(Crashing, Duration); 4] = [
+    (Crashing::OneTask, Duration::ZERO),
+    (Crashing::OneTask, Duration::from_millis(300)),
+    (Crashing::WholeStep, Duration::ZERO),
+    (Crashing::WholeStep, Duration::from_millis(300)),
+];
+
+/// Checks the guarantees with tasks that crash their hosts, beside `faults`, which may depend on the seed.
+fn assert_limited(gang_share: f64, faults: impl Fn(u64) -> Vec<(Time, CellFault)>) {
+    for (number, crashing) in (0..).zip(CRASHES) {
+        for seed in 0..6 {
+            let seed = 100 * number + seed;
+            let report = run(cell(seed, gang_share, Some(crashing), faults(seed)));
+            assert_eq!(report.breaches, [], "{crashing:?}, seed {seed}");
+            assert!(report.crashes > 0, "no host was crashed, seed {seed}");
+        }
+    }
+}
+
+/// Returns four times in the ten seconds of the load, each with the fault.
+fn four_times(seed: u64, fault: CellFault) -> Vec<(Time, CellFault)> {
+    let mut rng = Rng::new(seed ^ 0x7afe);
+    let times = (0..4).map(|_| Time::ZERO + rng.span(SECOND, 10 * SECOND));
+    times.map(|at| (at, fault)).collect()
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_is_not_started_without_end() {
+    assert_limited(0.0, |_| Vec::new());
+}
+
+#[test]
+fn a_gang_that_crashes_its_workers_is_not_started_without_end() {
+    assert_limited(1.0, |_| Vec::new());
+}
+
+#[test]
+fn crashes_are_counted_across_takeovers() {
+    assert_limited(0.3, |seed| four_times(seed, CellFault::SchedulerDies));
+    assert_limited(0.3, |seed| four_times(seed, CellFault::SchedulerReplaced));
+}
+
+/// The workers come back only after the leases of their runs have lapsed.
+#[test]
+fn a_crash_that_shows_after_the_run_has_lapsed_is_counted() {
+    for (number, crashing) in (0..).zip(CRASHES) {
+        for seed in 0..4 {
+            let seed = 100 * number + seed;
+            let mut spec = cell(seed, 0.3, Some(crashing), Vec::new());
+            for step in &mut spec.crashing_steps {
+                step.down = 9 * SECOND;
+            }
+            assert_eq!(run(spec).breaches, [], "{crashing:?}, seed {seed}");
+        }
+    }
+}
