sched: an older entry of a worker does not replace a newer one

What callers saw: work lost with a worker that was given more than it holds.

Cause: entries of one incarnation replaced each other in the order of their arrival. After the whole list was read, page by page, the feed goes on from the version of the first page, so it reports entries again that a later page already had in a newer form; a size that had shrunk was raised again until the next entry.

Why this works: the store's versions increase with each change, so the older entry is known as such. The incarnation alone does not tell. Evidence: an_older_entry_does_not_undo_that_a_worker_has_shrunk fails without the check.

--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -319,8 +319,9 @@
             self.worker_restarted(now.time, id, info.started_unix_ms);
         }
         let worker = self.fleet.get_mut(id);
-        if info.started_unix_ms < worker.info.started_unix_ms {
-            // A directory entry of an earlier incarnation that arrived late.
+        let is_older = info.version > 0 && info.version < worker.info.version;
+        if info.started_unix_ms < worker.info.started_unix_ms || is_older {
+            // A directory entry that arrived late.
             return;
         }
         if worker.info.address != info.address {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -30,6 +30,8 @@
     pub rack: Option<String>,
     /// Whether it is about to leave and accepts no new work.
     pub is_draining: bool,
+    /// The version of its entry, which is higher than that of all earlier ones; 0 if it is not known.
+    pub version: u64,
     /// When its present incarnation started, in Unix milliseconds on its own clock.
     pub started_unix_ms: u64,
 }
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -268,3 +268,24 @@
     let (starts, _) = orders(&mut scheduler, at_ms(18_000));
     assert_eq!(starts.len(), 1);
 }
+
+/// Returns the entry of the worker `w1`, in its first incarnation, with this many processors.
+fn entry(processors: u64, version: u64) -> WorkerInfo {
+    WorkerInfo {
+        version,
+        ..worker("w1", processors, 1)
+    }
+}
+
+/// Guards against a worker that is given more than it holds, because an older entry raises its size again.
+#[test]
+fn an_older_entry_does_not_undo_that_a_worker_has_shrunk() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    poll(&mut scheduler, at_ms(1_010), w1, 1, &[(EARLIER, 2)]);
+    scheduler.worker_listed(at_ms(1_020), entry(4, 9));
+    scheduler.worker_listed(at_ms(1_030), entry(8, 7));
+    scheduler.job_stored(at_ms(1_040), WAITING, job(4));
+    assert_eq!(orders(&mut scheduler, at_ms(1_040)).0, []);
+    scheduler.worker_listed(at_ms(1_050), entry(8, 11));
+    assert_eq!(orders(&mut scheduler, at_ms(1_050)).0.len(), 1);
+}
