sched: start nothing on a worker that has shrunk below what it has

What callers saw: work lost with a worker that was given more than it holds.

Cause: a start is placed with the size of that moment, and sent once it is stored; an unanswered one is sent again after 0.7 s. Neither looked at the size again. The room of what a worker has counted only for what was placed later.

Why this works: an order is built only while all that the worker has fits, the run itself included. Evidence: a_start_is_withdrawn_if_its_worker_shrinks_while_it_is_stored and an_unanswered_start_is_not_repeated_on_a_worker_that_has_shrunk fail without the check.

--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -67,8 +67,8 @@
         approvals.ticket(now, worker, started_unix_ms).cloned()
     }
 
-    /// Returns the start order for a run, if orders may be sent, the run is still wanted and the
-    /// worker's clock is known.
+    /// Returns the start order for a run, if orders may be sent, the run is still wanted, the worker has not shrunk
+    /// below what it has, and its clock is known.
     fn start_order(
         &mut self,
         now: Time,
@@ -77,7 +77,7 @@
         worker: WorkerId,
         ticket: Option<Ticket>,
     ) -> Option<StartOrder> {
-        if !self.may_order(now) {
+        if !self.may_order(now) || self.fleet.get(worker).is_overcommitted() {
             return None;
         }
         let entry = self.jobs.get(&key.job)?;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -190,6 +190,11 @@
         self.info.size - self.used
     }
 
+    /// Returns whether its runs need more than its size, which may have shrunk.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        !self.used.fits(&self.info.size)
+    }
+
     /// Returns whether a poll that was sent at `sent_at` carried the fencing token of the present incarnation.
     pub(crate) fn is_fence_current(&self, sent_at: Time) -> bool {
         self.restarted_at.is_none_or(|at| sent_at > at)
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -289,3 +289,37 @@
     scheduler.worker_listed(at_ms(1_050), entry(8, 11));
     assert_eq!(orders(&mut scheduler, at_ms(1_050)).0.len(), 1);
 }
+
+/// Guards against a start on a worker that has shrunk while the run was being stored.
+#[test]
+fn a_start_is_withdrawn_if_its_worker_shrinks_while_it_is_stored() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    poll(&mut scheduler, at_ms(1_010), w1, 1, &[(EARLIER, 2)]);
+    scheduler.job_stored(at_ms(1_010), WAITING, job(4));
+    scheduler.decide(at_ms(1_020));
+    scheduler.take_actions();
+    assert!(scheduler.take_batch(at_ms(1_020)).is_some());
+    scheduler.worker_listed(at_ms(1_030), entry(4, 9));
+    scheduler.batch_stored(at_ms(1_040));
+    let is_start = |action: &Action| matches!(action, Action::Start(_));
+    assert!(!scheduler.take_actions().iter().any(is_start));
+    assert_eq!(orders(&mut scheduler, at_ms(1_050)).0, []);
+    scheduler.worker_listed(at_ms(1_060), entry(8, 11));
+    let (starts, _) = orders(&mut scheduler, at_ms(1_060));
+    assert_eq!(starts.len(), 1, "the worker has grown again");
+    assert_eq!((starts[0].key, starts[0].run), (task(WAITING), 2));
+}
+
+/// Guards against a repeated start that is the first to arrive, on a worker that has shrunk since the run was placed.
+#[test]
+fn an_unanswered_start_is_not_repeated_on_a_worker_that_has_shrunk() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    poll(&mut scheduler, at_ms(1_010), w1, 1, &[(EARLIER, 2)]);
+    scheduler.job_stored(at_ms(1_010), WAITING, job(4));
+    let (starts, _) = orders(&mut scheduler, at_ms(1_020));
+    scheduler.worker_listed(at_ms(1_030), entry(4, 9));
+    scheduler.start_answered(at_ms(1_720), &starts[0], sched::StartAnswer::Unknown);
+    let (starts, stops) = orders(&mut scheduler, at_ms(1_730));
+    assert_eq!(starts, []);
+    assert_eq!(stops.len(), 1, "the first order may still be carried out");
+}
