sched: start nothing while the list of workers is old

What callers saw: work lost with workers that were given more than they hold.

Cause: the scheduler placed tasks with the sizes that it had read last, whatever their age. If the feed of the list did not answer while transactions were stored, or if the process was suspended between a decision and its orders, a size could be older than the 4 s and one heartbeat for which a former size counts.

Why this works: the list is as current as the last answered request for its changes, counted from when it was sent. No task is placed, and no start sent, once that is 3 s ago; the check is made again right before an order is sent. An owner of a scheduler that never reports reads is not checked, as before.

Logs: event=worker_resized.

--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -2,6 +2,8 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use model::Time;
+use sched::{Scheduler, WorkerInfo};
 use tokio::time::{Instant, sleep};
 
 use super::Leader;
@@ -92,11 +94,13 @@
         }
     }
 
-    fn apply_worker_changes(&self, change: Versioned<WorkerChanges>) {
+    /// Applies changes of the list of workers that were requested at `sent_at`.
+    fn apply_worker_changes(&self, sent_at: Time, change: Versioned<WorkerChanges>) {
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
         for (name, info) in change.value {
             if let Some(info) = info {
+                log_resize(&scheduler, &info);
                 scheduler.worker_listed(now, info);
             } else {
                 let version = change.version;
@@ -104,15 +108,17 @@
                 scheduler.worker_unlisted(&name);
             }
         }
+        scheduler.workers_read(now, sent_at);
     }
 
     /// Follows changes of the list of workers.
     pub(super) async fn follow_workers(self: Rc<Self>, mut after: u64) {
         loop {
+            let sent_at = self.now().time;
             match self.node.0.ports.worker_changes(after, FEED_WAIT).await {
                 Ok(change) => {
                     after = change.version;
-                    self.apply_worker_changes(change);
+                    self.apply_worker_changes(sent_at, change);
                     self.wake.notify_one();
                     sleep(WORKERS_PAUSE).await;
                 }
@@ -133,6 +139,7 @@
     /// Reads all workers after the feed has reported that its history is gone. Returns the version from
     /// which to follow them, or `None` if the call failed.
     async fn reread_workers(&self) -> Option<u64> {
+        let sent_at = self.now().time;
         let change = match self.node.0.ports.workers().await {
             Ok(change) => change,
             Err(e) => {
@@ -154,8 +161,10 @@
             }
         }
         for info in change.value {
+            log_resize(&scheduler, &info);
             scheduler.worker_listed(now, info);
         }
+        scheduler.workers_read(now, sent_at);
         Some(change.version)
     }
 
@@ -196,3 +205,22 @@
         }
     }
 }
+
+/// Logs a change of a worker's size within one incarnation.
+fn log_resize(scheduler: &Scheduler, info: &WorkerInfo) {
+    let Some(id) = scheduler.worker_id(&info.name) else {
+        return;
+    };
+    let old = scheduler.worker_info(id);
+    if old.started_unix_ms == info.started_unix_ms && old.size != info.size {
+        log::info!(
+            "event=worker_resized worker={} processors={} before={} memory_mb={} before={} version={}",
+            info.name,
+            info.size.milli_processors,
+            old.size.milli_processors,
+            info.size.memory_mb,
+            old.size.memory_mb,
+            info.version
+        );
+    }
+}
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -82,9 +82,10 @@
         recovered.progress.len(),
         recovered.cancelled.len()
     );
-    let workers = loop {
+    let (workers, read_at) = loop {
+        let read_at = node.0.clock.time();
         match node.0.ports.workers().await {
-            Ok(change) => break change,
+            Ok(change) => break (change, read_at),
             Err(e) => log_and_pause("workers", &e).await,
         }
     };
@@ -93,6 +94,7 @@
     for info in workers.value {
         scheduler.worker_listed(now, info);
     }
+    scheduler.workers_read(now, read_at);
     let positions = FeedPositions {
         jobs,
         workers: workers.version,
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -542,7 +542,8 @@
                 self.schedule(self.now + span, whole);
             }
             CellFault::DirectoryStuck(span) => {
-                self.network.directory_stuck_until = self.now + span;
+                let until = &mut self.network.directory_stuck_until;
+                *until = (*until).max(self.now + span);
             }
         }
     }
@@ -593,6 +594,7 @@
         for host in self.fleet.hosts.iter().filter(|host| host.is_up) {
             scheduler.worker_listed(now, host.info.clone());
         }
+        scheduler.workers_read(now, now.time);
         self.apply_takeover_mutation(&mut scheduler);
         let new_active = &mut self.nodes[node];
         new_active.reset();
@@ -631,6 +633,7 @@
             return;
         }
         let is_writing = self.nodes[node].write.is_some();
+        let has_directory = self.now > self.network.directory_stuck_until;
         let Some(scheduler) = self.scheduler_of(node, incarnation) else {
             return;
         };
@@ -638,6 +641,9 @@
             self.nodes[node].reset();
             return;
         }
+        if has_directory {
+            scheduler.workers_read(now, now.time);
+        }
         scheduler.decide(now);
         scheduler.request_pass();
         let batch = if is_writing {
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -22,6 +22,9 @@
     /// waits for the same time for workers that it cannot reach. It covers the outages that the
     /// platform has had.
     pub renew_without_table: Duration,
+    /// How old the list of workers may be when a task is started. A worker may have shrunk since then, and the platform
+    /// lets its former size count for 4 s and the interval between two entries.
+    pub workers_max_age: Duration,
     /// How long a poll may wait on a worker for a run to end.
     pub poll_wait: Duration,
     /// The interval between polls of a worker without tasks, so that its loss is noticed before
@@ -106,6 +109,7 @@
             clock_drift_milli: 20,
             lapse_margin: Duration::from_millis(150),
             renew_without_table: Duration::from_secs(6),
+            workers_max_age: Duration::from_secs(3),
             poll_wait: Duration::from_secs(1),
             idle_poll: Duration::from_secs(5),
             poll_retry: Duration::from_millis(200),
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -15,13 +15,18 @@
         !self.is_deposed && now < self.confirmed_at + self.cfg.renew_without_table
     }
 
+    /// Returns whether tasks may be started: orders may be sent, and the sizes of the workers are current.
+    pub(crate) fn may_start(&self, now: Time) -> bool {
+        self.may_order(now) && self.are_workers_current(now)
+    }
+
     /// Returns whether a start order that was decided earlier may still be sent. The process may
     /// have been suspended since then, and a worker that has restarted meanwhile does not know of a
     /// newer scheduler, so it would not refuse the order. So the time since the last
-    /// confirmed transaction is checked again before the order is sent.
+    /// confirmed transaction is checked again before the order is sent, and the age of the list of workers.
     #[must_use]
     pub fn may_send(&self, now: Now) -> bool {
-        self.may_order(now.time)
+        self.may_start(now.time)
     }
 
     /// Sends the start order of a run that is stored now, unless the run has been withdrawn in the
@@ -67,7 +72,7 @@
         approvals.ticket(now, worker, started_unix_ms).cloned()
     }
 
-    /// Returns the start order for a run, if orders may be sent, the run is still wanted, the worker has not shrunk
+    /// Returns the start order for a run, if tasks may be started, the run is still wanted, the worker has not shrunk
     /// below what it has, and its clock is known.
     fn start_order(
         &mut self,
@@ -77,7 +82,7 @@
         worker: WorkerId,
         ticket: Option<Ticket>,
     ) -> Option<StartOrder> {
-        if !self.may_order(now) || self.fleet.get(worker).is_overcommitted() {
+        if !self.may_start(now) || self.fleet.get(worker).is_overcommitted() {
             return None;
         }
         let entry = self.jobs.get(&key.job)?;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -70,6 +70,8 @@
     pub(crate) is_deposed: bool,
     /// When the last transaction that is known to be stored was sent.
     pub(crate) confirmed_at: Time,
+    /// When the list of workers was last known to be current; `None` if the owner does not report it.
+    workers_read_at: Option<Time>,
     batch_sent_at: Time,
     /// The time that the last batch took to be stored.
     batch_duration: Duration,
@@ -126,6 +128,7 @@
             forgotten: Vec::new(),
             is_deposed: false,
             confirmed_at: now.time,
+            workers_read_at: None,
             batch_sent_at: now.time,
             batch_duration: Duration::ZERO,
             needs_pass: true,
@@ -336,6 +339,19 @@
         }
     }
 
+    /// Records that the list of workers, with all changes that were reported so far, is as current as at `at`. Once this
+    /// has been called, tasks start only while the list is no older than [`SchedConfig::workers_max_age`].
+    pub fn workers_read(&mut self, now: Now, at: Time) {
+        self.needs_pass |= !self.are_workers_current(now.time);
+        self.workers_read_at = self.workers_read_at.max(Some(at));
+    }
+
+    /// Returns whether the list of workers is recent enough to start tasks.
+    pub(crate) fn are_workers_current(&self, now: Time) -> bool {
+        let max_age = self.cfg.workers_max_age;
+        self.workers_read_at.is_none_or(|at| now < at + max_age)
+    }
+
     /// Records that the directory no longer lists a worker.
     pub fn worker_unlisted(&mut self, name: &str) {
         if let Some(id) = self.fleet.id(name) {
--- a/crates/sched/tests/crashes.rs
+++ b/crates/sched/tests/crashes.rs
@@ -176,3 +176,42 @@
         }
     }
 }
+
+/// Returns a cell that is busy enough that its hosts are full, with these faults.
+fn busy_cell(seed: u64, faults: Vec<(Time, CellFault)>) -> CellSpec {
+    let load = LoadSpec {
+        factor: 0.28,
+        ..load(0.3)
+    };
+    CellSpec {
+        arrivals: generate(&load, seed),
+        kinds: load.kinds,
+        ..cell(seed, 0.3, None, faults)
+    }
+}
+
+/// Guards against a worker that is given more than it holds because it has shrunk.
+#[test]
+fn no_worker_that_has_shrunk_is_given_more_than_it_holds() {
+    let beside = [
+        CellFault::SchedulerDies,
+        CellFault::SchedulerPauses(4 * SECOND),
+        CellFault::SchedulerPauses(9 * SECOND),
+        CellFault::DirectoryStuck(9 * SECOND),
+        CellFault::TableDown(5 * SECOND),
+        CellFault::TableSlow(5 * SECOND),
+        CellFault::TableAnswersLost(5 * SECOND),
+        CellFault::OrdersLate(5 * SECOND),
+        CellFault::HostCrashes(SECOND),
+    ];
+    for fault in beside {
+        for seed in 0..6 {
+            let mut faults = four_times(seed, CellFault::HostShrinks(7 * SECOND));
+            faults.extend(four_times(seed + 100, CellFault::HostShrinks(7 * SECOND)));
+            faults.extend(four_times(seed + 200, fault).split_off(2));
+            faults.sort_by_key(|(at, _)| *at);
+            let report = run(busy_cell(seed, faults));
+            assert_eq!(report.breaches, [], "{fault:?}, seed {seed}");
+        }
+    }
+}
--- a/crates/sched/tests/room.rs
+++ b/crates/sched/tests/room.rs
@@ -323,3 +323,21 @@
     assert_eq!(starts, []);
     assert_eq!(stops.len(), 1, "the first order may still be carried out");
 }
+
+/// Guards against starts on sizes that are no longer true, because the list of workers was not read for seconds.
+#[test]
+fn nothing_starts_while_the_list_of_workers_is_old() {
+    let (mut scheduler, w1) = scheduler(at_ms(1_000));
+    scheduler.workers_read(at_ms(1_000), Time::from_ms(1_000));
+    poll(&mut scheduler, at_ms(1_010), w1, 1, &[(EARLIER, 2)]);
+    orders(&mut scheduler, at_ms(3_900));
+    assert!(scheduler.may_send(at_ms(3_990)));
+    assert!(
+        !scheduler.may_send(at_ms(4_000)),
+        "an order that was held up"
+    );
+    scheduler.job_stored(at_ms(4_000), WAITING, job(4));
+    assert_eq!(orders(&mut scheduler, at_ms(4_010)).0, []);
+    scheduler.workers_read(at_ms(4_020), Time::from_ms(4_015));
+    assert_eq!(orders(&mut scheduler, at_ms(4_030)).0.len(), 1);
+}
