sched: a start that was not sent ends the run at once, and suspects no task

What callers saw: a job waits a second or more for a worker that is down, with its task neither there nor elsewhere. After a restart of the worker the task would also count as one that may have crashed it.

Cause: an order that found no connection was taken for one without an answer, which may have been carried out. It was sent twice again, then stopped, and its run was kept until the worker's lists or the lapse of its leases.

Why this works: the client knows whether a request may have left. An order that did not leaves no trace, so unless an earlier one for the same run is open its run ends like a refused one: its task starts elsewhere, the worker gets no new work for a while and is polled at once. Evidence: a_start_that_was_not_sent_is_no_suspect_of_a_crash, and the refusals of a repeated order, which hold for this answer too.

--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -179,6 +179,8 @@
     OtherLife,
     /// The worker knows of a newer scheduler.
     Fenced,
+    /// The order was not sent, because no connection to the worker could be opened.
+    NotSent,
     /// There was no answer. The worker may have the run, or may still receive the order.
     Unknown,
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -141,8 +141,16 @@
                 }
                 self.start_refused(now, order, answer, unanswered);
             }
-            StartAnswer::Unhealthy | StartAnswer::Faulty | StartAnswer::OtherLife => {
+            StartAnswer::Unhealthy
+            | StartAnswer::Faulty
+            | StartAnswer::OtherLife
+            | StartAnswer::NotSent => {
                 worker.quarantine_until = now + self.cfg.quarantine;
+                if answer == StartAnswer::NotSent {
+                    // The worker is probably down, and its next poll may be seconds away.
+                    worker.probed_at = Some(now);
+                    self.actions.push(Action::Wake(order.worker));
+                }
                 self.start_refused(now, order, answer, unanswered);
             }
             StartAnswer::Fenced if order.fence >= fence => self.depose(),
--- a/crates/sched/tests/refusals.rs
+++ b/crates/sched/tests/refusals.rs
@@ -20,7 +20,8 @@
 };
 
 /// The refusals that say nothing about an earlier order for the same run.
-const REFUSALS: [StartAnswer; 5] = [
+const REFUSALS: [StartAnswer; 6] = [
+    StartAnswer::NotSent,
     StartAnswer::OtherLife,
     StartAnswer::Unhealthy,
     StartAnswer::NoApproval,
@@ -298,3 +299,24 @@
     assert_eq!(starts, []);
     assert_eq!(scheduler.summary(later).used, Size::new(24_000, 48_000, 0));
 }
+
+/// Guards against a crash that counts for a task whose start was never sent, and against a task that waits for a worker
+/// that is down.
+#[test]
+fn a_start_that_was_not_sent_is_no_suspect_of_a_crash() {
+    let now = at_ms(1_000);
+    let mut scheduler = scheduler(now, 1, false, 3);
+    let (starts, _) = orders(&mut scheduler, now);
+    scheduler.start_answered(now, &starts[0], StartAnswer::NotSent);
+    let (again, stops) = orders(&mut scheduler, at_ms(1_010));
+    assert_eq!(stops, []);
+    assert_eq!(again.len(), 1, "the task starts elsewhere at once");
+    assert_ne!(again[0].worker, starts[0].worker);
+    let listing = Listing {
+        started_unix_ms: 2,
+        ..Listing::default()
+    };
+    scheduler.polled(at_ms(1_020), starts[0].worker, now.time, &listing);
+    let is_crash = |action: &Action| matches!(action, Action::Crashed { .. });
+    assert!(!scheduler.take_actions().iter().any(is_crash));
+}
