place: back off before a task that is lost again starts again

What users saw: in the product's own cell, a task that crashes its workers starts again at once on the next one, each time its worker is given up.

Why this helps: from its second loss on without an end of its own, a task waits like after a failure, twice as long each time, up to a minute. It is not given up, because here a loss does not tell a crash from silence: the reports carry no proof of it before the leases have lapsed, and the count is not stored.

Evidence: a_task_that_is_lost_again_and_again_starts_ever_more_slowly: 100 starts in 100 s before, 6 to 9 now.

--- a/crates/place/src/completion.rs
+++ b/crates/place/src/completion.rs
@@ -125,9 +125,18 @@
         if is_failure && task.failures >= attempts {
             return given_up("all attempts failed");
         }
-        let until = now + self.cfg.backoff_after(task.failures + task.worker_failures);
+        if end == TaskEnd::Lost {
+            task.losses += 1;
+        } else if is_failure || end == TaskEnd::Succeeded {
+            task.losses = 0;
+        }
+        // The first loss is rarely the task's doing. A task that is lost again may crash its workers.
+        let repeated_losses = task.losses.saturating_sub(1);
+        let failures = task.failures + task.worker_failures + repeated_losses;
+        let until = now + self.cfg.backoff_after(failures);
+        let is_lost_again = end == TaskEnd::Lost && repeated_losses > 0;
         // Only a service's replica is queued again after a success.
-        if is_failure || end == TaskEnd::Succeeded {
+        if is_failure || is_lost_again || end == TaskEnd::Succeeded {
             task.backoff_until = Some(until);
             entry.in_backoff += 1;
             self.queues.add_backoff(until, key);
--- a/crates/place/src/units.rs
+++ b/crates/place/src/units.rs
@@ -62,6 +62,8 @@
     pub(crate) failures: u32,
     /// Failed attempts that are blamed on the workers.
     pub(crate) worker_failures: u32,
+    /// How often the task was lost with its worker since it last ended by itself.
+    pub(crate) losses: u32,
     /// How often the task was checkpointed to make room.
     pub(crate) preemptions: u32,
     /// The workers on which the task failed.
--- a/crates/place/tests/rules.rs
+++ b/crates/place/tests/rules.rs
@@ -459,3 +459,23 @@
     // still succeeds, which resets the worker's failures, so a second first failure counts too.
     assert!(world.given_up.len() <= 2, "{:?}", world.given_up);
 }
+
+/// A task that crashes its workers would take one after the other, as fast as each is given up.
+#[test]
+fn a_task_that_is_lost_again_and_again_starts_ever_more_slowly() {
+    let mut world = world(8);
+    let crashing = unit("crashing", Class::Bulk, batch(1), size(1, 1, 0));
+    world.submit(&crashing).unwrap();
+    let mut starts = 0;
+    for _ in 0..100 {
+        world.decide();
+        if world.running_of("crashing").len() == 1 {
+            starts += 1;
+            let next = world.end(&task("crashing", 0), TaskEnd::Lost);
+            assert_eq!(next, NextState::Waiting, "silent workers are no failures");
+        }
+        world.run_for(Duration::from_secs(1));
+    }
+    // The pauses are 0, 1, 2, 4, 8, 16, 32 and 60 s.
+    assert!((6..=9).contains(&starts), "{starts} starts in 100 s");
+}
