sched: long-running tasks do not wait for each other's trials

What callers saw: a long-running task whose worker has crashed stays down.

Cause: after a crash two tasks of a step run at a time until one has succeeded. A long-running task never succeeds. For the same reason an isolated one would have kept its worker to itself for ever.

Why this works: long-running tasks are not limited by a suspicion against their step. One under which two workers have crashed starts apart from other work; once it has run for 10 s it need not stay apart, and a crash after that does not add to the earlier ones, so that a service is not given up because workers crash once in a while.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -75,8 +75,9 @@
     /// How long a task waits for silent workers to come back that may have crashed under it, if its job would fail
     /// because of them.
     pub return_wait: Duration,
-    /// A task that lasts is not suspected of a crash that comes so long after its start.
-    pub crash_memory: Duration,
+    /// A long-running task that has run for so long is no longer suspected to crash its workers: it need not stay apart
+    /// from other work, and earlier crashes do not count.
+    pub long_running_trial: Duration,
     /// The order in which waiting steps get free capacity.
     pub order: Order,
     /// The number of searches over all workers that a pass may make. Each search takes about 20 us
@@ -129,7 +130,7 @@
             max_trials: 2,
             trial_contact: Duration::from_millis(500),
             return_wait: Duration::from_secs(15),
-            crash_memory: Duration::from_secs(60),
+            long_running_trial: Duration::from_secs(10),
             order: Order::InTime,
             max_searches: 16,
             preempting_rank: Some(URGENT),
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -95,6 +95,7 @@
         self.open_due(now);
         self.end_lapsed(now.time);
         self.repeat_stops(now.time);
+        self.end_long_trials(now.time);
         if !std::mem::take(&mut self.needs_pass) || !self.may_start(now.time) {
             return;
         }
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -151,7 +151,8 @@
             return;
         };
         let step = entry.job.steps.get(usize::from(crash.key.step));
-        if step.is_some_and(|step| step.is_long_running) && now >= since + self.cfg.crash_memory {
+        let is_long_running = step.is_some_and(|step| step.is_long_running);
+        if is_long_running && now >= since + self.cfg.long_running_trial {
             entry.progress.clear_crashes(crash.key);
         }
         let Some(count) = entry.progress.crashed(&entry.job, crash, limit) else {
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -14,7 +14,7 @@
     entry::Entry,
     fit,
     fleet::index,
-    worker::{Run, Suspicion, Worker},
+    worker::{Run, RunPhase, Suspicion, Worker},
 };
 
 /// The number of workers that are polled at once because none has answered recently enough.
@@ -32,7 +32,7 @@
 
 impl Scheduler {
     /// Returns how far a task is suspected to crash the workers that start it. The members of a gang are suspected
-    /// together.
+    /// together. Long-running tasks are expected to be there all the time, so they do not wait for each other's trials.
     pub(crate) fn suspicion(&self, key: TaskKey) -> Suspicion {
         let Some(entry) = self.jobs.get(&key.job) else {
             return Suspicion::None;
@@ -41,16 +41,18 @@
         if !progress.has_crashes() {
             return Suspicion::None;
         }
+        let Some(step) = entry.job.steps.get(usize::from(key.step)) else {
+            return Suspicion::None;
+        };
         let is_near_limit = |key| progress.crash_count(key) + 1 >= self.cfg.crash_limit;
-        let is_strong = match entry.job.steps.get(usize::from(key.step)) {
-            Some(step) if step.gang => {
-                (0..step.tasks).any(|index| is_near_limit(key.step_key().task(index)))
-            }
-            _ => is_near_limit(key),
+        let is_strong = if step.gang {
+            (0..step.tasks).any(|index| is_near_limit(key.step_key().task(index)))
+        } else {
+            is_near_limit(key)
         };
         if is_strong {
             Suspicion::Strong
-        } else if progress.is_suspect(key.step_key()) {
+        } else if !step.is_long_running && progress.is_suspect(key.step_key()) {
             Suspicion::Possible
         } else {
             Suspicion::None
@@ -89,10 +91,14 @@
                 Suspicion::None => others.push(index),
             }
         }
-        // One at a time: a further crash fails the job, and the others are then not started.
-        if let Some(&task) = strong.first()
+        if demand.step().is_long_running {
+            for &task in &strong {
+                self.place_apart(now, &demand, task, pass);
+            }
+        } else if let Some(&task) = strong.first()
             && !self.has_isolated_run(demand.key)
         {
+            // One at a time: a further crash fails the job, and the others are then not started.
             self.place_apart(now, &demand, task, pass);
         }
         self.place_trials(now, &demand, &possible, pass);
@@ -233,6 +239,20 @@
         }
     }
 
+    /// Ends the suspicion against long-running tasks that have run long enough.
+    pub(crate) fn end_long_trials(&mut self, now: Time) {
+        let trial = self.cfg.long_running_trial;
+        for worker in self.fleet.iter_mut().filter(|worker| worker.has_suspects()) {
+            let is_over = |key: &TaskKey, run: &Run| {
+                let entry = self.jobs.get(&key.job);
+                let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.step)));
+                let is_long_running = step.is_some_and(|step| step.is_long_running);
+                is_long_running && run.phase == RunPhase::Running && now >= run.since + trial
+            };
+            self.needs_pass |= worker.clear_suspicion(is_over);
+        }
+    }
+
     /// Returns the runs of a step that its workers have, or may have.
     fn runs_of(&self, step: StepKey) -> impl Iterator<Item = &Run> {
         let entry = self.jobs.get(&step.job).into_iter();
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -241,6 +241,19 @@
         Some(run)
     }
 
+    /// Ends the suspicion against the runs for which `is_over` returns true. Returns whether there were any.
+    pub(crate) fn clear_suspicion(&mut self, is_over: impl Fn(&TaskKey, &Run) -> bool) -> bool {
+        let before = self.suspect_runs;
+        for (key, run) in &mut self.runs {
+            if run.suspicion != Suspicion::None && is_over(key, run) {
+                self.isolated_runs -= usize::from(run.suspicion == Suspicion::Strong);
+                self.suspect_runs -= 1;
+                run.suspicion = Suspicion::None;
+            }
+        }
+        self.suspect_runs < before
+    }
+
     /// Returns whether it has a run that must stay apart from other work.
     pub(crate) const fn is_isolating(&self) -> bool {
         self.isolated_runs > 0
