--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -113,10 +113,12 @@
 
     /// Follows changes of the list of workers.
     pub(super) async fn follow_workers(self: Rc<Self>, mut after: u64) {
+        let mut is_unread = false;
         loop {
             let sent_at = self.now().time;
             match self.node.0.ports.worker_changes(after, FEED_WAIT).await {
                 Ok(change) => {
+                    is_unread = false;
                     after = change.version;
                     self.apply_worker_changes(sent_at, change);
                     self.wake.notify_one();
@@ -129,7 +131,10 @@
                     }
                 }
                 Err(e @ FeedError::Call(_)) => {
-                    log::debug!("cannot read workers: {e}");
+                    // Soon no task may start. Only the first failure in a row is logged.
+                    if !std::mem::replace(&mut is_unread, true) {
+                        log::warn!("event=workers_unread error={:?}", e.to_string());
+                    }
                     sleep(RETRY_DELAY).await;
                 }
             }
