sched: long-running tasks do not wait for silent workers, others for 8 s at most

Read, not seen: a long-running task under which one worker has crashed, and on which two others have fallen silent, would have stayed down for 15 s, though silence is no crash. Workers that crash are back after some seconds: 8 s after the lapse of a run are enough.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Crashes {
     /// The number of workers that have crashed while they had, or may have had, a run of the task.
     pub(crate) count: u32,
-    /// How many of them certainly had it.
+    /// For how many of them it is known that the run had begun.
     certain: u32,
     /// The last run that was counted.
     counted_run: u32,
@@ -48,7 +48,7 @@
     pub key: TaskKey,
     /// The run.
     pub run: u32,
-    /// Whether the run is known to have begun and not to have ended.
+    /// Whether the run is known to have begun. Its end may not have been read.
     pub is_certain: bool,
     /// Whether the worker had only tasks of the same step.
     pub is_alone: bool,
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -63,8 +63,8 @@
     pub quarantine: Duration,
     /// The longest duration of a quarantine.
     pub quarantine_max: Duration,
-    /// The number of workers that crash under a task before its job fails. The last one must have had no other
-    /// work and certainly the task; otherwise the job fails after one crash more.
+    /// The number of workers that crash under a task before its job fails, if all of them certainly had the task and the
+    /// last one no tasks of other steps. Otherwise the job fails after one or two crashes more.
     pub crash_limit: u32,
     /// The number of tasks of a step that may run at a time after a worker has crashed under one of them and before
     /// one has succeeded. Those that were started before the crash do not count.
@@ -72,8 +72,8 @@
     /// A task under which workers have crashed starts only on a worker that has answered so recently. A crash soon
     /// after is then not one that came before the start.
     pub trial_contact: Duration,
-    /// How long a task waits for silent workers to come back that may have crashed under it, if its job would fail
-    /// because of them.
+    /// How long a task waits for silent workers to come back that may have crashed under it, if they and those that have
+    /// would reach `crash_limit`. Long-running tasks do not wait.
     pub return_wait: Duration,
     /// A long-running task that has run for so long is no longer suspected to crash its workers: it need not stay apart
     /// from other work, and earlier crashes do not count.
@@ -129,7 +129,7 @@
             crash_limit: 3,
             max_trials: 2,
             trial_contact: Duration::from_millis(500),
-            return_wait: Duration::from_secs(15),
+            return_wait: Duration::from_secs(8),
             long_running_trial: Duration::from_secs(10),
             order: Order::InTime,
             max_searches: 16,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -200,11 +200,16 @@
         }
     }
 
-    /// Makes a task wait for the silent workers that may have crashed under it, if its job would fail if all of them had.
+    /// Makes a task wait for the silent workers that may have crashed under it, if they and those that have would reach the
+    /// limit. Long-running tasks do not wait: they are expected to be there all the time.
     pub(crate) fn await_workers(&mut self, now: Time, key: TaskKey) {
         let limit = self.cfg.crash_limit;
-        let entry = self.jobs.get(&key.job);
-        if entry.is_some_and(|entry| entry.progress.may_reach_limit(&entry.job, key, limit)) {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let step = entry.job.steps.get(usize::from(key.step));
+        let may_wait = step.is_some_and(|step| !step.is_long_running);
+        if may_wait && entry.progress.may_reach_limit(&entry.job, key, limit) {
             let until = now + self.cfg.return_wait;
             let awaiting = self.awaiting_workers.entry(key).or_insert(until);
             if *awaiting <= now {
