--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -14,7 +14,7 @@
     commit::{self, Outcome},
     lead::Leader,
     lease, link,
-    message::Message,
+    message::{LEVEL, Message},
     recover,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART, lease_key},
 };
@@ -292,6 +292,7 @@
     let hello = Message::Hello {
         node: node.0.settings.name.clone(),
         address: node.0.settings.link_address.to_string(),
+        level: LEVEL,
     };
     if link.tx.send(hello).await.is_err() {
         return;
@@ -309,6 +310,7 @@
             sleep(PING_INTERVAL).await;
         }
     });
+    node.0.upstream_level.set(0);
     *node.0.upstream.borrow_mut() = Some(link.tx.clone());
     let silence = node.0.settings.candidacy.link_timeout;
     let mut was_up = false;
@@ -370,14 +372,16 @@
         Message::Beat {
             table_age_ms,
             is_table_lost,
-        } => update_link_state(
-            node,
-            LinkState::Up {
+            level,
+        } => {
+            node.0.upstream_level.set(level);
+            let link = LinkState::Up {
                 heard_at: now,
                 table_age: Duration::from_millis(table_age_ms),
                 is_table_lost,
-            },
-        ),
+            };
+            update_link_state(node, link);
+        }
         Message::Relayed { number, reply } => node.complete_relay(number, reply),
         Message::Nodes(nodes) => *node.0.node_addresses.borrow_mut() = nodes,
         Message::States(states) => node.update_states(states),
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -43,6 +43,8 @@
     tx: mpsc::Sender<Message>,
     /// The address at which the node accepts links.
     address: String,
+    /// The node's protocol level.
+    level: u32,
 }
 
 /// The scheduler and the tasks that connect it to the platform and the other nodes.
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -6,7 +6,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::{Leader, Peer};
-use crate::{Ports, link::Link, message::Message};
+use crate::{
+    Ports,
+    link::Link,
+    message::{LEVEL, Message},
+};
 
 /// How often a heartbeat is sent to the other nodes.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
@@ -73,6 +77,13 @@
         metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
         metrics.set("processors_milli", summary.size.milli_processors);
         metrics.set("used_processors_milli", summary.used.milli_processors);
+        let peers = self.peers.borrow();
+        let earlier = peers.values().filter(|peer| peer.level < LEVEL).count();
+        drop(peers);
+        metrics.set(
+            "peers_of_earlier_builds",
+            u64::try_from(earlier).unwrap_or(0),
+        );
         log::info!(
             "event=load waiting={} held={} runs={} workers={} used={} of={}",
             summary.waiting_steps,
@@ -101,10 +112,15 @@
             let _ = row.map(|row| link.tx.try_send(Message::Scheduler(row)));
             return;
         }
-        let Ok(Some(Message::Hello { node, address })) = hello else {
+        let Ok(Some(Message::Hello {
+            node,
+            address,
+            level,
+        })) = hello
+        else {
             return;
         };
-        log::info!("event=peer_up node={node}");
+        log::info!("event=peer_up node={node} level={level}");
         let initial_messages = self.initial_messages();
         for message in initial_messages {
             if link.tx.try_send(message).is_err() {
@@ -115,6 +131,7 @@
         let peer = Peer {
             tx: tx.clone(),
             address,
+            level,
         };
         self.peers.borrow_mut().insert(node.clone(), peer);
         self.set_approvers();
@@ -144,6 +161,7 @@
         Message::Beat {
             table_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             is_table_lost: self.node.0.table.is_lost(),
+            level: LEVEL,
         }
     }
 
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -2,11 +2,17 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jobs::{JobId, State, StepKey};
+use jobs::{JobId, State, StepKey, trailing};
 use sched::LeaseRow;
 use serde::{Deserialize, Serialize};
 
-/// A message on a link. Nodes open links to the scheduler.
+/// The protocol level of this build, which nodes exchange in [`Message::Hello`] and [`Message::Beat`]. Builds before
+/// levels were introduced have level 0 and close a link on which a message arrives that they do not know, so variants
+/// that were added at a level are sent only to peers of that level or a higher one.
+pub(crate) const LEVEL: u32 = 1;
+
+/// A message on a link. Nodes open links to the scheduler. New variants are appended, because messages are encoded with
+/// the position of their variant.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -16,6 +22,9 @@
         node: Arc<str>,
         /// The address at which the node accepts links.
         address: String,
+        /// The node's protocol level.
+        #[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]
+        level: u32,
     },
     /// From a node: the first message on a link that only asks which node schedules.
     Who,
@@ -59,6 +68,9 @@
         table_age_ms: u64,
         /// Whether the scheduler cannot reach the table at present.
         is_table_lost: bool,
+        /// The scheduler's protocol level.
+        #[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]
+        level: u32,
     },
     /// From a node that does not or no longer schedules: the lease row that it knows, if any.
     NotScheduler(Option<LeaseRow>),
@@ -116,3 +128,46 @@
     /// The job's state.
     State(State),
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The heartbeat as builds of level 0 define it. Its position in the enum is given by the variants before it.
+    #[derive(Debug, PartialEq)]
+    #[derive(Serialize, Deserialize)]
+    struct OldBeat {
+        variant: u32,
+        table_age_ms: u64,
+        is_table_lost: bool,
+    }
+
+    fn encode(message: &impl Serialize) -> Vec<u8> {
+        bincode::serde::encode_to_vec(message, bincode::config::standard()).unwrap()
+    }
+
+    fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> T {
+        let (value, _) =
+            bincode::serde::decode_from_slice(bytes, bincode::config::standard()).unwrap();
+        value
+    }
+
+    /// Fails if a level that is added to a message makes it unreadable for the build before, or the reverse.
+    #[test]
+    fn builds_of_different_levels_read_each_others_heartbeats() {
+        let beat = Message::Beat {
+            table_age_ms: 70,
+            is_table_lost: true,
+            level: LEVEL,
+        };
+        let old: OldBeat = decode(&encode(&beat));
+        assert_eq!((old.table_age_ms, old.is_table_lost), (70, true));
+        let read: Message = decode(&encode(&old));
+        let expected = Message::Beat {
+            table_age_ms: 70,
+            is_table_lost: true,
+            level: 0,
+        };
+        assert_eq!(read, expected);
+    }
+}
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -78,6 +78,8 @@
     pub(crate) workers: RefCell<BTreeMap<String, Vec<Arc<str>>>>,
     /// The sender of the link to the scheduler; `None` while there is no link.
     pub(crate) upstream: RefCell<Option<mpsc::Sender<Message>>>,
+    /// The protocol level of the scheduler that `upstream` leads to; 0 until its first heartbeat has arrived.
+    pub(crate) upstream_level: Cell<u32>,
     /// When the last message of the scheduler arrived, except for [`Message::Recovering`]. If this node is
     /// the scheduler, when it last sent a summary.
     pub(crate) scheduler_seen_at: Cell<Option<Time>>,
@@ -127,6 +129,7 @@
             pending: RefCell::default(),
             workers: RefCell::default(),
             upstream: RefCell::default(),
+            upstream_level: Cell::default(),
             scheduler_seen_at: Cell::default(),
             leader: RefCell::default(),
             candidacy: RefCell::new(candidacy),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,9 +1,11 @@
 //! Jobs, as clients submit them.
 
+use std::sync::Arc;
+
 use model::Size;
 use serde::{Deserialize, Serialize};
 
-use crate::{Queue, Schedule, error::JobError};
+use crate::{Queue, Schedule, error::JobError, trailing};
 
 /// A job: steps of similar tasks, with dependencies between the steps.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -23,6 +25,9 @@
     pub accepted_unix_ms: u64,
     /// Whether the node that accepted the job itself requests the approvals of the first steps.
     pub approvals_asked: bool,
+    /// The team that submitted the job; empty if it is not known.
+    #[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]
+    pub team: Arc<str>,
 }
 
 /// A set of similar tasks of a job.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -32,7 +32,8 @@
 mod progress;
 mod queue;
 mod schedule;
-mod trailing;
+mod team;
+pub mod trailing;
 
 pub use crate::{
     codec::{decode, encode},
@@ -43,4 +44,5 @@
     progress::{End, EndKind, Incarnation, Outcome, Phase, Progress, State, TaskProgress},
     queue::{ApprovalCost, Queue},
     schedule::Schedule,
+    team::TeamPolicy,
 };
--- a/crates/jobs/src/trailing.rs
+++ b/crates/jobs/src/trailing.rs
@@ -1,7 +1,8 @@
-//! A field at the end of a stored value that values of earlier builds do not have.
+//! A field at the end of a stored value or a message that those of earlier builds do not have.
 //!
 //! The field is written only if it differs from its default. Earlier builds ignore bytes after the fields that they
-//! know, so they read values with and without it.
+//! know, so they read values with and without it. The field must be the last one, and has the attribute
+//! `#[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]`.
 
 use std::{fmt, marker::PhantomData};
 
@@ -14,18 +15,25 @@
 const PRESENT: u8 = 1;
 
 /// Returns whether a field is not written.
-pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+pub fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
 
-pub(crate) fn serialize<T: Serialize, S: Serializer>(
-    value: &T,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
+/// Serializes a field that differs from its default.
+///
+/// # Errors
+///
+/// Returns the error of the serializer.
+pub fn serialize<T: Serialize, S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
     (PRESENT, value).serialize(serializer)
 }
 
-pub(crate) fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+/// Deserializes a field, or returns its default if the value ends before it.
+///
+/// # Errors
+///
+/// Returns an error if the bytes after the other fields are not such a field.
+pub fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
 where
     T: Default + Deserialize<'de>,
     D: Deserializer<'de>,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -48,6 +48,7 @@
 mod scheduler;
 mod statistics;
 mod suspects;
+mod teams;
 mod worker;
 
 pub use crate::{
@@ -61,5 +62,6 @@
     ordering::Order,
     recovery::Recovered,
     scheduler::{Scheduler, Summary},
+    teams::Admission,
     worker::WorkerInfo,
 };
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use jobs::{Job, JobId, Progress, Queue, State, StepKey, TaskKey, encode};
+use jobs::{Job, JobId, Progress, Queue, State, StepKey, TaskKey, TeamPolicy, encode};
 use model::{Size, Time, WorkerId};
 
 use crate::{
@@ -44,6 +44,8 @@
     pub(crate) epoch: u64,
     /// The configured queues, by name.
     pub(crate) queues: HashMap<String, Queue>,
+    /// The configured teams, by name.
+    pub(crate) teams: HashMap<Arc<str>, TeamPolicy>,
     pub(crate) jobs: BTreeMap<JobId, Entry>,
     /// The steps that have tasks waiting to be started.
     pub(crate) waiting: BTreeSet<StepKey>,
@@ -111,6 +113,7 @@
             cfg,
             epoch,
             queues: HashMap::new(),
+            teams: HashMap::new(),
             jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
             scheduled: BTreeSet::new(),
@@ -185,6 +188,21 @@
         self.needs_pass = true;
     }
 
+    /// Replaces the configured teams. A job of a team that is not configured has no limit.
+    pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamPolicy>) {
+        self.teams = teams
+            .into_iter()
+            .map(|team| (team.name.clone(), team))
+            .collect();
+        self.needs_pass = true;
+    }
+
+    /// Returns the policy of a configured team.
+    #[must_use]
+    pub fn team(&self, name: &str) -> Option<&TeamPolicy> {
+        self.teams.get(name)
+    }
+
     /// Sets the nodes that can request approvals.
     pub fn set_approvers(&mut self, nodes: impl IntoIterator<Item = Arc<str>>) {
         self.approvers.set(nodes);
