sched: long-running tasks go first, and have a worker reserved while they fit nowhere

Callers saw: tasks that run until they are cancelled stayed away for 15 s and more after their workers were gone, on a fleet that is in use for 84 to 93 %. Cause: their jobs count as late, so every step that could be in time went before them; and each piece of capacity that became free was taken by a smaller task. Ruled out by the log of: leases (the run counts as lapsed 5 s after its worker is gone) and approvals.

Now such steps go first, oldest first, and the workers with the most free capacity are reserved for those of their tasks that fit nowhere. Two tests fail without it.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -1,6 +1,7 @@
 //! The scheduling pass: goes over all waiting steps and decides which tasks start on which workers.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashSet},
     sync::Arc,
     time::Duration,
@@ -187,6 +188,7 @@
         let waiting = self.waiting.iter().filter_map(|&key| {
             let entry = self.jobs.get(&key.job)?;
             let policy = self.policy(&entry.job);
+            let step = entry.job.steps.get(usize::from(key.step))?;
             let critical_path = self.critical_path(key.job, 0);
             // An occurrence of a scheduled job counts as accepted when it is due.
             let accepted_at = match entry.job.due_unix_ms(key.occurrence) {
@@ -201,6 +203,7 @@
                 remaining: self.critical_path(key.job, key.step),
                 critical_path,
                 is_approved: self.has_approvals(key),
+                is_long_running: step.is_long_running,
             })
         });
         waiting.collect()
@@ -407,6 +410,9 @@
             }
             return;
         }
+        if demand.step().is_long_running && !is_gang {
+            self.reserve_workers(now, demand, tasks, pass);
+        }
         let capacity = if is_gang {
             self.capacity(now, demand)
         } else {
@@ -424,6 +430,18 @@
         }
     }
 
+    /// Reserves the workers with the most free processors, one for each task of a long-running step that fits nowhere.
+    /// Smaller tasks would otherwise take the pieces in which their capacity becomes free.
+    fn reserve_workers(&self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
+        let size = demand.step().reserved();
+        let mut candidates = self.candidates(now, demand, TicketFilter::Any, pass);
+        candidates.retain(|c| c.slots > 0 && size.fits(&c.size));
+        candidates.sort_by_key(|c| (Reverse(c.free.milli_processors), c.worker));
+        for candidate in candidates.iter().take(tasks) {
+            pass.free[index(candidate.worker)] = Size::ZERO;
+        }
+    }
+
     fn has_approvals(&self, key: StepKey) -> bool {
         let approvals = self.approvals.get(&key);
         approvals.is_some_and(|approvals| !approvals.is_empty())
--- a/crates/sched/src/ordering.rs
+++ b/crates/sched/src/ordering.rs
@@ -11,6 +11,10 @@
 //!
 //! The clients of urgent queues wait interactively and their jobs are small, so urgent steps are
 //! served before the others even when they are late, oldest first.
+//!
+//! Long-running tasks are expected to be there all the time, and few of them wait at a time: those that
+//! were lost with their worker. They go before everything else, because among work that can still be in time they
+//! would wait for as long as the fleet is full.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -24,8 +28,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Order {
     /// Steps that can be in time first, then late ones, then expired ones; within each by rank,
-    /// then those with approvals, then the newest. Urgent steps that are not expired come first,
-    /// oldest first.
+    /// then those with approvals, then the newest. Urgent steps that are not expired come before
+    /// these, oldest first, and long-running steps first of all.
     #[default]
     InTime,
     /// Steps that are not expired first, by rank and then by age. A baseline: the policy that
@@ -57,6 +61,7 @@
 /// The tiers in which [`Order::InTime`] serves steps, first to last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
+    LongRunning,
     Urgent,
     InTime,
     Late,
@@ -79,12 +84,15 @@
     pub(crate) critical_path: Duration,
     /// Whether it has approvals.
     pub(crate) is_approved: bool,
+    /// Whether its tasks run until the job is cancelled.
+    pub(crate) is_long_running: bool,
 }
 
 impl WaitingStep {
     /// Returns the tier of the step.
     fn tier(&self, now: Time) -> Tier {
         match self.timeliness(now) {
+            _ if self.is_long_running => Tier::LongRunning,
             Timeliness::Expired => Tier::Expired,
             _ if self.rank == URGENT => Tier::Urgent,
             Timeliness::InTime => Tier::InTime,
@@ -125,7 +133,7 @@
     match order {
         Order::InTime => {
             let tier = a.tier(now).cmp(&b.tier(now)).then(rank);
-            if a.rank == URGENT {
+            if a.rank == URGENT || a.is_long_running {
                 return tier.then(age);
             }
             let approved = b.is_approved.cmp(&a.is_approved);
--- a/crates/sched/tests/holding.rs
+++ b/crates/sched/tests/holding.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jobs::{Job, JobId, Queue, Step};
+use jobs::{Job, JobId, Queue, State, Step};
 use model::{Size, Time};
 use sched::{Listing, Now, Recovered, SchedConfig, Scheduler, WorkerInfo};
 
@@ -123,3 +123,36 @@
     };
     assert_eq!(held_and_runs(scheduler(20), too_large, batch()), (0, 3));
 }
+
+/// Guards against long-running tasks that wait for as long as newer work can be in time.
+#[test]
+fn a_long_running_task_goes_before_newer_work() {
+    let mut scheduler = scheduler(20);
+    let service = Step {
+        is_long_running: true,
+        ..step(1, 12)
+    };
+    submit(&mut scheduler, 2, "batch", service);
+    submit(&mut scheduler, 3, "rebuild", step(2, 12));
+    scheduler.decide(NOW);
+    scheduler.take_batch(NOW).unwrap();
+    scheduler.batch_stored(NOW);
+    let service = scheduler.states().find(|&(id, _)| id == JobId(2));
+    assert_eq!(service, Some((JobId(2), State::Running)));
+}
+
+/// Guards against long-running tasks for which no worker ever becomes free enough, because smaller tasks take each
+/// piece.
+#[test]
+fn a_long_running_task_has_a_worker_reserved_while_it_fits_nowhere() {
+    let mut scheduler = scheduler(20);
+    let service = Step {
+        is_long_running: true,
+        ..step(1, 30)
+    };
+    submit(&mut scheduler, 2, "batch", service);
+    submit(&mut scheduler, 3, "rebuild", step(8, 3));
+    scheduler.decide(NOW);
+    // Both workers have 12 free processors. One is reserved, so four of the eight small tasks fit.
+    assert_eq!(scheduler.summary(NOW).runs, 2 + 4);
+}
