cluster: bounded lists of nodes and workers for large fleets

Callers saw: at 300 VMs and 3,000 workers nothing is served. Ruled out: connections to workers (the same number with the change) and decisions.

Each node is now sent at most 64 addresses and 600 workers of a pool, chosen by its name; changes of the node list are collected for 2 s, and those of long worker lists too. Fleets of up to 64 nodes and 600 workers get the same lists as before.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -2,6 +2,7 @@
 //! its actions.
 
 mod feeds;
+mod lists;
 mod orders;
 mod peers;
 
@@ -22,6 +23,7 @@
     time::{sleep, timeout},
 };
 
+use self::lists::{Pools, Schedule};
 use crate::{Node, Ports, lease::LeaseWriter, message::Message, recover::FeedPositions};
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
@@ -45,6 +47,8 @@
     address: String,
     /// The node's protocol level.
     level: u32,
+    /// The workers that the node was sent last.
+    workers: Pools,
 }
 
 /// The scheduler and the tasks that connect it to the platform and the other nodes.
@@ -62,6 +66,8 @@
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
+    /// When the list of nodes is sent.
+    nodes_schedule: Cell<Schedule>,
     /// Signals that another node has replaced this scheduler.
     deposed: Notify,
     /// Signals that there may be changes to store.
@@ -80,6 +86,7 @@
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
+            nodes_schedule: Cell::default(),
             deposed: Notify::new(),
             changed: Notify::new(),
         })
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -1,11 +1,14 @@
 //! The scheduler's links to the other nodes.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use sched::Now;
 use tokio::time::{sleep, timeout};
 
-use super::{Leader, Peer};
+use super::{
+    Leader, Peer,
+    lists::{self, Pools, Schedule},
+};
 use crate::{
     Ports,
     link::Link,
@@ -41,12 +44,13 @@
     /// Sends heartbeats and summaries to the other nodes.
     pub(super) async fn send_heartbeats(self: Rc<Self>) {
         let mut count = 0;
-        let mut workers = BTreeMap::new();
+        let mut workers_schedule = Schedule::default();
         loop {
             let now = self.now();
             self.broadcast(&self.heartbeat(now));
+            self.send_nodes(now);
             if count % HEARTBEATS_PER_SUMMARY == 0 {
-                self.broadcast_summary(now, &mut workers);
+                self.broadcast_summary(now, &mut workers_schedule);
             }
             count += 1;
             if self.node.0.table.is_lost() {
@@ -58,9 +62,8 @@
         }
     }
 
-    /// Updates the metrics and sends the counts of waiting jobs, and the workers if they differ from
-    /// `sent`.
-    fn broadcast_summary(&self, now: Now, sent: &mut BTreeMap<String, Vec<Arc<str>>>) {
+    /// Updates the metrics and sends the counts of waiting jobs, and the workers if they have changed.
+    fn broadcast_summary(&self, now: Now, workers_schedule: &mut Schedule) {
         let (summary, workers) = {
             let scheduler = self.scheduler.borrow();
             (scheduler.summary(now), scheduler.workers_by_pool(now))
@@ -96,11 +99,40 @@
         self.broadcast(&Message::Pending(summary.pending.clone()));
         *self.node.0.pending.borrow_mut() = Some(summary.pending);
         self.node.0.scheduler_seen_at.set(Some(now.time));
-        if *sent != workers {
-            self.broadcast(&Message::Workers(workers.clone()));
-            self.node.0.workers.borrow_mut().clone_from(&workers);
-            *sent = workers;
+        workers_schedule.mark_changed();
+        if !lists::is_large(&workers) || workers_schedule.take_due(now.time) {
+            self.send_workers(workers);
+        }
+    }
+
+    /// Sends each linked node its workers, unless it has been sent the same ones.
+    fn send_workers(&self, workers: Pools) {
+        for (name, peer) in self.peers.borrow_mut().iter_mut() {
+            let list = lists::workers_for(name, &workers);
+            // A node whose queue is full is dropped with the next heartbeat.
+            if peer.workers != list && peer.tx.try_send(Message::Workers(list.clone())).is_ok() {
+                peer.workers = list;
+            }
+        }
+        *self.node.0.workers.borrow_mut() = workers;
+    }
+
+    /// Sends the addresses of the linked nodes to all of them, if they have changed and are due to be sent.
+    fn send_nodes(&self, now: Now) {
+        let mut schedule = self.nodes_schedule.get();
+        let is_due = schedule.take_due(now.time);
+        self.nodes_schedule.set(schedule);
+        if !is_due {
+            return;
+        }
+        let nodes = self.node_addresses();
+        for (name, peer) in self.peers.borrow().iter() {
+            // A node whose queue is full is dropped with the next heartbeat.
+            let _ = peer
+                .tx
+                .try_send(Message::Nodes(lists::nodes_for(name, &nodes)));
         }
+        *self.node.0.node_addresses.borrow_mut() = nodes;
     }
 
     /// Serves the link of another node until it closes or stays silent for [`PEER_TIMEOUT`].
@@ -121,8 +153,11 @@
             return;
         };
         log::info!("event=peer_up node={node} level={level}");
-        let initial_messages = self.initial_messages();
-        for message in initial_messages {
+        let workers = {
+            let scheduler = self.scheduler.borrow();
+            lists::workers_for(&node, &scheduler.workers_by_pool(self.now()))
+        };
+        for message in self.initial_messages(&node, workers.clone()) {
             if link.tx.try_send(message).is_err() {
                 return;
             }
@@ -132,10 +167,13 @@
             tx: tx.clone(),
             address,
             level,
+            workers,
         };
         self.peers.borrow_mut().insert(node.clone(), peer);
         self.set_approvers();
-        self.broadcast_nodes();
+        let mut schedule = self.nodes_schedule.get();
+        schedule.mark_changed();
+        self.nodes_schedule.set(schedule);
         let reason = loop {
             match timeout(PEER_TIMEOUT, link.rx.recv()).await {
                 Ok(Some(Message::Relay { number, request })) => {
@@ -165,25 +203,24 @@
         }
     }
 
-    /// Sends the link addresses of all nodes to all nodes.
-    pub(super) fn broadcast_nodes(&self) {
+    /// Returns the link addresses of this node and of the linked nodes.
+    fn node_addresses(&self) -> Vec<String> {
         let peers = self.peers.borrow();
-        let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
-        drop(peers);
-        nodes.push(self.node.0.settings.link_address.to_string());
-        self.node.0.node_addresses.borrow_mut().clone_from(&nodes);
-        self.broadcast(&Message::Nodes(nodes));
+        let linked = peers.values().map(|peer| peer.address.clone());
+        let own = self.node.0.settings.link_address.to_string();
+        linked.chain([own]).collect()
     }
 
     /// Returns the messages that a newly linked node is sent first.
-    fn initial_messages(&self) -> [Message; 4] {
+    fn initial_messages(&self, receiver: &str, workers: Pools) -> [Message; 5] {
         let now = self.now();
         let scheduler = self.scheduler.borrow();
         [
             self.heartbeat(now),
             Message::States(scheduler.states().collect()),
             Message::Pending(scheduler.summary(now).pending),
-            Message::Workers(scheduler.workers_by_pool(now)),
+            Message::Workers(workers),
+            Message::Nodes(lists::nodes_for(receiver, &self.node_addresses())),
         ]
     }
 
