Scheduler: a late acknowledgement does not make a worker's unnoticed new incarnation forget ends

Traced: an acknowledging poll stays unanswered, the worker restarts unnoticed, its new incarnation carries out a start order that was sent while the poll was open, under the same token, and then the late poll, which makes it forget the run's end.

- A start order that is sent while an acknowledging poll is open carries a higher token than the poll.
- Nothing is acknowledged while an earlier start order is unanswered, nor for 6 s after one went without an answer, nor more than 100 ms after the last lists if a start was sent or answered since.
- A poll that an order with a higher token has overtaken is repeated at once.
The worker does not count as silent.
- Epochs lie 2^22 tokens apart, as tokens rise more often.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -32,6 +32,11 @@
     pub idle_poll: Duration,
     /// The pause before a worker that did not answer is polled again.
     pub poll_retry: Duration,
+    /// How long after the answer to a poll a worker cannot yet have restarted and ended a new run.
+    pub ack_contact: Duration,
+    /// For how long an unanswered start order may still be carried out. The platform gives no bound; late orders
+    /// in tests take up to 6 s.
+    pub late_start: Duration,
     /// How many times an unanswered start order is sent again before it is withdrawn.
     pub start_retries: u32,
     /// The pause before an unanswered stop order is sent again.
@@ -114,6 +119,8 @@
             poll_wait: Duration::from_secs(1),
             idle_poll: Duration::from_secs(5),
             poll_retry: Duration::from_millis(200),
+            ack_contact: Duration::from_millis(100),
+            late_start: Duration::from_secs(6),
             start_retries: 2,
             stop_retry: Duration::from_millis(300),
             batch_rows: 90,
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -28,8 +28,9 @@
 }
 
 /// The number of fencing tokens of each epoch. A scheduler begins with the lowest one for each worker. Tokens are
-/// raised by one at a time, and not beyond the last one of the epoch.
-pub(crate) const FENCES_PER_EPOCH: u64 = 1 << 16;
+/// raised by one at a time, and not beyond the last one of the epoch. A busy worker's token rises about once per
+/// acknowledgement of ends: at 5 per second the tokens last for nine days.
+pub(crate) const FENCES_PER_EPOCH: u64 = 1 << 22;
 
 impl LeaseRow {
     /// Returns the epoch of the scheduler that replaces the one of this row. All of its fencing tokens are higher
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -95,12 +95,13 @@
             return None;
         }
         let spec = entry.job.spec.clone();
-        let fence = self.fence(worker);
         let target = self.fleet.get_mut(worker);
         let lease_until_ms = target.grant_lease(now, &self.cfg)?;
+        target.start_sent(now);
         if let Some(run) = target.runs.get_mut(&key) {
             run.orders_lapse_at = now + self.cfg.lapse_after();
         }
+        let fence = self.fence(worker);
         Some(StartOrder {
             worker,
             key,
@@ -118,6 +119,14 @@
         let now = now.time;
         let fence = self.fence(order.worker);
         let worker = self.fleet.get_mut(order.worker);
+        worker.open_starts = worker.open_starts.saturating_sub(1);
+        worker.last_start_at = now;
+        if answer == StartAnswer::Unknown {
+            worker.late_starts_until = now + self.cfg.late_start;
+        }
+        if worker.has_unacknowledged_ends() && !worker.awaits_starts(now) {
+            self.actions.push(Action::Wake(order.worker));
+        }
         let Some(run) = worker.runs.get_mut(&order.key) else {
             return;
         };
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -34,6 +34,10 @@
         }
         let polled_at = worker.polled_at.unwrap_or(Time::ZERO);
         let is_acknowledging = worker.ackable < worker.processed;
+        // A late acknowledgement must find no ends of a later incarnation. So none is sent while a start order
+        // from before may still be carried out, and those sent while it is open carry a higher fencing token.
+        let awaits_starts = worker.has_unacknowledged_ends() && worker.awaits_starts(now);
+        let may_acknowledge = !awaits_starts && worker.is_known_to_last(now, &cfg);
         let pause = if worker.probed_at.is_some() {
             Duration::ZERO
         } else if worker.silent_since.is_some() {
@@ -44,7 +48,11 @@
             // Until the ends are stored, the worker would only list them again. Leases still have
             // to be renewed.
             cfg.task_lease / 4
-        } else if worker.is_idle() && worker.ackable == worker.ack_sent {
+        } else if awaits_starts {
+            // The answer to the start order is likely to come before, and ends the pause.
+            let read_at = worker.lists_read.map_or(polled_at, |(_, read_at)| read_at);
+            read_at.max(polled_at) + cfg.poll_retry - polled_at
+        } else if worker.is_idle() && !worker.has_unacknowledged_ends() {
             cfg.idle_poll
         } else {
             Duration::ZERO
@@ -58,14 +66,17 @@
         // restarted, and would then take the old number as an acknowledgement of ends that were
         // never read.
         let is_incarnation_known = worker.is_synced && worker.silent_since.is_none();
-        let acknowledged = if is_incarnation_known && worker.ackable > worker.ack_sent {
+        let has_ends = worker.has_unacknowledged_ends();
+        let acknowledged = if is_incarnation_known && may_acknowledge && has_ends {
             worker.ack_sent = worker.ackable;
             worker.ackable
         } else {
             0
         };
         worker.poll_acknowledges = acknowledged > 0;
-        let may_wait = worker.is_synced && worker.silent_since.is_none() && !is_acknowledging;
+        worker.poll_raises = worker.fence_raises;
+        let is_acknowledged = !is_acknowledging && !worker.has_unacknowledged_ends();
+        let may_wait = worker.is_synced && worker.silent_since.is_none() && is_acknowledged;
         let wait = if may_wait && !worker.is_idle() {
             cfg.poll_wait
         } else {
@@ -89,6 +100,7 @@
     /// Handles a worker's answer to a poll that was sent at `sent_at`.
     pub fn polled(&mut self, now: Now, id: WorkerId, sent_at: Time, listing: &Listing) {
         let now = now.time;
+        self.fleet.get_mut(id).poll_acknowledges = false;
         let started_unix_ms = self.fleet.get(id).info.started_unix_ms;
         if listing.started_unix_ms < started_unix_ms {
             return;
@@ -112,6 +124,7 @@
             // Orders for the earlier incarnation may still be carried out after these lists.
             return;
         }
+        worker.lists_read = Some((sent_at, now));
         // Ends are applied first: a run whose order reached the new incarnation may already have
         // ended there.
         self.forget_lapses(now, id);
@@ -130,9 +143,7 @@
     /// Handles the failure of a poll.
     pub fn poll_failed(&mut self, now: Now, id: WorkerId, failure: PollFailure) {
         let worker = self.fleet.get(id);
-        let is_fence_current = worker
-            .polled_at
-            .is_none_or(|at| worker.is_fence_current(at));
+        let is_fence_current = worker.poll_raises == worker.fence_raises;
         if failure == PollFailure::Fenced && is_fence_current {
             self.depose();
             return;
@@ -144,7 +155,12 @@
         // The acknowledgement in the poll may be lost, or may be carried out much later.
         worker.ack_sent = 0;
         worker.probed_at = None;
-        if std::mem::take(&mut worker.poll_acknowledges) {
+        let has_acknowledged = std::mem::take(&mut worker.poll_acknowledges);
+        if failure == PollFailure::Fenced {
+            // The worker has refused a token that was raised since, and has done nothing.
+            return;
+        }
+        if has_acknowledged && is_fence_current {
             worker.fence_raises += 1;
         }
         worker.silent_since.get_or_insert(now.time);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -126,8 +126,18 @@
     /// The number of the last end that a poll has acknowledged; 0 if the acknowledgement may be
     /// lost.
     pub(crate) ack_sent: u64,
-    /// Whether the last poll acknowledged ends.
+    /// Whether a poll that acknowledges ends is open.
     pub(crate) poll_acknowledges: bool,
+    /// The value of `fence_raises` when it was last polled.
+    pub(crate) poll_raises: u64,
+    /// When the last lists of its present incarnation were requested and received.
+    pub(crate) lists_read: Option<(Time, Time)>,
+    /// The number of start orders that are not answered yet.
+    pub(crate) open_starts: u32,
+    /// When a start order was last sent or answered.
+    pub(crate) last_start_at: Time,
+    /// Until when an unanswered start order may still be carried out.
+    pub(crate) late_starts_until: Time,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// The sizes of the runs that it has listed as running and that are not the current run of their task, by
     /// task and run number.
@@ -171,6 +181,11 @@
             ackable: 0,
             ack_sent: 0,
             poll_acknowledges: false,
+            poll_raises: 0,
+            lists_read: None,
+            open_starts: 0,
+            last_start_at: Time::ZERO,
+            late_starts_until: Time::ZERO,
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
             used: Size::ZERO,
@@ -339,6 +354,35 @@
         Some(clock.worker_ms + passed + millis(cfg.task_lease))
     }
 
+    /// Returns whether it has ends that a poll must still acknowledge.
+    pub(crate) const fn has_unacknowledged_ends(&self) -> bool {
+        self.ackable > self.ack_sent
+    }
+
+    /// Returns whether a start order may be carried out from now on that was sent before.
+    pub(crate) fn awaits_starts(&self, now: Time) -> bool {
+        self.open_starts > 0 || now < self.late_starts_until
+    }
+
+    /// Returns whether no start order can have been carried out by another incarnation than the one whose ends
+    /// were read. An unnoticed new incarnation numbers its ends from 1, and an acknowledgement of the earlier
+    /// one's would make it forget them unread.
+    pub(crate) fn is_known_to_last(&self, now: Time, cfg: &SchedConfig) -> bool {
+        self.lists_read.is_some_and(|(requested_at, read_at)| {
+            now < read_at + cfg.ack_contact || self.last_start_at < requested_at
+        })
+    }
+
+    /// Notes that a start order is about to be sent. While an acknowledgement is open, the order gets a higher
+    /// fencing token: an incarnation that carries it out refuses the acknowledgement afterwards.
+    pub(crate) fn start_sent(&mut self, now: Time) {
+        if self.poll_acknowledges && self.poll_raises == self.fence_raises {
+            self.fence_raises += 1;
+        }
+        self.open_starts += 1;
+        self.last_start_at = now;
+    }
+
     /// Resets the state that is valid for one incarnation only.
     pub(crate) fn begin_incarnation(&mut self, now: Time, started_unix_ms: u64) {
         self.info.started_unix_ms = started_unix_ms;
@@ -346,6 +390,7 @@
         self.restarted_at = Some(now);
         self.is_synced = false;
         self.clock = None;
+        self.lists_read = None;
         self.processed = 0;
         self.ack_after = 0;
         self.ackable = 0;
