Teams in the scheduler: limits, rates, fair shares, summary and admissions

The ledger of what each team may be running is counted at the start of each pass from all runs and strays of the fleet, so it cannot drift from them; what a pass starts, or reserves capacity for, is added. Limits hold for single tasks, gangs, preemption and trials of suspects. Jobs beyond a team's token bucket are surplus: they go after all others that are not expired, and do not preempt. While the fleet is full, steps of teams below their weighted dominant share go first in their tier. Without configured teams none of this is called.

The admissions have no test yet.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -17,6 +17,7 @@
     ordering::{self, Timeliness, URGENT, WaitingStep},
     preempt::{self, Claims},
     scheduler::Effect,
+    teams::pass::Turns,
     worker::{Run, RunPhase, Worker},
 };
 
@@ -43,6 +44,8 @@
     held_steps: usize,
     /// The tasks of which a worker still has a run that was given up.
     strays: HashSet<TaskKey>,
+    /// The teams' part of the pass.
+    pub(crate) turns: Turns,
 }
 
 impl Pass {
@@ -101,6 +104,7 @@
         }
         let mut steps = self.waiting_steps(now);
         ordering::sort(self.cfg.order, now.time, &mut steps);
+        self.begin_team_pass(&steps);
         let free: Vec<Size> = self
             .fleet
             .iter()
@@ -129,10 +133,10 @@
             holding: Holding::new(fleet_processors, used_processors),
             held_steps: 0,
             strays: self.fleet.iter().flat_map(Worker::stray_tasks).collect(),
+            turns: Turns::default(),
         };
-        for waiting in steps {
-            self.place(now.time, &waiting, &mut pass);
-        }
+        self.place_in_turns(now.time, &steps, &mut pass);
+        self.end_team_pass(now.time, &pass);
         self.held_steps = pass.held_steps;
     }
 
@@ -195,6 +199,8 @@
             };
             Some(WaitingStep {
                 key,
+                team: entry.team,
+                is_surplus: entry.is_surplus,
                 rank: policy.rank,
                 accepted_at,
                 objective: policy.objective(critical_path),
@@ -256,10 +262,13 @@
     }
 
     /// Places as many tasks of a step as possible. A gang is placed whole or not at all.
-    fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
-        let Some(demand) = self.demand(now, waiting.key, &pass.strays) else {
+    pub(crate) fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
+        let Some(mut demand) = self.demand(now, waiting.key, &pass.strays) else {
             return;
         };
+        if !self.limit_to_team(now, waiting, &mut demand, pass) {
+            return;
+        }
         if demand.approval.is_some() && !self.has_approvals(demand.key) {
             if now >= waiting.accepted_at + self.approval_delay(&demand) {
                 let workers = self.unasked(now, &demand);
@@ -285,6 +294,7 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
+            self.note_lack(waiting, pass);
             // Nothing is gained by holding back work for a gang that could not run on empty workers either.
             if is_gang && self.capacity(now, &demand) >= demand.tasks.len() {
                 pass.holding.gang_waits(now, waiting, demand.processors());
@@ -299,7 +309,8 @@
                     self.renew_gang_tickets(now, &demand);
                     self.widen(now, &demand, pass);
                 }
-                if self.make_room(now, &demand, pass) {
+                // Jobs beyond their team's rate are not entitled to others' capacity.
+                if !waiting.is_surplus && self.make_room(now, &demand, pass) {
                     return;
                 }
             }
@@ -380,6 +391,8 @@
             pass.free[index(id)] -= need;
             pass.claims.claim(id, need - free);
         }
+        let charge = self.charge(demand.key);
+        self.teams.count_tasks(charge, placed.len());
     }
 
     /// Returns the rank of the task's queue if the task can resume elsewhere, and `None` otherwise.
@@ -404,6 +417,8 @@
             // tickets for the same capacity.
             if self.renew_tickets(now, demand, &placed, tasks - placed.len()) {
                 pass.take(size, &placed);
+                let charge = self.charge(demand.key);
+                self.teams.count_tasks(charge, placed.len());
             }
             return;
         }
@@ -421,6 +436,8 @@
         if is_gang && pass.gang_reservations > 0 && capacity >= tasks {
             pass.gang_reservations -= 1;
             pass.take(size, &placed);
+            let charge = self.charge(demand.key);
+            self.teams.count_tasks(charge, tasks);
         }
     }
 
@@ -506,12 +523,15 @@
         let run = entry.progress.assign(&incarnations);
         self.job_changed(now, key.job);
         let preemptible_below = self.preemptible_below(key.task(0));
+        let charge = self.charge(key);
+        self.teams.count_tasks(charge, pairs.len());
         for (task, id) in pairs {
             let suspicion = self.suspicion(task);
             let worker = self.fleet.get_mut(id);
             let new = Run {
                 number: run,
                 size,
+                charge,
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
@@ -535,7 +555,7 @@
     }
 
     /// Returns how many tasks of a step would fit on the allowed workers if they were empty.
-    fn capacity(&mut self, now: Time, demand: &Demand) -> usize {
+    pub(crate) fn capacity(&mut self, now: Time, demand: &Demand) -> usize {
         let known = self.approvals.get(&demand.key);
         if let Some(capacity) = known.and_then(|approvals| approvals.capacity(now)) {
             return capacity;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -62,6 +62,6 @@
     ordering::Order,
     recovery::Recovered,
     scheduler::{Scheduler, Summary},
-    teams::Admission,
+    teams::{Admission, TeamSummary, TeamsSummary},
     worker::WorkerInfo,
 };
--- a/crates/sched/src/ordering.rs
+++ b/crates/sched/src/ordering.rs
@@ -9,6 +9,8 @@
 //! then the newest steps: they have the most time left and so are the most likely to be in time
 //! even if estimates are off.
 //!
+//! Jobs beyond their team's rate are served after the others that are not expired, in the same order.
+//!
 //! The clients of urgent queues wait interactively and their jobs are small, so urgent steps are
 //! served before the others even when they are late, oldest first.
 
@@ -17,6 +19,8 @@
 use jobs::StepKey;
 use model::Time;
 
+use crate::teams::TeamId;
+
 /// A job is expired once it would take longer than this multiple of its objective.
 const EXPIRY_FACTOR: u32 = 3;
 
@@ -56,17 +60,30 @@
 
 /// The tiers in which [`Order::InTime`] serves steps, first to last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
+pub(crate) enum Tier {
     Urgent,
     InTime,
     Late,
     Expired,
 }
 
+/// The groups of tiers in which [`Order::InTime`] serves steps, first to last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Class {
+    /// Steps that are not expired, of jobs within their team's rate.
+    Entitled,
+    /// Steps that are not expired, of jobs beyond it.
+    Surplus,
+    Expired,
+}
+
 /// A step that waits for free capacity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct WaitingStep {
     pub(crate) key: StepKey,
+    pub(crate) team: TeamId,
+    /// Whether its job was accepted beyond its team's rate.
+    pub(crate) is_surplus: bool,
     /// The rank of its queue; 0 is the most urgent.
     pub(crate) rank: u32,
     /// When the job was accepted, or when the occurrence was due if the job has a schedule.
@@ -92,6 +109,17 @@
         }
     }
 
+    /// Returns the group of steps with which the step is served.
+    pub(crate) fn group(&self, now: Time) -> (Class, Tier) {
+        let tier = self.tier(now);
+        let class = match tier {
+            Tier::Expired => Class::Expired,
+            _ if self.is_surplus => Class::Surplus,
+            _ => Class::Entitled,
+        };
+        (class, tier)
+    }
+
     /// Returns how long the step can still wait without making its job late.
     pub(crate) fn slack(&self, now: Time) -> Duration {
         (self.accepted_at + self.objective) - (now + self.remaining)
@@ -124,7 +152,7 @@
     let rank = a.rank.cmp(&b.rank);
     match order {
         Order::InTime => {
-            let tier = a.tier(now).cmp(&b.tier(now)).then(rank);
+            let tier = a.group(now).cmp(&b.group(now)).then(rank);
             if a.rank == URGENT {
                 return tier.then(age);
             }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -9,6 +9,7 @@
 use crate::{
     Action, Interruption, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler,
     StopOrder,
+    teams::ledger::Charge,
     worker::{Run, RunPhase},
 };
 
@@ -221,12 +222,17 @@
             .get(&row.key.job)
             .and_then(|entry| entry.job.steps.get(usize::from(row.key.step)));
         let size = step.map(jobs::Step::reserved);
+        let charge = step.map(|_| self.charge(row.key.step_key()));
         // An earlier scheduler may have granted the lease, or an order that was carried out late.
         let lapse_at = now + self.cfg.longest_lapse();
         let worker = self.fleet.get_mut(id);
         // A run of unknown size may use all of the worker.
         let size = size.unwrap_or(worker.info.size);
-        if worker.add_stray(row.key, row.run, size) {
+        let charge = charge.unwrap_or(Charge {
+            size,
+            ..Charge::default()
+        });
+        if worker.add_stray(row.key, row.run, size, charge) {
             worker.lapse_at = worker.lapse_at.max(lapse_at);
             self.actions.push(Action::Stray {
                 key: row.key,
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -108,6 +108,7 @@
         let run = Run {
             number: run,
             size,
+            charge: self.charge(key.step_key()),
             phase: RunPhase::Recorded,
             confirmed_at: None,
             since: now.time,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use jobs::{Job, JobId, Progress, Queue, State, StepKey, TaskKey, TeamPolicy, encode};
+use jobs::{Job, JobId, Progress, Queue, State, StepKey, TaskKey, encode};
 use model::{Size, Time, WorkerId};
 
 use crate::{
@@ -19,6 +19,7 @@
     journal::Journal,
     leader::FENCES_PER_EPOCH,
     statistics::{AllowedShares, RunTimes},
+    teams::{TeamId, Teams, TeamsSummary},
     worker::Worker,
 };
 
@@ -44,8 +45,7 @@
     pub(crate) epoch: u64,
     /// The configured queues, by name.
     pub(crate) queues: HashMap<String, Queue>,
-    /// The configured teams, by name.
-    pub(crate) teams: HashMap<Arc<str>, TeamPolicy>,
+    pub(crate) teams: Teams,
     pub(crate) jobs: BTreeMap<JobId, Entry>,
     /// The steps that have tasks waiting to be started.
     pub(crate) waiting: BTreeSet<StepKey>,
@@ -102,6 +102,8 @@
     pub size: Size,
     /// The part of `size` that is in use.
     pub used: Size,
+    /// The configured teams.
+    pub teams: TeamsSummary,
 }
 
 impl Scheduler {
@@ -113,7 +115,7 @@
             cfg,
             epoch,
             queues: HashMap::new(),
-            teams: HashMap::new(),
+            teams: Teams::default(),
             jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
             scheduled: BTreeSet::new(),
@@ -188,21 +190,6 @@
         self.needs_pass = true;
     }
 
-    /// Replaces the configured teams. A job of a team that is not configured has no limit.
-    pub fn set_teams(&mut self, teams: impl IntoIterator<Item = TeamPolicy>) {
-        self.teams = teams
-            .into_iter()
-            .map(|team| (team.name.clone(), team))
-            .collect();
-        self.needs_pass = true;
-    }
-
-    /// Returns the policy of a configured team.
-    #[must_use]
-    pub fn team(&self, name: &str) -> Option<&TeamPolicy> {
-        self.teams.get(name)
-    }
-
     /// Sets the nodes that can request approvals.
     pub fn set_approvers(&mut self, nodes: impl IntoIterator<Item = Arc<str>>) {
         self.approvers.set(nodes);
@@ -228,8 +215,10 @@
 
     pub(crate) fn add_job(&mut self, now: Now, id: JobId, job: Job, progress: Progress) {
         let age = now.unix_ms.saturating_sub(job.accepted_unix_ms);
-        let entry = Entry {
+        let mut entry = Entry {
             job: Arc::new(job),
+            team: TeamId::NONE,
+            is_surplus: false,
             // A run that has ended shows that a worker has begun a task.
             has_begun: progress.has_ended(),
             progress,
@@ -238,6 +227,7 @@
             stored: None,
             ended_at: None,
         };
+        self.count_job(now, &mut entry);
         self.jobs.insert(id, entry);
         self.publish(now.time, id);
         self.schedule_next(id);
@@ -595,6 +585,7 @@
             waiting_steps: self.waiting.len(),
             held_steps: self.held_steps,
             jobs: self.jobs.len(),
+            teams: self.summarize_teams(),
             ..Summary::default()
         };
         for entry in self.jobs.values() {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use jobs::{Crash, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
-use crate::SchedConfig;
+use crate::{SchedConfig, teams::ledger::Charge};
 
 /// A worker as the platform's directory describes it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -70,7 +70,10 @@
 pub(crate) struct Run {
     /// The run's number.
     pub(crate) number: u32,
+    /// The size that is reserved for it on the worker.
     pub(crate) size: Size,
+    /// What it counts against its team.
+    pub(crate) charge: Charge,
     pub(crate) phase: RunPhase,
     /// When the worker last confirmed the run or an order about it. A list that was requested
     /// earlier may not contain the run.
@@ -94,6 +97,13 @@
     pub(crate) preemptible_below: Option<u32>,
 }
 
+/// A run that a worker has listed although it is not the current run of its task.
+#[derive(Clone, Copy, Debug)]
+struct Stray {
+    size: Size,
+    charge: Charge,
+}
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -129,9 +139,9 @@
     /// Whether the last poll acknowledged ends.
     pub(crate) poll_acknowledges: bool,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
-    /// The sizes of the runs that it has listed as running and that are not the current run of their task, by
+    /// The runs that it has listed as running and that are not the current run of their task, by
     /// task and run number.
-    strays: BTreeMap<(TaskKey, u32), Size>,
+    strays: BTreeMap<(TaskKey, u32), Stray>,
     /// The capacity that the runs and the strays occupy.
     pub(crate) used: Size,
     /// The number of runs that must stay apart from other work.
@@ -283,11 +293,11 @@
     }
 
     /// Adds a stray of this size, unless it is known. Returns whether it is new.
-    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size) -> bool {
+    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size, charge: Charge) -> bool {
         let Entry::Vacant(entry) = self.strays.entry((key, run)) else {
             return false;
         };
-        entry.insert(size);
+        entry.insert(Stray { size, charge });
         self.used += size;
         true
     }
@@ -297,14 +307,35 @@
         self.strays.keys().map(|&(key, _)| key)
     }
 
+    /// Returns what its runs count against their teams.
+    pub(crate) fn run_charges(&self) -> impl Iterator<Item = Charge> {
+        self.runs.values().map(|run| run.charge)
+    }
+
+    /// Returns what its strays count against their teams.
+    pub(crate) fn stray_charges(&self) -> impl Iterator<Item = (TaskKey, Charge)> {
+        let strays = self.strays.iter();
+        strays.map(|(&(key, _), stray)| (key, stray.charge))
+    }
+
+    /// Updates what its runs and strays count against their teams.
+    pub(crate) fn update_charges(&mut self, update: impl Fn(TaskKey, &mut Charge)) {
+        for (&key, run) in &mut self.runs {
+            update(key, &mut run.charge);
+        }
+        for (&(key, _), stray) in &mut self.strays {
+            update(key, &mut stray.charge);
+        }
+    }
+
     /// Removes the strays for which `is_left` returns false. Returns whether there were any.
     pub(crate) fn retain_strays(&mut self, is_left: impl Fn(TaskKey, u32) -> bool) -> bool {
         let before = self.strays.len();
         let used = &mut self.used;
-        self.strays.retain(|&(key, run), size| {
+        self.strays.retain(|&(key, run), stray| {
             let is_left = is_left(key, run);
             if !is_left {
-                *used -= *size;
+                *used -= stray.size;
             }
             is_left
         });
