Simulated cell: check of the limits of teams

Breach::OverLimit is reported when a task begins while its team runs more than its limit, unless it is alone.

--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use jobs::{EndKind, Job, JobId, State, StepKey, TaskKey};
+use jobs::{EndKind, Job, JobId, State, StepKey, TaskKey, TeamPolicy};
 use model::{Size, Time, WorkerId};
 
 /// A violated guarantee.
@@ -27,6 +27,8 @@
     OverCrashed(TaskKey),
     /// More tasks of a step ran on one host than the step allows.
     OverSpread(StepKey),
+    /// A task began while its team ran more than its limit with it, although other work of the team was running.
+    OverLimit(TaskKey),
     /// A task began whose job was not submitted, or had been cancelled for longer than a grace period.
     Unasked(TaskKey),
     /// A job was shown as completed while a task was not done.
@@ -47,6 +49,7 @@
             | Self::RanAgain(key)
             | Self::OverBudget(key)
             | Self::OverCrashed(key)
+            | Self::OverLimit(key)
             | Self::Unasked(key) => Some(key),
             _ => None,
         }
@@ -137,6 +140,7 @@
 #[derive(Debug, Default)]
 pub struct Checker {
     pub(super) report: Report,
+    pub(super) teams: Vec<TeamPolicy>,
     jobs: HashMap<JobId, Job>,
     running: HashMap<TaskKey, ActiveRun>,
     /// Tasks that were done on a host.
@@ -273,6 +277,53 @@
         }
         self.last_starts.insert(unit, now);
         self.running.insert(key, ActiveRun { host, run, at: now });
+        if self.exceeds_limit(key) {
+            self.record(Breach::OverLimit(key));
+        }
+    }
+
+    /// Returns whether the team of a task that has just begun runs more than its limit. A single task, or a gang that is
+    /// within the tolerance of a tenth of the limit and one task, may exceed the limit alone.
+    fn exceeds_limit(&self, key: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let Some(team) = self.teams.iter().find(|team| team.name == job.team) else {
+            return false;
+        };
+        let mut sum = Size::ZERO;
+        let mut is_alone = true;
+        for other in self.running.keys() {
+            let Some(other_job) = self.jobs.get(&other.job) else {
+                continue;
+            };
+            if other_job.team == team.name {
+                sum += other_job.steps[usize::from(other.step)].size;
+                is_alone &= unit(other_job, *other) == unit(job, key);
+            }
+        }
+        let step = &job.steps[usize::from(key.step)];
+        let exceeds = |sum: u64, limit: u64, task: u64| {
+            let tolerated = if !is_alone {
+                limit
+            } else if step.gang {
+                limit + limit / 10 + task
+            } else {
+                u64::MAX
+            };
+            limit > 0 && sum > tolerated
+        };
+        let (limit, task) = (team.limit, step.size);
+        exceeds(
+            sum.milli_processors,
+            limit.milli_processors,
+            task.milli_processors,
+        ) || exceeds(sum.memory_mb, limit.memory_mb, task.memory_mb)
+            || exceeds(
+                sum.accelerators.into(),
+                limit.accelerators.into(),
+                task.accelerators.into(),
+            )
     }
 
     /// Records the end of a run on its host.
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use jobs::{JobId, StepKey, TaskKey};
+use jobs::{JobId, StepKey, TaskKey, TeamPolicy};
 use model::{Size, Time, WorkerId};
 use sched::{
     Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
@@ -73,6 +73,8 @@
     pub sched: SchedConfig,
     /// The job kinds, which [`Arrival::kind`] indexes.
     pub kinds: Vec<Kind>,
+    /// The teams, with their limits. None by default.
+    pub teams: Vec<TeamPolicy>,
     /// The jobs that are submitted, in the order of their times.
     pub arrivals: Vec<Arrival>,
     /// The faults with their times.
@@ -100,6 +102,7 @@
             client_retry: None,
             sched: SchedConfig::default(),
             kinds: Vec::new(),
+            teams: Vec::new(),
             arrivals: Vec::new(),
             faults: Vec::new(),
             crashing_steps: Vec::new(),
@@ -221,6 +224,7 @@
             .map(|(i, host)| (host.name().clone(), WorkerId(i)))
             .collect();
         let mut fleet = Fleet::new(hosts, spec.kinds.clone(), GANG_WAIT);
+        fleet.checker.teams.clone_from(&spec.teams);
         for &step in &spec.crashing_steps {
             fleet.add_crashing_step(step);
         }
@@ -590,6 +594,7 @@
         let epoch = write.row.epoch;
         let mut scheduler = Scheduler::new(self.spec.sched, epoch, now, recovered);
         scheduler.set_queues(self.spec.kinds.iter().map(|kind| kind.queue.clone()));
+        scheduler.set_teams(self.spec.teams.iter().cloned());
         scheduler.set_approvers(self.nodes.iter().map(|node| node.name.clone()));
         for host in self.fleet.hosts.iter().filter(|host| host.is_up) {
             scheduler.worker_listed(now, host.info.clone());
