Teams: tests of the admissions and of the summary

A node that applies the shares half a second late accepts 30 to 60 of 400 jobs while 40 are owed, and refuses nothing once the team is within its rate or the fleet has idle capacity.

--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -680,3 +680,141 @@
     let starts = orders(&mut scheduler, at_ms(1_010));
     assert_eq!(jobs_of(&starts), [1, 1, 2, 2, 2, 2, 2, 2]);
 }
+
+/// The interval between the passes of [`Door`], in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// A node that refuses jobs of the team `a` as the scheduler told it half a second ago.
+struct Door {
+    scheduler: Scheduler,
+    /// The work of the team `b`.
+    runs: Vec<StartOrder>,
+    now_ms: u64,
+    next_id: u64,
+    /// The shares that the scheduler told, in thousandths, newest last.
+    told: Vec<u32>,
+}
+
+impl Door {
+    /// Returns a node whose fleet is full with work of the team `b`. The team `a` is entitled to two jobs a second.
+    fn new() -> Self {
+        let mut scheduler = scheduler(1, &[team("a", 2.0, 0), team("b", 5.0, 0)]);
+        submit(&mut scheduler, at_ms(1_000), 1, "b", step(8, 1));
+        let starts = orders(&mut scheduler, at_ms(1_010));
+        confirm(&mut scheduler, at_ms(1_020), &starts);
+        Self {
+            scheduler,
+            runs: starts,
+            now_ms: 1_050,
+            next_id: 1_000,
+            told: Vec::new(),
+        }
+    }
+
+    /// Submits this many jobs of the team `a` a second for a while. Returns how many are accepted.
+    fn submit(&mut self, per_second: u64, seconds: u64) -> u64 {
+        let mut accepted = 0;
+        for tick in 0..seconds * 1_000 / TICK_MS {
+            let now = at_ms(self.now_ms);
+            let lag = usize::try_from(500 / TICK_MS).unwrap();
+            let index = self.told.len().checked_sub(lag);
+            let in_force = index.map_or(1_000, |index| self.told[index]);
+            let submitted = |tick: u64| tick * TICK_MS * per_second / 1_000;
+            for _ in submitted(tick)..submitted(tick + 1) {
+                self.next_id += 1;
+                if self.next_id.wrapping_mul(0x9e37_79b9) / 64 % 1_000 < u64::from(in_force) {
+                    submit(&mut self.scheduler, now, self.next_id, "a", step(1, 1));
+                    accepted += 1;
+                }
+            }
+            let worker = self.runs[0].worker;
+            let runs = self.runs.iter().map(|run| (run.key, run.run));
+            let runs: Vec<(TaskKey, u32)> = runs.collect();
+            // Renews the leases.
+            self.scheduler.next_poll(now, worker);
+            poll(&mut self.scheduler, now, worker, &runs);
+            orders(&mut self.scheduler, now);
+            let admissions = self.scheduler.admissions(now);
+            assert!(admissions.iter().all(|admission| &*admission.team == "a"));
+            let share = admissions.first().map(|admission| admission.accepted_milli);
+            self.told.push(share.unwrap_or(1_000));
+            self.now_ms += TICK_MS;
+        }
+        accepted
+    }
+}
+
+/// Guards against a queue that grows without bound, as a team submits far more than it is entitled to, and against a team
+/// that is refused what it is entitled to.
+#[test]
+fn a_team_above_its_rate_is_admitted_at_its_rate_once_its_surplus_takes_five_seconds() {
+    let mut door = Door::new();
+    assert_eq!(door.submit(2, 20), 40, "within its rate");
+    let accepted = door.submit(20, 3);
+    assert!(
+        accepted >= 30,
+        "{accepted}: a burst of 20, and 5 s of surplus"
+    );
+    door.submit(20, 5);
+    let accepted = door.submit(20, 20);
+    assert!(
+        (30..=60).contains(&accepted),
+        "{accepted} of 400; 40 are owed"
+    );
+    let admission = &door.scheduler.admissions(at_ms(door.now_ms))[0];
+    let (earliest, latest) = admission.retry_after;
+    assert!(earliest >= Duration::from_secs(1) && latest <= Duration::from_secs(10));
+    assert!(earliest < latest);
+    // Once it submits no more than its rate, nothing is refused.
+    door.submit(2, 10);
+    assert_eq!(door.submit(2, 10), 20);
+}
+
+/// Guards against refusals while the fleet could do the work.
+#[test]
+fn nothing_is_refused_while_the_fleet_has_idle_capacity() {
+    let mut door = Door::new();
+    door.submit(20, 10);
+    assert_eq!(door.scheduler.admissions(at_ms(door.now_ms)).len(), 1);
+    let added = (0..100).map(|number| format!("x{number}"));
+    for name in added {
+        let now = at_ms(door.now_ms);
+        door.scheduler.worker_listed(now, info(&name));
+        let id = door.scheduler.worker_id(&name).unwrap();
+        poll(&mut door.scheduler, now, id, &[]);
+    }
+    door.submit(20, 3);
+    assert_eq!(door.scheduler.admissions(at_ms(door.now_ms)), []);
+}
+
+/// Guards against shares that stay in force though the scheduler makes no passes, as it cannot reach the table.
+#[test]
+fn old_shares_are_not_told() {
+    let mut door = Door::new();
+    door.submit(20, 10);
+    assert_eq!(door.scheduler.admissions(at_ms(door.now_ms)).len(), 1);
+    assert_eq!(door.scheduler.admissions(at_ms(door.now_ms + 4_000)), []);
+}
+
+/// Guards against a summary that grows with the number of teams.
+#[test]
+fn a_summary_lists_fifty_teams_and_the_sum_of_the_others() {
+    let policies: Vec<TeamPolicy> = (0..120)
+        .map(|number| team(&format!("t{number:03}"), 1.0, 0))
+        .collect();
+    let mut scheduler = scheduler(20, &policies);
+    for number in 0..120 {
+        let name = format!("t{number:03}");
+        let tasks = u32::from(number >= 60) + 1;
+        submit(&mut scheduler, at_ms(1_000), number, &name, step(tasks, 1));
+    }
+    orders(&mut scheduler, at_ms(1_010));
+    orders(&mut scheduler, at_ms(1_020));
+    let teams = scheduler.summary(at_ms(1_030)).teams;
+    assert_eq!((teams.listed.len(), teams.others), (50, 70));
+    let runs: u32 = teams.listed.iter().map(|team| team.runs).sum();
+    assert_eq!(runs + teams.sum_of_others.runs, 160, "the fleet is full");
+    let least = teams.listed.iter().map(|team| team.runs).min();
+    assert_eq!(least, Some(2));
+    assert_eq!(teams.sum_of_others.weight_milli, 70_000);
+}
