cluster, platform: keys of teams at the nodes that accept jobs

A configuration with teams requires a key for each request to a route that is not anonymous; a request without a valid one is answered 401 before its body is read. Jobs carry the team of their key, the scheduler gets the teams' policies, and a job of another team is answered as missing. The decision is a pure function in cluster::access of the keys, the age of the view, the settings and the key.

--- /dev/null
+++ b/crates/cluster/src/callers.rs
@@ -0,0 +1,167 @@
+//! Calls of clients on behalf of teams: whether a call is accepted, and which jobs it may access.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    time::Duration,
+};
+
+use jobs::{Job, JobId};
+use model::Time;
+use tokio::time::Instant;
+
+use crate::{
+    CancelOutcome, Node, Ports, Route, Row, StateAnswer,
+    access::{self, Caller, Owner, Refusal},
+    configuration::View,
+    rows::{JobContent, read_job_row},
+};
+
+/// What a node knows about teams and their jobs.
+#[derive(Debug, Default)]
+pub(crate) struct TeamJobs {
+    /// The owners of jobs, and when they were recorded.
+    owners: RefCell<HashMap<JobId, (Owner, Time)>>,
+    /// When the configuration in force was last known to be the newest one.
+    pub(crate) view: Cell<View>,
+}
+
+impl TeamJobs {
+    fn owner(&self, id: JobId) -> Option<Owner> {
+        self.owners.borrow().get(&id).map(|(owner, _)| *owner)
+    }
+
+    /// Records the owners of jobs.
+    pub(crate) fn record(&self, now: Time, owners: impl IntoIterator<Item = (JobId, Owner)>) {
+        let owners = owners.into_iter().map(|(id, owner)| (id, (owner, now)));
+        self.owners.borrow_mut().extend(owners);
+    }
+
+    /// Drops the owners of jobs that are no longer wanted and that were recorded at least `retention` ago.
+    pub(crate) fn expire(&self, now: Time, retention: Duration, is_wanted: impl Fn(JobId) -> bool) {
+        self.owners
+            .borrow_mut()
+            .retain(|id, (_, since)| now < *since + retention || is_wanted(*id));
+    }
+}
+
+impl<P: Ports> Node<P> {
+    /// Decides whether to accept a call to `route` with `key`, and logs a refusal.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is not accepted.
+    pub fn authorize(&self, route: &Route, key: Option<&[u8]>) -> Result<Caller, Refusal> {
+        let routes = self.0.routes.borrow();
+        let Some(routes) = routes.as_ref() else {
+            return Err(Refusal::NoKey);
+        };
+        let view = self.0.team_jobs.view.get();
+        let view_age = view.age(self.0.clock.time());
+        let settings = &self.0.settings.access;
+        let decision = access::decide(
+            routes.keys(),
+            view_age,
+            settings,
+            route.is_anonymous,
+            key.filter(|key| !key.is_empty()),
+        );
+        if let Err(refusal) = decision {
+            let reason = refusal.name();
+            log::info!(
+                "event=key_refused reason={reason} queue={} view_ms={} source={} version={}",
+                route.queue.name,
+                view_age.as_millis(),
+                view.source_name(),
+                routes.version()
+            );
+            self.0.metrics.count("keys_refused");
+            self.0.metrics.count(&format!("keys_refused_{reason}"));
+        }
+        decision
+    }
+
+    /// Returns whether the configuration in force has teams. Without teams, nothing is recorded about jobs.
+    pub(crate) fn has_teams(&self) -> bool {
+        let routes = self.0.routes.borrow();
+        routes
+            .as_ref()
+            .is_some_and(|routes| routes.keys().is_required())
+    }
+
+    /// Records the team of a job that this node has accepted or read.
+    pub(crate) fn record_job(&self, id: JobId, job: &Job) {
+        if !self.has_teams() {
+            return;
+        }
+        let owner = self.owner_of(job);
+        self.0.team_jobs.record(self.0.clock.time(), [(id, owner)]);
+    }
+
+    /// Records the teams of jobs whose rows were read.
+    pub(crate) fn record_job_rows(&self, rows: &[Row]) {
+        if !self.has_teams() {
+            return;
+        }
+        for content in rows.iter().filter_map(read_job_row) {
+            if let JobContent::Job(id, job) = content {
+                self.record_job(id, &job);
+            }
+        }
+    }
+
+    /// Returns the owner of a job.
+    pub(crate) fn owner_of(&self, job: &Job) -> Owner {
+        let routes = self.0.routes.borrow();
+        let is_anonymous = routes.as_ref().is_some_and(|routes| {
+            routes
+                .routes()
+                .any(|route| route.is_anonymous && route.queue.name == job.queue.name)
+        });
+        Owner::new(&job.team, is_anonymous)
+    }
+
+    /// Returns whether a caller may access a job, as far as this node knows its team.
+    fn admits(&self, caller: &Caller, id: JobId) -> bool {
+        let is_admitted = self
+            .0
+            .team_jobs
+            .owner(id)
+            .is_none_or(|owner| owner.admits(caller));
+        if !is_admitted {
+            log::info!("event=access_denied job={id} caller={caller:?}");
+            self.0.metrics.count("accesses_denied");
+        }
+        is_admitted
+    }
+
+    /// Returns a job's state as [`state`](Self::state) does. A job of another team is reported as missing.
+    pub async fn state_for(&self, caller: &Caller, id: JobId, deadline: Instant) -> StateAnswer {
+        if !self.admits(caller, id) {
+            return StateAnswer::NoJob;
+        }
+        // Reading the state may also show the team.
+        let answer = self.state(id, deadline).await;
+        match answer {
+            StateAnswer::State(_) if !self.admits(caller, id) => StateAnswer::NoJob,
+            answer => answer,
+        }
+    }
+
+    /// Cancels a job as [`cancel`](Self::cancel) does. A job of another team is reported as missing.
+    pub async fn cancel_for(&self, caller: &Caller, id: JobId, deadline: Instant) -> CancelOutcome {
+        let is_known = self.0.states.borrow().contains_key(&id);
+        if !is_known && self.0.team_jobs.owner(id).is_none() {
+            // Reading the state shows the team, if this node reaches the table.
+            match self.state(id, deadline).await {
+                StateAnswer::State(_) => {}
+                StateAnswer::NoJob => return CancelOutcome::NoJob,
+                StateAnswer::Unknown => return CancelOutcome::Unknown,
+            }
+        }
+        if !self.admits(caller, id) {
+            return CancelOutcome::NoJob;
+        }
+        self.cancel(id, deadline).await
+    }
+}
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -94,6 +94,7 @@
         let asked = self.local_approval_requests(queue, &job);
         job.approvals_asked = asked.is_some();
         let (spec_bytes, steps) = (job.spec.len(), job.steps.len());
+        let team = job.team.clone();
         for LocalApprovalRequest {
             step,
             workers,
@@ -116,10 +117,11 @@
         match outcome {
             Outcome::Stored(version) => {
                 log::info!(
-                    "event=accepted job={id} queue={} steps={steps} bytes={spec_bytes} version={version} ms={ms}",
+                    "event=accepted job={id} queue={} team={team:?} steps={steps} bytes={spec_bytes} version={version} ms={ms}",
                     queue.name
                 );
                 self.0.metrics.count("jobs_accepted");
+                self.record_job(id, &job);
                 self.update_states([(id, State::Queued)]);
                 SubmitOutcome::Accepted
             }
@@ -368,6 +370,7 @@
                     let is_wanted = |row: &Row| parse_job_key(&row.key) == Some(wanted);
                     page.rows.iter().any(is_wanted)
                 };
+                self.record_job_rows(&page.rows);
                 Some(JobRows {
                     has_job: has(JobRow::Job(id)),
                     has_cancellation: has(JobRow::Cancel(id)),
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::sleep;
 
-use crate::{Directory, FeedError, Node, Ports, Routes};
+use crate::{Directory, FeedError, Node, Ports, Routes, configuration::Source};
 
 /// How long one call waits for a change. It bounds how long a broken silent connection stays undetected,
 /// and so how late a configuration is applied. Configurations must be in force within 2.5 s.
@@ -16,9 +16,11 @@
 /// Keeps the node's configuration up to date. Never returns.
 pub(crate) async fn follow_routes<P: Ports>(node: Node<P>) {
     loop {
+        let sent_at = node.0.clock.time();
         let version = match node.0.ports.routes().await {
             Ok(change) => {
                 put_in_force(&node, change.value);
+                node.confirm_configuration(sent_at, Source::Table);
                 change.version
             }
             Err(e) => {
@@ -35,10 +37,20 @@
 /// that was read.
 async fn follow_from<P: Ports>(node: &Node<P>, mut version: u64) {
     loop {
+        let sent_at = node.0.clock.time();
         match node.0.ports.route_changes(version, FEED_WAIT).await {
             Ok(change) => {
                 version = change.version;
+                // The table holds a call without changes for `FEED_WAIT`. An answer that is read later, because this
+                // process stood still, says nothing about the time after that.
+                let held = if change.value.is_some() {
+                    Duration::ZERO
+                } else {
+                    FEED_WAIT
+                };
+                let confirmed_at = node.0.clock.time().min(sent_at + held);
                 put_in_force(node, change.value);
+                node.confirm_configuration(confirmed_at, Source::Table);
             }
             Err(FeedError::HistoryGone) => return,
             Err(e @ FeedError::Call(_)) => {
@@ -50,7 +62,7 @@
 }
 
 /// Puts a configuration in force, unless the one in force is as new or newer.
-fn put_in_force<P: Ports>(node: &Node<P>, routes: Option<Routes>) {
+pub(crate) fn put_in_force<P: Ports>(node: &Node<P>, routes: Option<Routes>) {
     let Some(routes) = routes else {
         return;
     };
@@ -64,10 +76,11 @@
         return;
     }
     log::info!(
-        "event=config_in_force version={} before={} queues={}",
+        "event=config_in_force version={} before={} queues={} teams={}",
         routes.version(),
         old.unwrap_or(0),
-        routes.queues().count()
+        routes.queues().count(),
+        routes.teams().count()
     );
     node.0.metrics.set("config_version", routes.version());
     *node.0.routes.borrow_mut() = Some(Rc::new(routes));
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -324,9 +324,9 @@
 
     fn set_queues(&self) {
         if let Some(routes) = self.node.routes() {
-            self.scheduler
-                .borrow_mut()
-                .set_queues(routes.queues().cloned());
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.set_queues(routes.queues().cloned());
+            scheduler.set_teams(routes.teams().cloned());
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -16,17 +16,20 @@
 //! use jobs::Queue;
 //!
 //! let queue = Queue { name: "lookups".into(), ..Queue::default() };
-//! let route = Route { host: "desk.example".into(), path_prefix: "/lookups/".into(), queue };
+//! let route = Route { host: "desk.example".into(), path_prefix: "/lookups/".into(), queue, ..Route::default() };
 //! let routes = Routes::new(3, [route]);
 //! let (queue, rest) = routes.find("desk.example", "/lookups/5c0e7a21d94b36f8").unwrap();
 //! assert_eq!((queue.name.as_str(), rest), ("lookups", "5c0e7a21d94b36f8"));
 //! assert!(routes.find("desk.example", "/other/").is_none());
 //! ```
 
+mod access;
 mod answers;
 mod approve;
+mod callers;
 mod clock;
 mod commit;
+mod configuration;
 mod entry;
 mod error;
 mod feed;
@@ -47,6 +50,7 @@
 mod rows;
 
 pub use crate::{
+    access::{AccessSettings, Caller, KeyDigest, Refusal, Team},
     clock::Clock,
     entry::{CancelOutcome, StateAnswer, SubmitOutcome},
     error::{AskError, CallError, CommitError, FeedError},
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -20,8 +20,9 @@
 };
 
 use crate::{
-    Clock, Metrics, Ports, Routes,
+    AccessSettings, Clock, Metrics, Ports, Routes,
     approve::ApprovalQueue,
+    callers::TeamJobs,
     feed, follow,
     health::{MonitoredPorts, TableHealth},
     intake::WriteQueue,
@@ -52,6 +53,8 @@
     pub sched: SchedConfig,
     /// Settings that decide when the node tries to become the scheduler.
     pub candidacy: CandidacyConfig,
+    /// How current the configuration has to be for decisions about keys.
+    pub access: AccessSettings,
 }
 
 /// The last state of a job that a node knows, and when it was recorded. A final state keeps the time at which
@@ -100,6 +103,7 @@
     pub(crate) pending_relays: PendingRelays,
     /// The link addresses of all nodes, as sent by the scheduler.
     pub(crate) node_addresses: RefCell<Vec<String>>,
+    pub(crate) team_jobs: TeamJobs,
 }
 
 /// A node. Clones refer to the same node. See the [crate documentation](crate).
@@ -143,6 +147,7 @@
             write_queue: WriteQueue::default(),
             pending_relays: PendingRelays::default(),
             node_addresses: RefCell::default(),
+            team_jobs: TeamJobs::default(),
         }))
     }
 
@@ -245,6 +250,10 @@
                 .states
                 .borrow_mut()
                 .retain(|_, known| is_wanted(known));
+            let states = self.0.states.borrow();
+            self.0
+                .team_jobs
+                .expire(now, retention, |id| states.contains_key(&id));
         }
     }
 }
--- a/crates/cluster/src/routes.rs
+++ b/crates/cluster/src/routes.rs
@@ -1,11 +1,15 @@
-//! Finds the queue that a request is for.
+//! Finds the queue that a request is for, and the teams whose keys it may carry.
 
 use std::collections::HashMap;
 
-use jobs::Queue;
+use jobs::{Queue, TeamPolicy};
+use serde::{Deserialize, Serialize};
+
+use crate::access::{Keys, Team};
 
 /// A queue, and the host and path at which clients reach it.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// The host that requests must name.
     pub host: String,
@@ -13,18 +17,21 @@
     pub path_prefix: String,
     /// The queue.
     pub queue: Queue,
+    /// Whether requests need no key although the configuration has teams.
+    pub is_anonymous: bool,
 }
 
-/// The queues of one version of the configuration.
+/// The queues and teams of one version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
     version: u64,
     /// The routes by host, longest prefix first.
     by_host: HashMap<String, Vec<Route>>,
+    keys: Keys,
 }
 
 impl Routes {
-    /// Creates the queues of a version of the configuration.
+    /// Creates the queues of a version of the configuration that has no teams.
     #[must_use]
     pub fn new(version: u64, routes: impl IntoIterator<Item = Route>) -> Self {
         let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
@@ -34,7 +41,20 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version, by_host }
+        Self {
+            version,
+            by_host,
+            keys: Keys::default(),
+        }
+    }
+
+    /// Adds teams. From then on, requests need a key of one of them, even if there are none.
+    #[must_use]
+    pub fn with_teams(self, teams: impl IntoIterator<Item = Team>) -> Self {
+        Self {
+            keys: Keys::new(teams.into_iter().collect(), true),
+            ..self
+        }
     }
 
     /// Returns the version of the configuration. A higher one is newer.
@@ -47,15 +67,36 @@
     /// several prefixes match, the longest one is used.
     #[must_use]
     pub fn find<'r, 'p>(&'r self, host: &str, path: &'p str) -> Option<(&'r Queue, &'p str)> {
+        let (route, rest) = self.find_route(host, path)?;
+        Some((&route.queue, rest))
+    }
+
+    /// Returns the route that a request is for, and the rest of the path after its prefix.
+    #[must_use]
+    pub fn find_route<'r, 'p>(&'r self, host: &str, path: &'p str) -> Option<(&'r Route, &'p str)> {
         let routes = self.by_host.get(host)?;
         routes.iter().find_map(|route| {
             let rest = path.strip_prefix(route.path_prefix.as_str())?;
-            Some((&route.queue, rest))
+            Some((route, rest))
         })
     }
 
     /// Returns all queues, in no particular order.
     pub fn queues(&self) -> impl Iterator<Item = &Queue> {
-        self.by_host.values().flatten().map(|route| &route.queue)
+        self.routes().map(|route| &route.queue)
+    }
+
+    /// Returns the weights and limits of all teams.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamPolicy> {
+        self.keys.teams().iter().map(|team| &team.policy)
+    }
+
+    /// Returns all routes, in no particular order.
+    pub(crate) fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.by_host.values().flatten()
+    }
+
+    pub(crate) const fn keys(&self) -> &Keys {
+        &self.keys
     }
 }
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -10,9 +10,9 @@
 };
 
 use cluster::{
-    Approval, Approver, AskError, CallError, Clock, CommitError, Directory, FeedError, FeedPage,
-    Metrics, Node, NodeSettings, Page, Route, Routes, Row, RowKey, Table, Transaction, Versioned,
-    WorkerChanges, Workers,
+    AccessSettings, Approval, Approver, AskError, CallError, Clock, CommitError, Directory,
+    FeedError, FeedPage, Metrics, Node, NodeSettings, Page, Route, Routes, Row, RowKey, Table,
+    Transaction, Versioned, WorkerChanges, Workers,
 };
 use jobs::{ApprovalCost, End, EndKind, Job, Queue, Step, StepKey, TaskKey};
 use model::Size;
@@ -117,6 +117,7 @@
         host: "desk.example".into(),
         path_prefix: "/l/".into(),
         queue: queue(),
+        is_anonymous: false,
     };
     let shared = SharedState {
         store: RefCell::default(),
@@ -451,6 +452,7 @@
         rank,
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
+        access: AccessSettings::default(),
     };
     let node = Node::new(
         settings,
