cluster: nodes that the table refuses learn of configurations from other nodes

A node whose configuration the table has not confirmed asks the scheduler, or other nodes while it has no link to one; a scheduler asks the linked nodes. The newer of two versions is applied by both. The age of a view counts from the time of the question, less the age of the answering node's own view, so that a node that was frozen, and one that asks a scheduler which is cut off from the table itself, do not take their views for current. After an outage the first call for changes waits 50 ms instead of 1 s.

The scheduler tells the other nodes the teams of jobs, so that they close the jobs of other teams without reading their rows.

--- a/crates/cluster/src/callers.rs
+++ b/crates/cluster/src/callers.rs
@@ -13,7 +13,7 @@
 use crate::{
     CancelOutcome, Node, Ports, Route, Row, StateAnswer,
     access::{self, Caller, Owner, Refusal},
-    configuration::View,
+    configuration::{Sources, View},
     rows::{JobContent, read_job_row},
 };
 
@@ -24,6 +24,10 @@
     owners: RefCell<HashMap<JobId, (Owner, Time)>>,
     /// When the configuration in force was last known to be the newest one.
     pub(crate) view: Cell<View>,
+    /// When linked nodes were asked for the newest configuration; `None` once one has answered.
+    pub(crate) asked_at: Cell<Option<Time>>,
+    /// The nodes that may be asked for the newest configuration while there is no link to a scheduler.
+    pub(crate) sources: RefCell<Sources>,
 }
 
 impl TeamJobs {
@@ -37,6 +41,15 @@
         self.owners.borrow_mut().extend(owners);
     }
 
+    /// Returns the owners of all jobs.
+    pub(crate) fn owners(&self) -> Vec<(JobId, Owner)> {
+        let owners = self.owners.borrow();
+        owners
+            .iter()
+            .map(|(id, (owner, _))| (*id, *owner))
+            .collect()
+    }
+
     /// Drops the owners of jobs that are no longer wanted and that were recorded at least `retention` ago.
     pub(crate) fn expire(&self, now: Time, retention: Duration, is_wanted: impl Fn(JobId) -> bool) {
         self.owners
--- a/crates/cluster/src/feed.rs
+++ b/crates/cluster/src/feed.rs
@@ -10,6 +10,10 @@
 /// and so how late a configuration is applied. Configurations must be in force within 2.5 s.
 const FEED_WAIT: Duration = Duration::from_secs(1);
 
+/// How long a call waits while the configuration is not confirmed. After an outage, keys would otherwise stay
+/// undecided for another [`FEED_WAIT`].
+const CONFIRM_WAIT: Duration = Duration::from_millis(50);
+
 /// The pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -38,15 +42,20 @@
 async fn follow_from<P: Ports>(node: &Node<P>, mut version: u64) {
     loop {
         let sent_at = node.0.clock.time();
-        match node.0.ports.route_changes(version, FEED_WAIT).await {
+        let wait = if node.is_configuration_outdated(sent_at) {
+            CONFIRM_WAIT
+        } else {
+            FEED_WAIT
+        };
+        match node.0.ports.route_changes(version, wait).await {
             Ok(change) => {
                 version = change.version;
-                // The table holds a call without changes for `FEED_WAIT`. An answer that is read later, because this
+                // The table holds a call without changes for `wait`. An answer that is read later, because this
                 // process stood still, says nothing about the time after that.
                 let held = if change.value.is_some() {
                     Duration::ZERO
                 } else {
-                    FEED_WAIT
+                    wait
                 };
                 let confirmed_at = node.0.clock.time().min(sent_at + held);
                 put_in_force(node, change.value);
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -392,6 +392,21 @@
             workers,
             cost_ms,
         } => node.ask(step, workers, Duration::from_millis(cost_ms)),
+        Message::EarlierNodes(earlier) => {
+            node.set_sources(&node.0.node_addresses.borrow(), &earlier);
+        }
+        Message::Owners(owners) => node.0.team_jobs.record(now, owners),
+        Message::ConfigurationQuestion(question) => {
+            if let Some(tx) = &*node.0.upstream.borrow() {
+                node.answer_question(question, tx);
+            }
+        }
+        Message::Configuration(answer) => {
+            let upstream = node.0.upstream.borrow().clone();
+            if let Some(tx) = upstream {
+                node.handle_answer(&answer, &tx);
+            }
+        }
         other => log::warn!("event=unexpected_message message={other:?}"),
     }
 }
--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -45,6 +45,7 @@
                     for row in &page.rows {
                         self.apply_job_row(row);
                     }
+                    self.broadcast_new_owners();
                     if !page.rows.is_empty() {
                         self.wake.notify_one();
                     }
@@ -69,6 +70,7 @@
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
         for (id, job) in recovered.jobs {
+            self.record_owner(id, &job);
             // A job with progress is either known, or was forgotten and its rows are about to be deleted.
             if !recovered.progress.contains_key(&id) {
                 scheduler.job_stored(now, id, job);
@@ -78,6 +80,7 @@
             scheduler.job_cancelled(now, id);
         }
         drop(scheduler);
+        self.broadcast_new_owners();
         self.wake.notify_one();
         after
     }
@@ -85,7 +88,10 @@
     fn apply_job_row(&self, row: &Row) {
         let now = self.now();
         match read_job_row(row) {
-            Some(JobContent::Job(id, job)) => self.scheduler.borrow_mut().job_stored(now, id, *job),
+            Some(JobContent::Job(id, job)) => {
+                self.record_owner(id, &job);
+                self.scheduler.borrow_mut().job_stored(now, id, *job);
+            }
             Some(JobContent::Cancel(id)) => {
                 log::info!("event=cancel_seen job={id} version={}", row.version);
                 self.scheduler.borrow_mut().job_cancelled(now, id);
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod orders;
 mod peers;
+mod teams;
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,7 +14,7 @@
     time::Duration,
 };
 
-use jobs::Crash;
+use jobs::{Crash, JobId};
 use model::WorkerId;
 use sched::{Action, Now, Scheduler};
 use tokio::{
@@ -22,7 +23,9 @@
     time::{sleep, timeout},
 };
 
-use crate::{Node, Ports, lease::LeaseWriter, message::Message, recover::FeedPositions};
+use crate::{
+    Node, Ports, access::Owner, lease::LeaseWriter, message::Message, recover::FeedPositions,
+};
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
@@ -59,6 +62,8 @@
     first_polls: Semaphore,
     /// The linked nodes, by name.
     peers: RefCell<BTreeMap<Arc<str>, Peer>>,
+    /// The teams of jobs that the linked nodes have not been told yet.
+    new_owners: RefCell<Vec<(JobId, Owner)>>,
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
@@ -77,6 +82,7 @@
             pollers: RefCell::default(),
             first_polls: Semaphore::new(MAX_FIRST_POLLS),
             peers: RefCell::default(),
+            new_owners: RefCell::default(),
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -38,6 +38,16 @@
         }
     }
 
+    /// Sends a message to all linked nodes of this build's protocol level or a higher one.
+    pub(super) fn broadcast_to_current(&self, message: &Message) {
+        for peer in self.peers.borrow().values() {
+            if peer.level >= LEVEL && peer.tx.try_send(message.clone()).is_err() {
+                // A node that is this far behind is dropped at the next heartbeat.
+                self.node.0.metrics.count("messages_dropped");
+            }
+        }
+    }
+
     /// Sends heartbeats and summaries to the other nodes.
     pub(super) async fn send_heartbeats(self: Rc<Self>) {
         let mut count = 0;
@@ -112,6 +122,11 @@
             let _ = row.map(|row| link.tx.try_send(Message::Scheduler(row)));
             return;
         }
+        if let Ok(Some(Message::ConfigurationQuestion(question))) = hello {
+            let node = self.node.clone();
+            node.serve_questions(link, Some(question)).await;
+            return;
+        }
         let Ok(Some(Message::Hello {
             node,
             address,
@@ -127,6 +142,9 @@
                 return;
             }
         }
+        if level >= LEVEL && !self.send_owners(&link.tx) {
+            return;
+        }
         let tx = link.tx;
         let peer = Peer {
             tx: tx.clone(),
@@ -142,6 +160,10 @@
                     let node = self.node.clone();
                     self.spawn(node.serve_relay(number, request, tx.clone()));
                 }
+                Ok(Some(Message::ConfigurationQuestion(question))) => {
+                    self.node.answer_question(question, &tx);
+                }
+                Ok(Some(Message::Configuration(answer))) => self.node.handle_answer(&answer, &tx),
                 Ok(Some(message)) => self.handle_message(message),
                 Ok(None) => break "closed",
                 Err(_) => break "silent",
@@ -169,10 +191,17 @@
     pub(super) fn broadcast_nodes(&self) {
         let peers = self.peers.borrow();
         let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
+        let levels = (0..).zip(peers.values().map(|peer| peer.level));
+        let earlier: Vec<u32> = levels
+            .filter(|(_, level)| *level < LEVEL)
+            .map(|(position, _)| position)
+            .collect();
         drop(peers);
         nodes.push(self.node.0.settings.link_address.to_string());
         self.node.0.node_addresses.borrow_mut().clone_from(&nodes);
+        self.node.set_sources(&nodes, &earlier);
         self.broadcast(&Message::Nodes(nodes));
+        self.broadcast_to_current(&Message::EarlierNodes(earlier));
     }
 
     /// Returns the messages that a newly linked node is sent first.
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -6,6 +6,11 @@
 use sched::LeaseRow;
 use serde::{Deserialize, Serialize};
 
+use crate::{
+    access::Owner,
+    configuration::{Answer, Question},
+};
+
 /// The protocol level of this build, which nodes exchange in [`Message::Hello`] and [`Message::Beat`]. Builds before
 /// levels were introduced have level 0 and close a link on which a message arrives that they do not know, so variants
 /// that were added at a level are sent only to peers of that level or a higher one.
@@ -97,6 +102,16 @@
         /// The expected time to the answer, in milliseconds.
         cost_ms: u64,
     },
+    /// From a node whose configuration is not confirmed by the table: asks for a newer one. Level 1.
+    ConfigurationQuestion(Question),
+    /// Answers [`Message::ConfigurationQuestion`], or tells a node that has answered with an older version of a newer
+    /// one. Level 1.
+    Configuration(Answer),
+    /// From the scheduler: the positions in the last [`Message::Nodes`] of the nodes with a level below 1, which do
+    /// not answer questions for the configuration. Level 1.
+    EarlierNodes(Vec<u32>),
+    /// From the scheduler: the teams of jobs. Level 1.
+    Owners(Vec<(JobId, Owner)>),
 }
 
 /// A request that the scheduler executes for a node that cannot reach the table.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -162,6 +162,7 @@
             spawn_local(follow::keep_scheduler_link(self.clone())),
             spawn_local(self.clone().expire_states()),
             spawn_local(monitor_table(self.clone())),
+            spawn_local(self.clone().exchange_configuration()),
         ];
         let candidacy = spawn_local(follow::run_candidacy(self.clone()));
         while !self.0.is_draining.get() {
@@ -213,6 +214,7 @@
                 let row = self.0.candidacy.borrow().row().cloned();
                 // If this message is lost, the closed link also shows that this node does not schedule.
                 let _ = link.tx.try_send(Message::NotScheduler(row));
+                spawn_local(self.clone().serve_questions(link, None));
             }
         }
     }
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -5,7 +5,7 @@
 use sched::{Recovered, Scheduler};
 use tokio::{
     task::{JoinSet, spawn_local},
-    time::sleep,
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -61,7 +61,7 @@
 
 /// Notifies another node at intervals that this one is about to schedule, so that it does not take over.
 /// When the recovery ends the link closes, and the other node opens a new one.
-pub(crate) async fn serve_while_recovering<P: Ports>(node: Node<P>, link: Link) {
+pub(crate) async fn serve_while_recovering<P: Ports>(node: Node<P>, mut link: Link) {
     while let Some(sent_at) = node.0.recovery_sent_at.get() {
         let age = node.0.clock.time() - sent_at;
         let message = Message::Recovering {
@@ -70,12 +70,25 @@
         if link.tx.try_send(message).is_err() {
             return;
         }
-        sleep(HEARTBEAT_INTERVAL).await;
+        let pause = Instant::now() + HEARTBEAT_INTERVAL;
+        while let Ok(message) = timeout_at(pause, link.rx.recv()).await {
+            match message {
+                Some(Message::ConfigurationQuestion(question)) => {
+                    node.answer_question(question, &link.tx);
+                }
+                // The other node repeats its messages on the next link.
+                Some(_) => {}
+                None => return,
+            }
+        }
     }
 }
 
 async fn read_all<P: Ports>(node: &Node<P>, epoch: u64) -> (Scheduler, FeedPositions) {
     let (recovered, jobs) = read_jobs(node).await;
+    for (id, job) in &recovered.jobs {
+        node.record_job(*id, job);
+    }
     log::info!(
         "event=recovered epoch={epoch} jobs={} with_progress={} cancelled={} version={jobs}",
         recovered.jobs.len(),
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -44,6 +44,8 @@
     Silent,
     /// Transactions are stored, but their answers are lost.
     LosesAnswers,
+    /// Transactions are refused, and reads are served.
+    RefusesTransactions,
 }
 
 /// The rows of all tables, and the log of their changes.
@@ -97,6 +99,15 @@
     }
 }
 
+pub fn route() -> Route {
+    Route {
+        host: "desk.example".into(),
+        path_prefix: "/l/".into(),
+        queue: queue(),
+        is_anonymous: false,
+    }
+}
+
 pub fn job(tasks: u32) -> Job {
     Job {
         queue: queue(),
@@ -113,16 +124,10 @@
 /// Creates a platform with three workers.
 pub fn platform() -> Platform {
     let workers = ["w1", "w2", "w3"].map(|name| (Arc::from(name), RefCell::default()));
-    let route = Route {
-        host: "desk.example".into(),
-        path_prefix: "/l/".into(),
-        queue: queue(),
-        is_anonymous: false,
-    };
     let shared = SharedState {
         store: RefCell::default(),
         workers: workers.into_iter().collect(),
-        routes: RefCell::new(Routes::new(1, [route])),
+        routes: RefCell::new(Routes::new(1, [route()])),
         task_time: Cell::new(Duration::from_millis(20)),
         asked: RefCell::default(),
         started_at: Instant::now(),
@@ -160,7 +165,7 @@
     /// Returns `refused` if the current fault prevents the call, after a long wait if the table is silent.
     async fn injected_error<T>(&self, refused: T) -> Option<T> {
         match self.fault.get() {
-            TableFault::None | TableFault::LosesAnswers => None,
+            TableFault::None | TableFault::LosesAnswers | TableFault::RefusesTransactions => None,
             TableFault::Refuses => Some(refused),
             TableFault::Silent => {
                 sleep(WAIT_TIMEOUT).await;
@@ -182,6 +187,9 @@
         {
             return Err(e);
         }
+        if self.fault.get() == TableFault::RefusesTransactions {
+            return Err(CommitError::NotStored("503".into()));
+        }
         let outcome = apply(&mut self.shared.store.borrow_mut(), tx);
         if self.fault.get() == TableFault::LosesAnswers {
             return Err(CommitError::Unknown("the answer was lost".into()));
@@ -445,6 +453,16 @@
 
 /// Starts a node, and waits until it has a configuration.
 pub async fn start(name: &str, rank: u32, platform: &Platform) -> Node<Platform> {
+    start_with(name, rank, platform, AccessSettings::default()).await
+}
+
+/// Starts a node with settings for keys, and waits until it has a configuration.
+pub async fn start_with(
+    name: &str,
+    rank: u32,
+    platform: &Platform,
+    access: AccessSettings,
+) -> Node<Platform> {
     let links = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let settings = NodeSettings {
         name: name.into(),
@@ -452,7 +470,7 @@
         rank,
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
-        access: AccessSettings::default(),
+        access,
     };
     let node = Node::new(
         settings,
