--- a/crates/cluster/src/callers.rs
+++ b/crates/cluster/src/callers.rs
@@ -13,6 +13,7 @@
 use crate::{
     CancelOutcome, Node, Ports, Route, Row, StateAnswer,
     access::{self, Caller, Owner, Refusal},
+    admission::Admissions,
     configuration::{Sources, View},
     rows::{JobContent, read_job_row},
 };
@@ -28,6 +29,8 @@
     pub(crate) asked_at: Cell<Option<Time>>,
     /// The nodes that may be asked for the newest configuration while there is no link to a scheduler.
     pub(crate) sources: RefCell<Sources>,
+    /// The teams whose new jobs are to be refused in part.
+    pub(crate) admissions: RefCell<Admissions>,
 }
 
 impl TeamJobs {
@@ -148,6 +151,27 @@
         is_admitted
     }
 
+    /// Returns after which time a client may submit a job again if it is to be refused because its team submits more
+    /// than its rate. A job that this node knows is never refused.
+    #[must_use]
+    pub fn retry_surplus_after(&self, caller: &Caller, id: JobId) -> Option<Duration> {
+        let Caller::Team(team) = caller else {
+            return None;
+        };
+        let team_jobs = &self.0.team_jobs;
+        let now = self.0.clock.time();
+        let retry_after = team_jobs.admissions.borrow().retry_after(now, team, id)?;
+        if self.0.states.borrow().contains_key(&id) || team_jobs.owner(id).is_some() {
+            return None;
+        }
+        log::info!(
+            "event=surplus_refused job={id} team={team:?} retry_ms={}",
+            retry_after.as_millis()
+        );
+        self.0.metrics.count("surplus_refused");
+        Some(retry_after)
+    }
+
     /// Returns a job's state as [`state`](Self::state) does. A job of another team is reported as missing.
     pub async fn state_for(&self, caller: &Caller, id: JobId, deadline: Instant) -> StateAnswer {
         if !self.admits(caller, id) {
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -395,6 +395,10 @@
         Message::EarlierNodes(earlier) => {
             node.set_sources(&node.0.node_addresses.borrow(), &earlier);
         }
+        Message::Admission(admissions) => {
+            let in_force = &node.0.team_jobs.admissions;
+            in_force.borrow_mut().replace(now, admissions);
+        }
         Message::Owners(owners) => node.0.team_jobs.record(now, owners),
         Message::ConfigurationQuestion(question) => {
             if let Some(tx) = &*node.0.upstream.borrow() {
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -64,6 +64,8 @@
     peers: RefCell<BTreeMap<Arc<str>, Peer>>,
     /// The teams of jobs that the linked nodes have not been told yet.
     new_owners: RefCell<Vec<(JobId, Owner)>>,
+    /// Whether the linked nodes were last told to refuse jobs.
+    has_admissions: Cell<bool>,
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
@@ -83,6 +85,7 @@
             first_polls: Semaphore::new(MAX_FIRST_POLLS),
             peers: RefCell::default(),
             new_owners: RefCell::default(),
+            has_admissions: Cell::default(),
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -57,6 +57,7 @@
             self.broadcast(&self.heartbeat(now));
             if count % HEARTBEATS_PER_SUMMARY == 0 {
                 self.broadcast_summary(now, &mut workers);
+                self.broadcast_admissions(now);
             }
             count += 1;
             if self.node.0.table.is_lost() {
--- a/crates/cluster/src/lead/teams.rs
+++ b/crates/cluster/src/lead/teams.rs
@@ -1,11 +1,14 @@
 //! What the scheduler tells the other nodes about teams.
 
 use jobs::{Job, JobId};
+use sched::Now;
 use tokio::sync::mpsc;
 
 use super::Leader;
 use crate::{
-    Ports, configuration,
+    Ports,
+    admission::TeamAdmission,
+    configuration,
     message::{LEVEL, Message},
 };
 
@@ -33,6 +36,22 @@
         owners.is_empty() || tx.try_send(Message::Owners(owners)).is_ok()
     }
 
+    /// Tells all nodes which teams' new jobs to refuse in part, if there are any or were the last time.
+    pub(super) fn broadcast_admissions(&self, now: Now) {
+        let admissions = self.scheduler.borrow().admissions(now);
+        let has_any = !admissions.is_empty();
+        if !self.has_admissions.replace(has_any) && !has_any {
+            return;
+        }
+        let admissions: Vec<_> = admissions.into_iter().map(TeamAdmission::from).collect();
+        let metrics = &self.node.0.metrics;
+        let count = u64::try_from(admissions.len()).unwrap_or(0);
+        metrics.set("teams_refused_in_part", count);
+        self.broadcast_to_current(&Message::Admission(admissions.clone()));
+        let in_force = &self.node.0.team_jobs.admissions;
+        in_force.borrow_mut().replace(now.time, admissions);
+    }
+
     /// Sends a question for the newest configuration to some of the linked nodes. Returns whether one was sent.
     pub(crate) fn ask_peers(&self, question: &Message, round: usize, count: usize) -> bool {
         let peers = self.peers.borrow();
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod access;
+mod admission;
 mod answers;
 mod approve;
 mod callers;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     access::Owner,
+    admission::TeamAdmission,
     configuration::{Answer, Question},
 };
 
@@ -112,6 +113,8 @@
     EarlierNodes(Vec<u32>),
     /// From the scheduler: the teams of jobs. Level 1.
     Owners(Vec<(JobId, Owner)>),
+    /// From the scheduler: the teams whose new jobs are to be refused in part. Replaces the previous ones. Level 1.
+    Admission(Vec<TeamAdmission>),
 }
 
 /// A request that the scheduler executes for a node that cannot reach the table.
