cluster: the teams of jobs are known independently of the configuration

A scheduler that recovers before it has read the configuration records the teams of all jobs, and whether a queue accepts calls without a key is decided when a job is accessed. A newly linked node receives the teams before the states.

--- a/crates/cluster/src/callers.rs
+++ b/crates/cluster/src/callers.rs
@@ -107,11 +107,8 @@
 
     /// Records the team of a job that this node has accepted or read.
     pub(crate) fn record_job(&self, id: JobId, job: &Job) {
-        if !self.has_teams() {
-            return;
-        }
-        let owner = self.owner_of(job);
-        self.0.team_jobs.record(self.0.clock.time(), [(id, owner)]);
+        let owner = Owner::of(job).map(|owner| (id, owner));
+        self.0.team_jobs.record(self.0.clock.time(), owner);
     }
 
     /// Records the teams of jobs whose rows were read.
@@ -126,24 +123,16 @@
         }
     }
 
-    /// Returns the owner of a job.
-    pub(crate) fn owner_of(&self, job: &Job) -> Owner {
-        let routes = self.0.routes.borrow();
-        let is_anonymous = routes.as_ref().is_some_and(|routes| {
-            routes
-                .routes()
-                .any(|route| route.is_anonymous && route.queue.name == job.queue.name)
-        });
-        Owner::new(&job.team, is_anonymous)
-    }
-
     /// Returns whether a caller may access a job, as far as this node knows its team.
     fn admits(&self, caller: &Caller, id: JobId) -> bool {
-        let is_admitted = self
-            .0
-            .team_jobs
-            .owner(id)
-            .is_none_or(|owner| owner.admits(caller));
+        let is_anonymous = |queue| {
+            let routes = self.0.routes.borrow();
+            routes
+                .as_ref()
+                .is_some_and(|routes| routes.is_anonymous(queue))
+        };
+        let owner = self.0.team_jobs.owner(id);
+        let is_admitted = owner.is_none_or(|owner| owner.admits(caller, is_anonymous));
         if !is_admitted {
             log::info!("event=access_denied job={id} caller={caller:?}");
             self.0.metrics.count("accesses_denied");
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -17,7 +17,7 @@
 use crate::{
     Node, Ports, Route, Routes, Team, feed,
     link::{self, Link},
-    message::{LEVEL, Message},
+    message::{Message, TEAMS_LEVEL},
 };
 
 /// A node asks other nodes once its configuration was not confirmed for this long. While the table answers, calls for
@@ -283,7 +283,7 @@
             let leader = self.0.leader.borrow().clone();
             // A node that is taking over has not told its level yet, and may stay without the table.
             let upstream = self.0.upstream.borrow().clone();
-            let upstream = upstream.filter(|_| self.0.upstream_level.get() >= LEVEL);
+            let upstream = upstream.filter(|_| self.0.upstream_level.get() >= TEAMS_LEVEL);
             let question = self.configuration_question();
             let is_asked = match (leader, upstream) {
                 (Some(leader), _) => leader.ask_peers(&question, round, NODES_PER_ROUND),
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -9,7 +9,7 @@
 use crate::{
     Ports,
     link::Link,
-    message::{LEVEL, Message},
+    message::{LEVEL, Message, TEAMS_LEVEL},
 };
 
 /// How often a heartbeat is sent to the other nodes.
@@ -25,9 +25,15 @@
     /// Sends a message to all linked nodes, and drops those whose queues are full or whose links are
     /// closed.
     pub(super) fn broadcast(&self, message: &Message) {
+        self.broadcast_from_level(0, message);
+    }
+
+    /// Sends a message that was added at a protocol level to the linked nodes of that level or a higher one, as
+    /// [`broadcast`](Self::broadcast) does.
+    pub(super) fn broadcast_from_level(&self, level: u32, message: &Message) {
         let mut lost = Vec::new();
         for (name, peer) in self.peers.borrow().iter() {
-            if peer.tx.try_send(message.clone()).is_err() {
+            if peer.level >= level && peer.tx.try_send(message.clone()).is_err() {
                 lost.push(name.clone());
             }
         }
@@ -38,16 +44,6 @@
         }
     }
 
-    /// Sends a message to all linked nodes of this build's protocol level or a higher one.
-    pub(super) fn broadcast_to_current(&self, message: &Message) {
-        for peer in self.peers.borrow().values() {
-            if peer.level >= LEVEL && peer.tx.try_send(message.clone()).is_err() {
-                // A node that is this far behind is dropped at the next heartbeat.
-                self.node.0.metrics.count("messages_dropped");
-            }
-        }
-    }
-
     /// Sends heartbeats and summaries to the other nodes.
     pub(super) async fn send_heartbeats(self: Rc<Self>) {
         let mut count = 0;
@@ -137,15 +133,16 @@
             return;
         };
         log::info!("event=peer_up node={node} level={level}");
+        // The teams come first, so that no state is known to the node without the team.
+        if level >= TEAMS_LEVEL && !self.send_owners(&link.tx) {
+            return;
+        }
         let initial_messages = self.initial_messages();
         for message in initial_messages {
             if link.tx.try_send(message).is_err() {
                 return;
             }
         }
-        if level >= LEVEL && !self.send_owners(&link.tx) {
-            return;
-        }
         let tx = link.tx;
         let peer = Peer {
             tx: tx.clone(),
@@ -194,7 +191,7 @@
         let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
         let levels = (0..).zip(peers.values().map(|peer| peer.level));
         let earlier: Vec<u32> = levels
-            .filter(|(_, level)| *level < LEVEL)
+            .filter(|(_, level)| *level < TEAMS_LEVEL)
             .map(|(position, _)| position)
             .collect();
         drop(peers);
@@ -202,7 +199,7 @@
         self.node.0.node_addresses.borrow_mut().clone_from(&nodes);
         self.node.set_sources(&nodes, &earlier);
         self.broadcast(&Message::Nodes(nodes));
-        self.broadcast_to_current(&Message::EarlierNodes(earlier));
+        self.broadcast_from_level(TEAMS_LEVEL, &Message::EarlierNodes(earlier));
     }
 
     /// Returns the messages that a newly linked node is sent first.
--- a/crates/cluster/src/lead/teams.rs
+++ b/crates/cluster/src/lead/teams.rs
@@ -7,26 +7,25 @@
 use super::Leader;
 use crate::{
     Ports,
+    access::Owner,
     admission::TeamAdmission,
     configuration,
-    message::{LEVEL, Message},
+    message::{Message, TEAMS_LEVEL},
 };
 
 impl<P: Ports> Leader<P> {
     /// Records the team of a job, and prepares it for [`broadcast_new_owners`](Self::broadcast_new_owners).
     pub(super) fn record_owner(&self, id: JobId, job: &Job) {
-        if self.node.has_teams() {
-            self.node.record_job(id, job);
-            let owner = self.node.owner_of(job);
-            self.new_owners.borrow_mut().push((id, owner));
-        }
+        self.node.record_job(id, job);
+        let owner = Owner::of(job).map(|owner| (id, owner));
+        self.new_owners.borrow_mut().extend(owner);
     }
 
     /// Sends the teams of new jobs to the other nodes.
     pub(super) fn broadcast_new_owners(&self) {
         let owners = self.new_owners.take();
         if !owners.is_empty() {
-            self.broadcast_to_current(&Message::Owners(owners));
+            self.broadcast_from_level(TEAMS_LEVEL, &Message::Owners(owners));
         }
     }
 
@@ -47,7 +46,7 @@
         let metrics = &self.node.0.metrics;
         let count = u64::try_from(admissions.len()).unwrap_or(0);
         metrics.set("teams_refused_in_part", count);
-        self.broadcast_to_current(&Message::Admission(admissions.clone()));
+        self.broadcast_from_level(TEAMS_LEVEL, &Message::Admission(admissions.clone()));
         let in_force = &self.node.0.team_jobs.admissions;
         in_force.borrow_mut().replace(now.time, admissions);
     }
@@ -55,7 +54,10 @@
     /// Sends a question for the newest configuration to some of the linked nodes. Returns whether one was sent.
     pub(crate) fn ask_peers(&self, question: &Message, round: usize, count: usize) -> bool {
         let peers = self.peers.borrow();
-        let current: Vec<_> = peers.values().filter(|peer| peer.level >= LEVEL).collect();
+        let current: Vec<_> = peers
+            .values()
+            .filter(|peer| peer.level >= TEAMS_LEVEL)
+            .collect();
         configuration::rotated(&current, round, count)
             .filter(|peer| peer.tx.try_send(question.clone()).is_ok())
             .count()
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -17,6 +17,9 @@
 /// that were added at a level are sent only to peers of that level or a higher one.
 pub(crate) const LEVEL: u32 = 1;
 
+/// The protocol level at which the messages about teams and the configuration were added.
+pub(crate) const TEAMS_LEVEL: u32 = 1;
+
 /// A message on a link. Nodes open links to the scheduler. New variants are appended, because messages are encoded with
 /// the position of their variant.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/cluster/src/routes.rs
+++ b/crates/cluster/src/routes.rs
@@ -5,7 +5,7 @@
 use jobs::{Queue, TeamPolicy};
 use serde::{Deserialize, Serialize};
 
-use crate::access::{Keys, Team};
+use crate::access::{Keys, Team, number_of};
 
 /// A queue, and the host and path at which clients reach it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -96,6 +96,12 @@
         self.by_host.values().flatten()
     }
 
+    /// Returns whether the queue whose name has this number accepts calls without a key.
+    pub(crate) fn is_anonymous(&self, queue: u32) -> bool {
+        self.routes()
+            .any(|route| route.is_anonymous && number_of(&route.queue.name) == queue)
+    }
+
     pub(crate) const fn keys(&self) -> &Keys {
         &self.keys
     }
