--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -5,6 +5,7 @@
 mod lists;
 mod orders;
 mod peers;
+mod teams;
 
 use std::{
     cell::{Cell, RefCell},
@@ -14,7 +15,7 @@
     time::Duration,
 };
 
-use jobs::Crash;
+use jobs::{Crash, JobId};
 use model::WorkerId;
 use sched::{Action, Now, Scheduler};
 use tokio::{
@@ -24,7 +25,9 @@
 };
 
 use self::lists::{Pools, Schedule};
-use crate::{Node, Ports, lease::LeaseWriter, message::Message, recover::FeedPositions};
+use crate::{
+    Node, Ports, access::Owner, lease::LeaseWriter, message::Message, recover::FeedPositions,
+};
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
@@ -63,6 +66,10 @@
     first_polls: Semaphore,
     /// The linked nodes, by name.
     peers: RefCell<BTreeMap<Arc<str>, Peer>>,
+    /// The teams of jobs that the linked nodes have not been told yet.
+    new_owners: RefCell<Vec<(JobId, Owner)>>,
+    /// Whether the linked nodes were last told to refuse jobs.
+    has_admissions: Cell<bool>,
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
@@ -83,10 +90,12 @@
             pollers: RefCell::default(),
             first_polls: Semaphore::new(MAX_FIRST_POLLS),
             peers: RefCell::default(),
+            new_owners: RefCell::default(),
+            has_admissions: Cell::default(),
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
-            nodes_schedule: Cell::default(),
+            nodes_schedule: Cell::new(Schedule::of_nodes()),
             deposed: Notify::new(),
             changed: Notify::new(),
         })
@@ -331,9 +340,9 @@
 
     fn set_queues(&self) {
         if let Some(routes) = self.node.routes() {
-            self.scheduler
-                .borrow_mut()
-                .set_queues(routes.queues().cloned());
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.set_queues(routes.queues().cloned());
+            scheduler.set_teams(routes.teams().cloned());
         }
     }
 
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -12,7 +12,7 @@
 use crate::{
     Ports,
     link::Link,
-    message::{LEVEL, Message},
+    message::{LEVEL, Message, TEAMS_LEVEL},
 };
 
 /// How often a heartbeat is sent to the other nodes.
@@ -28,9 +28,15 @@
     /// Sends a message to all linked nodes, and drops those whose queues are full or whose links are
     /// closed.
     pub(super) fn broadcast(&self, message: &Message) {
+        self.broadcast_from_level(0, message);
+    }
+
+    /// Sends a message that was added at a protocol level to the linked nodes of that level or a higher one, as
+    /// [`broadcast`](Self::broadcast) does.
+    pub(super) fn broadcast_from_level(&self, level: u32, message: &Message) {
         let mut lost = Vec::new();
         for (name, peer) in self.peers.borrow().iter() {
-            if peer.tx.try_send(message.clone()).is_err() {
+            if peer.level >= level && peer.tx.try_send(message.clone()).is_err() {
                 lost.push(name.clone());
             }
         }
@@ -44,13 +50,14 @@
     /// Sends heartbeats and summaries to the other nodes.
     pub(super) async fn send_heartbeats(self: Rc<Self>) {
         let mut count = 0;
-        let mut workers_schedule = Schedule::default();
+        let mut workers_schedule = Schedule::of_workers();
         loop {
             let now = self.now();
             self.broadcast(&self.heartbeat(now));
             self.send_nodes(now);
             if count % HEARTBEATS_PER_SUMMARY == 0 {
                 self.broadcast_summary(now, &mut workers_schedule);
+                self.broadcast_admissions(now);
             }
             count += 1;
             if self.node.0.table.is_lost() {
@@ -100,7 +107,8 @@
         *self.node.0.pending.borrow_mut() = Some(summary.pending);
         self.node.0.scheduler_seen_at.set(Some(now.time));
         workers_schedule.mark_changed();
-        if !lists::is_large(&workers) || workers_schedule.take_due(now.time) {
+        let longest = workers.values().map(Vec::len).max();
+        if workers_schedule.take_due(now.time, longest.unwrap_or(0)) {
             self.send_workers(workers);
         }
     }
@@ -119,20 +127,23 @@
 
     /// Sends the addresses of the linked nodes to all of them, if they have changed and are due to be sent.
     fn send_nodes(&self, now: Now) {
+        let nodes = self.nodes();
         let mut schedule = self.nodes_schedule.get();
-        let is_due = schedule.take_due(now.time);
+        let is_due = schedule.take_due(now.time, nodes.len());
         self.nodes_schedule.set(schedule);
         if !is_due {
             return;
         }
-        let nodes = self.node_addresses();
         for (name, peer) in self.peers.borrow().iter() {
-            // A node whose queue is full is dropped with the next heartbeat.
-            let _ = peer
-                .tx
-                .try_send(Message::Nodes(lists::nodes_for(name, &nodes)));
+            for message in lists::node_messages(name, peer.level, &nodes) {
+                // A node whose queue is full is dropped with the next heartbeat.
+                let _ = peer.tx.try_send(message);
+            }
         }
-        *self.node.0.node_addresses.borrow_mut() = nodes;
+        let earlier = lists::earlier_positions(&nodes);
+        let addresses: Vec<String> = nodes.into_iter().map(|(address, _)| address).collect();
+        self.node.set_sources(&addresses, &earlier);
+        *self.node.0.node_addresses.borrow_mut() = addresses;
     }
 
     /// Serves the link of another node until it closes or stays silent for [`PEER_TIMEOUT`].
@@ -144,6 +155,11 @@
             let _ = row.map(|row| link.tx.try_send(Message::Scheduler(row)));
             return;
         }
+        if let Ok(Some(Message::ConfigurationQuestion(question))) = hello {
+            let node = self.node.clone();
+            node.serve_questions(link, Some(question)).await;
+            return;
+        }
         let Ok(Some(Message::Hello {
             node,
             address,
@@ -153,11 +169,18 @@
             return;
         };
         log::info!("event=peer_up node={node} level={level}");
+        // The teams come first, so that no state is known to the node without the team.
+        if level >= TEAMS_LEVEL && !self.send_owners(&link.tx) {
+            return;
+        }
         let workers = {
             let scheduler = self.scheduler.borrow();
             lists::workers_for(&node, &scheduler.workers_by_pool(self.now()))
         };
-        for message in self.initial_messages(&node, workers.clone()) {
+        let nodes = self.nodes();
+        let nodes = lists::node_messages(&node, level, &nodes);
+        let initial_messages = self.initial_messages(workers.clone());
+        for message in initial_messages.into_iter().chain(nodes) {
             if link.tx.try_send(message).is_err() {
                 return;
             }
@@ -174,12 +197,17 @@
         let mut schedule = self.nodes_schedule.get();
         schedule.mark_changed();
         self.nodes_schedule.set(schedule);
+        self.send_nodes(self.now());
         let reason = loop {
             match timeout(PEER_TIMEOUT, link.rx.recv()).await {
                 Ok(Some(Message::Relay { number, request })) => {
                     let node = self.node.clone();
                     self.spawn(node.serve_relay(number, request, tx.clone()));
                 }
+                Ok(Some(Message::ConfigurationQuestion(question))) => {
+                    self.node.answer_question(question, &tx);
+                }
+                Ok(Some(Message::Configuration(answer))) => self.node.handle_answer(&answer, &tx),
                 Ok(Some(message)) => self.handle_message(message),
                 Ok(None) => break "closed",
                 Err(_) => break "silent",
@@ -203,16 +231,18 @@
         }
     }
 
-    /// Returns the link addresses of this node and of the linked nodes.
-    fn node_addresses(&self) -> Vec<String> {
+    /// Returns the link addresses and the protocol levels of this node and of the linked nodes.
+    fn nodes(&self) -> Vec<(String, u32)> {
         let peers = self.peers.borrow();
-        let linked = peers.values().map(|peer| peer.address.clone());
-        let own = self.node.0.settings.link_address.to_string();
+        let linked = peers
+            .values()
+            .map(|peer| (peer.address.clone(), peer.level));
+        let own = (self.node.0.settings.link_address.to_string(), LEVEL);
         linked.chain([own]).collect()
     }
 
     /// Returns the messages that a newly linked node is sent first.
-    fn initial_messages(&self, receiver: &str, workers: Pools) -> [Message; 5] {
+    fn initial_messages(&self, workers: Pools) -> [Message; 4] {
         let now = self.now();
         let scheduler = self.scheduler.borrow();
         [
@@ -220,7 +250,6 @@
             Message::States(scheduler.states().collect()),
             Message::Pending(scheduler.summary(now).pending),
             Message::Workers(workers),
-            Message::Nodes(lists::nodes_for(receiver, &self.node_addresses())),
         ]
     }
 
