Announce jobs to the scheduler while they are being stored

The scheduler decides and stores the starts of an announced job, but sends no order, publishes no state and counts nothing as pending before the row is known to be stored. A successor keeps progress without a job until the former scheduler's orders are refused by its workers, and continues from it if the job's row appears.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -109,8 +109,7 @@
         }
         let began = self.0.clock.time();
         let row = jobs::encode(&job);
-        let relay = RelayRequest::Submit(id, row.clone());
-        let outcome = self.store(job_key(id), &row, relay, deadline).await;
+        let outcome = self.store_job(id, &row, deadline).await;
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
         match outcome {
@@ -233,7 +232,7 @@
 
     /// Stores a row that must not exist yet, through the scheduler if this node cannot reach the table.
     /// Retries until `deadline` once an attempt may have been stored.
-    async fn store(
+    pub(crate) async fn store(
         &self,
         key: RowKey,
         value: &[u8],
--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -69,8 +69,10 @@
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
         for (id, job) in recovered.jobs {
-            // A job with progress is either known, or was forgotten and its rows are about to be deleted.
-            if !recovered.progress.contains_key(&id) {
+            // A job that has ended and is not known was forgotten, and its rows are about to be deleted. Other progress
+            // may remain from an announcement that was withdrawn.
+            let progress = recovered.progress.get(&id);
+            if progress.is_none_or(|progress| progress.outcome().is_none()) {
                 scheduler.job_stored(now, id, job);
             }
         }
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{Node, Ports, lease::LeaseWriter, message::Message, recover::FeedPositions};
+use crate::{Metrics, Node, Ports, lease::LeaseWriter, message::Message, recover::FeedPositions};
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
@@ -50,7 +50,7 @@
 /// The scheduler and the tasks that connect it to the platform and the other nodes.
 pub(crate) struct Leader<P> {
     node: Node<P>,
-    scheduler: RefCell<Scheduler>,
+    pub(crate) scheduler: RefCell<Scheduler>,
     /// Wakes [`decide`](Self::decide) after an event that may require a scheduling pass.
     wake: Notify,
     /// Wakes the poller of each worker, by worker id.
@@ -292,6 +292,22 @@
         }
     }
 
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.node.0.metrics
+    }
+
+    /// Returns whether a linked node has a lower protocol level.
+    pub(crate) fn has_peers_below(&self, level: u32) -> bool {
+        self.peers.borrow().values().any(|peer| peer.level < level)
+    }
+
+    /// Passes an event to the scheduler, and requests a scheduling pass.
+    pub(crate) fn with_scheduler(&self, handle: impl FnOnce(&mut Scheduler, Now)) {
+        let now = self.now();
+        handle(&mut self.scheduler.borrow_mut(), now);
+        self.wake.notify_one();
+    }
+
     fn epoch(&self) -> u64 {
         self.scheduler.borrow().epoch()
     }
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -77,6 +77,7 @@
         metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
         metrics.set("processors_milli", summary.size.milli_processors);
         metrics.set("used_processors_milli", summary.used.milli_processors);
+        self.report_announcements();
         let peers = self.peers.borrow();
         let earlier = peers.values().filter(|peer| peer.level < LEVEL).count();
         drop(peers);
@@ -203,6 +204,12 @@
                 scheduler.approved(now, step, &asked, &allowed, valid);
                 self.wake.notify_one();
             }
+            Message::JobAnnounced(job, row) => self.job_announced(job, &row),
+            Message::JobSettled {
+                job,
+                digest,
+                is_stored,
+            } => self.job_settled(job, digest, is_stored),
             Message::NotApproved { step } => {
                 let now = self.now();
                 self.scheduler.borrow_mut().approval_failed(now, step);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert!(routes.find("desk.example", "/other/").is_none());
 //! ```
 
+mod announce;
 mod answers;
 mod approve;
 mod clock;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -97,6 +97,17 @@
         /// The expected time to the answer, in milliseconds.
         cost_ms: u64,
     },
+    /// From a node of level 1 or higher: a job that the node is storing, given as the encoded row.
+    JobAnnounced(JobId, Vec<u8>),
+    /// From a node of level 1 or higher: the outcome of storing an announced job.
+    JobSettled {
+        /// The job.
+        job: JobId,
+        /// The stable hash of the encoded row.
+        digest: u64,
+        /// Whether the row is stored. Otherwise the node has not stored it, and never will.
+        is_stored: bool,
+    },
 }
 
 /// A request that the scheduler executes for a node that cannot reach the table.
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -99,7 +99,11 @@
                 RelayReply::NotStored
             }
             RelayRequest::Submit(id, row) => {
-                let outcome = self.store_locally(job_key(id), row, deadline).await;
+                let outcome = self.store_locally(job_key(id), row.clone(), deadline).await;
+                // The job of an announcement can start without waiting for the requesting node.
+                if let Outcome::Stored(_) = outcome {
+                    self.settle(id, &row, &outcome);
+                }
                 log::info!("event=relayed job={id} outcome={outcome:?}");
                 relay_reply(&outcome)
             }
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -303,3 +303,71 @@
         assert_eq!(platform.starts(), 17);
     });
 }
+
+/// Guards against an urgent job that waits for more than three answers of a slow table one after the other: for its row,
+/// for the feed, for the batch in flight and for its start.
+#[test]
+fn a_job_starts_within_three_answers_of_a_slow_table() {
+    run(async {
+        let platform = platform();
+        let (_first, second) = start_two(&platform, &platform.for_another()).await;
+        let table_time = Duration::from_millis(300);
+        platform.shared.table_time.set(table_time);
+        // The batches of the scheduler are slow by now.
+        sleep(Duration::from_millis(700)).await;
+        let began = Instant::now();
+        let submitting = submit(&second, ID, 1);
+        let starting = async {
+            until("the task is started", || platform.starts() == 1).await;
+            began.elapsed()
+        };
+        let (submission, taken) = tokio::join!(submitting, starting);
+        assert_eq!(submission, SubmitOutcome::Accepted);
+        assert!(taken < table_time * 3, "{taken:?}");
+        platform.shared.table_time.set(Duration::ZERO);
+        until_state(&second, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 1);
+    });
+}
+
+/// Guards against a run of a job that was never stored, and against its progress and capacity that remain: the node that
+/// announced it stops before its transaction arrives.
+#[test]
+fn an_announced_job_whose_node_stops_leaves_nothing_behind() {
+    run(async {
+        let platform = platform();
+        let other = platform.for_another();
+        let (first, second) = start_two(&platform, &other).await;
+        // The job fills all workers.
+        other.fault.set(TableFault::Silent);
+        let given_up = timeout(Duration::from_millis(300), submit(&second, ID, 24)).await;
+        assert!(given_up.is_err(), "{given_up:?}");
+        until("its start is stored", || platform.rows("progress") == 1).await;
+        assert_eq!(first.pending(&queue()), Some(0));
+        until("its progress is deleted", || platform.rows("progress") == 0).await;
+        assert_eq!((platform.starts(), platform.rows("jobs")), (0, 0));
+        assert_eq!(submit(&first, JobId(8), 24).await, SubmitOutcome::Accepted);
+        until_state(&first, JobId(8), State::Completed).await;
+        assert_eq!(platform.starts(), 24);
+    });
+}
+
+/// Guards against a second run, or none, when the table stores an announced job and its answer is lost.
+#[test]
+fn an_announced_job_runs_once_although_the_answer_of_the_table_is_lost() {
+    run(async {
+        let platform = platform();
+        let other = platform.for_another();
+        let (_first, second) = start_two(&platform, &other).await;
+        platform.shared.table_time.set(Duration::from_millis(100));
+        other.fault.set(TableFault::LosesAnswers);
+        let recovery = async {
+            sleep(Duration::from_millis(400)).await;
+            other.fault.set(TableFault::None);
+        };
+        let (submission, ()) = tokio::join!(submit(&second, ID, 3), recovery);
+        assert_eq!(submission, SubmitOutcome::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 3);
+    });
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -69,6 +69,10 @@
     store: RefCell<Store>,
     workers: BTreeMap<Arc<str>, RefCell<WorkerState>>,
     pub routes: RefCell<Routes>,
+    /// How long the table takes for each call. Transactions of a part are executed one at a time.
+    pub table_time: Cell<Duration>,
+    /// When the last transaction of each part ends.
+    part_times: RefCell<BTreeMap<String, Instant>>,
     /// How long each task takes.
     pub task_time: Cell<Duration>,
     /// The number of approval requests for each step.
@@ -122,6 +126,8 @@
         store: RefCell::default(),
         workers: workers.into_iter().collect(),
         routes: RefCell::new(Routes::new(1, [route])),
+        table_time: Cell::default(),
+        part_times: RefCell::default(),
         task_time: Cell::new(Duration::from_millis(20)),
         asked: RefCell::default(),
         started_at: Instant::now(),
@@ -156,6 +162,18 @@
             .sum()
     }
 
+    /// Waits for the transactions of a part before this one, and for this one.
+    async fn wait_for_part(&self, part: &str) {
+        let end = {
+            let mut times = self.shared.part_times.borrow_mut();
+            let now = Instant::now();
+            let end = times.entry(part.to_owned()).or_insert(now);
+            *end = now.max(*end) + self.shared.table_time.get();
+            *end
+        };
+        tokio::time::sleep_until(end).await;
+    }
+
     /// Returns `refused` if the current fault prevents the call, after a long wait if the table is silent.
     async fn injected_error<T>(&self, refused: T) -> Option<T> {
         match self.fault.get() {
@@ -181,6 +199,9 @@
         {
             return Err(e);
         }
+        if let Some((key, _)) = tx.set.first() {
+            self.wait_for_part(&key.part).await;
+        }
         let outcome = apply(&mut self.shared.store.borrow_mut(), tx);
         if self.fault.get() == TableFault::LosesAnswers {
             return Err(CommitError::Unknown("the answer was lost".into()));
@@ -198,6 +219,7 @@
         if let Some(e) = self.injected_error(CallError::Refused("503".into())).await {
             return Err(e);
         }
+        sleep(self.shared.table_time.get()).await;
         let store = self.shared.store.borrow();
         let rows = store.rows.iter().filter(|((t, p, key), _)| {
             t == table && p == part && key.as_str() >= from && to.is_none_or(|to| key.as_str() < to)
@@ -239,7 +261,9 @@
         while page().rows.is_empty() && Instant::now() < deadline {
             sleep(Duration::from_millis(5)).await;
         }
-        Ok(page())
+        let page = page();
+        sleep(self.shared.table_time.get()).await;
+        Ok(page)
     }
 }
 
--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -29,6 +29,8 @@
     OverSpread(StepKey),
     /// A task began whose job was not submitted, or had been cancelled for longer than a grace period.
     Unasked(TaskKey),
+    /// A state was shown of a job that is not stored.
+    ShownUnstored(JobId),
     /// A job was shown as completed while a task was not done.
     FalselyCompleted(JobId),
     /// A job was shown as failed although no step had reached the limit of failures and no two hosts had crashed
@@ -99,6 +101,8 @@
     pub useful: f64,
     /// The number of transactions stored in the table.
     pub writes: u64,
+    /// The number of progress rows at the end whose jobs are not stored.
+    pub rows_without_job: usize,
     /// The number of requests to the approval service.
     pub approval_requests: u64,
     /// The number of calls of [`sched::Scheduler::decide`].
@@ -375,6 +379,7 @@
         }
         self.published.insert(id, (state, now));
         let Some(job) = self.jobs.get(&id) else {
+            self.record(Breach::ShownUnstored(id));
             return;
         };
         let task_keys = |number: usize, tasks: u32| {
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -60,4 +60,8 @@
     NoLapse,
     /// Ends are acknowledged to hosts before they are stored.
     AcknowledgeEarly,
+    /// Announced jobs are treated as stored at once.
+    TrustAnnouncements,
+    /// A new scheduler ignores progress of jobs whose rows it has not found.
+    IgnoreOrphans,
 }
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -27,5 +27,5 @@
     host::Host,
     load::{Arrival, Burst, Kind, LoadSpec, generate},
     trace::{Acknowledgement, RunEvent, TraceRow},
-    world::{Cell, CellSpec, ClientRetry},
+    world::{Announcing, Cell, CellSpec, ClientRetry},
 };
--- a/crates/fakes/src/cell/table.rs
+++ b/crates/fakes/src/cell/table.rs
@@ -56,6 +56,12 @@
         self.jobs.entry(id).or_insert(job);
     }
 
+    /// Returns the number of progress rows of jobs that are not stored.
+    pub(super) fn rows_without_job(&self) -> usize {
+        let is_missing = |id: &&JobId| !self.jobs.contains_key(id);
+        self.progress.keys().filter(is_missing).count()
+    }
+
     pub(super) fn cancel(&mut self, id: JobId) {
         self.version += 1;
         self.writes += 1;
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -10,7 +10,7 @@
 use model::{Size, Time, WorkerId};
 use sched::{
     Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
-    StartAnswer, StartOrder, StopOrder, WorkerInfo,
+    Settlement, StartAnswer, StartOrder, StopOrder, WorkerInfo,
 };
 
 use super::{
@@ -69,6 +69,9 @@
     /// How clients retry submissions that are refused while the table is unreachable. `None`, the default, stores
     /// such submissions nevertheless.
     pub client_retry: Option<ClientRetry>,
+    /// How the table stores jobs, of which it then takes long. `None`, the default, stores them at once and announces
+    /// none.
+    pub announcing: Option<Announcing>,
     /// The settings of the schedulers.
     pub sched: SchedConfig,
     /// The job kinds, which [`Arrival::kind`] indexes.
@@ -98,6 +101,7 @@
             slow_host_period: 0,
             slow_host_factor: 1.0,
             client_retry: None,
+            announcing: None,
             sched: SchedConfig::default(),
             kinds: Vec::new(),
             arrivals: Vec::new(),
@@ -119,6 +123,16 @@
     pub limit: u32,
 }
 
+/// The storage of jobs that are announced to a scheduler meanwhile. The outcome is told to that scheduler three times
+/// out of four.
+#[derive(Clone, Copy, Debug)]
+pub struct Announcing {
+    /// The longest time until a job's row is stored, and the longest time from then until schedulers see it.
+    pub store_time: Duration,
+    /// One job in this many is never stored.
+    pub lost_job_period: u64,
+}
+
 /// The events of the simulation. Those of a node carry its index and its incarnation; they are ignored
 /// if the node has entered a later incarnation.
 #[derive(Debug)]
@@ -126,6 +140,10 @@
     /// The index of the arrival, and how many times the submission was refused before.
     Submit(usize, u32),
     Cancel(JobId),
+    /// The index of the arrival, and the node that the job was announced to, with its incarnation.
+    RowStored(usize, Option<(usize, u64)>),
+    RowSeen(usize),
+    Settled(usize, (usize, u64), Settlement),
     Fault(CellFault),
     TakeOver,
     Decide(usize, u64),
@@ -282,7 +300,7 @@
         let published = &self.fleet.checker.published;
         let is_over = |id: &JobId| published.get(id).is_some_and(|(state, _)| state.is_final());
         let has_ended = |id: &JobId| is_over(id) || self.given_up.contains(id);
-        self.fleet.arrivals.keys().all(has_ended)
+        self.fleet.arrivals.keys().all(has_ended) && self.table.rows_without_job() == 0
     }
 
     fn finish(mut self) -> Report {
@@ -313,6 +331,7 @@
         }
         let mut report = self.fleet.checker.report;
         report.writes = self.table.writes;
+        report.rows_without_job = self.table.rows_without_job();
         report.approval_requests = self.approvals.requests;
         report
     }
@@ -333,6 +352,15 @@
         match event {
             Event::Submit(i, refusals) => self.submit(i, refusals),
             Event::Cancel(id) => self.cancel(id),
+            Event::RowStored(i, announced_to) => self.row_stored(i, announced_to),
+            Event::RowSeen(i) => self.row_seen(i),
+            Event::Settled(i, (node, incarnation), settlement) => {
+                let (now, id) = (self.scheduler_now(), self.spec.arrivals[i].id);
+                if let Some(scheduler) = self.scheduler_of(node, incarnation) {
+                    scheduler.job_settled(now, id, 0, settlement);
+                    self.schedule_decision(node, incarnation);
+                }
+            }
             Event::Fault(fault) => self.inject_fault(fault),
             Event::TakeOver => self.take_over(),
             Event::Decide(node, incarnation) => self.decide(node, incarnation),
@@ -447,14 +475,85 @@
             }
             return;
         }
-        let (now, id) = (self.scheduler_now(), arrival.id);
-        let mut job = arrival.job;
-        job.accepted_unix_ms = now.unix_ms;
-        self.fleet.checker.submitted(id, &job);
-        self.table.add_job(id, job.clone());
+        self.spec.arrivals[i].job.accepted_unix_ms = self.scheduler_now().unix_ms;
+        match self.spec.announcing {
+            Some(announcing) => self.announce(i, announcing),
+            None => self.row_stored(i, None),
+        }
+    }
+
+    /// Announces a job to one of the schedulers, and begins to store its row.
+    fn announce(&mut self, i: usize, announcing: Announcing) {
+        let now = self.scheduler_now();
+        let Arrival { id, job, .. } = self.spec.arrivals[i].clone();
+        let scheduling: Vec<usize> = (0..self.nodes.len())
+            .filter(|&node| self.nodes[node].is_scheduling())
+            .collect();
+        let chosen = self.rng.below(scheduling.len().max(1) as u64);
+        let node = scheduling.get(usize::try_from(chosen).unwrap_or(0));
+        let is_trusted = self.spec.mutation == Mutation::TrustAnnouncements;
+        let announced_to = node.map(|&node| (node, self.nodes[node].incarnation));
+        if let Some((node, incarnation)) = announced_to
+            && let Some(scheduler) = self.scheduler_of(node, incarnation)
+        {
+            scheduler.job_announced(now, id, job, 0);
+            if is_trusted {
+                scheduler.job_settled(now, id, 0, Settlement::Stored);
+            }
+            self.schedule_decision(node, incarnation);
+        }
+        let at = self.now + self.random_time(announcing.store_time);
+        if self.rng.below(announcing.lost_job_period) > 0 {
+            self.schedule(at, Event::RowStored(i, announced_to));
+        } else {
+            self.given_up.insert(id);
+            self.settle(at, i, announced_to, Settlement::NotStored);
+        }
+    }
+
+    /// Tells a scheduler the outcome of an announcement, three times out of four.
+    fn settle(
+        &mut self,
+        at: Time,
+        i: usize,
+        announced_to: Option<(usize, u64)>,
+        settlement: Settlement,
+    ) {
+        if let Some(to) = announced_to
+            && self.rng.below(4) > 0
+        {
+            let at = at + self.network.delay();
+            self.schedule(at, Event::Settled(i, to, settlement));
+        }
+    }
+
+    /// Returns a time from zero up to `longest`.
+    fn random_time(&mut self, longest: Duration) -> Duration {
+        let ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.rng.below(ms.max(1)))
+    }
+
+    fn row_stored(&mut self, i: usize, announced_to: Option<(usize, u64)>) {
+        let arrival = self.spec.arrivals[i].clone();
+        self.fleet.checker.submitted(arrival.id, &arrival.job);
+        self.table.add_job(arrival.id, arrival.job);
         if let Some(at) = arrival.cancelled_at {
-            self.schedule(at, Event::Cancel(id));
+            self.schedule(at.max(self.now), Event::Cancel(arrival.id));
+        }
+        self.settle(self.now, i, announced_to, Settlement::Stored);
+        match self.spec.announcing {
+            Some(announcing) => {
+                let at = self.now + self.random_time(announcing.store_time);
+                self.schedule(at, Event::RowSeen(i));
+            }
+            None => self.row_seen(i),
         }
+    }
+
+    /// Passes a job's row to all schedulers.
+    fn row_seen(&mut self, i: usize) {
+        let now = self.scheduler_now();
+        let Arrival { id, job, .. } = self.spec.arrivals[i].clone();
         for node in 0..self.nodes.len() {
             let incarnation = self.nodes[node].incarnation;
             if let Some(scheduler) = self.scheduler_of(node, incarnation) {
@@ -586,7 +685,11 @@
             return;
         };
         let now = self.scheduler_now();
-        let recovered = self.table.read();
+        let mut recovered = self.table.read();
+        if self.spec.mutation == Mutation::IgnoreOrphans {
+            let ids: HashSet<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
+            recovered.progress.retain(|id, _| ids.contains(id));
+        }
         let epoch = write.row.epoch;
         let mut scheduler = Scheduler::new(self.spec.sched, epoch, now, recovered);
         scheduler.set_queues(self.spec.kinds.iter().map(|kind| kind.queue.clone()));
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -186,6 +186,19 @@
         progress
     }
 
+    /// Returns whether this can be the progress of a job: it has the job's steps and tasks. The progress of another job
+    /// with the same id may remain if that job was never stored.
+    #[must_use]
+    pub fn suits(&self, job: &Job) -> bool {
+        let suits = |steps: &Vec<StepProgress>| {
+            let has_tasks = |(progress, step): (&StepProgress, &Step)| {
+                u32::try_from(progress.tasks.len()).is_ok_and(|tasks| tasks == step.tasks)
+            };
+            steps.len() == job.steps.len() && steps.iter().zip(&job.steps).all(has_tasks)
+        };
+        self.opened <= job.occurrences() && self.open.values().all(suits)
+    }
+
     /// Returns the outcome of the job, if it has ended.
     #[must_use]
     pub const fn outcome(&self) -> Option<Outcome> {
--- a/crates/sched/src/cancel.rs
+++ b/crates/sched/src/cancel.rs
@@ -8,7 +8,8 @@
 impl Scheduler {
     /// Handles a job's cancellation by a client, which the table has stored.
     pub fn job_cancelled(&mut self, now: Now, id: JobId) {
-        let Some(entry) = self.jobs.get_mut(&id) else {
+        let is_announced = self.announced.contains(id);
+        let Some(entry) = self.jobs.get_mut(&id).filter(|_| !is_announced) else {
             self.early_cancels.insert(id);
             return;
         };
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -92,6 +92,7 @@
         if self.is_deposed {
             return;
         }
+        self.expire_announcements(now.time);
         self.open_due(now);
         self.end_lapsed(now.time);
         self.repeat_stops(now.time);
@@ -156,7 +157,8 @@
             .filter(|worker| worker.quarantine_until > now.time)
             .map(|worker| worker.quarantine_until)
             .min();
-        let due = [scheduled, stop, lapse, quarantine_end];
+        let expiry = self.announced.next_expiry();
+        let due = [scheduled, stop, lapse, quarantine_end, expiry];
         due.into_iter().flatten().min().unwrap_or(Time::MAX)
     }
 
@@ -314,7 +316,9 @@
             .cfg
             .preempting_rank
             .is_some_and(|most| demand.rank <= most);
-        if !is_allowed || pass.searches_left == 0 {
+        // No run is stopped for a job that may never be stored.
+        let is_stored = !self.announced.contains(demand.key.job);
+        if !is_allowed || !is_stored || pass.searches_left == 0 {
             return false;
         }
         pass.searches_left -= 1;
--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -69,6 +69,11 @@
         None
     }
 
+    /// Discards the deferred effects for which `is_discarded` returns true.
+    pub(crate) fn discard_effects(&mut self, is_discarded: impl Fn(&E) -> bool) {
+        self.effects.retain(|(_, effect)| !is_discarded(effect));
+    }
+
     /// Returns whether a batch is in flight.
     pub(crate) const fn is_busy(&self) -> bool {
         self.in_flight.is_some()
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod action;
+mod announced;
 mod approval;
 mod approvers;
 mod ask;
@@ -56,6 +57,7 @@
         Action, Batch, EndedRow, Interruption, Listing, Now, Poll, PollFailure, PollOrder,
         RunningRow, StartAnswer, StartOrder, StopOrder,
     },
+    announced::{AnnouncementCounts, Settlement},
     approval::Ticket,
     config::SchedConfig,
     leader::{Candidacy, CandidacyConfig, LeaseRow, LinkState, Step},
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -112,6 +112,9 @@
             // Orders for the earlier incarnation may still be carried out after these lists.
             return;
         }
+        if self.lists_orphans(listing) {
+            return;
+        }
         // Ends are applied first: a run whose order reached the new incarnation may already have
         // ended there.
         self.forget_lapses(now, id);
@@ -125,6 +128,7 @@
             self.end_missing(now, id, sent_at, listing);
         }
         self.fleet.get_mut(id).is_synced = true;
+        self.heard_without_orphans(id);
     }
 
     /// Handles the failure of a poll.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -33,7 +33,8 @@
         let mut lapsed = Vec::new();
         for (id, job) in recovered.jobs {
             let progress = recovered.progress.remove(&id);
-            let progress = progress.unwrap_or_else(|| Progress::new(&job));
+            let stored = progress.filter(|progress| progress.suits(&job));
+            let progress = stored.unwrap_or_else(|| Progress::new(&job));
             for (key, run, incarnation) in progress.assigned(id) {
                 runs.push((key, run, incarnation.clone()));
             }
@@ -43,8 +44,11 @@
             }
             self.add_job(now, id, job, progress);
         }
-        // Progress without a job remains when only the job's own rows were deleted.
-        self.forgotten.extend(recovered.progress.into_keys());
+        // Progress without a job remains when only the job's own rows were deleted, or when a former scheduler has stored
+        // it for a job that was announced.
+        for (id, progress) in recovered.progress {
+            self.add_orphan(now, id, progress);
+        }
         for (key, run, incarnation) in runs {
             self.recover_run(now, key, run, &incarnation);
         }
@@ -71,7 +75,13 @@
         id
     }
 
-    fn recover_lapse(&mut self, now: Now, key: TaskKey, run: u32, incarnation: &Incarnation) {
+    pub(crate) fn recover_lapse(
+        &mut self,
+        now: Now,
+        key: TaskKey,
+        run: u32,
+        incarnation: &Incarnation,
+    ) {
         let id = self.recover_worker(now, incarnation);
         let worker = self.fleet.get_mut(id);
         if incarnation.started_unix_ms == worker.info.started_unix_ms {
@@ -88,7 +98,13 @@
         }
     }
 
-    fn recover_run(&mut self, now: Now, key: TaskKey, run: u32, incarnation: &Incarnation) {
+    pub(crate) fn recover_run(
+        &mut self,
+        now: Now,
+        key: TaskKey,
+        run: u32,
+        incarnation: &Incarnation,
+    ) {
         let id = self.recover_worker(now, incarnation);
         let worker = self.fleet.get_mut(id);
         let is_of_earlier_incarnation = incarnation.started_unix_ms < worker.info.started_unix_ms;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Action, Batch, Now, Recovered, SchedConfig, Ticket, WorkerInfo,
+    announced::Announced,
     approval::Approvals,
     approvers::Approvers,
     entry::Entry,
@@ -37,6 +38,15 @@
     },
 }
 
+impl Effect {
+    pub(crate) const fn job(&self) -> JobId {
+        match self {
+            Self::Start { key, .. } => key.job,
+            Self::Publish { job, .. } => *job,
+        }
+    }
+}
+
 /// Decides which tasks start on which workers. See the [crate documentation](crate).
 #[derive(Debug)]
 pub struct Scheduler {
@@ -47,6 +57,8 @@
     /// The configured teams, by name.
     pub(crate) teams: HashMap<Arc<str>, TeamPolicy>,
     pub(crate) jobs: BTreeMap<JobId, Entry>,
+    /// The jobs that are not known to be stored yet.
+    pub(crate) announced: Announced,
     /// The steps that have tasks waiting to be started.
     pub(crate) waiting: BTreeSet<StepKey>,
     /// Jobs with an occurrence that is not due yet, ordered by its due time in Unix milliseconds.
@@ -115,6 +127,7 @@
             queues: HashMap::new(),
             teams: HashMap::new(),
             jobs: BTreeMap::new(),
+            announced: Announced::default(),
             waiting: BTreeSet::new(),
             scheduled: BTreeSet::new(),
             fleet: Fleet::default(),
@@ -216,14 +229,7 @@
 
     /// Adds a job that has been stored in the table. Does nothing if the job is already known.
     pub fn job_stored(&mut self, now: Now, id: JobId, job: Job) {
-        if self.jobs.contains_key(&id) {
-            return;
-        }
-        let progress = Progress::new(&job);
-        self.add_job(now, id, job, progress);
-        if self.early_cancels.remove(&id) {
-            self.job_cancelled(now, id);
-        }
+        self.add_stored_job(now, id, job);
     }
 
     pub(crate) fn add_job(&mut self, now: Now, id: JobId, job: Job, progress: Progress) {
@@ -527,7 +533,10 @@
         }
     }
 
-    fn release(&mut self, now: Time, effect: Effect) {
+    pub(crate) fn release(&mut self, now: Time, effect: Effect) {
+        let Some(effect) = self.announced.hold(effect) else {
+            return;
+        };
         match effect {
             Effect::Publish { job, state } => {
                 if let Some(entry) = self.jobs.get_mut(&job) {
@@ -597,8 +606,9 @@
             jobs: self.jobs.len(),
             ..Summary::default()
         };
-        for entry in self.jobs.values() {
-            let is_pending = !entry.has_begun && entry.ended_at.is_none();
+        for (id, entry) in &self.jobs {
+            let is_stored = !self.announced.contains(*id);
+            let is_pending = is_stored && !entry.has_begun && entry.ended_at.is_none();
             if is_pending {
                 *summary
                     .pending
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -5,7 +5,7 @@
 
 use fakes::{
     Rng,
-    cell::{Breach, Cell, CellFault, CellSpec, LoadSpec, Mutation, Report, generate},
+    cell::{Announcing, Breach, Cell, CellFault, CellSpec, LoadSpec, Mutation, Report, generate},
 };
 use model::{Size, Time};
 
@@ -416,3 +416,74 @@
         assert_eq!(report.breaches, [], "{fault:?}, seed {seed}");
     }
 }
+
+/// Runs a cell whose table takes long to store jobs, which are announced meanwhile.
+fn run_announcing(seed: u64, faults: Vec<(Time, CellFault)>, mutation: Mutation) -> Report {
+    let announcing = Announcing {
+        store_time: Duration::from_millis(1_200),
+        lost_job_period: 8,
+    };
+    let spec = CellSpec {
+        announcing: Some(announcing),
+        ..spec(small_load(), seed, faults, mutation)
+    };
+    Cell::new(spec).run()
+}
+
+/// Guards against runs and states of announced jobs that are not stored, against second runs after a takeover, and
+/// against progress that remains of jobs that were never stored.
+#[test]
+fn guarantees_hold_for_announced_jobs() {
+    for (i, first) in FAULTS.into_iter().enumerate() {
+        for (j, second) in FAULTS.into_iter().enumerate() {
+            let seed = 7_000 + (i * FAULTS.len() + j) as u64;
+            let gap = Duration::from_millis(200 + seed * 37 % 2_500);
+            let at = Time::ZERO + 3 * SECOND;
+            let slow = (at, CellFault::TableSlow(4 * SECOND));
+            let faults = vec![slow, (at, first), (at + gap, second)];
+            let report = run_announcing(seed, faults, Mutation::None);
+            assert_eq!(report.breaches, [], "seed {seed}: {first:?}, {second:?}");
+            assert_eq!(report.rows_without_job, 0, "seed {seed}");
+        }
+    }
+}
+
+/// Returns whether one of the seeds below `seeds` leads to an expected breach with announced jobs. The fault occurs each
+/// second, while a share of the polls and orders to hosts is late.
+fn is_detected_announcing(
+    mutation: Mutation,
+    fault: CellFault,
+    seeds: u64,
+    is_expected: fn(&Breach) -> bool,
+) -> bool {
+    (0..seeds).any(|seed| {
+        let at = |i: u32| Time::ZERO + i * SECOND;
+        let late = (at(1), CellFault::OrdersLate(9 * SECOND));
+        let mut faults = vec![late];
+        faults.extend((2..9).map(|i| (at(i), fault)));
+        let report = run_announcing(seed, faults, mutation);
+        report.breaches.iter().any(is_expected)
+    })
+}
+
+/// If announced jobs count as stored, tasks of jobs run that are not stored.
+#[test]
+fn an_announcement_that_counts_as_storage_is_detected() {
+    let is_unstored =
+        |breach: &Breach| matches!(breach, Breach::Unasked(_) | Breach::ShownUnstored(_));
+    let mutation = Mutation::TrustAnnouncements;
+    let dies = CellFault::SchedulerDies;
+    assert!(is_detected_announcing(mutation, dies, 10, is_unstored));
+}
+
+/// If a successor ignores progress whose job is not stored yet, a task runs twice: the former scheduler learns that the
+/// job is stored and starts it too.
+#[test]
+fn a_successor_that_ignores_progress_without_a_job_is_detected() {
+    let replaced = CellFault::SchedulerReplaced;
+    let seeds = 60;
+    let mutation = Mutation::IgnoreOrphans;
+    assert!(is_detected_announcing(mutation, replaced, seeds, ran_twice));
+    let mutation = Mutation::None;
+    assert!(!is_detected_announcing(mutation, replaced, seeds, |_| true));
+}
