Hold jobs at the node while the table is away, and spread returning clients

A job that was certainly not stored because the table is away waits for at most a quarter of its queue's latency objective and not past its client's deadline. A job that has less time left than the outage has lasted is refused at once. Retry-After follows the length of the outage, from 1 to 4 s, spread by the job's id; urgent jobs come back first. It was 2 s for all.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -12,6 +12,7 @@
     follow::is_fresh,
     message::{RelayReply, RelayRequest},
     relay::Relayed,
+    retry_after::retry_after,
     rows::{
         CANCELLED, JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part,
         job_range_end, parse_job_key, progress_key, read_content,
@@ -22,10 +23,6 @@
 /// than this, and read from the table otherwise.
 const MAX_STATE_AGE: Duration = Duration::from_millis(1_500);
 
-/// How long clients should wait before they retry after the table could not be reached. Outages of the table
-/// last seconds.
-const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(2);
-
 /// How long clients should wait before they retry after a node had no configuration yet.
 const RETRY_AFTER_START: Duration = Duration::from_secs(1);
 
@@ -109,7 +106,7 @@
         }
         let began = self.0.clock.time();
         let row = jobs::encode(&job);
-        let outcome = self.store_job(id, &row, deadline).await;
+        let outcome = self.store_or_wait(queue, id, &job, &row, deadline).await;
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
         match outcome {
@@ -133,13 +130,18 @@
                 SubmitOutcome::Accepted
             }
             Outcome::NotStored(reason) => {
+                let outage = self.0.table.outage();
+                let retry_after = retry_after(outage, id, queue.rank);
                 log::warn!(
-                    "event=refused job={id} queue={} reason={reason:?} ms={ms}",
-                    queue.name
+                    "event=refused job={id} queue={} reason={reason:?} ms={ms} outage_ms={} retry_s={}",
+                    queue.name,
+                    outage.as_millis(),
+                    retry_after.as_secs()
                 );
                 self.0.metrics.count("jobs_refused");
+                self.0.metrics.time("retry_after", retry_after);
                 SubmitOutcome::NotRun {
-                    retry_after: RETRY_AFTER_OUTAGE,
+                    retry_after,
                     reason: "the table cannot be reached",
                 }
             }
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -375,6 +375,9 @@
             level,
         } => {
             node.0.upstream_level.set(level);
+            if !is_table_lost {
+                node.open_door();
+            }
             let link = LinkState::Up {
                 heard_at: now,
                 table_age: Duration::from_millis(table_age_ms),
--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -36,6 +36,10 @@
 /// single broken connection also makes calls fail.
 const RECENT_ANSWER: Duration = Duration::from_millis(250);
 
+/// A table that is lost again within this time was not back. Long polls from before an outage, which wait for up to 1 s,
+/// may still be answered during it.
+const LULL: Duration = Duration::from_millis(1_200);
+
 /// The pause between two probes of a lost table.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -52,10 +56,16 @@
     last_call: Cell<u64>,
     answered_at: Cell<Time>,
     is_lost: Cell<bool>,
+    /// When the table last answered before it was lost.
+    lost_since: Cell<Time>,
+    /// When it last answered after it was lost.
+    back_at: Cell<Option<Time>>,
     /// Signals that a call has begun, or that `is_lost` has changed.
     changed: Notify,
     /// Signals that the table was lost.
     lost: Notify,
+    /// Signals that the lost table has answered.
+    back: Notify,
 }
 
 impl TableHealth {
@@ -67,8 +77,11 @@
             last_call: Cell::default(),
             answered_at: Cell::default(),
             is_lost: Cell::default(),
+            lost_since: Cell::default(),
+            back_at: Cell::default(),
             changed: Notify::new(),
             lost: Notify::new(),
+            back: Notify::new(),
         }
     }
 
@@ -83,6 +96,20 @@
         }
     }
 
+    /// Returns how long the table has been lost, from its last answer; zero if it is not lost.
+    pub(crate) fn outage(&self) -> Duration {
+        if self.is_lost.get() {
+            self.clock.time() - self.lost_since.get()
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns once the table has answered after it was lost.
+    pub(crate) async fn wait_until_back(&self) {
+        self.back.notified().await;
+    }
+
     /// Registers a call that the table may hold open for `wait`.
     fn begin(&self, wait: Duration) -> (Time, u64) {
         let number = self.last_call.get() + 1;
@@ -108,12 +135,21 @@
         if self.is_lost.replace(is_lost) == is_lost {
             return;
         }
-        let since = (self.clock.time() - self.answered_at.get()).as_millis();
+        let now = self.clock.time();
         if is_lost {
+            let is_same_outage = self.back_at.get().is_some_and(|at| now < at + LULL);
+            if !is_same_outage {
+                self.lost_since.set(self.answered_at.get());
+            }
+            let since = (now - self.answered_at.get()).as_millis();
             log::warn!("event=table_lost last_answer_ms={since}");
             self.lost.notify_waiters();
         } else {
-            log::warn!("event=table_back");
+            self.back_at.set(Some(now));
+            let outage = now - self.lost_since.get();
+            log::warn!("event=table_back outage_ms={}", outage.as_millis());
+            self.metrics.time("table_outage", outage);
+            self.back.notify_one();
         }
         self.metrics.set("table_lost", u64::from(is_lost));
         self.changed.notify_one();
@@ -160,8 +196,13 @@
             health: self,
             call: self.begin(wait),
         };
+        let began = self.clock.time();
         let result = call.await;
-        guard.end(is_answer(&result));
+        let is_answered = is_answer(&result);
+        if is_answered && wait.is_zero() {
+            self.metrics.time("table_answer", self.clock.time() - began);
+        }
+        guard.end(is_answered);
         result
     }
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -28,6 +28,7 @@
 mod approve;
 mod clock;
 mod commit;
+mod door;
 mod entry;
 mod error;
 mod feed;
@@ -44,6 +45,7 @@
 mod ports;
 mod recover;
 mod relay;
+mod retry_after;
 mod routes;
 mod rows;
 
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -22,6 +22,7 @@
 use crate::{
     Clock, Metrics, Ports, Routes,
     approve::ApprovalQueue,
+    door::Door,
     feed, follow,
     health::{MonitoredPorts, TableHealth},
     intake::WriteQueue,
@@ -98,6 +99,7 @@
     pub(crate) table: Rc<TableHealth>,
     pub(crate) write_queue: WriteQueue,
     pub(crate) pending_relays: PendingRelays,
+    pub(crate) door: RefCell<Door>,
     /// The link addresses of all nodes, as sent by the scheduler.
     pub(crate) node_addresses: RefCell<Vec<String>>,
 }
@@ -142,6 +144,7 @@
             table,
             write_queue: WriteQueue::default(),
             pending_relays: PendingRelays::default(),
+            door: RefCell::default(),
             node_addresses: RefCell::default(),
         }))
     }
@@ -157,6 +160,7 @@
             spawn_local(follow::keep_scheduler_link(self.clone())),
             spawn_local(self.clone().expire_states()),
             spawn_local(monitor_table(self.clone())),
+            spawn_local(self.clone().watch_door()),
         ];
         let candidacy = spawn_local(follow::run_candidacy(self.clone()));
         while !self.0.is_draining.get() {
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -371,3 +371,130 @@
         assert_eq!(platform.starts(), 3);
     });
 }
+
+/// Submits a job to a queue whose jobs may wait for a quarter of `objective` while the table is away.
+async fn submit_patiently(
+    node: &Node<Platform>,
+    id: JobId,
+    objective: Duration,
+    until: Instant,
+) -> SubmitOutcome {
+    let queue = jobs::Queue {
+        target: objective,
+        ..queue()
+    };
+    node.submit(&queue, id, job(1), until).await
+}
+
+/// Guards against refusing a job that could be served because the table is back soon.
+#[test]
+fn a_job_waits_at_the_door_until_the_table_is_back() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        until_scheduler_known(&node).await;
+        platform.fault.set(TableFault::Refuses);
+        let recovery = async {
+            sleep(Duration::from_millis(500)).await;
+            platform.fault.set(TableFault::None);
+        };
+        let submitting = submit_patiently(&node, ID, Duration::from_secs(12), deadline());
+        let (submission, ()) = tokio::join!(submitting, recovery);
+        assert_eq!(submission, SubmitOutcome::Accepted);
+        until_state(&node, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 1);
+    });
+}
+
+/// Guards against holding jobs beyond the time in which they can be served, and against storing them after they were
+/// refused. Once the outage has lasted longer than the time that a job has, it is refused at once.
+#[test]
+fn a_job_at_the_door_is_refused_when_its_time_is_up() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        until_scheduler_known(&node).await;
+        platform.fault.set(TableFault::Refuses);
+        let began = Instant::now();
+        let refused = submit_patiently(&node, ID, Duration::from_secs(4), deadline()).await;
+        assert!(
+            matches!(refused, SubmitOutcome::NotRun { .. }),
+            "{refused:?}"
+        );
+        let waited = began.elapsed();
+        assert!(waited > Duration::from_millis(900), "{waited:?}");
+        assert!(waited < Duration::from_millis(1_900), "{waited:?}");
+
+        let began = Instant::now();
+        let refused = submit_patiently(&node, JobId(8), Duration::from_secs(2), deadline()).await;
+        assert!(
+            matches!(refused, SubmitOutcome::NotRun { .. }),
+            "{refused:?}"
+        );
+        assert!(began.elapsed() < Duration::from_millis(300));
+        // The client's deadline is earlier than the queue's objective would allow.
+        let until = Instant::now() + Duration::from_millis(400);
+        let refused = submit_patiently(&node, JobId(9), Duration::from_secs(60), until).await;
+        assert!(
+            matches!(refused, SubmitOutcome::NotRun { .. }),
+            "{refused:?}"
+        );
+        assert!(Instant::now() < until);
+
+        platform.fault.set(TableFault::None);
+        sleep(Duration::from_millis(700)).await;
+        assert_eq!(platform.rows("jobs"), 0);
+    });
+}
+
+/// Guards against telling a client that its job will not run although the table has stored it: the answer was lost, and
+/// the table is away since.
+#[test]
+fn a_job_that_may_be_stored_is_not_refused_at_the_door() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        until_scheduler_known(&node).await;
+        platform.fault.set(TableFault::LosesAnswers);
+        let outage = async {
+            until("the row is stored", || platform.rows("jobs") == 1).await;
+            platform.fault.set(TableFault::Refuses);
+            sleep(Duration::from_secs(3)).await;
+            platform.fault.set(TableFault::None);
+        };
+        let until = Instant::now() + Duration::from_millis(1_500);
+        let submitting = submit_patiently(&node, ID, Duration::from_secs(60), until);
+        let (submission, ()) = tokio::join!(submitting, outage);
+        assert_eq!(submission, SubmitOutcome::Unknown);
+        until_state(&node, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 1);
+    });
+}
+
+/// Guards against a second run when a client gives up at one node, whose door still has the job, and submits it at
+/// another node.
+#[test]
+fn a_job_at_two_doors_runs_once() {
+    run(async {
+        let platform = platform();
+        let other = platform.for_another();
+        let (first, second) = start_two(&platform, &other).await;
+        platform.fault.set(TableFault::Refuses);
+        other.fault.set(TableFault::Refuses);
+        let objective = Duration::from_secs(16);
+        let recovery = async {
+            sleep(Duration::from_millis(700)).await;
+            platform.fault.set(TableFault::None);
+            other.fault.set(TableFault::None);
+        };
+        let (one, two, ()) = tokio::join!(
+            submit_patiently(&first, ID, objective, deadline()),
+            submit_patiently(&second, ID, objective, deadline()),
+            recovery
+        );
+        let both = [SubmitOutcome::Accepted, SubmitOutcome::Accepted];
+        assert_eq!([one, two], both);
+        until_state(&second, ID, State::Completed).await;
+        assert_eq!((platform.starts(), platform.rows("jobs")), (1, 1));
+    });
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -261,6 +261,9 @@
         while page().rows.is_empty() && Instant::now() < deadline {
             sleep(Duration::from_millis(5)).await;
         }
+        if self.fault.get() == TableFault::Refuses {
+            return Err(FeedError::Call(CallError::Refused("503".into())));
+        }
         let page = page();
         sleep(self.shared.table_time.get()).await;
         Ok(page)
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! Jobs, as clients submit them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use model::Size;
 use serde::{Deserialize, Serialize};
@@ -182,6 +182,20 @@
             .map_or(0, |schedule| schedule.due_unix_ms(occurrence))
     }
 
+    /// Returns the time that the job takes with enough workers, by the client's estimates: that of its critical path.
+    #[must_use]
+    pub fn estimated_time(&self) -> Duration {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let dependencies = step.after.iter();
+            let start = dependencies
+                .filter_map(|&on| ends.get(usize::from(on)))
+                .max();
+            ends.push(start.copied().unwrap_or(0).saturating_add(step.estimate_ms));
+        }
+        Duration::from_millis(ends.into_iter().max().unwrap_or(0))
+    }
+
     /// Returns whether one of the steps runs until the job is cancelled.
     #[must_use]
     pub fn is_long_running(&self) -> bool {
