Count the answers of the table that jobs wait for; hand over when stopped during a takeover

Metrics count the transactions that acceptances, starts and shown ends wait for, and the log of a start has the job's age. A node that is stopped during its takeover releases the lease; it kept it before, until it was found to be gone.

--- a/crates/cluster/src/announce.rs
+++ b/crates/cluster/src/announce.rs
@@ -107,11 +107,22 @@
         });
     }
 
-    /// Updates the metrics of announcements.
-    pub(crate) fn report_announcements(&self) {
+    /// Updates the metrics of announcements, of the trips to the table, and of the age of its last answer.
+    pub(crate) fn report_table(&self) {
         let counts = self.scheduler.borrow().announcement_counts();
         let size = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
         let metrics = self.metrics();
+        let age = self.now().time - self.scheduler.borrow().confirmed_at();
+        metrics.set(
+            "table_age_ms",
+            u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        );
+        let trips = self.scheduler.borrow().trips();
+        for (name, count) in [("start", trips.starts), ("end", trips.ends)] {
+            metrics.set(&format!("{name}_trip_events"), count.events);
+            metrics.set(&format!("{name}_trips"), count.trips);
+            metrics.set(&format!("{name}_trips_most"), count.most);
+        }
         metrics.set("announcements_open", size(counts.open));
         metrics.set("announcements_confirmed", counts.confirmed);
         metrics.set("announcements_withdrawn", counts.withdrawn);
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -176,7 +176,13 @@
     let started = node.0.clock.time();
     let writer = lease::LeaseWriter::new(row, version);
     node.0.recovery_sent_at.set(Some(started));
-    let recovered = recover::recover(node, writer).await;
+    let recovered = if node.0.is_draining.get() {
+        let mut writer = writer;
+        writer.release(node).await;
+        None
+    } else {
+        recover::recover(node, writer).await
+    };
     node.0.recovery_sent_at.set(None);
     if let Some((scheduler, writer, after)) = recovered {
         let leader = Leader::new(node.clone(), scheduler, writer);
@@ -185,6 +191,10 @@
             (node.0.clock.time() - started).as_millis()
         );
         *node.0.leader.borrow_mut() = Some(leader.clone());
+        // A node that is about to stop hands over at once.
+        if node.0.is_draining.get() {
+            leader.drain();
+        }
         for approval in node.cached_approvals() {
             leader.handle_message(approval);
         }
--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -128,6 +128,11 @@
             });
             !std::mem::replace(&mut part.is_busy, true)
         };
+        // A row that has to wait for a transaction in flight waits for two answers.
+        self.0.metrics.count("accept_trip_events");
+        self.0
+            .metrics
+            .add("accept_trips", if is_idle { 1 } else { 2 });
         if is_idle {
             spawn_local(self.clone().store_part(name.clone()));
         }
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -85,7 +85,7 @@
         })
     }
 
-    fn now(&self) -> Now {
+    pub(crate) fn now(&self) -> Now {
         self.node.0.clock.now()
     }
 
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -30,12 +30,16 @@
         let taken = self.now().time - sent_at;
         self.node.0.metrics.time("start", taken);
         if answer == StartAnswer::Started {
+            let ages = (self.scheduler.borrow()).start_ages(now, order.worker, order.key);
+            let (age, decided) = ages.unwrap_or_default();
             log::info!(
-                "event=started task={} run={} worker={} epoch={epoch} ms={}",
+                "event=started task={} run={} worker={} epoch={epoch} ms={} age_ms={} decided_ms={}",
                 order.key,
                 order.run,
                 info.name,
-                taken.as_millis()
+                taken.as_millis(),
+                age.as_millis(),
+                decided.as_millis()
             );
         } else {
             log::warn!(
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -77,7 +77,7 @@
         metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
         metrics.set("processors_milli", summary.size.milli_processors);
         metrics.set("used_processors_milli", summary.used.milli_processors);
-        self.report_announcements();
+        self.report_table();
         let peers = self.peers.borrow();
         let earlier = peers.values().filter(|peer| peer.level < LEVEL).count();
         drop(peers);
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -1,6 +1,7 @@
 //! Nodes on an in-memory platform: the answers to clients stay correct under faults of the table and
 //! changes of the scheduler.
 
+mod outages;
 mod support;
 
 use std::time::Duration;
@@ -498,3 +499,27 @@
         assert_eq!((platform.starts(), platform.rows("jobs")), (1, 1));
     });
 }
+
+/// Guards against a node that is about to stop and keeps the lease that it has just acquired. It recovers faster here
+/// than it renews its lease.
+#[test]
+fn a_node_that_stops_during_its_takeover_hands_over() {
+    run(async {
+        let platform = platform();
+        platform.shared.table_time.set(Duration::from_millis(60));
+        let first = start("n1", 0, &platform).await;
+        until("the lease is taken", || platform.lease().is_some()).await;
+        first.drain();
+        let began = Instant::now();
+        until("the lease is handed over", || {
+            platform.lease().is_some_and(|row| row.holder.is_empty())
+        })
+        .await;
+        // A process that stops waits for 800 ms.
+        assert!(began.elapsed() < Duration::from_millis(700));
+        let second = start("n2", 1, &platform).await;
+        assert_eq!(submit(&second, ID, 1).await, SubmitOutcome::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        assert_eq!(platform.starts(), 1);
+    });
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use jobs::{ApprovalCost, End, EndKind, Job, Queue, Step, StepKey, TaskKey};
 use model::Size;
 use sched::{
-    CandidacyConfig, EndedRow, Listing, PollFailure, PollOrder, RunningRow, SchedConfig,
+    CandidacyConfig, EndedRow, LeaseRow, Listing, PollFailure, PollOrder, RunningRow, SchedConfig,
     StartAnswer, StartOrder, StopOrder, WorkerInfo,
 };
 use tokio::{
@@ -153,6 +153,14 @@
         store.rows.keys().filter(|(t, _, _)| t == table).count()
     }
 
+    /// Returns the lease row, if there is one.
+    pub fn lease(&self) -> Option<LeaseRow> {
+        let store = self.shared.store.borrow();
+        let mut rows = store.rows.iter().filter(|((t, _, _), _)| t == "lease");
+        rows.next()
+            .map(|(_, (value, _))| jobs::decode(value).unwrap())
+    }
+
     /// Returns the number of runs that were started on workers.
     pub fn starts(&self) -> usize {
         self.shared
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -533,6 +533,7 @@
                 run,
                 worker: id,
                 needs_ticket,
+                since_batch: self.journal.batches(),
             };
             self.defer_until_stored(now, start);
         }
--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -21,6 +21,8 @@
     in_flight: Option<u64>,
     /// All changes up to this number are stored.
     stored: u64,
+    /// The number of batches stored so far.
+    batches: u64,
     /// The deferred effects, with the number of the change that each waits for.
     effects: VecDeque<(u64, E)>,
 }
@@ -33,6 +35,7 @@
             dirty_jobs: HashSet::new(),
             in_flight: None,
             stored: 0,
+            batches: 0,
             effects: VecDeque::new(),
         }
     }
@@ -59,6 +62,11 @@
         self.stored
     }
 
+    /// Returns the number of batches stored so far.
+    pub(crate) const fn batches(&self) -> u64 {
+        self.batches
+    }
+
     /// Defers `effect` until all changes so far are stored. Returns it if they already are.
     #[must_use]
     pub(crate) fn defer(&mut self, effect: E) -> Option<E> {
@@ -102,6 +110,7 @@
 
     /// Records that the batch in flight is stored. Returns the effects that waited for it.
     pub(crate) fn batch_stored(&mut self) -> Vec<E> {
+        self.batches += 1;
         if let Some(upto) = self.in_flight.take() {
             self.stored = self.stored.max(upto);
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -50,6 +50,7 @@
 mod statistics;
 mod suspects;
 mod teams;
+mod trips;
 mod worker;
 
 pub use crate::{
@@ -65,5 +66,6 @@
     recovery::Recovered,
     scheduler::{Scheduler, Summary},
     teams::Admission,
+    trips::{TripCount, Trips},
     worker::WorkerInfo,
 };
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -20,6 +20,7 @@
     journal::Journal,
     leader::FENCES_PER_EPOCH,
     statistics::{AllowedShares, RunTimes},
+    trips::Trips,
     worker::Worker,
 };
 
@@ -31,10 +32,14 @@
         run: u32,
         worker: WorkerId,
         needs_ticket: bool,
+        /// The number of batches that were stored when the start was decided.
+        since_batch: u64,
     },
     Publish {
         job: JobId,
         state: State,
+        /// The number of batches that were stored when the state was reached.
+        since_batch: u64,
     },
 }
 
@@ -67,6 +72,7 @@
     pub(crate) approvals: HashMap<StepKey, Approvals>,
     pub(crate) approvers: Approvers,
     pub(crate) journal: Journal<Effect>,
+    trips: Trips,
     pub(crate) actions: Vec<Action>,
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
@@ -134,6 +140,7 @@
             approvals: HashMap::new(),
             approvers: Approvers::default(),
             journal: Journal::default(),
+            trips: Trips::default(),
             actions: Vec::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
@@ -273,7 +280,12 @@
         if is_over {
             entry.ended_at = Some(now);
         }
-        self.defer_until_stored(now, Effect::Publish { job: id, state });
+        let publish = Effect::Publish {
+            job: id,
+            state,
+            since_batch: self.journal.batches(),
+        };
+        self.defer_until_stored(now, publish);
         if is_over {
             self.ended_jobs.push_back((now, id));
             self.stop_all(now, id);
@@ -538,7 +550,14 @@
             return;
         };
         match effect {
-            Effect::Publish { job, state } => {
+            Effect::Publish {
+                job,
+                state,
+                since_batch,
+            } => {
+                if state.is_final() {
+                    self.trips.ends.record(self.journal.batches() - since_batch);
+                }
                 if let Some(entry) = self.jobs.get_mut(&job) {
                     entry.stored = Some(state);
                 }
@@ -549,7 +568,12 @@
                 run,
                 worker,
                 needs_ticket,
-            } => self.release_start(now, key, run, worker, needs_ticket),
+                since_batch,
+            } => {
+                let trips = self.journal.batches() - since_batch;
+                self.trips.starts.record(trips);
+                self.release_start(now, key, run, worker, needs_ticket);
+            }
         }
     }
 
@@ -597,6 +621,26 @@
             .filter_map(|(&id, entry)| Some((id, entry.stored?)))
     }
 
+    /// Returns how many transactions starts and shown ends have waited for.
+    #[must_use]
+    pub const fn trips(&self) -> Trips {
+        self.trips
+    }
+
+    /// Returns how long ago a job was accepted, and how long ago the start of one of its tasks was decided; `None` if the
+    /// worker has no such run.
+    #[must_use]
+    pub fn start_ages(
+        &self,
+        now: Now,
+        worker: WorkerId,
+        key: TaskKey,
+    ) -> Option<(Duration, Duration)> {
+        let accepted_at = self.jobs.get(&key.job)?.accepted_at;
+        let since = self.fleet.get(worker).runs.get(&key)?.since;
+        Some((now.time - accepted_at, now.time - since))
+    }
+
     /// Returns counts and sizes for metrics and clients' queries.
     #[must_use]
     pub fn summary(&self, now: Now) -> Summary {
--- a/crates/sched/tests/announced.rs
+++ b/crates/sched/tests/announced.rs
@@ -130,6 +130,8 @@
 
     scheduler.job_settled(now, JOB, DIGEST, Settlement::Stored);
     assert_eq!(starts(&mut scheduler).len(), 1);
+    let trips = scheduler.trips().starts;
+    assert_eq!((trips.events, trips.trips, trips.most), (1, 1, 1));
     assert_eq!(
         scheduler.states().collect::<Vec<_>>(),
         [(JOB, State::Running)]
