--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -34,6 +34,9 @@
     pub poll_retry: Duration,
     /// How long after the answer to a poll a worker cannot yet have restarted and ended a new run.
     pub ack_contact: Duration,
+    /// The pause between polls of a worker whose ends may not be acknowledged yet. With 200 ms, more runs whose ends
+    /// were not read yet counted as lost in crashes: 36 jobs given up instead of 20 in 800 simulated cells.
+    pub ack_pause: Duration,
     /// For how long an unanswered start order may still be carried out. The platform gives no bound; late orders
     /// in tests take up to 6 s.
     pub late_start: Duration,
@@ -120,6 +123,7 @@
             idle_poll: Duration::from_secs(5),
             poll_retry: Duration::from_millis(200),
             ack_contact: Duration::from_millis(100),
+            ack_pause: Duration::from_millis(50),
             late_start: Duration::from_secs(6),
             start_retries: 2,
             stop_retry: Duration::from_millis(300),
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -51,7 +51,7 @@
         } else if awaits_starts {
             // The answer to the start order is likely to come before, and ends the pause.
             let read_at = worker.lists_read.map_or(polled_at, |(_, read_at)| read_at);
-            read_at.max(polled_at) + cfg.poll_retry - polled_at
+            read_at.max(polled_at) + cfg.ack_pause - polled_at
         } else if worker.is_idle() && !worker.has_unacknowledged_ends() {
             cfg.idle_poll
         } else {
--- a/crates/sched/tests/fences.rs
+++ b/crates/sched/tests/fences.rs
@@ -219,9 +219,9 @@
 fn ends_are_acknowledged_only_when_no_earlier_start_can_be_late() {
     let (mut scheduler, w1) = scheduler_with_end();
     let order = starts(&mut scheduler, at_ms(1_020)).remove(0);
-    let poll_at = Poll::At(Time::from_ms(1_215));
+    let poll_at = Poll::At(Time::from_ms(1_065));
     assert_eq!(scheduler.next_poll(at_ms(1_025), w1), poll_at);
-    assert_eq!(acknowledged(&mut scheduler, at_ms(1_215), w1), 0);
+    assert_eq!(acknowledged(&mut scheduler, at_ms(1_065), w1), 0);
     scheduler.start_answered(at_ms(1_220), &order, StartAnswer::Unknown);
     let again = starts(&mut scheduler, at_ms(1_221)).remove(0);
     scheduler.start_answered(at_ms(1_225), &again, StartAnswer::Started);
