--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -122,7 +122,7 @@
         worker.open_starts = worker.open_starts.saturating_sub(1);
         worker.last_start_at = now;
         if answer == StartAnswer::Unknown {
-            worker.late_starts_until = now + self.cfg.late_start;
+            worker.start_unanswered(now, order.key, order.run, now + self.cfg.late_start);
         }
         if worker.has_unacknowledged_ends() && !worker.awaits_starts(now) {
             self.actions.push(Action::Wake(order.worker));
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -136,8 +136,8 @@
     pub(crate) open_starts: u32,
     /// When a start order was last sent or answered.
     pub(crate) last_start_at: Time,
-    /// Until when an unanswered start order may still be carried out.
-    pub(crate) late_starts_until: Time,
+    /// The runs whose start orders went without an answer, and until when these may still be carried out.
+    pub(crate) late_starts: BTreeMap<(TaskKey, u32), Time>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// The sizes of the runs that it has listed as running and that are not the current run of their task, by
     /// task and run number.
@@ -185,7 +185,7 @@
             lists_read: None,
             open_starts: 0,
             last_start_at: Time::ZERO,
-            late_starts_until: Time::ZERO,
+            late_starts: BTreeMap::new(),
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
             used: Size::ZERO,
@@ -359,9 +359,20 @@
         self.ackable > self.ack_sent
     }
 
-    /// Returns whether a start order may be carried out from now on that was sent before.
+    /// Returns whether a start order that was sent before may begin one of its runs from now on. That of a run
+    /// which has ended could begin it again, but an acknowledgement makes no difference then.
     pub(crate) fn awaits_starts(&self, now: Time) -> bool {
-        self.open_starts > 0 || now < self.late_starts_until
+        let is_current =
+            |key: &TaskKey, number| self.runs.get(key).is_some_and(|r| r.number == number);
+        let mut late = self.late_starts.iter();
+        self.open_starts > 0
+            || late.any(|(&(key, run), &until)| now < until && is_current(&key, run))
+    }
+
+    /// Notes that a start order went without an answer, and may be carried out until `until`.
+    pub(crate) fn start_unanswered(&mut self, now: Time, key: TaskKey, run: u32, until: Time) {
+        self.late_starts.retain(|_, until| now < *until);
+        self.late_starts.insert((key, run), until);
     }
 
     /// Returns whether no start order can have been carried out by another incarnation than the one whose ends
