Requests: an answer is kept before its caller can send the request again; causes of three known failures

Guards against 409 may-have-run for a request that must not be repeated and whose answer the caller has read. The end of the attempt was reported after the answer had been written, and a resend could overtake the report. At a node of the platform, a resend also gets the answer while its row is being written.

Test stand-ins, with the checks unchanged: - The backend server of the proxy tests left some of the connections that came together waiting until a further one came. It is woken every 50 ms now, as the node's own server is, which uses the same library. - The port that refuses connections was that of a closed listener, which another listener could get. One that takes it makes refused_connections_are_not_run fail at the assertion that was seen (no Retry-After). The port now belongs to the client's end of an open connection.

--- a/crates/node/src/core/entry/claims.rs
+++ b/crates/node/src/core/entry/claims.rs
@@ -71,6 +71,8 @@
     key: String,
     fingerprint: u64,
     phase: Phase,
+    /// The answer, while it is being stored.
+    answer: Option<StoredAnswer>,
 }
 
 /// An outcome that is passed on to the router.
@@ -103,10 +105,10 @@
         let mut others = self.claims.values();
         if let Some(other) = others.find(|claim| claim.key == key && claim.is_own()) {
             let is_same = other.fingerprint == fingerprint;
-            return Some(if is_same {
-                ClaimResult::Uncertain
-            } else {
-                ClaimResult::Mismatch
+            return Some(match &other.answer {
+                _ if !is_same => ClaimResult::Mismatch,
+                Some(answer) => ClaimResult::Answered(answer.clone()),
+                None => ClaimResult::Uncertain,
             });
         }
         // Checked last, as another request with the key may be running or be dispatched later.
@@ -125,6 +127,7 @@
             key,
             fingerprint,
             phase,
+            answer: None,
         };
         self.claims.insert(req, claim);
         None
@@ -290,6 +293,7 @@
         let Some(answer) = answer else {
             return self.write_answer(cx, req, version, ClaimState::Ran);
         };
+        claim.answer = Some(answer.clone());
         let value = encode(&answer);
         if value.len() <= MAX_INLINE_BYTES {
             return self.write_answer(cx, req, version, ClaimState::Answered(answer));
--- a/crates/node/src/daemon/proxy/attempt.rs
+++ b/crates/node/src/daemon/proxy/attempt.rs
@@ -101,7 +101,7 @@
         Err(outcome) => {
             end.outcome = outcome;
             end.is_replayable = exchange.body.is_replayable();
-            (end, Some(exchange))
+            (end, Some(exchange), None)
         }
     }
 }
@@ -232,7 +232,7 @@
     let mut end = AttemptEnd::new(forward.req, forward.attempt, Outcome::NotSent);
     let deadline = Instant::now() + forward.timeout;
     let Ok(uri) = exchange.url.parse::<Uri>() else {
-        return (end, Some(exchange));
+        return (end, Some(exchange), None);
     };
     let mut headers = exchange.headers.clone();
     set_length(&mut headers, exchange.body.length, &exchange.method);
@@ -255,11 +255,11 @@
             if is_temporary && verdict == Verdict::MayHaveRun {
                 end.outcome = Outcome::CutShort;
                 end.is_replayable = exchange.body.is_replayable();
-                return (end, Some(exchange));
+                return (end, Some(exchange), None);
             }
             if is_temporary && verdict == Verdict::NotRun && exchange.body.is_replayable() {
                 end.outcome = Outcome::Declined;
-                return (end, Some(exchange));
+                return (end, Some(exchange), None);
             }
             let options = PassOnOptions {
                 verdict,
@@ -277,7 +277,7 @@
                 LinkError::Lost(_) => Outcome::Silent,
             };
             end.is_replayable = exchange.body.is_replayable();
-            (end, Some(exchange))
+            (end, Some(exchange), None)
         }
     }
 }
--- a/crates/node/src/daemon/proxy/mod.rs
+++ b/crates/node/src/daemon/proxy/mod.rs
@@ -30,7 +30,7 @@
 use route::{AttemptEnd, Dispatch, Forward, IncomingRequest, Outcome, Refusal, StoredAnswer};
 use stakker::sync::Channel;
 
-use self::{attempt::Agents, thread_pool::ThreadPool};
+use self::{attempt::Agents, pass_on::AttemptResult, thread_pool::ThreadPool};
 pub(super) use self::{exchange::Exchange, pending::PendingRequests};
 use super::actor::Incoming;
 
@@ -152,9 +152,12 @@
 }
 
 impl EndReporter {
-    fn report(mut self, (end, exchange): (AttemptEnd, Option<Exchange>)) {
+    fn report(mut self, (end, exchange, answer): AttemptResult) {
         self.end = None;
         self.channel.send(Incoming::Finished { end, exchange });
+        if let Some(answer) = answer {
+            answer.write();
+        }
     }
 }
 
--- a/crates/node/src/daemon/proxy/pass_on.rs
+++ b/crates/node/src/daemon/proxy/pass_on.rs
@@ -22,8 +22,29 @@
 /// The lowest HTTP status that indicates a failure of the backend server.
 const SERVER_ERROR: u16 = 500;
 
-/// The end of an attempt, with the request if it has not been answered.
-pub(super) type AttemptResult = (AttemptEnd, Option<Exchange>);
+/// The end of an attempt, with the request if it has not been answered, and an answer that is to be written once the
+/// end has been reported.
+pub(super) type AttemptResult = (AttemptEnd, Option<Exchange>, Option<ReadAnswer>);
+
+/// A whole answer that is kept for resent requests. A caller that has read it may send its request again at once, so
+/// the answer is kept first.
+pub(super) struct ReadAnswer {
+    exchange: Exchange,
+    head: Head,
+    body: Vec<u8>,
+}
+
+impl ReadAnswer {
+    /// Writes the answer to the requester.
+    pub(super) fn write(self) {
+        let Head {
+            status, headers, ..
+        } = self.head;
+        if !answer::short(self.exchange, status, &headers, &self.body) {
+            log::debug!("http: a caller has left before its answer, which is kept");
+        }
+    }
+}
 
 /// How an answer is passed on.
 #[derive(Clone, Copy, Debug)]
@@ -84,7 +105,7 @@
         pass_long(exchange, end, &head, &first, body, options)
     } else {
         end.bytes += body.read;
-        pass_short(exchange, end, &head, first, options.must_store)
+        pass_short(exchange, end, head, first, options.must_store)
     }
 }
 
@@ -122,24 +143,33 @@
 fn return_request(exchange: Exchange, mut end: AttemptEnd, outcome: Outcome) -> AttemptResult {
     end.outcome = outcome;
     end.is_replayable = exchange.body.is_replayable();
-    (end, Some(exchange))
+    (end, Some(exchange), None)
 }
 
 fn pass_short(
     exchange: Exchange,
     mut end: AttemptEnd,
-    head: &Head,
+    head: Head,
     body: Vec<u8>,
     must_store: bool,
 ) -> AttemptResult {
+    if must_store {
+        end.outcome = head.outcome();
+        end.answer = Some(head.stored(body.clone()));
+        let answer = ReadAnswer {
+            exchange,
+            head,
+            body,
+        };
+        return (end, None, Some(answer));
+    }
     let taken = answer::short(exchange, head.status, &head.headers, &body);
     end.outcome = if taken {
         head.outcome()
     } else {
         Outcome::CallerGone
     };
-    end.answer = must_store.then(|| head.stored(body));
-    (end, None)
+    (end, None, None)
 }
 
 fn pass_long(
@@ -168,7 +198,7 @@
         Streamed::Truncated => Outcome::Broken,
         Streamed::RequesterGone => Outcome::CallerGone,
     };
-    (end, None)
+    (end, None, None)
 }
 
 /// Returns whether the headers mark the end of the body, so that a truncation can be detected. A body
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -85,6 +85,30 @@
     check(&world, 1);
 }
 
+/// Guards against a resend to the same node that is answered "may have run" after the caller has had the answer, because
+/// the table has not confirmed the stored answer yet.
+#[test]
+fn a_resend_gets_the_answer_while_it_is_being_stored() {
+    let mut world = World::new(1, FaultLevel::None, 1, 1);
+    world.run_for(500 * MS);
+    world.run_time = (200 * MS, 201 * MS);
+    let first = world.send(0, "send", "reminder-1");
+    world.run_for(100 * MS);
+    assert_eq!(world.tries[first].runs, 1);
+    world.loses_replies = true;
+    world.run_for(200 * MS);
+    let verdict = |world: &World, id: usize| world.tries[id].answers.first().map(|(v, _)| *v);
+    assert_eq!(verdict(&world, first), Some(Verdict::Ran));
+    let resend = world.send(0, "send", "reminder-1");
+    world.run_for(50 * MS);
+    let seen = verdict(&world, resend);
+    assert_eq!(seen, Some(Verdict::Ran), "{}", session(&world));
+    assert_eq!(world.tries[resend].runs, 0);
+    world.loses_replies = false;
+    world.run_for(3_000 * MS);
+    check(&world, 1);
+}
+
 /// Guards against a node that exits during a drain with open requests, or that leaves late requests
 /// without an answer.
 #[test]
--- a/crates/node/tests/requests_proxy.rs
+++ b/crates/node/tests/requests_proxy.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     io::{Read, Write},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::{
         Arc, OnceLock,
         atomic::{AtomicU32, Ordering},
@@ -25,7 +25,16 @@
 /// Starts a backend server that answers by path. Returns its endpoint and the counter of its requests.
 fn backend() -> (String, Arc<AtomicU32>) {
     let server = Server::http("127.0.0.1:0").unwrap();
-    let endpoint = format!("http://{}", server.server_addr().to_ip().unwrap());
+    let address = server.server_addr().to_ip().unwrap();
+    let endpoint = format!("http://{address}");
+    // `tiny_http` does not serve some of the connections that arrive together until a further one arrives. The node's
+    // own server is woken in the same way.
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(50));
+            let _ = TcpStream::connect(address);
+        }
+    });
     let runs = Arc::new(AtomicU32::new(0));
     let counter = Arc::clone(&runs);
     thread::spawn(move || {
@@ -97,14 +106,18 @@
 struct Setup {
     url: String,
     runs: BTreeMap<&'static str, Arc<AtomicU32>>,
+    /// The connection whose client's port refuses connections.
+    _refused: (TcpListener, TcpStream),
 }
 
 fn setup() -> &'static Setup {
     static SETUP: OnceLock<Setup> = OnceLock::new();
     SETUP.get_or_init(|| {
-        let refused = TcpListener::bind("127.0.0.1:0").unwrap();
+        // The port of a closed listener may go to another one, also of another process. The client's port of an open
+        // connection is taken, and nothing listens there.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let refused = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let refused_endpoint = format!("http://{}", refused.local_addr().unwrap());
-        drop(refused);
         let unclear = b"HTTP/1.0 200 OK\r\n\r\nhalf of".to_vec();
         let mut services = vec![
             service(
@@ -148,7 +161,11 @@
         }
         let proxy = FixedProxy::start(RouteConfig::default(), services).unwrap();
         let url = format!("http://{}/s", proxy.address());
-        Setup { url, runs }
+        Setup {
+            url,
+            runs,
+            _refused: (listener, refused),
+        }
     })
 }
 
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -84,9 +84,9 @@
 /// The outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The whole answer was passed on to the caller.
+    /// The whole answer was passed on to the caller. One that is kept for resent requests may still be on its way.
     Answered,
-    /// The whole answer was passed on, and its status shows that the backend server is failing.
+    /// The same, and the answer's status shows that the backend server is failing.
     Faulty,
     /// The request never reached the backend server or node.
     NotSent,
