--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -133,8 +133,7 @@
             }
             Outcome::NotStored(reason) => {
                 let outage = self.0.table.outage();
-                let objective = queue.objective(job.estimated_time());
-                let retry_after = retry_after(outage, id, queue.rank, objective);
+                let retry_after = retry_after(outage, id, queue.rank);
                 log::warn!(
                     "event=refused job={id} queue={} reason={reason:?} ms={ms} outage_ms={} retry_s={}",
                     queue.name,
