--- a/bench.sh
+++ b/bench.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 export CARGO_TERM_COLOR=never
 cargo build --release --workspace --bins --examples --quiet
-for bench in place:place lease:takeover store:writes config:in_force config:recall config:state \
+for bench in place:place sched:teams lease:takeover store:writes config:in_force config:recall config:state \
     config:audit node:router node:capacity; do
     cargo bench --quiet -p "${bench%%:*}" --bench "${bench##*:}" | grep '^figure ' || true
 done
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -30,8 +30,12 @@
 pub(crate) struct Pass {
     /// The free capacity of each worker, by worker index.
     pub(crate) free: Vec<Size>,
-    /// The workers with room for the smallest waiting task.
+    /// The workers that had room for the smallest waiting task when the list was last checked.
     workers_with_room: Vec<WorkerId>,
+    /// The least size of a waiting task, in each dimension.
+    least: Size,
+    /// Whether capacity was taken since `workers_with_room` was last checked.
+    is_room_stale: bool,
     /// The number of gangs that may still have capacity reserved for them.
     gang_reservations: usize,
     /// The number of searches over all workers that may still be made.
@@ -53,6 +57,16 @@
         for &worker in placed {
             self.free[index(worker)] -= size;
         }
+        self.is_room_stale |= !placed.is_empty();
+    }
+
+    /// Drops the workers that have no room for any waiting task, so that steps without room are cheap in a full fleet.
+    fn check_room(&mut self) {
+        if std::mem::take(&mut self.is_room_stale) {
+            let (least, free) = (self.least, &self.free);
+            self.workers_with_room
+                .retain(|&id| least.fits(&free[index(id)]));
+        }
     }
 }
 
@@ -126,6 +140,8 @@
                 .map(|worker| worker.id)
                 .filter(|&id| least.fits(&free[index(id)]))
                 .collect(),
+            least,
+            is_room_stale: false,
             free,
             gang_reservations: self.cfg.max_gang_reservations,
             searches_left: self.cfg.max_searches,
@@ -294,6 +310,7 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
+            pass.check_room();
             self.note_lack(waiting, pass);
             // Nothing is gained by holding back work for a gang that could not run on empty workers either.
             if is_gang && self.capacity(now, &demand) >= demand.tasks.len() {
@@ -410,6 +427,10 @@
     pub(crate) fn prepare(&mut self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
         let size = demand.step().reserved();
         let is_gang = demand.step().gang;
+        if !is_gang && demand.approval.is_none() {
+            // There are no tickets to renew, and capacity is reserved for gangs only.
+            return;
+        }
         let placed = self.fit(now, demand, tasks, TicketFilter::Any, pass);
         let is_enough = placed.len() == tasks || (!is_gang && !placed.is_empty());
         if is_enough && demand.approval.is_some() {
--- a/crates/sched/src/teams/pass.rs
+++ b/crates/sched/src/teams/pass.rs
@@ -281,9 +281,12 @@
         allowed > 0
     }
 
-    /// Notes that a step found no room for all of its tasks.
+    /// Notes that a step found no room for all of its tasks. The rest of its tasks then need no second turn.
     pub(crate) fn note_lack(&mut self, waiting: &WaitingStep, pass: &mut Pass) {
         pass.turns.lacks_room = true;
+        if (pass.turns.deferred.last()).is_some_and(|last| last.key == waiting.key) {
+            pass.turns.deferred.pop();
+        }
         if pass.turns.turn == Turn::Lent
             && let Some(team) = self.teams.get_mut(waiting.team)
         {
