--- a/crates/sched/src/teams/limits.rs
+++ b/crates/sched/src/teams/limits.rs
@@ -17,7 +17,7 @@
     Fits,
     /// It may start once less of its team runs.
     Waits,
-    /// It can never start under this limit.
+    /// It cannot start under this limit, or not while the long-running tasks of its team run.
     TooLarge,
 }
 
@@ -39,24 +39,31 @@
     count
 }
 
-/// Returns whether a gang of `tasks` tasks of this size may start in a team that is limited to `limit`.
-pub(crate) fn gang_fit(usage: Usage, limit: Size, size: Size, tasks: usize) -> GangFit {
-    let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-    let whole = size.saturating_mul(tasks);
-    if exceeds(usage.size + whole, limit, |limit, _| limit, size) {
-        let tolerated = |limit: u64, task: u64| {
-            let excess = (limit / TOLERANCE_DIVISOR).saturating_add(task);
-            limit.saturating_add(excess)
-        };
-        return if exceeds(whole, limit, tolerated, size) {
-            GangFit::TooLarge
-        } else if usage.runs == 0 {
-            GangFit::Fits
-        } else {
-            GangFit::Waits
-        };
+/// Returns whether a gang of `tasks` tasks of this size may start in a team that is limited to `limit`. Only what is in
+/// `usage` and not in `long_running` ends by itself.
+pub(crate) fn gang_fit(
+    usage: Usage,
+    long_running: Usage,
+    limit: Size,
+    size: Size,
+    tasks: usize,
+) -> GangFit {
+    let whole = size.saturating_mul(u32::try_from(tasks).unwrap_or(u32::MAX));
+    let tolerated = |limit: u64, task: u64| {
+        let excess = (limit / TOLERANCE_DIVISOR).saturating_add(task);
+        limit.saturating_add(excess)
+    };
+    let fits_beside = |usage: Usage| {
+        !exceeds(usage.size + whole, limit, |limit, _| limit, size)
+            || (usage.runs == 0 && !exceeds(whole, limit, tolerated, size))
+    };
+    if fits_beside(usage) {
+        GangFit::Fits
+    } else if fits_beside(long_running) {
+        GangFit::Waits
+    } else {
+        GangFit::TooLarge
     }
-    GangFit::Fits
 }
 
 /// Returns whether `sum` is above what `allowed` returns, given the limit and the size of a task, in any dimension that
--- a/crates/sched/src/teams/mod.rs
+++ b/crates/sched/src/teams/mod.rs
@@ -65,7 +65,7 @@
     /// Whether the last pass held work back because of the limit, or because of the share.
     is_held_by_limit: bool,
     is_held_by_share: bool,
-    /// The number of waiting gangs that can never start under the limit, as of the last pass.
+    /// The number of waiting gangs that do not start under the limit, as of the last pass.
     gangs_over_limit: usize,
 }
 
@@ -250,6 +250,7 @@
             Some(Charge {
                 team: entry.team,
                 size: step.size,
+                is_long_running: step.is_long_running,
             })
         });
         charge.unwrap_or_default()
--- a/crates/sched/src/teams/pass.rs
+++ b/crates/sched/src/teams/pass.rs
@@ -253,7 +253,8 @@
         let usage: Usage = self.teams.ledger.usage(charge.team);
         let count = demand.tasks.len();
         if demand.step().gang {
-            let fit = limits::gang_fit(usage, limit, charge.size, count);
+            let long_running = self.teams.ledger.long_running(charge.team);
+            let fit = limits::gang_fit(usage, long_running, limit, charge.size, count);
             if let Some(team) = self.teams.get_mut(charge.team) {
                 team.is_held_by_limit |= fit != GangFit::Fits;
                 team.gangs_over_limit += usize::from(fit == GangFit::TooLarge);
--- a/crates/sched/src/teams/summary.rs
+++ b/crates/sched/src/teams/summary.rs
@@ -36,7 +36,8 @@
     /// Whether the last pass served others first because the team is above its fair share, and some of its work found no
     /// room.
     pub is_held_by_share: bool,
-    /// The number of waiting gangs that are larger than the limit allows, so that they never start under it.
+    /// The number of waiting gangs that are larger than the limit allows beside the long-running tasks of the team, so that
+    /// they do not start under it.
     pub gangs_over_limit: usize,
 }
 
--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -457,6 +457,24 @@
     assert_eq!(starts.len(), 8, "the newest limit allows it");
 }
 
+/// Guards against a gang that holds up its team for ever, as it waits for tasks that do not end by themselves.
+#[test]
+fn a_gang_does_not_wait_for_long_running_tasks() {
+    let mut scheduler = scheduler(4, &[team("a", 10.0, 10)]);
+    let service = Step {
+        is_long_running: true,
+        ..step(1, 3)
+    };
+    submit(&mut scheduler, at_ms(1_000), 1, "a", service);
+    let first = orders(&mut scheduler, at_ms(1_010));
+    assert_eq!(first.len(), 1);
+    confirm(&mut scheduler, at_ms(1_020), &first);
+    submit(&mut scheduler, at_ms(1_030), 2, "a", gang(4, 2));
+    submit(&mut scheduler, at_ms(1_025), 3, "a", step(7, 1));
+    assert_eq!(jobs_of(&orders(&mut scheduler, at_ms(1_040))), [3; 7]);
+    assert_eq!(summary(&scheduler, at_ms(1_040), "a").gangs_over_limit, 1);
+}
+
 /// Guards against the preemption of more runs than the limit lets the urgent steps replace.
 #[test]
 fn preemption_makes_room_only_within_the_limit() {
