--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -6,11 +6,12 @@
     time::Duration,
 };
 
-use jobs::{ApprovalCost, Incarnation, Job, JobId, Step, StepKey, TaskKey};
+use jobs::{ApprovalCost, Incarnation, Job, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
 use crate::{
     Action, Now, Scheduler,
+    entry::Entry,
     fit::{self, Candidate},
     fleet::index,
     holding::Holding,
@@ -124,7 +125,7 @@
             .iter()
             .map(|worker| free_size(now.time, worker))
             .collect();
-        let least = self.least_size(&steps);
+        let least = least_size(&steps);
         let (fleet_processors, used_processors) = self
             .fleet
             .iter()
@@ -186,28 +187,11 @@
         self.needs_pass |= !self.waiting.is_empty();
     }
 
-    /// Returns the least size that any task of the steps needs, in each dimension.
-    fn least_size(&self, steps: &[WaitingStep]) -> Size {
-        let sizes = steps.iter().filter_map(|waiting| {
-            let entry = self.jobs.get(&waiting.key.job)?;
-            let step = entry.job.steps.get(usize::from(waiting.key.step))?;
-            Some(step.reserved())
-        });
-        let least = |a: Size, b: Size| {
-            Size::new(
-                a.milli_processors.min(b.milli_processors),
-                a.memory_mb.min(b.memory_mb),
-                a.accelerators.min(b.accelerators),
-            )
-        };
-        sizes.reduce(least).unwrap_or_default()
-    }
-
     fn waiting_steps(&self, now: Now) -> Vec<WaitingStep> {
         let waiting = self.waiting.iter().filter_map(|&key| {
             let entry = self.jobs.get(&key.job)?;
             let policy = self.policy(&entry.job);
-            let critical_path = self.critical_path(key.job, 0);
+            let critical_path = self.critical_path(entry, 0);
             // An occurrence of a scheduled job counts as accepted when it is due.
             let accepted_at = match entry.job.due_unix_ms(key.occurrence) {
                 0 => entry.accepted_at,
@@ -217,10 +201,12 @@
                 key,
                 team: entry.team,
                 is_surplus: entry.is_surplus,
+                task_size: entry.job.steps[usize::from(key.step)].reserved(),
+                waiting_size: self.waiting_size(entry, key),
                 rank: policy.rank,
                 accepted_at,
                 objective: policy.objective(critical_path),
-                remaining: self.critical_path(key.job, key.step),
+                remaining: self.critical_path(entry, key.step),
                 critical_path,
                 is_approved: self.has_approvals(key),
             })
@@ -230,10 +216,7 @@
 
     /// Returns the expected duration of the critical path of the job through the steps numbered
     /// `from` and above.
-    fn critical_path(&self, id: JobId, from: u16) -> Duration {
-        let Some(entry) = self.jobs.get(&id) else {
-            return Duration::ZERO;
-        };
+    fn critical_path(&self, entry: &Entry, from: u16) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(entry.job.steps.len());
         for (number, step) in (0_u16..).zip(&entry.job.steps) {
             let estimate = Duration::from_millis(step.estimate_ms);
@@ -599,6 +582,19 @@
     }
 }
 
+/// Returns the least size that any task of the steps needs, in each dimension.
+fn least_size(steps: &[WaitingStep]) -> Size {
+    let least = |a: Size, b: Size| {
+        Size::new(
+            a.milli_processors.min(b.milli_processors),
+            a.memory_mb.min(b.memory_mb),
+            a.accelerators.min(b.accelerators),
+        )
+    };
+    let sizes = steps.iter().map(|waiting| waiting.task_size);
+    sizes.reduce(least).unwrap_or_default()
+}
+
 /// Returns the capacity of a worker that is available to new work.
 fn free_size(now: Time, worker: &Worker) -> Size {
     if worker.takes_work(now) && !worker.is_isolating() {
--- a/crates/sched/src/ordering.rs
+++ b/crates/sched/src/ordering.rs
@@ -17,7 +17,7 @@
 use std::{cmp::Ordering, time::Duration};
 
 use jobs::StepKey;
-use model::Time;
+use model::{Size, Time};
 
 use crate::teams::TeamId;
 
@@ -84,6 +84,10 @@
     pub(crate) team: TeamId,
     /// Whether its job was accepted beyond its team's rate.
     pub(crate) is_surplus: bool,
+    /// The size that is reserved for each of its tasks.
+    pub(crate) task_size: Size,
+    /// The size of its waiting tasks together; zero if no team is configured.
+    pub(crate) waiting_size: Size,
     /// The rank of its queue; 0 is the most urgent.
     pub(crate) rank: u32,
     /// When the job was accepted, or when the occurrence was due if the job has a schedule.
--- a/crates/sched/src/teams/pass.rs
+++ b/crates/sched/src/teams/pass.rs
@@ -2,12 +2,13 @@
 
 use std::{collections::HashSet, mem};
 
-use jobs::JobId;
+use jobs::{JobId, StepKey};
 use model::{Size, Time};
 
 use crate::{
     Order, Scheduler,
     decide::{Demand, Pass},
+    entry::Entry,
     ordering::WaitingStep,
     worker::Worker,
 };
@@ -167,20 +168,28 @@
         }
         let mut surplus_jobs: HashSet<JobId> = HashSet::new();
         for step in steps {
-            let Some(entry) = self.jobs.get(&step.key.job) else {
-                continue;
-            };
-            let tasks = entry.progress.waiting(&entry.job, step.key).len();
-            let size = entry.job.steps[usize::from(step.key.step)].size;
-            let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-            waiting[entry.team.index()] += size.saturating_mul(tasks);
-            if entry.is_surplus && !entry.has_begun && surplus_jobs.insert(step.key.job) {
-                self.teams.entries[entry.team.index()].surplus_waiting += 1;
+            waiting[step.team.index()] += step.waiting_size;
+            let has_begun = |entry: &Entry| entry.has_begun;
+            if step.is_surplus
+                && !self.jobs.get(&step.key.job).is_some_and(has_begun)
+                && surplus_jobs.insert(step.key.job)
+            {
+                self.teams.entries[step.team.index()].surplus_waiting += 1;
             }
         }
         self.teams.compute_shares(&waiting);
     }
 
+    /// Returns the size of the waiting tasks of a step together; zero if no team is configured.
+    pub(crate) fn waiting_size(&self, entry: &Entry, key: StepKey) -> Size {
+        if self.teams.is_empty() {
+            return Size::ZERO;
+        }
+        let tasks = entry.progress.waiting(&entry.job, key).len();
+        let size = entry.job.steps[usize::from(key.step)].size;
+        size.saturating_mul(u32::try_from(tasks).unwrap_or(u32::MAX))
+    }
+
     /// Counts the runs and strays of all workers.
     fn count_fleet(&mut self) {
         let count = self.teams.entries.len();
@@ -241,7 +250,12 @@
         if self.teams.is_empty() {
             return true;
         }
-        let charge = self.charge(demand.key);
+        let step = demand.step();
+        let charge = Charge {
+            team: waiting.team,
+            size: step.size,
+            is_long_running: step.is_long_running,
+        };
         let Some(team) = self.teams.get_mut(charge.team) else {
             return true;
         };
