--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -599,23 +599,31 @@
     assert_eq!(summary(&scheduler, now, "a").waiting_surplus, 13);
 }
 
-/// Guards against surplus jobs that are served before late ones within their team's rate, or after expired ones.
-#[test]
-fn surplus_goes_after_late_steps_and_before_expired_ones() {
+/// Returns the jobs that start on eight processors if three tasks of the expired job 1, `late` tasks of the late job 2 and
+/// three surplus jobs wait.
+fn served_by_class(late: u32) -> Vec<u64> {
     let mut scheduler = scheduler(0, &[team("a", 1.0, 0), team("b", 1.0, 0)]);
     // The objective is 12 s, and a job expires after 36 s.
     submit(&mut scheduler, at_ms(10_000), 1, "b", step(3, 1));
-    submit(&mut scheduler, at_ms(30_000), 2, "b", step(3, 1));
+    submit(&mut scheduler, at_ms(30_000), 2, "b", step(late, 1));
     submit_many(&mut scheduler, at_ms(50_000), 100, "a", 20);
     submit_many(&mut scheduler, at_ms(50_000), 200, "a", 3);
-    // The entitled jobs have been cancelled.
+    // The jobs within the rate have been cancelled.
     for id in 100..120 {
         scheduler.job_cancelled(at_ms(50_000), JobId(id));
     }
     orders(&mut scheduler, at_ms(50_000));
     add_workers(&mut scheduler, at_ms(50_010), 1);
-    let starts = orders(&mut scheduler, at_ms(50_020));
-    assert_eq!(jobs_of(&starts), [1, 1, 2, 2, 2, 200, 201, 202]);
+    jobs_of(&orders(&mut scheduler, at_ms(50_020)))
+}
+
+/// Guards against surplus jobs that are served before late ones within their team's rate, or after expired ones.
+#[test]
+fn surplus_goes_after_late_steps_and_before_expired_ones() {
+    assert_eq!(served_by_class(3), [1, 1, 2, 2, 2, 200, 201, 202]);
+    let served = served_by_class(7);
+    assert_eq!(served[..7], [2; 7]);
+    assert!(served[7] >= 200, "{served:?}");
 }
 
 /// Guards against urgent jobs beyond their team's rate that stop the work of others.
@@ -656,6 +664,21 @@
     assert!(b.is_held_by_share);
 }
 
+/// Guards against a team that keeps what it was lent, because its newer steps go first as capacity becomes free.
+#[test]
+fn a_team_above_its_share_goes_after_the_others() {
+    let mut scheduler = scheduler(2, &[team("a", 1.0, 0), team("b", 1.0, 0)]);
+    submit(&mut scheduler, at_ms(1_000), 1, "a", step(12, 1));
+    let starts = orders(&mut scheduler, at_ms(1_010));
+    assert_eq!(starts.len(), 12);
+    confirm(&mut scheduler, at_ms(1_020), &starts);
+    submit(&mut scheduler, at_ms(1_030), 2, "b", step(8, 1));
+    submit(&mut scheduler, at_ms(1_040), 3, "a", step(8, 1));
+    assert_eq!(jobs_of(&orders(&mut scheduler, at_ms(1_050))), [2; 4]);
+    assert!(summary(&scheduler, at_ms(1_050), "a").is_held_by_share);
+    assert!(!summary(&scheduler, at_ms(1_050), "b").is_held_by_share);
+}
+
 /// Guards against capacity that stays idle because the team that it is the share of does not need it.
 #[test]
 fn unused_shares_are_lent() {
