--- a/crates/sched/src/teams/mod.rs
+++ b/crates/sched/src/teams/mod.rs
@@ -236,6 +236,9 @@
             return;
         }
         entry.team = self.teams.id(&entry.job.team);
+        if let Some(team) = self.teams.get_mut(entry.team) {
+            team.bucket.limit_time(now.unix_ms);
+        }
         let accepted_unix_ms = entry.job.accepted_unix_ms.min(now.unix_ms);
         entry.is_surplus = self.teams.count_job(entry.team, accepted_unix_ms);
         if let Some(team) = self.teams.get_mut(entry.team) {
--- a/crates/sched/src/teams/rates.rs
+++ b/crates/sched/src/teams/rates.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Corrects the time up to which the bucket is filled. The clock of a node that has accepted a job may have been fast,
+    /// and the bucket would not be filled until that time.
+    pub(crate) fn limit_time(&mut self, now_unix_ms: u64) {
+        self.at_unix_ms = self.at_unix_ms.min(now_unix_ms);
+    }
+
     /// Counts a job that was accepted at `accepted_unix_ms`, for a team that is entitled to `rate` jobs a second. Returns
     /// whether the job is surplus. Jobs whose acceptance is reported out of order count as accepted at the latest time
     /// so far.
--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -599,6 +599,27 @@
     assert_eq!(summary(&scheduler, now, "a").waiting_surplus, 13);
 }
 
+/// Guards against a node with a fast clock, one job of which keeps its team's bucket from being filled after a takeover.
+#[test]
+fn a_job_of_a_node_with_a_fast_clock_does_not_stop_the_bucket() {
+    let now = at_ms(60_000);
+    let jobs = (0..20).map(|id| {
+        let accepted_unix_ms = now.unix_ms + if id == 19 { 3_600_000 } else { 0 };
+        (JobId(id), job("a", 1, step(1, 1), accepted_unix_ms))
+    });
+    let recovered = Recovered {
+        jobs: jobs.collect(),
+        ..Recovered::default()
+    };
+    let mut scheduler = Scheduler::new(SchedConfig::default(), 2, now, recovered);
+    scheduler.set_teams([team("a", 1.0, 0)]);
+    // The last job has filled the bucket; these empty it.
+    submit_many(&mut scheduler, at_ms(60_000), 50, "a", 19);
+    submit_many(&mut scheduler, at_ms(65_000), 80, "a", 6);
+    scheduler.decide(at_ms(65_000));
+    assert_eq!(summary(&scheduler, at_ms(65_000), "a").waiting_surplus, 1);
+}
+
 /// Returns the jobs that start on eight processors if three tasks of the expired job 1, `late` tasks of the late job 2 and
 /// three surplus jobs wait.
 fn served_by_class(late: u32) -> Vec<u64> {
