--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -7,11 +7,12 @@
     time::Duration,
 };
 
-use jobs::{ApprovalCost, Incarnation, Job, JobId, Step, StepKey, TaskKey};
+use jobs::{ApprovalCost, Incarnation, Job, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
 use crate::{
     Action, Now, Scheduler,
+    entry::Entry,
     fit::{self, Candidate},
     fleet::index,
     holding::Holding,
@@ -31,8 +32,12 @@
 pub(crate) struct Pass {
     /// The free capacity of each worker, by worker index.
     pub(crate) free: Vec<Size>,
-    /// The workers with room for the smallest waiting task.
+    /// The workers that had room for the smallest waiting task when the list was last checked.
     workers_with_room: Vec<WorkerId>,
+    /// The least size of a waiting task, in each dimension.
+    least: Size,
+    /// Whether capacity was taken since `workers_with_room` was last checked.
+    is_room_stale: bool,
     /// The number of gangs that may still have capacity reserved for them.
     gang_reservations: usize,
     /// The number of searches over all workers that may still be made.
@@ -54,6 +59,16 @@
         for &worker in placed {
             self.free[index(worker)] -= size;
         }
+        self.is_room_stale |= !placed.is_empty();
+    }
+
+    /// Drops the workers that have no room for any waiting task, so that steps without room are cheap in a full fleet.
+    fn check_room(&mut self) {
+        if std::mem::take(&mut self.is_room_stale) {
+            let (least, free) = (self.least, &self.free);
+            self.workers_with_room
+                .retain(|&id| least.fits(&free[index(id)]));
+        }
     }
 }
 
@@ -112,7 +127,7 @@
             .iter()
             .map(|worker| free_size(now.time, worker))
             .collect();
-        let least = self.least_size(&steps);
+        let least = least_size(&steps);
         let (fleet_processors, used_processors) = self
             .fleet
             .iter()
@@ -128,6 +143,8 @@
                 .map(|worker| worker.id)
                 .filter(|&id| least.fits(&free[index(id)]))
                 .collect(),
+            least,
+            is_room_stale: false,
             free,
             gang_reservations: self.cfg.max_gang_reservations,
             searches_left: self.cfg.max_searches,
@@ -173,29 +190,12 @@
         self.needs_pass |= !self.waiting.is_empty();
     }
 
-    /// Returns the least size that any task of the steps needs, in each dimension.
-    fn least_size(&self, steps: &[WaitingStep]) -> Size {
-        let sizes = steps.iter().filter_map(|waiting| {
-            let entry = self.jobs.get(&waiting.key.job)?;
-            let step = entry.job.steps.get(usize::from(waiting.key.step))?;
-            Some(step.reserved())
-        });
-        let least = |a: Size, b: Size| {
-            Size::new(
-                a.milli_processors.min(b.milli_processors),
-                a.memory_mb.min(b.memory_mb),
-                a.accelerators.min(b.accelerators),
-            )
-        };
-        sizes.reduce(least).unwrap_or_default()
-    }
-
     fn waiting_steps(&self, now: Now) -> Vec<WaitingStep> {
         let waiting = self.waiting.iter().filter_map(|&key| {
             let entry = self.jobs.get(&key.job)?;
             let policy = self.policy(&entry.job);
             let step = entry.job.steps.get(usize::from(key.step))?;
-            let critical_path = self.critical_path(key.job, 0);
+            let critical_path = self.critical_path(entry, 0);
             // An occurrence of a scheduled job counts as accepted when it is due.
             let accepted_at = match entry.job.due_unix_ms(key.occurrence) {
                 0 => entry.accepted_at,
@@ -205,10 +205,12 @@
                 key,
                 team: entry.team,
                 is_surplus: entry.is_surplus,
+                task_size: entry.job.steps[usize::from(key.step)].reserved(),
+                waiting_size: self.waiting_size(entry, key),
                 rank: policy.rank,
                 accepted_at,
                 objective: policy.objective(critical_path),
-                remaining: self.critical_path(key.job, key.step),
+                remaining: self.critical_path(entry, key.step),
                 critical_path,
                 is_approved: self.has_approvals(key),
                 is_long_running: step.is_long_running,
@@ -219,10 +221,7 @@
 
     /// Returns the expected duration of the critical path of the job through the steps numbered
     /// `from` and above.
-    fn critical_path(&self, id: JobId, from: u16) -> Duration {
-        let Some(entry) = self.jobs.get(&id) else {
-            return Duration::ZERO;
-        };
+    fn critical_path(&self, entry: &Entry, from: u16) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(entry.job.steps.len());
         for (number, step) in (0_u16..).zip(&entry.job.steps) {
             let estimate = Duration::from_millis(step.estimate_ms);
@@ -299,6 +298,7 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
+            pass.check_room();
             self.note_lack(waiting, pass);
             // Nothing is gained by holding back work for a gang that could not run on empty workers either.
             if is_gang && self.capacity(now, &demand) >= demand.tasks.len() {
@@ -417,6 +417,10 @@
     pub(crate) fn prepare(&mut self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
         let size = demand.step().reserved();
         let is_gang = demand.step().gang;
+        if !is_gang && demand.approval.is_none() {
+            // There are no tickets to renew, and capacity is reserved for gangs only.
+            return;
+        }
         let placed = self.fit(now, demand, tasks, TicketFilter::Any, pass);
         let is_enough = placed.len() == tasks || (!is_gang && !placed.is_empty());
         if is_enough && demand.approval.is_some() {
@@ -601,6 +605,19 @@
     }
 }
 
+/// Returns the least size that any task of the steps needs, in each dimension.
+fn least_size(steps: &[WaitingStep]) -> Size {
+    let least = |a: Size, b: Size| {
+        Size::new(
+            a.milli_processors.min(b.milli_processors),
+            a.memory_mb.min(b.memory_mb),
+            a.accelerators.min(b.accelerators),
+        )
+    };
+    let sizes = steps.iter().map(|waiting| waiting.task_size);
+    sizes.reduce(least).unwrap_or_default()
+}
+
 /// Returns the capacity of a worker that is available to new work.
 fn free_size(now: Time, worker: &Worker) -> Size {
     if worker.takes_work(now) && !worker.is_isolating() {
--- a/crates/sched/src/teams/mod.rs
+++ b/crates/sched/src/teams/mod.rs
@@ -65,7 +65,7 @@
     /// Whether the last pass held work back because of the limit, or because of the share.
     is_held_by_limit: bool,
     is_held_by_share: bool,
-    /// The number of waiting gangs that can never start under the limit, as of the last pass.
+    /// The number of waiting gangs that do not start under the limit, as of the last pass.
     gangs_over_limit: usize,
 }
 
@@ -236,6 +236,9 @@
             return;
         }
         entry.team = self.teams.id(&entry.job.team);
+        if let Some(team) = self.teams.get_mut(entry.team) {
+            team.bucket.limit_time(now.unix_ms);
+        }
         let accepted_unix_ms = entry.job.accepted_unix_ms.min(now.unix_ms);
         entry.is_surplus = self.teams.count_job(entry.team, accepted_unix_ms);
         if let Some(team) = self.teams.get_mut(entry.team) {
@@ -250,6 +253,7 @@
             Some(Charge {
                 team: entry.team,
                 size: step.size,
+                is_long_running: step.is_long_running,
             })
         });
         charge.unwrap_or_default()
