--- a/crates/cluster/src/callers.rs
+++ b/crates/cluster/src/callers.rs
@@ -87,7 +87,7 @@
             log::info!(
                 "event=key_refused reason={reason} queue={} view_ms={} source={} version={}",
                 route.queue.name,
-                view_age.as_millis(),
+                u64::try_from(view_age.as_millis()).unwrap_or(u64::MAX),
                 view.source_name(),
                 routes.version()
             );
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -54,14 +54,16 @@
 /// When the configuration in force was last known to be the newest one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct View {
-    confirmed_at: Time,
+    /// `None` if that is not known, for example because another node has sent the configuration unasked.
+    confirmed_at: Option<Time>,
     source: Source,
 }
 
 impl View {
-    /// Returns how long ago the configuration was known to be the newest one.
+    /// Returns how long ago the configuration was known to be the newest one, and the longest duration if it was never
+    /// known.
     pub(crate) fn age(self, now: Time) -> Duration {
-        now - self.confirmed_at
+        self.confirmed_at.map_or(Duration::MAX, |at| now - at)
     }
 
     /// Returns the name of the source for logs.
@@ -74,9 +76,9 @@
 
     /// Records that there was no newer configuration at `at`. Answers may arrive out of order.
     pub(crate) fn confirm(&mut self, at: Time, source: Source) {
-        if at > self.confirmed_at {
+        if self.confirmed_at.is_none_or(|known| at > known) {
             *self = Self {
-                confirmed_at: at,
+                confirmed_at: Some(at),
                 source,
             };
         }
@@ -129,11 +131,13 @@
     let applies = answer.version > own && answer.content.is_some();
     let is_known = applies || answer.version == own;
     Reaction {
-        // The other node computed the age after the question was sent.
+        // The other node computed the age after the question was sent. A time before the start of this process cannot
+        // be represented.
         confirmed_at: answer
             .sent_ms
             .filter(|_| is_known)
-            .map(|sent_ms| Time::from_ms(sent_ms.saturating_sub(answer.age_ms))),
+            .and_then(|sent_ms| sent_ms.checked_sub(answer.age_ms))
+            .map(Time::from_ms),
         applies,
         sends_own: false,
     }
@@ -452,6 +456,8 @@
             Some(Time::from_ms(8_600))
         );
         assert_eq!(confirmed_at(&answer(5, None)), None);
+        // The process of this node is younger than the view of the other node.
+        assert_eq!(confirmed_at(&answer(5, Some(399))), None);
         // A newer version exists but is not known here.
         let without_content = Answer {
             content: None,
@@ -460,10 +466,16 @@
         assert_eq!(react(5, &without_content), Reaction::default());
     }
 
-    /// Guards against an answer that arrives late and makes the view older.
+    /// Guards against an answer that arrives late and makes the view older, and against a view that counts as recent
+    /// because the process has just started.
     #[test]
     fn a_view_never_becomes_older() {
         let mut view = View::default();
+        assert_eq!(
+            view.age(Time::from_ms(100)),
+            Duration::MAX,
+            "never confirmed"
+        );
         view.confirm(Time::from_ms(3_000), Source::Table);
         view.confirm(Time::from_ms(2_000), Source::Node);
         assert_eq!(view.age(Time::from_ms(3_500)), Duration::from_millis(500));
