--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -1,11 +1,14 @@
 //! The scheduler's links to the other nodes.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use sched::Now;
 use tokio::time::{sleep, timeout};
 
-use super::{Leader, Peer};
+use super::{
+    Leader, Peer,
+    lists::{self, Pools, Schedule},
+};
 use crate::{
     Ports,
     link::Link,
@@ -47,12 +50,13 @@
     /// Sends heartbeats and summaries to the other nodes.
     pub(super) async fn send_heartbeats(self: Rc<Self>) {
         let mut count = 0;
-        let mut workers = BTreeMap::new();
+        let mut workers_schedule = Schedule::of_workers();
         loop {
             let now = self.now();
             self.broadcast(&self.heartbeat(now));
+            self.send_nodes(now);
             if count % HEARTBEATS_PER_SUMMARY == 0 {
-                self.broadcast_summary(now, &mut workers);
+                self.broadcast_summary(now, &mut workers_schedule);
                 self.broadcast_admissions(now);
             }
             count += 1;
@@ -65,9 +69,8 @@
         }
     }
 
-    /// Updates the metrics and sends the counts of waiting jobs, and the workers if they differ from
-    /// `sent`.
-    fn broadcast_summary(&self, now: Now, sent: &mut BTreeMap<String, Vec<Arc<str>>>) {
+    /// Updates the metrics and sends the counts of waiting jobs, and the workers if they have changed.
+    fn broadcast_summary(&self, now: Now, workers_schedule: &mut Schedule) {
         let (summary, workers) = {
             let scheduler = self.scheduler.borrow();
             (scheduler.summary(now), scheduler.workers_by_pool(now))
@@ -103,11 +106,44 @@
         self.broadcast(&Message::Pending(summary.pending.clone()));
         *self.node.0.pending.borrow_mut() = Some(summary.pending);
         self.node.0.scheduler_seen_at.set(Some(now.time));
-        if *sent != workers {
-            self.broadcast(&Message::Workers(workers.clone()));
-            self.node.0.workers.borrow_mut().clone_from(&workers);
-            *sent = workers;
+        workers_schedule.mark_changed();
+        let longest = workers.values().map(Vec::len).max();
+        if workers_schedule.take_due(now.time, longest.unwrap_or(0)) {
+            self.send_workers(workers);
+        }
+    }
+
+    /// Sends each linked node its workers, unless it has been sent the same ones.
+    fn send_workers(&self, workers: Pools) {
+        for (name, peer) in self.peers.borrow_mut().iter_mut() {
+            let list = lists::workers_for(name, &workers);
+            // A node whose queue is full is dropped with the next heartbeat.
+            if peer.workers != list && peer.tx.try_send(Message::Workers(list.clone())).is_ok() {
+                peer.workers = list;
+            }
         }
+        *self.node.0.workers.borrow_mut() = workers;
+    }
+
+    /// Sends the addresses of the linked nodes to all of them, if they have changed and are due to be sent.
+    fn send_nodes(&self, now: Now) {
+        let nodes = self.nodes();
+        let mut schedule = self.nodes_schedule.get();
+        let is_due = schedule.take_due(now.time, nodes.len());
+        self.nodes_schedule.set(schedule);
+        if !is_due {
+            return;
+        }
+        for (name, peer) in self.peers.borrow().iter() {
+            for message in lists::node_messages(name, peer.level, &nodes) {
+                // A node whose queue is full is dropped with the next heartbeat.
+                let _ = peer.tx.try_send(message);
+            }
+        }
+        let earlier = lists::earlier_positions(&nodes);
+        let addresses: Vec<String> = nodes.into_iter().map(|(address, _)| address).collect();
+        self.node.set_sources(&addresses, &earlier);
+        *self.node.0.node_addresses.borrow_mut() = addresses;
     }
 
     /// Serves the link of another node until it closes or stays silent for [`PEER_TIMEOUT`].
@@ -137,8 +173,14 @@
         if level >= TEAMS_LEVEL && !self.send_owners(&link.tx) {
             return;
         }
-        let initial_messages = self.initial_messages();
-        for message in initial_messages {
+        let workers = {
+            let scheduler = self.scheduler.borrow();
+            lists::workers_for(&node, &scheduler.workers_by_pool(self.now()))
+        };
+        let nodes = self.nodes();
+        let nodes = lists::node_messages(&node, level, &nodes);
+        let initial_messages = self.initial_messages(workers.clone());
+        for message in initial_messages.into_iter().chain(nodes) {
             if link.tx.try_send(message).is_err() {
                 return;
             }
@@ -148,10 +190,14 @@
             tx: tx.clone(),
             address,
             level,
+            workers,
         };
         self.peers.borrow_mut().insert(node.clone(), peer);
         self.set_approvers();
-        self.broadcast_nodes();
+        let mut schedule = self.nodes_schedule.get();
+        schedule.mark_changed();
+        self.nodes_schedule.set(schedule);
+        self.send_nodes(self.now());
         let reason = loop {
             match timeout(PEER_TIMEOUT, link.rx.recv()).await {
                 Ok(Some(Message::Relay { number, request })) => {
@@ -185,32 +231,25 @@
         }
     }
 
-    /// Sends the link addresses of all nodes to all nodes.
-    pub(super) fn broadcast_nodes(&self) {
+    /// Returns the link addresses and the protocol levels of this node and of the linked nodes.
+    fn nodes(&self) -> Vec<(String, u32)> {
         let peers = self.peers.borrow();
-        let mut nodes: Vec<String> = peers.values().map(|peer| peer.address.clone()).collect();
-        let levels = (0..).zip(peers.values().map(|peer| peer.level));
-        let earlier: Vec<u32> = levels
-            .filter(|(_, level)| *level < TEAMS_LEVEL)
-            .map(|(position, _)| position)
-            .collect();
-        drop(peers);
-        nodes.push(self.node.0.settings.link_address.to_string());
-        self.node.0.node_addresses.borrow_mut().clone_from(&nodes);
-        self.node.set_sources(&nodes, &earlier);
-        self.broadcast(&Message::Nodes(nodes));
-        self.broadcast_from_level(TEAMS_LEVEL, &Message::EarlierNodes(earlier));
+        let linked = peers
+            .values()
+            .map(|peer| (peer.address.clone(), peer.level));
+        let own = (self.node.0.settings.link_address.to_string(), LEVEL);
+        linked.chain([own]).collect()
     }
 
     /// Returns the messages that a newly linked node is sent first.
-    fn initial_messages(&self) -> [Message; 4] {
+    fn initial_messages(&self, workers: Pools) -> [Message; 4] {
         let now = self.now();
         let scheduler = self.scheduler.borrow();
         [
             self.heartbeat(now),
             Message::States(scheduler.states().collect()),
             Message::Pending(scheduler.summary(now).pending),
-            Message::Workers(scheduler.workers_by_pool(now)),
+            Message::Workers(workers),
         ]
     }
 
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -1,6 +1,7 @@
 //! The scheduling pass: goes over all waiting steps and decides which tasks start on which workers.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashSet},
     sync::Arc,
     time::Duration,
@@ -17,6 +18,7 @@
     ordering::{self, Timeliness, URGENT, WaitingStep},
     preempt::{self, Claims},
     scheduler::Effect,
+    teams::pass::Turns,
     worker::{Run, RunPhase, Worker},
 };
 
@@ -43,6 +45,8 @@
     held_steps: usize,
     /// The tasks of which a worker still has a run that was given up.
     strays: HashSet<TaskKey>,
+    /// The teams' part of the pass.
+    pub(crate) turns: Turns,
 }
 
 impl Pass {
@@ -101,6 +105,7 @@
         }
         let mut steps = self.waiting_steps(now);
         ordering::sort(self.cfg.order, now.time, &mut steps);
+        self.begin_team_pass(&steps);
         let free: Vec<Size> = self
             .fleet
             .iter()
@@ -129,10 +134,10 @@
             holding: Holding::new(fleet_processors, used_processors),
             held_steps: 0,
             strays: self.fleet.iter().flat_map(Worker::stray_tasks).collect(),
+            turns: Turns::default(),
         };
-        for waiting in steps {
-            self.place(now.time, &waiting, &mut pass);
-        }
+        self.place_in_turns(now.time, &steps, &mut pass);
+        self.end_team_pass(now.time, &pass);
         self.held_steps = pass.held_steps;
     }
 
@@ -187,6 +192,7 @@
         let waiting = self.waiting.iter().filter_map(|&key| {
             let entry = self.jobs.get(&key.job)?;
             let policy = self.policy(&entry.job);
+            let step = entry.job.steps.get(usize::from(key.step))?;
             let critical_path = self.critical_path(key.job, 0);
             // An occurrence of a scheduled job counts as accepted when it is due.
             let accepted_at = match entry.job.due_unix_ms(key.occurrence) {
@@ -195,12 +201,15 @@
             };
             Some(WaitingStep {
                 key,
+                team: entry.team,
+                is_surplus: entry.is_surplus,
                 rank: policy.rank,
                 accepted_at,
                 objective: policy.objective(critical_path),
                 remaining: self.critical_path(key.job, key.step),
                 critical_path,
                 is_approved: self.has_approvals(key),
+                is_long_running: step.is_long_running,
             })
         });
         waiting.collect()
@@ -256,10 +265,13 @@
     }
 
     /// Places as many tasks of a step as possible. A gang is placed whole or not at all.
-    fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
-        let Some(demand) = self.demand(now, waiting.key, &pass.strays) else {
+    pub(crate) fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
+        let Some(mut demand) = self.demand(now, waiting.key, &pass.strays) else {
             return;
         };
+        if !self.limit_to_team(now, waiting, &mut demand, pass) {
+            return;
+        }
         if demand.approval.is_some() && !self.has_approvals(demand.key) {
             if now >= waiting.accepted_at + self.approval_delay(&demand) {
                 let workers = self.unasked(now, &demand);
@@ -285,6 +297,7 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
+            self.note_lack(waiting, pass);
             // Nothing is gained by holding back work for a gang that could not run on empty workers either.
             if is_gang && self.capacity(now, &demand) >= demand.tasks.len() {
                 pass.holding.gang_waits(now, waiting, demand.processors());
@@ -299,7 +312,8 @@
                     self.renew_gang_tickets(now, &demand);
                     self.widen(now, &demand, pass);
                 }
-                if self.make_room(now, &demand, pass) {
+                // Jobs beyond their team's rate are not entitled to others' capacity.
+                if !waiting.is_surplus && self.make_room(now, &demand, pass) {
                     return;
                 }
             }
@@ -380,6 +394,8 @@
             pass.free[index(id)] -= need;
             pass.claims.claim(id, need - free);
         }
+        let charge = self.charge(demand.key);
+        self.teams.count_tasks(charge, placed.len());
     }
 
     /// Returns the rank of the task's queue if the task can resume elsewhere, and `None` otherwise.
@@ -404,9 +420,14 @@
             // tickets for the same capacity.
             if self.renew_tickets(now, demand, &placed, tasks - placed.len()) {
                 pass.take(size, &placed);
+                let charge = self.charge(demand.key);
+                self.teams.count_tasks(charge, placed.len());
             }
             return;
         }
+        if demand.step().is_long_running && !is_gang {
+            self.reserve_workers(now, demand, tasks, pass);
+        }
         let capacity = if is_gang {
             self.capacity(now, demand)
         } else {
@@ -421,6 +442,20 @@
         if is_gang && pass.gang_reservations > 0 && capacity >= tasks {
             pass.gang_reservations -= 1;
             pass.take(size, &placed);
+            let charge = self.charge(demand.key);
+            self.teams.count_tasks(charge, tasks);
+        }
+    }
+
+    /// Reserves the workers with the most free processors, one for each task of a long-running step that fits nowhere.
+    /// Smaller tasks would otherwise take the pieces in which their capacity becomes free.
+    fn reserve_workers(&self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
+        let size = demand.step().reserved();
+        let mut candidates = self.candidates(now, demand, TicketFilter::Any, pass);
+        candidates.retain(|c| c.slots > 0 && size.fits(&c.size));
+        candidates.sort_by_key(|c| (Reverse(c.free.milli_processors), c.worker));
+        for candidate in candidates.iter().take(tasks) {
+            pass.free[index(candidate.worker)] = Size::ZERO;
         }
     }
 
@@ -506,12 +541,15 @@
         let run = entry.progress.assign(&incarnations);
         self.job_changed(now, key.job);
         let preemptible_below = self.preemptible_below(key.task(0));
+        let charge = self.charge(key);
+        self.teams.count_tasks(charge, pairs.len());
         for (task, id) in pairs {
             let suspicion = self.suspicion(task);
             let worker = self.fleet.get_mut(id);
             let new = Run {
                 number: run,
                 size,
+                charge,
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
@@ -535,7 +573,7 @@
     }
 
     /// Returns how many tasks of a step would fit on the allowed workers if they were empty.
-    fn capacity(&mut self, now: Time, demand: &Demand) -> usize {
+    pub(crate) fn capacity(&mut self, now: Time, demand: &Demand) -> usize {
         let known = self.approvals.get(&demand.key);
         if let Some(capacity) = known.and_then(|approvals| approvals.capacity(now)) {
             return capacity;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use jobs::{Crash, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
-use crate::SchedConfig;
+use crate::{SchedConfig, teams::ledger::Charge};
 
 /// A worker as the platform's directory describes it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -70,7 +70,10 @@
 pub(crate) struct Run {
     /// The run's number.
     pub(crate) number: u32,
+    /// The size that is reserved for it on the worker.
     pub(crate) size: Size,
+    /// What it counts against its team.
+    pub(crate) charge: Charge,
     pub(crate) phase: RunPhase,
     /// When the worker last confirmed the run or an order about it. A list that was requested
     /// earlier may not contain the run.
@@ -94,6 +97,13 @@
     pub(crate) preemptible_below: Option<u32>,
 }
 
+/// A run that a worker has listed although it is not the current run of its task.
+#[derive(Clone, Copy, Debug)]
+struct Stray {
+    size: Size,
+    charge: Charge,
+}
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -126,12 +136,22 @@
     /// The number of the last end that a poll has acknowledged; 0 if the acknowledgement may be
     /// lost.
     pub(crate) ack_sent: u64,
-    /// Whether the last poll acknowledged ends.
+    /// Whether a poll that acknowledges ends is open.
     pub(crate) poll_acknowledges: bool,
+    /// The value of `fence_raises` when it was last polled.
+    pub(crate) poll_raises: u64,
+    /// When the last lists of its present incarnation were requested and received.
+    pub(crate) lists_read: Option<(Time, Time)>,
+    /// The number of start orders that are not answered yet.
+    pub(crate) open_starts: u32,
+    /// When a start order was last sent or answered.
+    pub(crate) last_start_at: Time,
+    /// Until when an unanswered start order may still be carried out.
+    pub(crate) late_starts_until: Time,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
-    /// The sizes of the runs that it has listed as running and that are not the current run of their task, by
+    /// The runs that it has listed as running and that are not the current run of their task, by
     /// task and run number.
-    strays: BTreeMap<(TaskKey, u32), Size>,
+    strays: BTreeMap<(TaskKey, u32), Stray>,
     /// The capacity that the runs and the strays occupy.
     pub(crate) used: Size,
     /// The number of runs that must stay apart from other work.
@@ -171,6 +191,11 @@
             ackable: 0,
             ack_sent: 0,
             poll_acknowledges: false,
+            poll_raises: 0,
+            lists_read: None,
+            open_starts: 0,
+            last_start_at: Time::ZERO,
+            late_starts_until: Time::ZERO,
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
             used: Size::ZERO,
@@ -283,11 +308,11 @@
     }
 
     /// Adds a stray of this size, unless it is known. Returns whether it is new.
-    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size) -> bool {
+    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size, charge: Charge) -> bool {
         let Entry::Vacant(entry) = self.strays.entry((key, run)) else {
             return false;
         };
-        entry.insert(size);
+        entry.insert(Stray { size, charge });
         self.used += size;
         true
     }
@@ -297,14 +322,35 @@
         self.strays.keys().map(|&(key, _)| key)
     }
 
+    /// Returns what its runs count against their teams.
+    pub(crate) fn run_charges(&self) -> impl Iterator<Item = Charge> {
+        self.runs.values().map(|run| run.charge)
+    }
+
+    /// Returns what its strays count against their teams.
+    pub(crate) fn stray_charges(&self) -> impl Iterator<Item = (TaskKey, Charge)> {
+        let strays = self.strays.iter();
+        strays.map(|(&(key, _), stray)| (key, stray.charge))
+    }
+
+    /// Updates what its runs and strays count against their teams.
+    pub(crate) fn update_charges(&mut self, update: impl Fn(TaskKey, &mut Charge)) {
+        for (&key, run) in &mut self.runs {
+            update(key, &mut run.charge);
+        }
+        for (&(key, _), stray) in &mut self.strays {
+            update(key, &mut stray.charge);
+        }
+    }
+
     /// Removes the strays for which `is_left` returns false. Returns whether there were any.
     pub(crate) fn retain_strays(&mut self, is_left: impl Fn(TaskKey, u32) -> bool) -> bool {
         let before = self.strays.len();
         let used = &mut self.used;
-        self.strays.retain(|&(key, run), size| {
+        self.strays.retain(|&(key, run), stray| {
             let is_left = is_left(key, run);
             if !is_left {
-                *used -= *size;
+                *used -= stray.size;
             }
             is_left
         });
@@ -339,6 +385,35 @@
         Some(clock.worker_ms + passed + millis(cfg.task_lease))
     }
 
+    /// Returns whether it has ends that a poll must still acknowledge.
+    pub(crate) const fn has_unacknowledged_ends(&self) -> bool {
+        self.ackable > self.ack_sent
+    }
+
+    /// Returns whether a start order may be carried out from now on that was sent before.
+    pub(crate) fn awaits_starts(&self, now: Time) -> bool {
+        self.open_starts > 0 || now < self.late_starts_until
+    }
+
+    /// Returns whether no start order can have been carried out by another incarnation than the one whose ends
+    /// were read. An unnoticed new incarnation numbers its ends from 1, and an acknowledgement of the earlier
+    /// one's would make it forget them unread.
+    pub(crate) fn is_known_to_last(&self, now: Time, cfg: &SchedConfig) -> bool {
+        self.lists_read.is_some_and(|(requested_at, read_at)| {
+            now < read_at + cfg.ack_contact || self.last_start_at < requested_at
+        })
+    }
+
+    /// Notes that a start order is about to be sent. While an acknowledgement is open, the order gets a higher
+    /// fencing token: an incarnation that carries it out refuses the acknowledgement afterwards.
+    pub(crate) fn start_sent(&mut self, now: Time) {
+        if self.poll_acknowledges && self.poll_raises == self.fence_raises {
+            self.fence_raises += 1;
+        }
+        self.open_starts += 1;
+        self.last_start_at = now;
+    }
+
     /// Resets the state that is valid for one incarnation only.
     pub(crate) fn begin_incarnation(&mut self, now: Time, started_unix_ms: u64) {
         self.info.started_unix_ms = started_unix_ms;
@@ -346,6 +421,7 @@
         self.restarted_at = Some(now);
         self.is_synced = false;
         self.clock = None;
+        self.lists_read = None;
         self.processed = 0;
         self.ack_after = 0;
         self.ackable = 0;
