--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -70,6 +70,8 @@
     new_owners: RefCell<Vec<(JobId, Owner)>>,
     /// Whether the linked nodes were last told to refuse jobs.
     has_admissions: Cell<bool>,
+    /// The teams whose work their limits hold back, as of the last summary.
+    held_teams: RefCell<BTreeSet<Arc<str>>>,
     tasks: RefCell<JoinSet<()>>,
     writer: RefCell<Option<LeaseWriter>>,
     is_draining: Cell<bool>,
@@ -92,6 +94,7 @@
             peers: RefCell::default(),
             new_owners: RefCell::default(),
             has_admissions: Cell::default(),
+            held_teams: RefCell::default(),
             tasks: RefCell::default(),
             writer: RefCell::new(Some(writer)),
             is_draining: Cell::default(),
@@ -143,6 +146,7 @@
         let row = self.node.0.candidacy.borrow().row().cloned();
         self.broadcast(&Message::NotScheduler(row));
         self.peers.borrow_mut().clear();
+        self.node.0.metrics.set_teams(BTreeMap::new());
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + 'static) {
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -94,6 +94,7 @@
             "peers_of_earlier_builds",
             u64::try_from(earlier).unwrap_or(0),
         );
+        self.report_teams(&summary.teams);
         log::info!(
             "event=load waiting={} held={} runs={} workers={} used={} of={}",
             summary.waiting_steps,
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -66,18 +66,27 @@
     }
 }
 
+/// Gauges with one value for each of several things, by name: the values, each with its label.
+type Labelled = BTreeMap<&'static str, Vec<(Arc<str>, u64)>>;
+
 /// The metrics of a process. Clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
     totals: Totals,
+    /// Kept apart from `totals`, because labels may contain the separators of statsd lines.
+    teams: Arc<Mutex<Labelled>>,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         let totals = Totals::default();
         let client = Arc::new(StatsdClient::from_sink(PREFIX, totals.clone()));
-        Self { client, totals }
+        Self {
+            client,
+            totals,
+            teams: Arc::default(),
+        }
     }
 }
 
@@ -101,6 +110,11 @@
         }
     }
 
+    /// Replaces the gauges of teams: for each name the teams with their values. The caller bounds their number.
+    pub(crate) fn set_teams(&self, gauges: BTreeMap<&'static str, Vec<(Arc<str>, u64)>>) {
+        *self.teams.lock().unwrap_or_else(PoisonError::into_inner) = gauges;
+    }
+
     /// Adds a duration to a histogram, in whole milliseconds.
     pub fn time(&self, name: &str, span: Duration) {
         let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
@@ -125,10 +139,25 @@
                 }
             };
         }
+        drop(totals);
+        let teams = self.teams.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, values) in teams.iter() {
+            for (team, value) in values {
+                let team = escape_label(team);
+                let _ = writeln!(page, "{PREFIX}_{name}{{team=\"{team}\"}} {value}");
+            }
+        }
         page
     }
 }
 
+/// Escapes the characters that end a label's value or line.
+fn escape_label(text: &str) -> String {
+    text.replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
+}
+
 fn write_histogram(
     page: &mut String,
     name: &str,
@@ -145,3 +174,20 @@
     writeln!(page, "{name}_ms_sum {sum}")?;
     writeln!(page, "{name}_ms_count {count}")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a team name that breaks the page, and against teams that stay on it after they are gone.
+    #[test]
+    fn gauges_of_teams_are_escaped_and_replaced() {
+        let metrics = Metrics::default();
+        let gauges = |team: &str| BTreeMap::from([("team_runs", vec![(Arc::from(team), 3)])]);
+        metrics.set_teams(gauges("a\"b\\c\nd:1|g"));
+        let expected = "lacewing_team_runs{team=\"a\\\"b\\\\c\\nd:1|g\"} 3\n";
+        assert_eq!(metrics.page(), expected);
+        metrics.set_teams(gauges("e"));
+        assert_eq!(metrics.page(), "lacewing_team_runs{team=\"e\"} 3\n");
+    }
+}
