Report how long the work of an outage takes, and drop approvals of jobs that were never stored

The scheduler logs event=outage_over once no waiting step is late any more. Approvals of unknown jobs are dropped when their tickets have lapsed; they stayed in memory before.

--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -60,6 +60,8 @@
     lost_since: Cell<Time>,
     /// When it last answered after it was lost.
     back_at: Cell<Option<Time>>,
+    /// When it last answered after it was lost, until the work of that outage is served.
+    recovering_since: Cell<Option<Time>>,
     /// Signals that a call has begun, or that `is_lost` has changed.
     changed: Notify,
     /// Signals that the table was lost.
@@ -79,6 +81,7 @@
             is_lost: Cell::default(),
             lost_since: Cell::default(),
             back_at: Cell::default(),
+            recovering_since: Cell::default(),
             changed: Notify::new(),
             lost: Notify::new(),
             back: Notify::new(),
@@ -110,6 +113,16 @@
         self.back.notified().await;
     }
 
+    /// Returns the time since the last outage ended, once, if no step is late any more. `late_steps` is the number of
+    /// waiting steps that can no longer be in time.
+    pub(crate) fn take_recovery(&self, late_steps: usize) -> Option<Duration> {
+        if self.is_lost.get() || late_steps > 0 {
+            return None;
+        }
+        let since = self.recovering_since.take()?;
+        Some(self.clock.time() - since)
+    }
+
     /// Registers a call that the table may hold open for `wait`.
     fn begin(&self, wait: Duration) -> (Time, u64) {
         let number = self.last_call.get() + 1;
@@ -146,6 +159,7 @@
             self.lost.notify_waiters();
         } else {
             self.back_at.set(Some(now));
+            self.recovering_since.set(Some(now));
             let outage = now - self.lost_since.get();
             log::warn!("event=table_back outage_ms={}", outage.as_millis());
             self.metrics.time("table_outage", outage);
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -78,6 +78,11 @@
         metrics.set("processors_milli", summary.size.milli_processors);
         metrics.set("used_processors_milli", summary.used.milli_processors);
         self.report_table();
+        metrics.set("late_steps", u64::try_from(summary.late_steps).unwrap_or(0));
+        if let Some(taken) = self.node.0.table.take_recovery(summary.late_steps) {
+            log::info!("event=outage_over recovery_ms={}", taken.as_millis());
+            metrics.time("outage_recovery", taken);
+        }
         let peers = self.peers.borrow();
         let earlier = peers.values().filter(|peer| peer.level < LEVEL).count();
         drop(peers);
--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -288,6 +288,13 @@
         self.announced.orphans.insert(id, orphan);
     }
 
+    /// Drops approvals of unknown jobs whose tickets have lapsed. They arrive for jobs that are never stored.
+    pub(crate) fn drop_stale_approvals(&mut self, now: Time) {
+        let jobs = &self.jobs;
+        self.approvals
+            .retain(|key, approvals| jobs.contains_key(&key.job) || approvals.has_tickets(now));
+    }
+
     /// Returns whether a worker lists a run of an orphan, running or ended. Its order was sent by a former scheduler that
     /// knew the job to be stored, so the job's row will appear.
     pub(crate) fn lists_orphans(&self, listing: &Listing) -> bool {
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -102,6 +102,8 @@
         }
         let mut steps = self.waiting_steps(now);
         ordering::sort(self.cfg.order, now.time, &mut steps);
+        let is_late = |step: &&WaitingStep| step.timeliness(now.time) != Timeliness::InTime;
+        self.late_steps = steps.iter().filter(is_late).count();
         let free: Vec<Size> = self
             .fleet
             .iter()
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -99,6 +99,8 @@
     pub(crate) needs_pass: bool,
     /// The number of steps that the last pass held back for gangs.
     pub(crate) held_steps: usize,
+    /// The number of waiting steps of the last pass whose jobs could no longer be in time.
+    pub(crate) late_steps: usize,
 }
 
 /// Counts and sizes for metrics and for clients' queries.
@@ -110,6 +112,8 @@
     pub waiting_steps: usize,
     /// The number of these steps that the last pass held back for gangs.
     pub held_steps: usize,
+    /// The number of steps whose jobs could no longer be in time when the last pass began.
+    pub late_steps: usize,
     /// The number of runs that occupy capacity on workers.
     pub runs: usize,
     /// The number of workers that accept new work.
@@ -156,6 +160,7 @@
             batch_duration: Duration::ZERO,
             needs_pass: true,
             held_steps: 0,
+            late_steps: 0,
         };
         scheduler.recover(now, recovered);
         scheduler
@@ -593,6 +598,7 @@
     /// Takes at most `limit` jobs that ended longer ago than the retention period. Once the caller
     /// has deleted their job rows, it must pass them to [`forget`](Self::forget).
     pub fn take_expired_jobs(&mut self, now: Now, limit: usize) -> Vec<JobId> {
+        self.drop_stale_approvals(now.time);
         let until = now.time;
         let due = |&(since, _): &(Time, JobId)| since + self.cfg.job_retention <= until;
         let count = self
@@ -647,6 +653,7 @@
         let mut summary = Summary {
             waiting_steps: self.waiting.len(),
             held_steps: self.held_steps,
+            late_steps: self.late_steps,
             jobs: self.jobs.len(),
             ..Summary::default()
         };
