--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -84,6 +84,9 @@
     pub faults: Vec<(Time, CellFault)>,
     /// The steps with tasks that crash the hosts that start them.
     pub crashing_steps: Vec<CrashingStep>,
+    /// How often a task that crashes its hosts may start after three hosts have crashed under it. 2 by default. It takes
+    /// more to find it while hosts crash by themselves.
+    pub late_starts: u32,
     /// Whether an order or a poll that is carried out late may be carried out by the next incarnation of its host.
     /// The platform's description does not say. `false` by default.
     pub orders_outlive_hosts: bool,
@@ -110,6 +113,7 @@
             arrivals: Vec::new(),
             faults: Vec::new(),
             crashing_steps: Vec::new(),
+            late_starts: 2,
             orders_outlive_hosts: false,
             mutation: Mutation::None,
             seed: 0,
@@ -246,6 +250,7 @@
         for &step in &spec.crashing_steps {
             fleet.add_crashing_step(step);
         }
+        fleet.checker.allow_late_starts(spec.late_starts);
         fleet.arrivals = spec.arrivals.iter().map(|a| (a.id, a.clone())).collect();
         let table = Table::new(spec.mutation == Mutation::NoCondition);
         let mut cell = Self {
@@ -616,6 +621,7 @@
                 self.process_host_changes();
                 self.schedule(self.now + span, Event::HostRestarts(host));
             }
+            CellFault::HostsCrash(percent, span) => self.crash_hosts(percent, span),
             CellFault::HostGone => {
                 self.fleet.crash(self.now, host);
                 self.process_host_changes();
@@ -651,6 +657,23 @@
         }
     }
 
+    /// Crashes this percentage of the hosts, at least one. Those that are down already count.
+    fn crash_hosts(&mut self, percent: u32, span: Duration) {
+        let mut hosts: Vec<usize> = (0..self.fleet.hosts.len()).collect();
+        let count = hosts.len() * usize::try_from(percent).unwrap_or(100) / 100;
+        for _ in 0..count.max(1) {
+            let chosen = self.rng.below(hosts.len() as u64);
+            let host = hosts.swap_remove(usize::try_from(chosen).unwrap_or(0));
+            if !self.fleet.hosts[host].is_up {
+                continue;
+            }
+            let id = WorkerId(u32::try_from(host).unwrap_or(0));
+            self.fleet.crash(self.now, id);
+            self.process_host_changes();
+            self.schedule(self.now + span, Event::HostRestarts(id));
+        }
+    }
+
     /// Crashes a host if it still has the run of a task that crashes its hosts.
     fn crash_by_task(&mut self, host: WorkerId, key: TaskKey, run: u32) {
         if let Some(down) = self.fleet.crash_by_task(self.now, host, key, run) {
@@ -898,6 +921,7 @@
             Action::Preempted { .. } => self.fleet.checker.report.preempted += 1,
             Action::Interrupted { .. }
             | Action::Crashed { .. }
+            | Action::GivenUp { .. }
             | Action::Stray { .. }
             | Action::EndIgnored { .. } => {}
         }
--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -133,7 +133,7 @@
         }
         match settlement {
             Settlement::Stored => self.confirm(now, id),
-            Settlement::NotStored => self.withdraw_announcement(id),
+            Settlement::NotStored => self.withdraw_announcement(now.time, id),
         }
     }
 
@@ -157,7 +157,7 @@
                 return;
             }
             // Another node has stored a job with the same id and other content.
-            self.withdraw_announcement(id);
+            self.withdraw_announcement(now.time, id);
         }
         if self.jobs.contains_key(&id) {
             return;
@@ -227,7 +227,7 @@
     }
 
     /// Removes an announced job and all that was decided for it. None of its orders was sent.
-    fn withdraw_announcement(&mut self, id: JobId) {
+    fn withdraw_announcement(&mut self, now: Time, id: JobId) {
         if self.announced.jobs.remove(&id).is_none() {
             return;
         }
@@ -237,7 +237,7 @@
         };
         for (key, _, incarnation) in entry.progress.assigned(id) {
             if let Some(worker) = self.fleet.id(&incarnation.worker) {
-                self.fleet.get_mut(worker).remove_run(&key);
+                self.fleet.get_mut(worker).remove_run(now, &key);
             }
         }
         self.journal.discard_effects(|effect| effect.job() == id);
@@ -263,7 +263,7 @@
         };
         let ids: Vec<JobId> = self.announced.jobs.iter().filter_map(expired).collect();
         for id in ids {
-            self.withdraw_announcement(id);
+            self.withdraw_announcement(now, id);
         }
         self.delete_orphans(|orphan| orphan.until <= now);
     }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -20,7 +20,7 @@
     preempt::{self, Claims},
     scheduler::Effect,
     teams::pass::Turns,
-    worker::{Run, RunPhase, Worker},
+    worker::{Run, RunPhase, Suspicion, Worker},
 };
 
 /// A gang that is already late requests approvals for more workers only while its allowed workers
@@ -116,9 +116,11 @@
         self.end_lapsed(now.time);
         self.repeat_stops(now.time);
         self.end_long_trials(now.time);
+        self.settle_crashes(now.time);
         if !std::mem::take(&mut self.needs_pass) || !self.may_start(now.time) {
             return;
         }
+        self.update_unsteady(now.time);
         let mut steps = self.waiting_steps(now);
         ordering::sort(self.cfg.order, now.time, &mut steps);
         self.begin_team_pass(&steps);
@@ -182,7 +184,8 @@
             .map(|worker| worker.quarantine_until)
             .min();
         let expiry = self.announced.next_expiry();
-        let due = [scheduled, stop, lapse, quarantine_end, expiry];
+        let settled = self.background.next_due();
+        let due = [scheduled, stop, lapse, quarantine_end, expiry, settled];
         due.into_iter().flatten().min().unwrap_or(Time::MAX)
     }
 
@@ -239,7 +242,7 @@
     }
 
     /// Returns the tasks of a step that must be placed, or `None` if no task of the step can be. A task of which
-    /// a worker still has a run, or that waits for silent workers, is left out, as is a gang with such a member.
+    /// a worker still has a run, or that waits for silent workers or a verdict, is left out, as is a gang with such a member.
     fn demand(&self, now: Time, key: StepKey, strays: &HashSet<TaskKey>) -> Option<Demand> {
         let entry = self.jobs.get(&key.job)?;
         let mut tasks = entry.progress.waiting(&entry.job, key);
@@ -250,7 +253,7 @@
         };
         tasks.retain(|&index| {
             let task = key.task(index);
-            !strays.contains(&task) && !is_awaiting(&task)
+            !strays.contains(&task) && !is_awaiting(&task) && !self.awaits_verdict(task)
         });
         let is_gang = entry.job.steps[usize::from(key.step)].gang;
         if tasks.is_empty() || (is_gang && tasks.len() < count) {
@@ -553,8 +556,14 @@
         let preemptible_below = self.preemptible_below(key.task(0));
         let charge = self.charge(key);
         self.teams.count_tasks(charge, pairs.len());
+        let is_blamed = self.is_step_blamed(key);
+        let is_repeated = self.is_repeated(key);
         for (task, id) in pairs {
-            let suspicion = self.suspicion(task);
+            let suspicion = if is_blamed {
+                self.suspicion(task)
+            } else {
+                Suspicion::None
+            };
             let worker = self.fleet.get_mut(id);
             let new = Run {
                 number: run,
@@ -569,6 +578,7 @@
                 crash: None,
                 checkpoint: String::new(),
                 suspicion,
+                is_repeated,
                 preemptible_below,
             };
             worker.add_run(task, new);
@@ -623,7 +633,7 @@
 /// Returns the capacity of a worker that is available to new work.
 fn free_size(now: Time, worker: &Worker) -> Size {
     if worker.takes_work(now) && !worker.is_isolating() {
-        worker.free()
+        worker.usable()
     } else {
         Size::ZERO
     }
