--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -422,8 +422,8 @@
     pub(crate) fn prepare(&mut self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
         let size = demand.step().reserved();
         let is_gang = demand.step().gang;
-        if !is_gang && demand.approval.is_none() {
-            // There are no tickets to renew, and capacity is reserved for gangs only.
+        if !is_gang && !demand.step().is_long_running && demand.approval.is_none() {
+            // There are no tickets to renew, and no capacity is reserved for such steps.
             return;
         }
         let placed = self.fit(now, demand, tasks, TicketFilter::Any, pass);
