--- a/crates/cluster/tests/keys/mod.rs
+++ b/crates/cluster/tests/keys/mod.rs
@@ -1,6 +1,6 @@
 //! Keys and configurations of teams at nodes on an in-memory platform, of which some miss changes.
 
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use cluster::{
     AccessSettings, Caller, CancelOutcome, KeyDigest, Node, Refusal, Routes, StateAnswer,
@@ -180,3 +180,43 @@
         );
     });
 }
+
+/// Guards against admissions of the scheduler that do not reach the nodes, and against refusing a job that was accepted.
+#[test]
+fn nodes_refuse_new_jobs_of_a_team_above_its_rate() {
+    run(async {
+        let platform = platform_with_teams();
+        platform.shared.task_time.set(Duration::from_secs(60));
+        let (first, second) = start_two(&platform, &platform.for_another()).await;
+        let (red, blue) = (caller("red"), caller("blue"));
+        let new_ids = || (0..100).map(|n: u64| JobId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1));
+        let is_refused = |node: &Node<Platform>, id| node.retry_surplus_after(&red, id).is_some();
+        // The first job fills all workers. The others come from a team that is owed one per second.
+        let mut accepted = Vec::new();
+        while ![&first, &second]
+            .iter()
+            .all(|node| new_ids().any(|id| is_refused(node, id)))
+        {
+            let id = JobId(1_000 + 2 * u64::try_from(accepted.len()).unwrap());
+            let unix = UNIX_EPOCH.elapsed().unwrap_or_default();
+            let job = Job {
+                team: "red".into(),
+                accepted_unix_ms: u64::try_from(unix.as_millis()).unwrap(),
+                ..job(if accepted.is_empty() { 24 } else { 1 })
+            };
+            let outcome = first.submit(&queue(), id, job, deadline()).await;
+            assert_eq!(outcome, SubmitOutcome::Accepted);
+            accepted.push(id);
+            assert!(accepted.len() < 600, "no new job is refused");
+            sleep(Duration::from_millis(30)).await;
+        }
+        for node in [&first, &second] {
+            for &id in &accepted {
+                let state = node.state_for(&red, id, deadline()).await;
+                assert!(matches!(state, StateAnswer::State(_)), "{id}: {state:?}");
+                assert!(!is_refused(node, id), "{id} was accepted");
+            }
+            assert!(new_ids().all(|id| node.retry_surplus_after(&blue, id).is_none()));
+        }
+    });
+}
