--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -79,6 +79,9 @@
     pub faults: Vec<(Time, CellFault)>,
     /// The steps with tasks that crash the hosts that start them.
     pub crashing_steps: Vec<CrashingStep>,
+    /// How often a task that crashes its hosts may start after three hosts have crashed under it. 2 by default. It takes
+    /// more to find it while hosts crash by themselves.
+    pub late_starts: u32,
     /// Whether an order or a poll that is carried out late may be carried out by the next incarnation of its host.
     /// The platform's description does not say. `false` by default.
     pub orders_outlive_hosts: bool,
@@ -103,6 +106,7 @@
             arrivals: Vec::new(),
             faults: Vec::new(),
             crashing_steps: Vec::new(),
+            late_starts: 2,
             orders_outlive_hosts: false,
             mutation: Mutation::None,
             seed: 0,
@@ -224,6 +228,7 @@
         for &step in &spec.crashing_steps {
             fleet.add_crashing_step(step);
         }
+        fleet.checker.allow_late_starts(spec.late_starts);
         fleet.arrivals = spec.arrivals.iter().map(|a| (a.id, a.clone())).collect();
         let table = Table::new(spec.mutation == Mutation::NoCondition);
         let mut cell = Self {
--- a/crates/sched/src/background.rs
+++ b/crates/sched/src/background.rs
@@ -64,6 +64,8 @@
     due: Option<Time>,
     /// Whether there are enough crashes to give the job up.
     is_enough: bool,
+    /// Whether the gang's members whose workers have not crashed are still to be relieved.
+    may_spare: bool,
     /// The evidence as known now.
     weight: i32,
     /// The part of it that is stored with the job.
@@ -101,6 +103,8 @@
     key: TaskKey,
     run: u32,
     is_enough: bool,
+    /// Whether the crashes at the same time, which are few, may turn out to have been caused by other tasks.
+    may_be_explained: bool,
     /// The evidence beyond what is stored already.
     weight: i32,
     gang_weight: i32,
@@ -207,6 +211,7 @@
             weight: 0,
             stored: 0,
             gang_workers: None,
+            may_spare: false,
             gang_weight: 0,
             gang_stored: 0,
         };
@@ -216,9 +221,10 @@
         let mut known = self.background.weighings.range(members);
         if is_gang && !known.any(|(&(_, run), _)| run == crash.run) {
             weighing.gang_workers = Some(self.gang_workers(step, crash.run));
+            weighing.may_spare = true;
         }
         let explained = self.explained_crashes();
-        let exposure = self.exposure(now, &weighing, step, &explained);
+        let exposure = self.exposure(now, &weighing, crash.key, &explained);
         weighing.set(&exposure, is_gang.then_some(1));
         weighing.stored = evidence::unsettled(weighing.weight);
         weighing.gang_stored = evidence::unsettled(weighing.gang_weight);
@@ -267,7 +273,7 @@
         };
         for (&(key, run), weighing) in weighings.iter_mut().filter(|(_, w)| w.due.is_some()) {
             let step = key.step_key();
-            let exposure = self.exposure(now, weighing, step, &explained);
+            let exposure = self.exposure(now, weighing, key, &explained);
             weighing.set(&exposure, crashed(step, run));
         }
         let is_due = |weighing: &Weighing| weighing.due.is_some_and(|due| due <= now);
@@ -283,15 +289,16 @@
                 if weighing.due.is_some_and(|due| due > now) {
                     continue;
                 }
-                let exposure = self.exposure(now, weighing, key.step_key(), &explained);
+                let exposure = self.exposure(now, weighing, key, &explained);
                 weighing.set(&exposure, crashed(key.step_key(), run));
                 settled.push(Settled {
                     key,
                     run,
                     is_enough: weighing.is_enough,
+                    may_be_explained: !exposure.has_many_crashes() && weighing.may_change(now),
                     weight: weighing.weight - weighing.stored,
                     gang_weight: weighing.gang_weight - weighing.gang_stored,
-                    surviving: (weighing.gang_workers.is_some() && weighing.due.is_some())
+                    surviving: (std::mem::take(&mut weighing.may_spare))
                         .then(|| exposure.surviving_weight()),
                 });
                 weighing.stored = weighing.weight;
@@ -333,10 +340,18 @@
         let is_proven = weight >= evidence::limit(candidates(&entry.job))
             && settled.is_enough
             && !self.background.weighings_of(key).any(|w| w.due.is_some());
+        let may_be_proven = settled.is_enough && settled.may_be_explained && !is_proven;
         if is_proven && progress.give_up() {
             self.actions.push(Action::GivenUp { key, weight });
         }
         self.job_changed(now, key.job);
+        if may_be_proven {
+            // The task does not start before it is known.
+            let weighing = self.background.weighings.get_mut(&(key, settled.run));
+            if let Some(weighing) = weighing {
+                weighing.due = Some(now + self.cfg.crash_settle);
+            }
+        }
     }
 
     /// Returns the evidence against a task, including what is not settled; `None` if none was weighed.
@@ -355,12 +370,16 @@
     }
 
     fn is_attributed(&self, key: TaskKey) -> bool {
-        let weight = if self.is_gang(key) {
+        (self.strongest_weight(key)).is_some_and(evidence::is_attributed)
+    }
+
+    /// Returns the evidence against a task, or the strongest against its gang, including what is not settled.
+    fn strongest_weight(&self, key: TaskKey) -> Option<i32> {
+        if self.is_gang(key) {
             self.gang_weight_of(key.step_key())
         } else {
             self.weight_of(key)
-        };
-        weight.is_some_and(evidence::is_attributed)
+        }
     }
 
     /// Returns whether a task rather than its workers seems to be the cause of the crashes under it. Those of a gang's
@@ -414,11 +433,7 @@
         let Some(entry) = self.jobs.get(&key.job) else {
             return false;
         };
-        let weight = if self.is_gang(key) {
-            self.gang_weight_of(key.step_key())
-        } else {
-            self.weight_of(key)
-        };
+        let weight = self.strongest_weight(key);
         let more: i32 = weighings().map(|w| evidence::open_weight(w.weight)).sum();
         weight.is_some_and(|weight| weight + more >= evidence::limit(candidates(&entry.job)))
     }
@@ -431,16 +446,29 @@
         crashes.map(is_explained).collect()
     }
 
-    /// Returns what happened to other workers while a task of `step` had a run. Left out are workers that had other tasks
-    /// of the step or of steps under which workers had crashed before, whether they have crashed or not: these tasks may
+    /// Returns whether a crash under a task is explained by a task of another step that the worker had as well.
+    fn is_explained_otherwise(&self, crash: &WorkerCrash, key: TaskKey) -> bool {
+        let own = self.strongest_weight(key);
+        let others = crash
+            .tasks
+            .iter()
+            .filter(|other| other.step_key() != key.step_key());
+        let weights = others.map(|&other| self.strongest_weight(other));
+        let mut explaining = weights.filter(|&weight| weight > own);
+        explaining.any(|weight| weight.is_some_and(evidence::is_attributed))
+    }
+
+    /// Returns what happened to other workers while a task had a run. Left out are workers that had other tasks of its
+    /// step or of steps under which workers had crashed before, whether they have crashed or not: these tasks may
     /// crash their workers.
     fn exposure(
         &self,
         now: Time,
         weighing: &Weighing,
-        step: StepKey,
+        key: TaskKey,
         explained: &[bool],
     ) -> Exposure {
+        let step = key.step_key();
         let span = Span {
             until: weighing.span.until + NOTICE_DELAY,
             ..weighing.span
@@ -460,6 +488,9 @@
             let is_background = may_be_background && !had_suspects;
             exposure.past_crashes += u32::from(may_be_background);
             if crash.worker == weighing.worker {
+                if is_explained && crash.span.until == weighing.span.until {
+                    exposure.is_explained = self.is_explained_otherwise(crash, key);
+                }
                 exposure.own_crashes += u32::from(is_background);
                 continue;
             }
--- a/crates/sched/src/evidence.rs
+++ b/crates/sched/src/evidence.rs
@@ -62,6 +62,8 @@
     /// The same in the worker's rack or failure domain, if the share is greater there.
     pub(crate) neighbours: u32,
     pub(crate) crashed_neighbours: u32,
+    /// Whether another task that the worker had is known to crash its workers.
+    pub(crate) is_explained: bool,
     /// The number of other crashes of the same worker in the [`HISTORY`].
     pub(crate) own_crashes: u32,
     /// The number of all workers.
@@ -80,6 +82,9 @@
 impl Exposure {
     /// Returns the probability that the worker of an innocent run has crashed.
     fn crash_share(&self) -> f64 {
+        if self.is_explained && self.has_many_crashes() {
+            return 1.0;
+        }
         let share = |crashed: u32, all: u32| f64::from(crashed + 1) / f64::from(all + 1);
         let past = share(self.past_crashes, self.past_windows());
         let now = share_of_few(self.crashed, self.others, past);
@@ -106,6 +111,12 @@
         self.fleet.saturating_mul(windows.max(1))
     }
 
+    /// Returns whether so many crashes are not explained by tasks, one for two workers, that workers seem to crash by
+    /// themselves. Several tasks that crash their workers at the same time cause fewer before they are found.
+    pub(crate) const fn has_many_crashes(&self) -> bool {
+        self.past_crashes.saturating_mul(2) >= self.fleet
+    }
+
     const fn is_quiet(&self) -> bool {
         self.past_crashes == 0 && self.crashed == 0 && self.is_own_run
     }
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -267,6 +267,58 @@
     assert!(!others.contains(&apart[0]));
 }
 
+/// Guards against gangs and long work on a worker that goes down again and again, while others do not.
+#[test]
+fn a_worker_that_crashes_repeatedly_gets_short_work_only() {
+    let mut cell = Cell::new(at_ms(1_000), 8);
+    let id = cell.id(0);
+    for crash in 1..=3 {
+        cell.crash(at_ms(crash * 2_000), id);
+    }
+    let now = at_ms(8_000);
+    cell.poll(now);
+    let long = Step {
+        tasks: 64,
+        ..Step::default()
+    };
+    let mut long = job(long);
+    long.steps[0].estimate_ms = 30_000;
+    cell.scheduler.job_stored(now, JobId(8), long);
+    let workers = cell.start(now);
+    assert_eq!(workers.len(), 56, "seven workers have room for eight each");
+    assert!(!workers.contains(&id));
+    let short = Step {
+        tasks: 8,
+        ..Step::default()
+    };
+    cell.scheduler.job_stored(now, JOB, job(short));
+    let workers = cell.start(at_ms(8_010));
+    assert_eq!(workers, [id; 4], "half of its size");
+}
+
+/// Guards against innocent work that is slowed down though its worker went down together with others.
+#[test]
+fn a_step_is_not_slowed_down_if_other_workers_crash_at_the_same_time() {
+    let mut cell = Cell::new(at_ms(1_000), 12);
+    let step = Step {
+        tasks: 8,
+        per_worker: Some(1),
+        ..Step::default()
+    };
+    cell.scheduler.job_stored(at_ms(1_000), JOB, job(step));
+    let workers = cell.start(at_ms(1_010));
+    let idle: Vec<WorkerId> = (0..12).map(|worker| cell.id(worker)).collect();
+    let idle = idle.into_iter().filter(|id| !workers.contains(id));
+    let crashed: Vec<WorkerId> = idle.take(2).chain(workers[..4].iter().copied()).collect();
+    for worker in crashed {
+        cell.crash(at_ms(1_300), worker);
+    }
+    cell.poll(at_ms(1_400));
+    // The first pass weighs the crashes.
+    let started = cell.start(at_ms(1_600)).len() + cell.start(at_ms(1_610)).len();
+    assert_eq!(started, 4);
+}
+
 /// Guards against a crash that counts for work on a worker that was about to leave, or was only silent.
 #[test]
 fn a_planned_end_and_silence_are_no_crashes() {
