Tell linked nodes the order in which they should take over

Callers waited 0.6 s for starts after a planned hand-over: every node waited for a delay by a hash of its name, up to 0.36 s, and the first one could be in another region than the table, where recovery takes ten times as long and each start 0.1 s longer until the next takeover. A draining node was asked for approvals that were lost when it stopped.

Nodes tell the scheduler how long the table takes to answer them, their processors and whether they drain (protocol level 2). The scheduler tells each its rank: nodes that stay first, then those near the table, then those with most processors. Nodes that drain are no longer asked for approvals. Nodes that were not told a rank keep their configured one.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -5,6 +5,7 @@
 use model::Time;
 use sched::{LeaseRow, LinkState, Step};
 use tokio::{
+    sync::mpsc,
     task::spawn_local,
     time::{Instant, sleep, timeout},
 };
@@ -14,7 +15,7 @@
     commit::{self, Outcome},
     lead::Leader,
     lease, link,
-    message::{LEVEL, Message},
+    message::{LEVEL, Message, STANDING_LEVEL},
     recover,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART, lease_key},
 };
@@ -25,6 +26,9 @@
 /// How often a node sends a ping to the scheduler.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a node tells the scheduler how well it could schedule.
+const STANDING_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How often a node that knows of no scheduler asks the other nodes, while it cannot reach the table.
 const QUERY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -357,6 +361,7 @@
     node.0.upstream_level.set(0);
     *node.0.upstream.borrow_mut() = Some(link.tx.clone());
     let silence = node.0.settings.candidacy.link_timeout;
+    let mut standing_told = None;
     let mut was_up = false;
     loop {
         let message = tokio::select! {
@@ -382,6 +387,7 @@
                     was_up = true;
                 }
                 handle_message(node, message);
+                standing_told = tell_standing(node, &link.tx, standing_told);
             }
             Ok(None) => {
                 log::info!("event=link_lost to={to} reason=closed");
@@ -398,6 +404,25 @@
     ping.abort();
 }
 
+/// Tells the scheduler how well this node could schedule, if `told` is older than [`STANDING_INTERVAL`] or the node has
+/// begun to drain since then. Returns when it was told last, and whether it was draining.
+fn tell_standing<P: Ports>(
+    node: &Node<P>,
+    tx: &mpsc::Sender<Message>,
+    told: Option<(Time, bool)>,
+) -> Option<(Time, bool)> {
+    let now = node.0.clock.time();
+    let standing = node.standing();
+    let is_current = told.is_some_and(|(at, was_draining)| {
+        now < at + STANDING_INTERVAL && was_draining == standing.is_draining
+    });
+    if is_current || node.0.upstream_level.get() < STANDING_LEVEL {
+        return told;
+    }
+    let is_sent = tx.try_send(Message::Standing(standing)).is_ok();
+    is_sent.then_some((now, standing.is_draining)).or(told)
+}
+
 /// Handles a message from the scheduler.
 fn handle_message<P: Ports>(node: &Node<P>, message: Message) {
     let now = node.0.clock.time();
@@ -446,6 +471,7 @@
             let in_force = &node.0.team_jobs.admissions;
             in_force.borrow_mut().replace(now, admissions);
         }
+        Message::Rank(rank) => node.0.candidacy.borrow_mut().set_rank(rank),
         Message::Owners(owners) => node.0.team_jobs.record(now, owners),
         Message::ConfigurationQuestion(question) => {
             if let Some(tx) = &*node.0.upstream.borrow() {
--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -26,6 +26,7 @@
     Approval, Approver, AskError, CallError, Clock, CommitError, Directory, FeedError, FeedPage,
     Metrics, Page, Ports, Routes, Table, Transaction, Versioned, WorkerChanges, Workers,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART},
+    succession::average_answer,
 };
 
 /// The table counts as lost once a call has been outstanding for this long and no other call was
@@ -62,6 +63,8 @@
     back_at: Cell<Option<Time>>,
     /// When it last answered after it was lost, until the work of that outage is served.
     recovering_since: Cell<Option<Time>>,
+    /// The average duration of recent calls that the table has answered at once.
+    answer_time: Cell<Option<Duration>>,
     /// Signals that a call has begun, or that `is_lost` has changed.
     changed: Notify,
     /// Signals that the table was lost.
@@ -82,6 +85,7 @@
             lost_since: Cell::default(),
             back_at: Cell::default(),
             recovering_since: Cell::default(),
+            answer_time: Cell::default(),
             changed: Notify::new(),
             lost: Notify::new(),
             back: Notify::new(),
@@ -92,6 +96,11 @@
         self.is_lost.get()
     }
 
+    /// Returns how long the table takes to answer, or `None` if it has not answered yet.
+    pub(crate) fn answer_time(&self) -> Option<Duration> {
+        self.answer_time.get()
+    }
+
     /// Returns once the table is lost.
     pub(crate) async fn wait_until_lost(&self) {
         while !self.is_lost.get() {
@@ -214,7 +223,10 @@
         let result = call.await;
         let is_answered = is_answer(&result);
         if is_answered && wait.is_zero() {
-            self.metrics.time("table_answer", self.clock.time() - began);
+            let taken = self.clock.time() - began;
+            self.metrics.time("table_answer", taken);
+            let average = average_answer(self.answer_time.get(), taken);
+            self.answer_time.set(Some(average));
         }
         guard.end(is_answered);
         result
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -27,7 +27,7 @@
 use self::lists::{Pools, Schedule};
 use crate::{
     Metrics, Node, Ports, access::Owner, lease::LeaseWriter, message::Message,
-    recover::FeedPositions,
+    recover::FeedPositions, succession::Standing,
 };
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
@@ -53,6 +53,10 @@
     level: u32,
     /// The workers that the node was sent last.
     workers: Pools,
+    /// How well the node could schedule; `None` until it has told.
+    standing: Option<Standing>,
+    /// The rank that the node was told last.
+    rank: Option<u32>,
 }
 
 /// The scheduler and the tasks that connect it to the platform and the other nodes.
@@ -369,7 +373,11 @@
     }
 
     fn set_approvers(&self) {
-        let mut nodes: Vec<Arc<str>> = self.peers.borrow().keys().cloned().collect();
+        let peers = self.peers.borrow();
+        // A node that is about to stop would take its requests with it.
+        let stays = |peer: &Peer| peer.standing.is_none_or(|standing| !standing.is_draining);
+        let staying = peers.iter().filter(|(_, peer)| stays(peer));
+        let mut nodes: Vec<Arc<str>> = staying.map(|(name, _)| name.clone()).collect();
         nodes.push(self.node.0.settings.name.clone());
         self.scheduler.borrow_mut().set_approvers(nodes);
     }
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -1,6 +1,6 @@
 //! The scheduler's links to the other nodes.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use sched::Now;
 use tokio::time::{sleep, timeout};
@@ -13,6 +13,7 @@
     Ports,
     link::Link,
     message::{LEVEL, Message, TEAMS_LEVEL},
+    succession::{self, Standing},
 };
 
 /// How often a heartbeat is sent to the other nodes.
@@ -198,6 +199,8 @@
             address,
             level,
             workers,
+            standing: None,
+            rank: None,
         };
         self.peers.borrow_mut().insert(node.clone(), peer);
         self.set_approvers();
@@ -215,6 +218,7 @@
                     self.node.answer_question(question, &tx);
                 }
                 Ok(Some(Message::Configuration(answer))) => self.node.handle_answer(&answer, &tx),
+                Ok(Some(Message::Standing(standing))) => self.update_standing(&node, standing),
                 Ok(Some(message)) => self.handle_message(message),
                 Ok(None) => break "closed",
                 Err(_) => break "silent",
@@ -228,6 +232,33 @@
         }
     }
 
+    /// Records how well a linked node could schedule.
+    fn update_standing(&self, name: &Arc<str>, standing: Standing) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(name) {
+            peer.standing = Some(standing);
+        }
+        self.set_approvers();
+        self.send_ranks();
+    }
+
+    /// Tells the linked nodes in which order they should try to take over, as far as this has changed.
+    fn send_ranks(&self) {
+        let mut peers = self.peers.borrow_mut();
+        let known = peers
+            .iter()
+            .filter_map(|(name, peer)| Some((name, peer.standing?)));
+        let ordered: Vec<Arc<str>> = succession::order(known).into_iter().cloned().collect();
+        for (rank, name) in (0..).zip(ordered) {
+            let Some(peer) = peers.get_mut(&name) else {
+                continue;
+            };
+            // A node whose queue is full is dropped with the next heartbeat.
+            if peer.rank != Some(rank) && peer.tx.try_send(Message::Rank(rank)).is_ok() {
+                peer.rank = Some(rank);
+            }
+        }
+    }
+
     /// Returns a heartbeat message.
     fn heartbeat(&self, now: Now) -> Message {
         let age = now.time - self.scheduler.borrow().confirmed_at();
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -52,6 +52,7 @@
 mod retry_after;
 mod routes;
 mod rows;
+mod succession;
 
 pub use crate::{
     access::{AccessSettings, Caller, KeyDigest, Refusal, Team},
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -10,16 +10,20 @@
     access::Owner,
     admission::TeamAdmission,
     configuration::{Answer, Question},
+    succession::Standing,
 };
 
 /// The protocol level of this build, which nodes exchange in [`Message::Hello`] and [`Message::Beat`]. Builds before
 /// levels were introduced have level 0 and close a link on which a message arrives that they do not know, so variants
 /// that were added at a level are sent only to peers of that level or a higher one.
-pub(crate) const LEVEL: u32 = 1;
+pub(crate) const LEVEL: u32 = 2;
 
 /// The protocol level at which the messages about teams and the configuration were added.
 pub(crate) const TEAMS_LEVEL: u32 = 1;
 
+/// The protocol level at which [`Message::Standing`] and [`Message::Rank`] were added.
+pub(crate) const STANDING_LEVEL: u32 = 2;
+
 /// A message on a link. Nodes open links to the scheduler. New variants are appended, because messages are encoded with
 /// the position of their variant.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -129,6 +133,10 @@
         /// Whether the row is stored. Otherwise the node has not stored it, and never will.
         is_stored: bool,
     },
+    /// From a node: how well it could schedule. Level 2.
+    Standing(Standing),
+    /// From the scheduler: how many of the linked nodes should try to take over before the receiver. Level 2.
+    Rank(u32),
 }
 
 /// A request that the scheduler executes for a node that cannot reach the table.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -32,6 +32,7 @@
     message::Message,
     recover,
     relay::PendingRelays,
+    succession::Standing,
 };
 
 /// How often the states of ended jobs are checked for ones whose retention time has passed.
@@ -50,6 +51,8 @@
     pub link_address: SocketAddr,
     /// The number of nodes that try to become the scheduler before this one when several could.
     pub rank: u32,
+    /// The node's share of processors, in thousandths of a processor.
+    pub processor_milli: u64,
     /// Settings of the scheduler.
     pub sched: SchedConfig,
     /// Settings that decide when the node tries to become the scheduler.
@@ -196,6 +199,16 @@
         self.0.routes.borrow().is_some() && !self.0.is_draining.get()
     }
 
+    /// Returns how well this node could schedule.
+    pub(crate) fn standing(&self) -> Standing {
+        let answer_time = self.0.table.answer_time().unwrap_or(Duration::MAX);
+        Standing {
+            is_draining: self.0.is_draining.get(),
+            table_answer_us: u64::try_from(answer_time.as_micros()).unwrap_or(u64::MAX),
+            processor_milli: self.0.settings.processor_milli,
+        }
+    }
+
     /// Returns the configuration in force, or `None` if none was read yet.
     #[must_use]
     pub fn routes(&self) -> Option<Rc<Routes>> {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -503,6 +503,7 @@
         name: name.into(),
         link_address: links.local_addr().unwrap(),
         rank,
+        processor_milli: 1_000,
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
         access,
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -162,6 +162,11 @@
         self.row.as_ref()
     }
 
+    /// Sets the number of nodes that try to take over before this one.
+    pub const fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
     /// Records that a read of the row has begun.
     pub const fn read_started(&mut self, now: Time) {
         self.last_read_at = Some(now);
