lacewing explain: where the time of late jobs went, from the logs of all nodes

Operators had to join the lines of several nodes by hand to see why a job was late. The log tells the objective of each accepted job and the age of a step's first approvals for it.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -12,7 +12,7 @@
 use node::api::RecallTarget;
 
 use self::spec::{CommandSpec, OPTIONS};
-use crate::load_run::LoadOptions;
+use crate::{explain_run::ExplainOptions, load_run::LoadOptions};
 
 /// The parsed command line.
 #[derive(Clone, Debug)]
@@ -38,6 +38,7 @@
         log: bool,
     },
     Load(LoadOptions),
+    Explain(ExplainOptions),
     Publish {
         dir: PathBuf,
         dry_run: bool,
@@ -236,6 +237,14 @@
             log: matches.opt_present("log"),
         },
         "load" => Command::Load(load_options(matches)?),
+        "explain" => Command::Explain(ExplainOptions {
+            logs: args.iter().map(PathBuf::from).collect(),
+            window: match number(matches, "window")? {
+                None => DEFAULT_WINDOW,
+                Some(0) => return Err(bad_value("window", "0", "a whole number above 0")),
+                Some(seconds) => Duration::from_secs(seconds),
+            },
+        }),
         "publish" => Command::Publish {
             dir: first().into(),
             dry_run: matches.opt_present("dry-run"),
@@ -363,6 +372,9 @@
     })
 }
 
+/// The window of the report of `explain` if none is given.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(2);
+
 /// The smallest factor of a load.
 const MIN_FACTOR: f64 = 0.01;
 /// The largest factor of a load.
--- a/crates/cli/src/args/spec.rs
+++ b/crates/cli/src/args/spec.rs
@@ -28,7 +28,7 @@
 /// The options of commands that call a node and can print JSON.
 const NODE_JSON_OPTIONS: &[&str] = &["node", "operator-token", "json"];
 
-pub(super) const COMMANDS: [CommandSpec; 12] = [
+pub(super) const COMMANDS: [CommandSpec; 13] = [
     CommandSpec {
         name: "check",
         args: "DIR",
@@ -73,6 +73,16 @@
             "json",
         ],
     },
+    CommandSpec {
+        name: "explain",
+        args: "LOG..",
+        count: (1, 1_000),
+        about: "show from the logs of nodes where the time of late jobs went",
+        details: "Reads the logs of all nodes, in any order; - is standard input. Shows for each queue and\n\
+                  each window of time how many jobs were late or refused, and the mean of each wait of\n\
+                  the late ones.",
+        options: &["window", "json"],
+    },
     CommandSpec {
         name: "publish",
         args: "DIR",
@@ -151,7 +161,7 @@
     },
 ];
 
-pub(super) const OPTIONS: [OptionSpec; 22] = [
+pub(super) const OPTIONS: [OptionSpec; 23] = [
     OptionSpec {
         name: "node",
         hint: "URL",
@@ -197,6 +207,11 @@
         hint: "desk|large",
         about: "the fleet: 48 workers, or 540 with wide gangs (desk)",
     },
+    OptionSpec {
+        name: "window",
+        hint: "SECONDS",
+        about: "the length of a window (2)",
+    },
     OptionSpec {
         name: "outage",
         hint: "MS",
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod exit;
+mod explain_run;
 mod load_run;
 mod print;
 mod publish;
@@ -40,6 +41,7 @@
         Command::Check { dir } => check(&dir, args.json),
         Command::Try { dir, options, log } => try_dir(&dir, options, log, args.json),
         Command::Load(options) => load_run::run(&options, args.json),
+        Command::Explain(options) => explain_run::run(&options, args.json),
         Command::Publish { dir, dry_run } => match read_checked(&dir) {
             Ok((files, _)) => publish(&Client::new(args), &files, dry_run, args.json),
             Err(exit) => exit,
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -134,6 +134,23 @@
         0,
         "\"policy\": \"gangs-preempt\"",
     ),
+    (&["explain"], 2, "usage: lacewing explain LOG.."),
+    (
+        &["explain", "no such file"],
+        2,
+        "no such file: No such file",
+    ),
+    (&["explain", "README.md"], 1, "the logs name no job"),
+    (
+        &["explain", "--window", "0", "README.md"],
+        2,
+        "--window: `0` is not a whole number above 0",
+    ),
+    (
+        &["explain", "--json", "crates/cli/tests/testdata/nodes.log"],
+        0,
+        "\"start_storage\": 300",
+    ),
     (
         &["recall", "batch"],
         2,
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -90,6 +90,7 @@
     ) -> SubmitOutcome {
         let asked = self.local_approval_requests(queue, &job);
         job.approvals_asked = asked.is_some();
+        let objective_ms = queue.objective(job.estimated_time()).as_millis();
         let (spec_bytes, steps) = (job.spec.len(), job.steps.len());
         let team = job.team.clone();
         for LocalApprovalRequest {
@@ -113,7 +114,7 @@
         match outcome {
             Outcome::Stored(version) => {
                 log::info!(
-                    "event=accepted job={id} queue={} team={team:?} steps={steps} bytes={spec_bytes} version={version} ms={ms}",
+                    "event=accepted job={id} queue={} team={team:?} steps={steps} bytes={spec_bytes} objective_ms={objective_ms} version={version} ms={ms}",
                     queue.name
                 );
                 self.0.metrics.count("jobs_accepted");
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -31,15 +31,17 @@
         self.node.0.metrics.time("start", taken);
         if answer == StartAnswer::Started {
             let ages = (self.scheduler.borrow()).start_ages(now, order.worker, order.key);
-            let (age, decided) = ages.unwrap_or_default();
+            let ages = ages.unwrap_or_default();
+            let approved = ages.approved.unwrap_or(ages.accepted);
             log::info!(
-                "event=started task={} run={} worker={} epoch={epoch} ms={} age_ms={} decided_ms={}",
+                "event=started task={} run={} worker={} epoch={epoch} ms={} age_ms={} approved_ms={} decided_ms={}",
                 order.key,
                 order.run,
                 info.name,
                 taken.as_millis(),
-                age.as_millis(),
-                decided.as_millis()
+                ages.accepted.as_millis(),
+                approved.as_millis(),
+                ages.decided.as_millis()
             );
         } else {
             log::warn!(
--- a/crates/sched/src/approval.rs
+++ b/crates/sched/src/approval.rs
@@ -40,6 +40,8 @@
     asked: BTreeSet<WorkerId>,
     /// The workers that may run the step, sorted by id.
     allowed: Vec<Allowed>,
+    /// When the first answer arrived.
+    first_at: Option<Time>,
     /// When all tickets have lapsed.
     tickets_lapse_at: Time,
     /// The number of requests in flight.
@@ -57,10 +59,12 @@
     /// Records an answer: of the workers `asked`, those in `allowed` may run the step.
     pub(crate) fn record_answer(
         &mut self,
+        now: Time,
         asked: &[WorkerId],
         allowed: impl IntoIterator<Item = (WorkerId, u64, Ticket)>,
         until: Time,
     ) {
+        self.first_at.get_or_insert(now);
         self.requests_in_flight = self.requests_in_flight.saturating_sub(1);
         if self.requests_in_flight == 0 {
             self.pending_until = None;
@@ -86,6 +90,11 @@
             .binary_search_by_key(&worker, |allowed| allowed.worker)
     }
 
+    /// Returns when the first answer arrived.
+    pub(crate) const fn first_at(&self) -> Option<Time> {
+        self.first_at
+    }
+
     /// Returns whether no answer has arrived yet.
     pub(crate) fn is_empty(&self) -> bool {
         self.asked.is_empty()
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -66,7 +66,7 @@
     leader::{Candidacy, CandidacyConfig, LeaseRow, LinkState, Step},
     ordering::Order,
     recovery::Recovered,
-    scheduler::{Scheduler, Summary},
+    scheduler::{Scheduler, StartAges, Summary},
     teams::{Admission, TeamSummary, TeamsSummary},
     trips::{TripCount, Trips},
     worker::WorkerInfo,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -131,6 +131,17 @@
     pub teams: TeamsSummary,
 }
 
+/// How long ago the steps before the start of a run were taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartAges {
+    /// The age of the job's acceptance.
+    pub accepted: Duration,
+    /// The age of the decision to start the run.
+    pub decided: Duration,
+    /// The age of the first approvals of the step; `None` if it needs none.
+    pub approved: Option<Duration>,
+}
+
 impl Scheduler {
     /// Creates a scheduler with the given `epoch` that continues from the state recovered from the
     /// table.
@@ -485,7 +496,7 @@
             let queue = &entry.job.queue.name;
             self.allowed_shares.record(queue, asked, allowed);
         }
-        approvals.record_answer(&asked, allowed, until);
+        approvals.record_answer(now.time, &asked, allowed, until);
         self.needs_pass = true;
     }
 
@@ -630,18 +641,19 @@
         self.trips
     }
 
-    /// Returns how long ago a job was accepted, and how long ago the start of one of its tasks was decided; `None` if the
-    /// worker has no such run.
+    /// Returns the ages of a run for the log, or `None` if the worker has no such run.
     #[must_use]
-    pub fn start_ages(
-        &self,
-        now: Now,
-        worker: WorkerId,
-        key: TaskKey,
-    ) -> Option<(Duration, Duration)> {
+    pub fn start_ages(&self, now: Now, worker: WorkerId, key: TaskKey) -> Option<StartAges> {
+        let now = now.time;
         let accepted_at = self.jobs.get(&key.job)?.accepted_at;
-        let since = self.fleet.get(worker).runs.get(&key)?.since;
-        Some((now.time - accepted_at, now.time - since))
+        let decided_at = self.fleet.get(worker).runs.get(&key)?.since;
+        let approvals = self.approvals.get(&key.step_key());
+        let approved_at = approvals.and_then(Approvals::first_at);
+        Some(StartAges {
+            accepted: now - accepted_at,
+            decided: now - decided_at,
+            approved: approved_at.map(|at| now - at),
+        })
     }
 
     /// Returns counts and sizes for metrics and clients' queries.
