A restarted scheduler and a released row are followed without a wait

Callers waited 0.44 s from the first process back to the first start after all VMs had been off, and 0.6 s after a planned hand-over. A node waited for a second read of the lease row, 200 ms later, also where the row need not stay unchanged; and the VM of the former scheduler waited for 100 ms and for its rank, although it knows that its former process is gone.

Such a VM now takes over as soon as it has read its own name, and a released row is not read twice. The takeover is conditional on the row as before.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -145,8 +145,7 @@
         .is_some_and(|row| row.holder == *node.0.settings.name);
     candidacy.row_read(now, row);
     if is_own {
-        // The row was written by an earlier process of this node.
-        candidacy.link_changed(now, LinkState::Gone);
+        candidacy.link_changed(now, LinkState::Restarted);
     }
     if is_address_changed {
         node.0.target_changed.notify_one();
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -102,6 +102,8 @@
     },
     /// Its process is gone, or no longer schedules.
     Gone,
+    /// It was an earlier process of this node.
+    Restarted,
 }
 
 /// What a node has to do next.
@@ -221,7 +223,7 @@
                     && table_age < self.cfg.table_timeout.max(self.slow_table_timeout())
                     && !is_table_lost
             }
-            LinkState::Unknown | LinkState::Gone => false,
+            LinkState::Unknown | LinkState::Gone | LinkState::Restarted => false,
         }
     }
 
@@ -245,22 +247,25 @@
         }
         let suspected_at = *self.suspected_at.get_or_insert(now);
         let since = self.changed_at.max(suspected_at);
-        let stagger = self.cfg.stagger * self.rank;
+        let is_restarted = self.link == LinkState::Restarted;
+        // Other nodes cannot know as early that the scheduler is gone, so there is none to make way for.
+        let rank = if is_restarted { 0 } else { self.rank };
+        let stagger = self.cfg.stagger * rank;
         let is_released = self.row.as_ref().is_none_or(|row| row.holder.is_empty());
         let timeout = match self.link {
-            _ if is_released => Duration::ZERO,
+            _ if is_released || is_restarted => Duration::ZERO,
             LinkState::Gone => self.cfg.takeover_timeout_gone,
             LinkState::Up {
                 is_table_lost: true,
                 ..
             } => self.cfg.takeover_timeout_without_table,
-            LinkState::Up { .. } | LinkState::Unknown => {
+            LinkState::Up { .. } | LinkState::Unknown | LinkState::Restarted => {
                 self.cfg.takeover_timeout.max(self.slow_table_timeout())
             }
         };
-        // The row must have been read again after the timeout started, so that it is known to be
-        // unchanged.
-        let is_confirmed = self.is_read && self.last_read_at.is_some_and(|at| at >= since);
+        // If the row must stay unchanged, it must have been read again after the timeout started.
+        let is_unchanged = timeout.is_zero() || self.last_read_at.is_some_and(|at| at >= since);
+        let is_confirmed = self.is_read && is_unchanged;
         if is_confirmed && now >= since + timeout + stagger {
             return Step::TakeOver;
         }
--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -186,6 +186,37 @@
     assert_eq!(candidacy.next_step(now), Step::TakeOver);
 }
 
+/// Guards against a delay of a released row's takeover until a second read: the takeover itself fails if the row has changed.
+#[test]
+fn a_released_row_is_not_read_twice() {
+    let mut candidacy = Candidacy::new(CandidacyConfig::default(), 0);
+    let asked = Time::from_ms(100);
+    candidacy.read_started(asked);
+    let released = LeaseRow {
+        holder: String::new(),
+        ..row(9)
+    };
+    let answered = asked + MS * 45;
+    candidacy.row_read(answered, Some(released));
+    assert_eq!(candidacy.next_step(answered), Step::TakeOver);
+}
+
+/// Guards against a delay after all VMs were off: the scheduler's own VM knows first that its former process is gone.
+#[test]
+fn a_restarted_scheduler_takes_over_immediately() {
+    let first_step = |link| {
+        let mut candidacy = Candidacy::new(CandidacyConfig::default(), 3);
+        let asked = Time::from_ms(100);
+        candidacy.read_started(asked);
+        let answered = asked + MS * 45;
+        candidacy.row_read(answered, Some(row(9)));
+        candidacy.link_changed(answered, link);
+        candidacy.next_step(answered)
+    };
+    assert_eq!(first_step(LinkState::Restarted), Step::TakeOver);
+    assert_ne!(first_step(LinkState::Gone), Step::TakeOver);
+}
+
 /// Guards against a takeover based on the message of another node alone, while the table does not
 /// answer.
 #[test]
