Request the approvals of a step while the steps before it still run

The approvals of a step were requested only once its turn had come.

They are now requested shortly before the steps before are expected to end, so late that the tickets are still valid.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod action;
+mod ahead;
 mod announced;
 mod approval;
 mod approvers;
