Send start orders again once they take longer than others

The first order for a run is now waited for twice the mean plus four mean deviations of the observed answers, at least 150 ms; later ones twice as long each, up to the 0.7 s of before. A worker that has the run confirms it.

--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -339,8 +339,13 @@
 }
 
 impl<P: Ports> Workers for MonitoredPorts<P> {
-    async fn start(&self, to: &WorkerInfo, order: &StartOrder) -> StartAnswer {
-        self.ports.start(to, order).await
+    async fn start(
+        &self,
+        to: &WorkerInfo,
+        order: &StartOrder,
+        time_limit: Duration,
+    ) -> StartAnswer {
+        self.ports.start(to, order, time_limit).await
     }
 
     async fn stop(&self, to: &WorkerInfo, fence: u64, order: &StopOrder) -> Result<(), CallError> {
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -27,7 +27,7 @@
 use self::lists::{Pools, Schedule};
 use crate::{
     Metrics, Node, Ports, access::Owner, lease::LeaseWriter, message::Message,
-    recover::FeedPositions, succession::Standing,
+    order_times::OrderTimes, recover::FeedPositions, succession::Standing,
 };
 
 /// The shortest time between two scheduling passes. Events that arrive within it are handled together.
@@ -67,6 +67,8 @@
     wake: Notify,
     /// Wakes the poller of each worker, by worker id.
     pollers: RefCell<Vec<Rc<Notify>>>,
+    /// The durations of answered start orders.
+    order_times: RefCell<OrderTimes>,
     /// Limits the number of workers that are polled for the first time at the same time.
     first_polls: Semaphore,
     /// The linked nodes, by name.
@@ -95,6 +97,7 @@
             scheduler: RefCell::new(scheduler),
             wake: Notify::new(),
             pollers: RefCell::default(),
+            order_times: RefCell::default(),
             first_polls: Semaphore::new(MAX_FIRST_POLLS),
             peers: RefCell::default(),
             new_owners: RefCell::default(),
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -23,12 +23,16 @@
         let sent_at = now.time;
         let may_send = self.scheduler.borrow().may_send(now);
         let answer = if may_send {
-            self.node.0.ports.start(&info, &order).await
+            let time_limit = self.order_times.borrow().limit(order.unanswered);
+            self.node.0.ports.start(&info, &order, time_limit).await
         } else {
             StartAnswer::Unknown
         };
         let taken = self.now().time - sent_at;
         self.node.0.metrics.time("start", taken);
+        if !matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent) {
+            self.order_times.borrow_mut().record(taken);
+        }
         if answer == StartAnswer::Started {
             let ages = (self.scheduler.borrow()).start_ages(now, order.worker, order.key);
             let ages = ages.unwrap_or_default();
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -46,6 +46,7 @@
 mod message;
 mod metrics;
 mod node;
+mod order_times;
 mod ports;
 mod recover;
 mod relay;
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -92,8 +92,14 @@
 /// Calls to workers. `fence` is the fencing token that [`Scheduler::fence`](sched::Scheduler::fence) returns. A
 /// worker refuses calls with a lower token than it has seen since it started.
 pub trait Workers {
-    /// Orders a worker to start a task. The order has its fencing token.
-    fn start(&self, to: &WorkerInfo, order: &StartOrder) -> impl Future<Output = StartAnswer>;
+    /// Orders a worker to start a task. The order has its fencing token. Returns [`StartAnswer::Unknown`] if there is no
+    /// answer within `time_limit`.
+    fn start(
+        &self,
+        to: &WorkerInfo,
+        order: &StartOrder,
+        time_limit: Duration,
+    ) -> impl Future<Output = StartAnswer>;
 
     /// Orders a worker to stop a task.
     fn stop(
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -329,7 +329,7 @@
 }
 
 impl Workers for Platform {
-    async fn start(&self, to: &WorkerInfo, order: &StartOrder) -> StartAnswer {
+    async fn start(&self, to: &WorkerInfo, order: &StartOrder, _: Duration) -> StartAnswer {
         let worker = &self.shared.workers[&to.name];
         {
             let mut worker = worker.borrow_mut();
--- a/crates/explain/src/history.rs
+++ b/crates/explain/src/history.rs
@@ -10,14 +10,14 @@
 /// A time, in Unix milliseconds.
 pub(crate) type Millis = u64;
 
-/// The start of a run that a worker has confirmed.
+/// When the steps to the start of a run were taken, which a worker has confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Start {
     /// When the first approvals of the step were known; `None` if it needs none, or if the log does not tell.
-    pub(crate) approved_at: Option<Millis>,
-    pub(crate) decided_at: Millis,
-    pub(crate) sent_at: Millis,
-    pub(crate) started_at: Millis,
+    pub(crate) approved: Option<Millis>,
+    pub(crate) decided: Millis,
+    pub(crate) sent: Millis,
+    pub(crate) answered: Millis,
 }
 
 /// The end of a run, as the scheduler has read it.
@@ -105,13 +105,13 @@
                 job.refused_at.push(line.at_ms);
             }
             "started" => {
-                let sent_at = line.at_ms.saturating_sub(line.number("ms")?);
-                let before_sent = |name| Some(sent_at.saturating_sub(line.number(name)?));
+                let sent = line.at_ms.saturating_sub(line.number("ms")?);
+                let before_sent = |name| Some(sent.saturating_sub(line.number(name)?));
                 let start = Start {
-                    approved_at: before_sent("approved_ms"),
-                    decided_at: before_sent("decided_ms").unwrap_or(sent_at),
-                    sent_at,
-                    started_at: line.at_ms,
+                    approved: before_sent("approved_ms"),
+                    decided: before_sent("decided_ms").unwrap_or(sent),
+                    sent,
+                    answered: line.at_ms,
                 };
                 self.run(line)?.start = Some(start);
             }
--- a/crates/explain/src/phases.rs
+++ b/crates/explain/src/phases.rs
@@ -196,12 +196,12 @@
 fn divide_run(run: &Run, clock: &mut Clock<'_>) {
     let is_done = run.end.as_ref().is_some_and(|end| end.is_done);
     if let Some(start) = &run.start {
-        if let Some(approved_at) = start.approved_at {
-            clock.wait(approved_at.min(start.decided_at), Phase::Approval);
+        if let Some(approved) = start.approved {
+            clock.wait(approved.min(start.decided), Phase::Approval);
         }
-        clock.wait(start.decided_at, Phase::Room);
-        clock.wait(start.sent_at, Phase::StartStorage);
-        clock.advance(start.started_at, Phase::Order);
+        clock.wait(start.decided, Phase::Room);
+        clock.wait(start.sent, Phase::StartStorage);
+        clock.advance(start.answered, Phase::Order);
     }
     if let Some(end) = &run.end {
         clock.advance(end.at, if is_done { Phase::Run } else { Phase::Rerun });
--- a/crates/fakes/tests/late_ends.rs
+++ b/crates/fakes/tests/late_ends.rs
@@ -81,6 +81,7 @@
             ticket: None,
             lease_until_ms,
             fence: 1,
+            unanswered: 0,
         };
         let answer = self.fleet.start(at(at_ms), &mut self.rng, worker, &order);
         assert_eq!(answer, StartAnswer::Started);
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -155,6 +155,8 @@
     pub lease_until_ms: u64,
     /// The fencing token of the incarnation that the order is meant for.
     pub fence: u64,
+    /// The number of earlier orders for the run that went without an answer.
+    pub unanswered: u32,
 }
 
 /// An order to stop a task. It may be sent several times.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -54,7 +54,7 @@
             self.withdraw(now, worker, key);
             return;
         }
-        let Some(order) = self.start_order(now, key, run, worker, ticket) else {
+        let Some(order) = self.start_order(now, key, run, worker, ticket, 0) else {
             self.withdraw(now, worker, key);
             return;
         };
@@ -81,6 +81,7 @@
         run: u32,
         worker: WorkerId,
         ticket: Option<Ticket>,
+        unanswered: u32,
     ) -> Option<StartOrder> {
         if !self.may_start(now) || self.fleet.get(worker).is_overcommitted() {
             return None;
@@ -111,6 +112,7 @@
             ticket,
             lease_until_ms,
             fence,
+            unanswered,
         })
     }
 
@@ -174,6 +176,7 @@
                     order.run,
                     order.worker,
                     order.ticket.clone(),
+                    unanswered + 1,
                 );
                 match again {
                     Some(again) => self.actions.push(Action::Start(again)),
