--- a/crates/cluster/src/order_times.rs
+++ b/crates/cluster/src/order_times.rs
@@ -37,8 +37,8 @@
             Some((mean, deviation)) => {
                 let error = mean.abs_diff(taken);
                 (
-                    mean - mean / WEIGHT + taken / WEIGHT,
-                    deviation - deviation / WEIGHT + error / WEIGHT,
+                    (mean * (WEIGHT - 1) + taken) / WEIGHT,
+                    (deviation * (WEIGHT - 1) + error) / WEIGHT,
                 )
             }
         });
--- a/crates/cluster/src/succession.rs
+++ b/crates/cluster/src/succession.rs
@@ -30,7 +30,7 @@
 /// Updates the moving average of the time that the table takes to answer.
 pub(crate) fn average_answer(average: Option<Duration>, answer: Duration) -> Duration {
     average.map_or(answer, |average| {
-        average - average / AVERAGE_WEIGHT + answer / AVERAGE_WEIGHT
+        (average * (AVERAGE_WEIGHT - 1) + answer) / AVERAGE_WEIGHT
     })
 }
 
