--- a/crates/sched/tests/ahead.rs
+++ b/crates/sched/tests/ahead.rs
@@ -38,9 +38,9 @@
 }
 
 /// Returns a scheduler with one worker and a job of two steps, the second of which depends on the first.
-fn scheduler(cfg: SchedConfig) -> Scheduler {
+fn scheduler(cfg: &SchedConfig) -> Scheduler {
     let now = at_ms(0);
-    let mut scheduler = Scheduler::new(cfg, 1, now, Recovered::default());
+    let mut scheduler = Scheduler::new(*cfg, 1, now, Recovered::default());
     scheduler.set_queues([queue()]);
     scheduler.set_approvers([Arc::from("n1")]);
     let info = WorkerInfo {
@@ -77,7 +77,7 @@
 
 /// Runs the scheduler for the duration of the first step, with approvals for that step only. Returns the steps for which
 /// approvals were requested, and when.
-fn requests(cfg: SchedConfig) -> Vec<(u64, StepKey)> {
+fn requests(cfg: &SchedConfig) -> Vec<(u64, StepKey)> {
     let mut scheduler = scheduler(cfg);
     let worker: Arc<str> = "w1".into();
     let allowed = [(worker.clone(), Arc::from("ticket"))];
@@ -93,7 +93,7 @@
                 requests.push((ms, step));
                 if step == key(0) {
                     let valid = Duration::from_millis(2_500);
-                    scheduler.approved(now, step, &[worker.clone()], &allowed, valid);
+                    scheduler.approved(now, step, std::slice::from_ref(&worker), &allowed, valid);
                 }
             }
         }
@@ -105,7 +105,7 @@
 /// so early that the tickets would have lapsed by then.
 #[test]
 fn the_next_step_is_asked_about_shortly_before_its_turn() {
-    let requests = requests(SchedConfig::default());
+    let requests = requests(&SchedConfig::default());
     let [(_, first), (at, second)] = requests[..] else {
         panic!("{requests:?}");
     };
@@ -119,6 +119,6 @@
         asks_ahead: false,
         ..SchedConfig::default()
     };
-    let steps: Vec<_> = requests(cfg).into_iter().map(|(_, step)| step).collect();
+    let steps: Vec<_> = requests(&cfg).into_iter().map(|(_, step)| step).collect();
     assert_eq!(steps, [key(0)]);
 }
