Mechanisms of the policy can be switched off by name

To say what each mechanism is worth, each needs a switch. LACEWINGROUTER_WITHOUT lists those to switch off; an unknown name is an error that lists all names. Guards that hold a promise have no switch.

--- a/crates/cluster/src/announce.rs
+++ b/crates/cluster/src/announce.rs
@@ -47,7 +47,7 @@
         let is_leader = self.0.leader.borrow().is_some();
         let is_known_upstream =
             self.0.upstream.borrow().is_some() && self.0.upstream_level.get() >= ANNOUNCE_LEVEL;
-        let may_send = is_leader || is_known_upstream;
+        let may_send = self.0.settings.policy.announces && (is_leader || is_known_upstream);
         if may_send && !self.0.table.is_lost() {
             self.0.metrics.count("jobs_announced");
             self.send_to_scheduler(Message::JobAnnounced(id, row.to_vec()));
--- a/crates/cluster/src/door.rs
+++ b/crates/cluster/src/door.rs
@@ -155,7 +155,7 @@
     /// room for it.
     async fn wait_at_door(&self, rank: u32, until: Instant, bytes: usize) -> bool {
         let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
+        if left.is_zero() || !self.0.settings.policy.holds_jobs {
             return false;
         }
         let entered = self.0.door.borrow_mut().enter(rank, until, bytes);
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -26,6 +26,9 @@
 /// How long clients should wait before they retry after a node had no configuration yet.
 const RETRY_AFTER_START: Duration = Duration::from_secs(1);
 
+/// The shortest time that clients can be told to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The pause between two attempts to store a row that may already be stored.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -134,7 +137,11 @@
             }
             Outcome::NotStored(reason) => {
                 let outage = self.0.table.outage();
-                let retry_after = retry_after(outage, id, queue.rank);
+                let retry_after = if self.0.settings.policy.retries_by_outage {
+                    retry_after(outage, id, queue.rank)
+                } else {
+                    MIN_RETRY_AFTER
+                };
                 log::warn!(
                     "event=refused job={id} queue={} reason={reason:?} ms={ms} outage_ms={} retry_s={}",
                     queue.name,
@@ -168,6 +175,9 @@
         job: &Job,
     ) -> Option<Vec<LocalApprovalRequest>> {
         let cost = queue.approval?;
+        if !self.0.settings.policy.asks_for_own_jobs {
+            return None;
+        }
         let workers = self.0.workers.borrow();
         let workers = workers.get(&queue.pool)?;
         let mut requests = Vec::new();
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -381,6 +381,9 @@
         let stays = |peer: &Peer| peer.standing.is_none_or(|standing| !standing.is_draining);
         let staying = peers.iter().filter(|(_, peer)| stays(peer));
         let mut nodes: Vec<Arc<str>> = staying.map(|(name, _)| name.clone()).collect();
+        if !self.node.0.settings.policy.spreads_approvals {
+            nodes.clear();
+        }
         nodes.push(self.node.0.settings.name.clone());
         self.scheduler.borrow_mut().set_approvers(nodes);
     }
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -30,7 +30,8 @@
         };
         let taken = self.now().time - sent_at;
         self.node.0.metrics.time("start", taken);
-        if !matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent) {
+        let is_answered = !matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent);
+        if is_answered && self.node.0.settings.policy.limits_orders {
             self.order_times.borrow_mut().record(taken);
         }
         if answer == StartAnswer::Started {
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -243,6 +243,9 @@
 
     /// Tells the linked nodes in which order they should try to take over, as far as this has changed.
     fn send_ranks(&self) {
+        if !self.node.0.settings.policy.tells_ranks {
+            return;
+        }
         let mut peers = self.peers.borrow_mut();
         let known = peers
             .iter()
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -43,6 +43,7 @@
 mod lease;
 mod link;
 mod logs;
+mod mechanism;
 mod message;
 mod metrics;
 mod node;
@@ -61,6 +62,7 @@
     entry::{CancelOutcome, StateAnswer, SubmitOutcome},
     error::{AskError, CallError, CommitError, FeedError},
     logs::start_logs,
+    mechanism::{Mechanism, NodePolicy, UnknownMechanism},
     metrics::Metrics,
     node::{Node, NodeSettings},
     ports::{
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    AccessSettings, Clock, Metrics, Ports, Routes,
+    AccessSettings, Clock, Metrics, NodePolicy, Ports, Routes,
     approve::ApprovalQueue,
     callers::TeamJobs,
     door::Door,
@@ -57,6 +57,8 @@
     pub sched: SchedConfig,
     /// Settings that decide when the node tries to become the scheduler.
     pub candidacy: CandidacyConfig,
+    /// What the node does for the jobs that it accepts, and as the scheduler for the other nodes.
+    pub policy: NodePolicy,
     /// How current the configuration has to be for decisions about keys.
     pub access: AccessSettings,
 }
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -504,6 +504,7 @@
         link_address: links.local_addr().unwrap(),
         rank,
         processor_milli: 1_000,
+        policy: cluster::NodePolicy::default(),
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
         access,
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -110,6 +110,8 @@
     /// A gang requests approvals for workers until those that are likely to be allowed would hold, if
     /// empty, this many times its tasks. At 0 it requests no more than for tasks that start one by one.
     pub gang_choice: u32,
+    /// Whether workers are reserved for long-running tasks that fit nowhere.
+    pub reserves_workers: bool,
     /// The number of gangs, in scheduling order, that may have capacity reserved in a pass.
     pub max_gang_reservations: usize,
     /// How long a job is kept after it has ended. The platform requires 120 s.
@@ -156,6 +158,7 @@
             holding_gang_share_milli: 30,
             holding_slack_percent: 50,
             gang_choice: 20,
+            reserves_workers: true,
             max_gang_reservations: 1,
             job_retention: Duration::from_secs(150),
         }
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -449,7 +449,7 @@
             }
             return;
         }
-        if demand.step().is_long_running && !is_gang {
+        if self.cfg.reserves_workers && demand.step().is_long_running && !is_gang {
             self.reserve_workers(now, demand, tasks, pass);
         }
         let capacity = if is_gang {
