--- a/crates/cluster/src/mechanism.rs
+++ b/crates/cluster/src/mechanism.rs
@@ -60,8 +60,6 @@
     Holding,
     /// Nodes request the first approvals for the jobs that they store.
     OwnApprovals,
-    /// The approvals of a step are requested while the steps before it still run.
-    ApprovalsAhead,
     /// Requests for approvals are spread over the linked nodes.
     ApprovalSpread,
     /// Requests that would have to wait are not sent yet.
@@ -84,7 +82,7 @@
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 16] = [
         Self::InTimeFirst,
         Self::Preemption,
         Self::Reservation,
@@ -92,7 +90,6 @@
         Self::GangReservation,
         Self::Holding,
         Self::OwnApprovals,
-        Self::ApprovalsAhead,
         Self::ApprovalSpread,
         Self::ApprovalBacklog,
         Self::Quarantine,
@@ -115,7 +112,6 @@
             Self::GangReservation => "gang-reservation",
             Self::Holding => "holding",
             Self::OwnApprovals => "own-approvals",
-            Self::ApprovalsAhead => "approvals-ahead",
             Self::ApprovalSpread => "approval-spread",
             Self::ApprovalBacklog => "approval-backlog",
             Self::Quarantine => "quarantine",
@@ -141,7 +137,6 @@
             Self::GangReservation => sched.max_gang_reservations = 0,
             Self::Holding => sched.holding_slack_percent = 100,
             Self::OwnApprovals => policy.asks_for_own_jobs = false,
-            Self::ApprovalsAhead => sched.asks_ahead = false,
             Self::ApprovalSpread => policy.spreads_approvals = false,
             Self::ApprovalBacklog => sched.approval_backlog = Duration::from_secs(10),
             Self::Quarantine => no_quarantine(sched),
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -232,7 +232,7 @@
 }
 
 /// Returns the least number of workers to ask about for a step.
-pub(crate) fn approval_count(step: &Step) -> usize {
+fn approval_count(step: &Step) -> usize {
     let tasks = usize::try_from(step.tasks).unwrap_or(usize::MAX);
     if step.gang {
         GANG_MIN_WORKERS + GANG_MIN_WORKERS_PER_TASK * tasks
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -62,8 +62,6 @@
     /// yet, because more urgent ones may come and capacity would be reserved meanwhile. It covers
     /// the transmission to the nodes.
     pub approval_backlog: Duration,
-    /// Whether the first approvals of a step are requested while the steps that it depends on still run.
-    pub asks_ahead: bool,
     /// The most workers that one request for approvals names. The platform accepts 100.
     pub approval_workers: usize,
     /// The number of consecutive task failures that put a worker under quarantine.
@@ -141,7 +139,6 @@
             approval_grace: Duration::from_millis(400),
             approval_retry: Duration::from_millis(700),
             approval_backlog: Duration::from_millis(150),
-            asks_ahead: true,
             approval_workers: 100,
             failure_streak: 3,
             quarantine: Duration::from_millis(1_500),
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -117,7 +117,6 @@
         self.repeat_stops(now.time);
         self.end_long_trials(now.time);
         self.settle_crashes(now.time);
-        self.ask_ahead(now.time);
         if !std::mem::take(&mut self.needs_pass) || !self.may_start(now.time) {
             return;
         }
@@ -186,16 +185,7 @@
             .min();
         let expiry = self.announced.next_expiry();
         let settled = self.background.next_due();
-        let ahead = self.ahead.next_due();
-        let due = [
-            scheduled,
-            stop,
-            lapse,
-            quarantine_end,
-            expiry,
-            settled,
-            ahead,
-        ];
+        let due = [scheduled, stop, lapse, quarantine_end, expiry, settled];
         due.into_iter().flatten().min().unwrap_or(Time::MAX)
     }
 
@@ -602,7 +592,6 @@
             };
             self.defer_until_stored(now, start);
         }
-        self.plan_ahead(now, key);
     }
 
     /// Returns how many tasks of a step would fit on the allowed workers if they were empty.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,7 +27,6 @@
 //! ```
 
 mod action;
-mod ahead;
 mod announced;
 mod approval;
 mod approvers;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -12,7 +12,6 @@
 
 use crate::{
     Action, Batch, Now, Recovered, SchedConfig, Ticket, WorkerInfo,
-    ahead::Ahead,
     announced::Announced,
     approval::Approvals,
     approvers::Approvers,
@@ -73,7 +72,6 @@
     pub(crate) fleet: Fleet,
     pub(crate) approvals: HashMap<StepKey, Approvals>,
     pub(crate) approvers: Approvers,
-    pub(crate) ahead: Ahead,
     pub(crate) journal: Journal<Effect>,
     trips: Trips,
     pub(crate) actions: Vec<Action>,
@@ -161,7 +159,6 @@
             fleet: Fleet::default(),
             approvals: HashMap::new(),
             approvers: Approvers::default(),
-            ahead: Ahead::default(),
             journal: Journal::default(),
             trips: Trips::default(),
             actions: Vec::new(),
