A new scheduler is not taken for a quick one before its first heartbeat

A node that has not heard the successor yet knew only the pace of its predecessor: a scheduler of an earlier build, which stores a transaction every 400 ms, could have been replaced after 350 ms of stillness behind a cut link.

--- a/crates/cluster/src/succession.rs
+++ b/crates/cluster/src/succession.rs
@@ -2,8 +2,8 @@
 //!
 //! A scheduler near the table recovers in 30 ms and starts a task after two answers of 10 ms; from another region both take
 //! several times as long. A node that is about to stop would have to hand over again, and one with a small share of a
-//! processor falls behind on a large fleet. So nodes report how they stand, and the scheduler tells each
-//! one its rank. The one with rank 0 takes over without a delay, the others one after the other.
+//! processor falls behind on a large fleet. So nodes report how they stand, and the scheduler tells each one its rank. The
+//! one with rank 0 takes over without a delay, the others one after the other.
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -195,6 +195,7 @@
             let holder = |row: &Option<LeaseRow>| row.as_ref().map(|r| (r.epoch, r.holder.clone()));
             if holder(&self.row) != holder(&row) {
                 self.link = LinkState::Unknown;
+                self.is_quick = false;
                 self.suspected_at = None;
             }
         }
@@ -210,6 +211,7 @@
             self.row = Some(row);
             self.is_read = false;
             self.link = LinkState::Unknown;
+            self.is_quick = false;
             self.suspected_at = None;
         }
     }
