--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -80,7 +80,6 @@
 fn takeover_delay(behaviour: Behaviour, pace: Pace, rank: u32) -> Option<Duration> {
     let fault_at = Time::from_ms(5_000);
     let mut candidacy = Candidacy::new(CandidacyConfig::default(), rank);
-    candidacy.set_quick(pace.is_known);
     let mut read_due: Option<(Time, LeaseRow)> = None;
     for ms in 0..20_000 {
         let now = Time::from_ms(ms);
@@ -117,6 +116,8 @@
                 is_table_lost: is_after && behaviour == Behaviour::WithoutTable,
             };
             candidacy.link_changed(now, link);
+            // As a heartbeat tells it.
+            candidacy.set_quick(pace.is_known);
         }
         if is_after && behaviour == Behaviour::Crashed && (ms - fault_at.as_ms()) % 150 == 2 {
             candidacy.link_changed(now, LinkState::Gone);
