Log why lost work waits: leases, placement, starts that are held

Callers of long-running tasks saw them missing for 15 s, and no line told whether a run waited for its lease or its task for a placement. lapse_awaited names a worker that is not heard of, its runs and how long its leases may last; waits names a step that has run before and why it was not placed; starts_held tells that nothing may start. The metric unheard_runs counts the runs that wait for a lapse. No decision changes.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -257,6 +257,25 @@
                     );
                     self.node.0.metrics.count("interrupted");
                 }
+                Action::LapseAwaited { worker, runs, wait } => {
+                    let scheduler = self.scheduler.borrow();
+                    let worker = &scheduler.worker_info(worker).name;
+                    log::info!(
+                        "event=lapse_awaited worker={worker} runs={runs} wait_ms={} epoch={}",
+                        wait.as_millis(),
+                        scheduler.epoch()
+                    );
+                }
+                Action::Waits {
+                    step,
+                    tasks,
+                    reason,
+                } => log::info!("event=waits step={step} tasks={tasks} reason={reason:?}"),
+                Action::StartsHeld(Some(cause)) => {
+                    log::warn!("event=starts_held cause={cause:?}");
+                    self.node.0.metrics.count("starts_held");
+                }
+                Action::StartsHeld(None) => log::info!("event=starts_resumed"),
                 Action::Crashed {
                     crash,
                     worker,
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -84,6 +84,10 @@
         );
         metrics.set("held_steps", u64::try_from(summary.held_steps).unwrap_or(0));
         metrics.set("running_tasks", u64::try_from(summary.runs).unwrap_or(0));
+        metrics.set(
+            "unheard_runs",
+            u64::try_from(summary.unheard_runs).unwrap_or(0),
+        );
         metrics.set("open_workers", u64::try_from(summary.workers).unwrap_or(0));
         metrics.set("known_jobs", u64::try_from(summary.jobs).unwrap_or(0));
         metrics.set("processors_milli", summary.size.milli_processors);
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -923,7 +923,10 @@
             | Action::Crashed { .. }
             | Action::GivenUp { .. }
             | Action::Stray { .. }
-            | Action::EndIgnored { .. } => {}
+            | Action::EndIgnored { .. }
+            | Action::LapseAwaited { .. }
+            | Action::Waits { .. }
+            | Action::StartsHeld(_) => {}
         }
     }
 
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -74,6 +74,26 @@
         /// Why the run counts as interrupted.
         cause: Interruption,
     },
+    /// Report that a worker with runs is not heard of. Its tasks start elsewhere once its leases have lapsed.
+    LapseAwaited {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of runs that it has, or may have.
+        runs: usize,
+        /// How long its leases may last.
+        wait: Duration,
+    },
+    /// Report why tasks that have run before wait, if the reason has changed.
+    Waits {
+        /// Their step.
+        step: StepKey,
+        /// The number of these tasks.
+        tasks: usize,
+        /// Why they were not started.
+        reason: WaitReason,
+    },
+    /// Report why no task may start although some wait, or that the cause is gone.
+    StartsHeld(Option<StartsHeld>),
     /// Report that a worker has crashed while it had, or may have had, a run.
     Crashed {
         /// The run, and what is known of it.
@@ -128,6 +148,32 @@
     Lapsed,
 }
 
+/// Why the waiting tasks of a step were not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitReason {
+    /// A worker may still have a run of them, or it is not known yet whether they crash their workers.
+    Unsettled,
+    /// Their team has reached its limit.
+    Team,
+    /// No workers are approved yet.
+    Approvals,
+    /// They are held back for gangs.
+    Held,
+    /// They are suspected to crash their workers, and start few at a time on workers that have just answered.
+    Suspected,
+    /// Too few of the workers that they may run on have room and a valid ticket.
+    NoRoom,
+}
+
+/// Why no task may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartsHeld {
+    /// The table has not confirmed a transaction lately.
+    TableUnconfirmed,
+    /// The list of workers is too old.
+    WorkersUnread,
+}
+
 impl Action {
     /// Returns whether the action is an order to a worker.
     #[must_use]
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -11,7 +11,7 @@
 use model::{Size, Time, WorkerId};
 
 use crate::{
-    Action, Now, Scheduler,
+    Action, Now, Scheduler, WaitReason,
     entry::Entry,
     fit::{self, Candidate},
     fleet::index,
@@ -117,9 +117,12 @@
         self.repeat_stops(now.time);
         self.end_long_trials(now.time);
         self.settle_crashes(now.time);
+        self.report_lapses(now.time);
+        self.report_starts_held(now.time);
         if !std::mem::take(&mut self.needs_pass) || !self.may_start(now.time) {
             return;
         }
+        self.forget_waits();
         self.update_unsteady(now.time);
         let mut steps = self.waiting_steps(now);
         ordering::sort(self.cfg.order, now.time, &mut steps);
@@ -274,9 +277,11 @@
     /// Places as many tasks of a step as possible. A gang is placed whole or not at all.
     pub(crate) fn place(&mut self, now: Time, waiting: &WaitingStep, pass: &mut Pass) {
         let Some(mut demand) = self.demand(now, waiting.key, &pass.strays) else {
+            self.report_wait(waiting.key, WaitReason::Unsettled);
             return;
         };
         if !self.limit_to_team(now, waiting, &mut demand, pass) {
+            self.report_wait(waiting.key, WaitReason::Team);
             return;
         }
         if demand.approval.is_some() && !self.has_approvals(demand.key) {
@@ -284,6 +289,7 @@
                 let workers = self.unasked(now, &demand);
                 self.request_approvals(now, &demand, &workers);
             }
+            self.report_wait(waiting.key, WaitReason::Approvals);
             return;
         }
         let is_gang = demand.step().gang;
@@ -291,10 +297,12 @@
         let may_hold = !is_gang && !demand.step().is_long_running;
         if may_hold && pass.holding.holds(now, &self.cfg, waiting) {
             pass.held_steps += 1;
+            self.report_wait(waiting.key, WaitReason::Held);
             return;
         }
         if self.has_suspects(&demand) {
             self.place_suspects(now, demand, pass);
+            self.report_wait(waiting.key, WaitReason::Suspected);
             return;
         }
         let placed = self.fit(now, &demand, demand.tasks.len(), TicketFilter::Valid, pass);
@@ -304,6 +312,7 @@
             self.start(now, demand.key, &demand.tasks, &placed);
         }
         if !is_whole {
+            self.report_wait(waiting.key, WaitReason::NoRoom);
             pass.check_room();
             self.note_lack(waiting, pass);
             // Nothing is gained by holding back work for a gang that could not run on empty workers either.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -53,12 +53,13 @@
 mod suspects;
 mod teams;
 mod trips;
+mod waits;
 mod worker;
 
 pub use crate::{
     action::{
         Action, Batch, EndedRow, Interruption, Listing, Now, Poll, PollFailure, PollOrder,
-        RunningRow, StartAnswer, StartOrder, StopOrder,
+        RunningRow, StartAnswer, StartOrder, StartsHeld, StopOrder, WaitReason,
     },
     announced::{AnnouncementCounts, Settlement},
     approval::Ticket,
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -142,7 +142,10 @@
         if listing.ended.len() < MAX_LISTED_ENDS {
             self.end_missing(now, id, sent_at, listing);
         }
-        self.fleet.get_mut(id).is_synced = true;
+        let worker = self.fleet.get_mut(id);
+        worker.is_synced = true;
+        worker.unheard_since = None;
+        worker.reported_lapse = None;
         self.heard_without_orphans(id);
     }
 
@@ -170,6 +173,7 @@
             worker.fence_raises += 1;
         }
         worker.silent_since.get_or_insert(now.time);
+        worker.unheard_since.get_or_insert(now.time);
     }
 
     /// Applies the listed ends that were not processed yet.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -112,6 +112,7 @@
         let id = self.recover_worker(now, incarnation);
         let worker = self.fleet.get_mut(id);
         let is_of_earlier_incarnation = incarnation.started_unix_ms < worker.info.started_unix_ms;
+        worker.unheard_since.get_or_insert(now.time);
         worker.lapse_at = now.time + self.cfg.renew_without_table + self.cfg.lapse_after();
         let size = self
             .jobs
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -23,6 +23,7 @@
     statistics::{AllowedShares, RunTimes},
     teams::{TeamId, Teams, TeamsSummary},
     trips::Trips,
+    waits::Waits,
     worker::Worker,
 };
 
@@ -74,6 +75,7 @@
     pub(crate) approvers: Approvers,
     pub(crate) journal: Journal<Effect>,
     trips: Trips,
+    pub(crate) waits: Waits,
     pub(crate) actions: Vec<Action>,
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
@@ -119,6 +121,8 @@
     pub late_steps: usize,
     /// The number of runs that occupy capacity on workers.
     pub runs: usize,
+    /// The number of runs on workers that are not heard of, which occupy capacity until the leases have lapsed.
+    pub unheard_runs: usize,
     /// The number of workers that accept new work.
     pub workers: usize,
     /// The number of jobs in memory, including those that ended recently.
@@ -161,6 +165,7 @@
             approvers: Approvers::default(),
             journal: Journal::default(),
             trips: Trips::default(),
+            waits: Waits::default(),
             actions: Vec::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
@@ -679,6 +684,9 @@
         }
         for worker in self.fleet.iter() {
             summary.runs += worker.run_count();
+            if worker.unheard_since.is_some() {
+                summary.unheard_runs += worker.sent_runs().count();
+            }
             if worker.takes_work(now.time) {
                 summary.workers += 1;
                 summary.size += worker.info.size;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -191,6 +191,10 @@
     pub(crate) probed_at: Option<Time>,
     /// The time since which it does not answer.
     pub(crate) silent_since: Option<Time>,
+    /// Since when its lists have not been read, after it was lost or a new scheduler has found runs of it.
+    pub(crate) unheard_since: Option<Time>,
+    /// The value of `lapse_at` that was last reported, since it has not been heard of.
+    pub(crate) reported_lapse: Option<Time>,
     /// When it was last polled.
     pub(crate) polled_at: Option<Time>,
     /// The number of failed runs in a row. A quarantine lowers it to one less than the limit.
@@ -235,6 +239,8 @@
             heard_at: None,
             probed_at: None,
             silent_since: None,
+            unheard_since: None,
+            reported_lapse: None,
             polled_at: None,
             failure_streak: 0,
             quarantines: 0,
@@ -291,6 +297,17 @@
             && step.label.as_ref().is_none_or(has_label)
     }
 
+    /// Returns for how long its lists have not been read after it was lost.
+    pub(crate) fn unheard_for(&self, now: Time) -> Duration {
+        self.unheard_since.map_or(Duration::ZERO, |at| now - at)
+    }
+
+    /// Returns the runs whose start orders may have been sent.
+    pub(crate) fn sent_runs(&self) -> impl Iterator<Item = &Run> {
+        let runs = self.runs.values();
+        runs.filter(|run| run.phase != RunPhase::Pending)
+    }
+
     pub(crate) fn add_run(&mut self, key: TaskKey, run: Run) {
         self.used += run.size;
         self.isolated_runs += usize::from(run.suspicion == Suspicion::Strong);
