--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -92,6 +92,9 @@
     pub outcomes: Vec<JobOutcome>,
     /// The number of runs that began.
     pub starts: u64,
+    /// The longest time from the crash of a host until one of the tasks that it ran began again elsewhere, or until the
+    /// end of the simulation. Tasks of cancelled jobs are left out.
+    pub longest_restart: Duration,
     /// The number of hosts that were crashed by a task.
     pub crashes: u64,
     /// The number of jobs that were shown as failed because of crashes though none of their tasks crashes hosts.
@@ -156,6 +159,8 @@
     failures: HashMap<TaskKey, u32>,
     /// The number of hosts that have crashed under each task.
     crashes: HashMap<TaskKey, u32>,
+    /// The tasks that have not begun again since a host has crashed under them, with the time of the crash.
+    lost: HashMap<TaskKey, Time>,
     /// The number of starts of tasks that crash their hosts, after as many crashes as are allowed.
     late_starts: HashMap<TaskKey, u32>,
     /// How many of them are allowed; `None` for the usual number.
@@ -281,6 +286,9 @@
         if overlaps {
             self.record(Breach::RanTwice(key));
         }
+        if let Some(at) = self.lost.remove(&key) {
+            self.restarted_after(now - at);
+        }
         self.last_starts.insert(unit, now);
         self.running.insert(key, ActiveRun { host, run, at: now });
         if self.exceeds_limit(key) {
@@ -367,6 +375,19 @@
         }
     }
 
+    fn restarted_after(&mut self, span: Duration) {
+        self.report.longest_restart = self.report.longest_restart.max(span);
+    }
+
+    /// Records the tasks that have not begun again by the end.
+    pub(super) fn finish(&mut self, now: Time) {
+        for (key, at) in std::mem::take(&mut self.lost) {
+            if !self.is_cancelled(key.job) {
+                self.restarted_after(now - at);
+            }
+        }
+    }
+
     /// Sets how often a task that crashes its hosts may start after three hosts have crashed under it.
     pub fn allow_late_starts(&mut self, starts: u32) {
         self.late_starts_allowed = Some(starts);
@@ -386,7 +407,8 @@
     }
 
     /// Records that a host has crashed while it had a run of this task.
-    pub(super) fn host_crashed_under(&mut self, key: TaskKey) {
+    pub(super) fn host_crashed_under(&mut self, now: Time, key: TaskKey) {
+        self.lost.entry(key).or_insert(now);
         *self.crashes.entry(key).or_default() += 1;
     }
 
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -7,6 +7,8 @@
 pub enum CellFault {
     /// The node that is the scheduler crashes and loses its state.
     SchedulerDies,
+    /// The node that is the scheduler is lost for good, with its state.
+    SchedulerGone,
     /// Another node takes over, while the current scheduler continues without noticing it.
     SchedulerReplaced,
     /// The node that is the scheduler is paused for this time, and then continues.
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -466,7 +466,7 @@
         self.catch_up(now);
         for (key, run) in self.hosts[index(id)].crash() {
             self.record(now, id, key, run, RunEvent::Lost);
-            self.checker.host_crashed_under(key);
+            self.checker.host_crashed_under(now, key);
             self.checker.run_ended(now, key, run, id, WorkEnd::Lost);
             self.end_gang((now, now), key, run, EndKind::Interrupted);
         }
--- a/crates/fakes/src/cell/node.rs
+++ b/crates/fakes/src/cell/node.rs
@@ -18,6 +18,8 @@
     /// The transaction whose answer is outstanding.
     pub(super) write: Option<Write>,
     pub(super) paused_until: Time,
+    /// Whether the node is lost for good.
+    pub(super) is_gone: bool,
     /// The number of the last ended run that each host has listed to this node.
     pub(super) last_listed_end: HashMap<WorkerId, u64>,
 }
@@ -31,6 +33,7 @@
             lease: Lease::default(),
             write: None,
             paused_until: Time::ZERO,
+            is_gone: false,
             last_listed_end: HashMap::new(),
         }
     }
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -313,6 +313,7 @@
     }
 
     fn finish(mut self) -> Report {
+        self.fleet.checker.finish(self.now);
         for arrival in &self.spec.arrivals {
             let published = self.fleet.checker.published.get(&arrival.id).copied();
             let is_over = published.is_some_and(|(state, _)| state.is_final());
@@ -605,6 +606,13 @@
                 }
                 self.schedule(self.now + FAILURE_DETECTION, Event::TakeOver);
             }
+            CellFault::SchedulerGone => {
+                if let Some(node) = active_node {
+                    self.nodes[node].reset();
+                    self.nodes[node].is_gone = true;
+                }
+                self.schedule(self.now + FAILURE_DETECTION, Event::TakeOver);
+            }
             CellFault::SchedulerReplaced => self.schedule(self.now, Event::TakeOver),
             CellFault::SchedulerPauses(span) => {
                 if let Some(node) = active_node {
@@ -690,7 +698,8 @@
         }
         let idle: Vec<usize> = (0..self.nodes.len())
             .filter(|&node| {
-                !self.nodes[node].is_scheduling() && self.now >= self.nodes[node].paused_until
+                let node = &self.nodes[node];
+                !node.is_scheduling() && !node.is_gone && self.now >= node.paused_until
             })
             .collect();
         if idle.is_empty() {
