A new scheduler does not wait anew for leases that nobody renews

Cause: what bounds task leases was in the memory of the scheduler that had granted them. Its successor assumed that all of them had been renewed until 6 s after the takeover, and each further successor began again. The same assumption was kept for workers that had answered the successor and were lost afterwards.

Change: the lease row lists the workers whose leases are withheld, with the time until they have lapsed, and for how long schedulers before its holder may renew. A listed worker is granted no lease until a row without it is stored, so a successor can rely on the row that it replaces. A former scheduler that says it follows the new epoch renews nothing any more; nodes of protocol level 3 say so. Lists that are read under a new epoch end the assumption for their worker. Rows of the build before tell nothing and are waited for as before; it ignores the new field.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -14,8 +14,9 @@
     Node, Ports, Table, Transaction,
     commit::{self, Outcome},
     lead::Leader,
-    lease, link,
-    message::{LEVEL, Message, STANDING_LEVEL},
+    lease::{self, LeaseWriter},
+    link,
+    message::{FOLLOWS_LEVEL, LEVEL, Message, STANDING_LEVEL},
     recover,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART, lease_key},
 };
@@ -57,8 +58,8 @@
                 // the transaction arrives here.
                 node.0.recovery_sent_at.set(Some(now));
                 let taken = take_over(&node, version).await;
-                if let Some((row, version)) = taken {
-                    schedule(&node, row, version).await;
+                if let Some(writer) = taken {
+                    schedule(&node, writer, now).await;
                 }
                 node.0.recovery_sent_at.set(None);
             }
@@ -152,15 +153,18 @@
     }
 }
 
-/// Replaces the lease row with one of this node. Returns the new row and its version, or `None` if the
-/// takeover failed.
-async fn take_over<P: Ports>(node: &Node<P>, version: u64) -> Option<(LeaseRow, u64)> {
+/// Replaces the lease row with one of this node. Returns the writer of the new row, or `None` if the takeover failed.
+async fn take_over<P: Ports>(node: &Node<P>, version: u64) -> Option<LeaseWriter> {
+    let now = node.0.clock.time();
     let old = node.0.candidacy.borrow().row().cloned();
+    let (own, cfg) = (&node.0.settings.name, &node.0.settings.sched);
+    let past = node.0.candidacy.borrow().past_leases(now, own, cfg);
     let row = LeaseRow {
-        holder: node.0.settings.name.to_string(),
+        holder: own.to_string(),
         address: node.0.settings.link_address.to_string(),
         epoch: old.clone().unwrap_or_default().next_epoch(),
         seq: 0,
+        leases: Some(past.to_row(now)),
     };
     let tx = Transaction {
         expected: vec![(lease_key(), version)],
@@ -174,7 +178,7 @@
         Outcome::Stored(version) => {
             log::info!("event=takeover epoch={} before={before}", row.epoch);
             node.0.metrics.count("takeovers");
-            Some((row, version))
+            Some(LeaseWriter::new(row, version, past))
         }
         Outcome::Conflict { current } => {
             let current = current.iter().find(|r| r.key == LEASE_KEY);
@@ -183,7 +187,7 @@
                 // An earlier attempt was stored, but its answer was lost.
                 Some((seen, version)) if seen == row => {
                     log::info!("event=takeover epoch={} before={before}", row.epoch);
-                    Some((row, version))
+                    Some(LeaseWriter::new(row, version, past))
                 }
                 seen => {
                     apply_lease_row(node, seen.map(|(row, _)| row));
@@ -201,18 +205,17 @@
     }
 }
 
-/// Runs the scheduler until another node takes over or this one drains.
-async fn schedule<P: Ports>(node: &Node<P>, row: LeaseRow, version: u64) {
+/// Runs the scheduler until another node takes over or this one drains. The takeover began at `taken_at`.
+async fn schedule<P: Ports>(node: &Node<P>, writer: LeaseWriter, taken_at: Time) {
     node.0
         .candidacy
         .borrow_mut()
-        .row_read(node.0.clock.time(), Some(row.clone()));
+        .row_read(node.0.clock.time(), Some(writer.row().clone()));
     node.0.upstream.borrow_mut().take();
     node.0.target_changed.notify_one();
-    let epoch = row.epoch;
+    let epoch = writer.epoch();
     let started = node.0.clock.time();
-    let writer = lease::LeaseWriter::new(row, version);
-    node.0.recovery_sent_at.set(Some(started));
+    node.0.recovery_sent_at.set(Some(taken_at));
     let recovered = if node.0.is_draining.get() {
         let mut writer = writer;
         writer.release(node).await;
@@ -361,6 +364,7 @@
     *node.0.upstream.borrow_mut() = Some(link.tx.clone());
     let silence = node.0.settings.candidacy.link_timeout;
     let mut standing_told = None;
+    let mut has_told_follows = false;
     let mut was_up = false;
     loop {
         let message = tokio::select! {
@@ -387,6 +391,7 @@
                 }
                 handle_message(node, message);
                 standing_told = tell_standing(node, &link.tx, standing_told);
+                has_told_follows = has_told_follows || tell_follows(node, &link.tx);
             }
             Ok(None) => {
                 log::info!("event=link_lost to={to} reason=closed");
@@ -422,6 +427,17 @@
     is_sent.then_some((now, standing.is_draining)).or(told)
 }
 
+/// Tells the scheduler that this node follows it, and so renews no leases if it has scheduled before. Returns whether it
+/// was told.
+fn tell_follows<P: Ports>(node: &Node<P>, tx: &mpsc::Sender<Message>) -> bool {
+    let schedules = node.0.leader.borrow().is_some() || node.0.recovery_sent_at.get().is_some();
+    if schedules || node.0.upstream_level.get() < FOLLOWS_LEVEL {
+        return false;
+    }
+    let epoch = node.0.candidacy.borrow().row().map(|row| row.epoch);
+    epoch.is_some_and(|epoch| tx.try_send(Message::Follows { epoch }).is_ok())
+}
+
 /// Handles a message from the scheduler.
 fn handle_message<P: Ports>(node: &Node<P>, message: Message) {
     let now = node.0.clock.time();
--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -223,6 +223,11 @@
                 }
                 Ok(Some(Message::Configuration(answer))) => self.node.handle_answer(&answer, &tx),
                 Ok(Some(Message::Standing(standing))) => self.update_standing(&node, standing),
+                Ok(Some(Message::Follows { epoch })) => {
+                    if epoch == self.epoch() {
+                        self.with_scheduler(|scheduler, now| scheduler.node_follows(now, &node));
+                    }
+                }
                 Ok(Some(message)) => self.handle_message(message),
                 Ok(None) => break "closed",
                 Err(_) => break "silent",
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jobs::CodecError;
-use sched::{Batch, LeaseRow};
+use sched::{Batch, LeaseRow, PastLeases};
 use tokio::time::Instant;
 
 use crate::{
@@ -26,11 +26,21 @@
 pub(crate) struct LeaseWriter {
     row: LeaseRow,
     version: u64,
+    /// What was known of task leases at the takeover.
+    past: PastLeases,
 }
 
 impl LeaseWriter {
-    pub(crate) const fn new(row: LeaseRow, version: u64) -> Self {
-        Self { row, version }
+    pub(crate) const fn new(row: LeaseRow, version: u64, past: PastLeases) -> Self {
+        Self { row, version, past }
+    }
+
+    pub(crate) const fn row(&self) -> &LeaseRow {
+        &self.row
+    }
+
+    pub(crate) const fn past_leases(&self) -> &PastLeases {
+        &self.past
     }
 
     pub(crate) const fn epoch(&self) -> u64 {
@@ -39,8 +49,10 @@
 
     /// Stores a batch. Retries without a time limit. Returns false if another node has taken over.
     pub(crate) async fn commit<P: Ports>(&mut self, node: &Node<P>, batch: &Batch) -> bool {
+        let past = || self.past.to_row(node.0.clock.time());
         let next = LeaseRow {
             seq: self.row.seq + 1,
+            leases: Some(batch.leases.clone().unwrap_or_else(past)),
             ..self.row.clone()
         };
         self.write(node, next, batch).await
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -16,7 +16,7 @@
 /// The protocol level of this build, which nodes exchange in [`Message::Hello`] and [`Message::Beat`]. Builds before
 /// levels were introduced have level 0 and close a link on which a message arrives that they do not know, so variants
 /// that were added at a level are sent only to peers of that level or a higher one.
-pub(crate) const LEVEL: u32 = 2;
+pub(crate) const LEVEL: u32 = 3;
 
 /// The protocol level at which the messages about teams and the configuration were added.
 pub(crate) const TEAMS_LEVEL: u32 = 1;
@@ -24,6 +24,9 @@
 /// The protocol level at which [`Message::Standing`] and [`Message::Rank`] were added.
 pub(crate) const STANDING_LEVEL: u32 = 2;
 
+/// The protocol level at which [`Message::Follows`] was added.
+pub(crate) const FOLLOWS_LEVEL: u32 = 3;
+
 /// A message on a link. Nodes open links to the scheduler. New variants are appended, because messages are encoded with
 /// the position of their variant.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -137,6 +140,11 @@
     Standing(Standing),
     /// From the scheduler: how many of the linked nodes should try to take over before the receiver. Level 2.
     Rank(u32),
+    /// From a node that does not schedule: it follows the scheduler of this epoch. Level 3.
+    Follows {
+        /// The epoch in the lease row that the node knows.
+        epoch: u64,
+    },
 }
 
 /// A request that the scheduler executes for a node that cannot reach the table.
--- a/crates/cluster/src/recover.rs
+++ b/crates/cluster/src/recover.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use sched::{Recovered, Scheduler};
+use sched::{PastLeases, Recovered, Scheduler};
 use tokio::{
     task::{JoinSet, spawn_local},
     time::{Instant, sleep, timeout_at},
@@ -38,7 +38,8 @@
 ) -> Option<(Scheduler, LeaseWriter, FeedPositions)> {
     let reader = node.clone();
     let epoch = writer.epoch();
-    let mut reading = spawn_local(async move { read_all(&reader, epoch).await });
+    let past = writer.past_leases().clone();
+    let mut reading = spawn_local(async move { read_all(&reader, epoch, past).await });
     loop {
         tokio::select! {
             read = &mut reading => return read.ok().map(|(scheduler, positions)| (scheduler, writer, positions)),
@@ -84,8 +85,12 @@
     }
 }
 
-async fn read_all<P: Ports>(node: &Node<P>, epoch: u64) -> (Scheduler, FeedPositions) {
-    let (recovered, jobs) = read_jobs(node).await;
+async fn read_all<P: Ports>(
+    node: &Node<P>,
+    epoch: u64,
+    past: PastLeases,
+) -> (Scheduler, FeedPositions) {
+    let (mut recovered, jobs) = read_jobs(node).await;
     for (id, job) in &recovered.jobs {
         node.record_job(*id, job);
     }
@@ -103,6 +108,8 @@
         }
     };
     let now = node.0.clock.now();
+    recovered.leases = Some(past);
+    recovered.confirmed_at = node.0.recovery_sent_at.get();
     let mut scheduler = Scheduler::new(node.0.settings.sched, epoch, now, recovered);
     for info in workers.value {
         scheduler.worker_listed(now, info);
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -268,6 +268,43 @@
     });
 }
 
+/// Makes one of two busy workers silent, and `after` that has another scheduler take over. Returns how long a task of the
+/// worker takes to run again.
+async fn restart_after_takeover(after: Duration) -> Duration {
+    let platform = platform();
+    platform.shared.task_time.set(Duration::from_secs(60));
+    let (first, _second) = start_two(&platform, &platform.for_another()).await;
+    assert_eq!(submit(&first, ID, 12).await, SubmitOutcome::Accepted);
+    until("the tasks run", || platform.starts() == 12).await;
+    let busy = platform.busy_workers();
+    assert_eq!(busy.len(), 2);
+    platform.shared.silent.borrow_mut().insert(busy[0].clone());
+    let lost_at = Instant::now();
+    sleep(after).await;
+    platform.fault.set(TableFault::Refuses);
+    until("a task runs again", || platform.starts() > 12).await;
+    assert_eq!(platform.lease().unwrap().holder, "n2");
+    lost_at.elapsed()
+}
+
+/// Guards against a wait for leases that begins anew with a takeover.
+#[test]
+fn a_task_of_a_silent_worker_runs_again_in_time_under_a_new_scheduler() {
+    run(async {
+        let took = restart_after_takeover(Duration::from_secs(2)).await;
+        assert!(took < Duration::from_secs(9), "{took:?}");
+    });
+}
+
+/// Guards against waiting for renewals of a scheduler that follows its successor.
+#[test]
+fn a_task_of_a_silent_worker_runs_again_in_time_once_the_former_scheduler_follows() {
+    run(async {
+        let took = restart_after_takeover(Duration::ZERO).await;
+        assert!(took < Duration::from_secs(11), "{took:?}");
+    });
+}
+
 /// Guards against going back to an older configuration when the platform serves an outdated version.
 #[test]
 fn a_lower_configuration_version_is_not_applied() {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -70,6 +70,8 @@
 pub struct SharedState {
     store: RefCell<Store>,
     workers: BTreeMap<Arc<str>, RefCell<WorkerState>>,
+    /// The workers that answer no calls.
+    pub silent: RefCell<BTreeSet<Arc<str>>>,
     pub routes: RefCell<Routes>,
     /// How long the table takes for each call. Transactions of a part are executed one at a time.
     pub table_time: Cell<Duration>,
@@ -131,6 +133,7 @@
     let shared = SharedState {
         store: RefCell::default(),
         workers: workers.into_iter().collect(),
+        silent: RefCell::default(),
         routes: RefCell::new(Routes::new(1, [route()])),
         table_time: Cell::default(),
         part_times: RefCell::default(),
@@ -176,6 +179,17 @@
             .sum()
     }
 
+    /// Returns the workers that run tasks.
+    pub fn busy_workers(&self) -> Vec<Arc<str>> {
+        let workers = self.shared.workers.iter();
+        let busy = workers.filter(|(_, worker)| !worker.borrow().running.is_empty());
+        busy.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn is_silent(&self, worker: &WorkerInfo) -> bool {
+        self.shared.silent.borrow().contains(&worker.name)
+    }
+
     /// Waits for the transactions of a part before this one, and for this one.
     async fn wait_for_part(&self, part: &str) {
         let end = {
@@ -330,6 +344,9 @@
 
 impl Workers for Platform {
     async fn start(&self, to: &WorkerInfo, order: &StartOrder, _: Duration) -> StartAnswer {
+        if self.is_silent(to) {
+            return StartAnswer::Unknown;
+        }
         let worker = &self.shared.workers[&to.name];
         {
             let mut worker = worker.borrow_mut();
@@ -364,6 +381,9 @@
         fence: u64,
         order: &PollOrder,
     ) -> Result<Listing, PollFailure> {
+        if self.is_silent(to) {
+            return Err(PollFailure::Silent);
+        }
         let worker = &self.shared.workers[&to.name];
         {
             let mut worker = worker.borrow_mut();
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -24,6 +24,10 @@
     HostGone,
     /// Messages between the nodes and a host are lost.
     HostCut(Duration),
+    /// Messages between a host and all nodes but the present scheduler are lost.
+    HostCutFromOthers(Duration),
+    /// The present scheduler does not reach the table. It is followed.
+    SchedulerCutFromTable(Duration),
     /// The table is unreachable.
     TableDown(Duration),
     /// Each transaction of the table takes half a second longer.
@@ -63,6 +67,10 @@
     NoLists,
     /// Runs continue for 8 s after their lease has lapsed, as if schedulers did not wait for the lapse.
     NoLapse,
+    /// A new scheduler takes the one before for stopped.
+    TakeForStopped,
+    /// Lease rows go on listing hosts whose leases are renewed again.
+    KeepWithheld,
     /// Ends are acknowledged to hosts before they are stored.
     AcknowledgeEarly,
     /// Announced jobs are treated as stored at once.
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -43,6 +43,10 @@
 pub(super) struct Network {
     rng: Rng,
     cut_until: HashMap<WorkerId, Time>,
+    /// The hosts that only one node reaches, given by its index.
+    cut_from_others: HashMap<WorkerId, (usize, Time)>,
+    /// The node that does not reach the table.
+    cut_from_table: Option<(usize, Time)>,
     answers_cut_until: HashMap<WorkerId, Time>,
     pub(super) table_down_until: Time,
     pub(super) table_slow_until: Time,
@@ -57,6 +61,8 @@
         Self {
             rng: Rng::new(seed),
             cut_until: HashMap::new(),
+            cut_from_others: HashMap::new(),
+            cut_from_table: None,
             answers_cut_until: HashMap::new(),
             table_down_until: Time::ZERO,
             table_slow_until: Time::ZERO,
@@ -77,8 +83,21 @@
         *cut = (*cut).max(until);
     }
 
-    pub(super) fn is_cut(&self, now: Time, host: WorkerId) -> bool {
+    /// Cuts a host from all nodes but this one.
+    pub(super) fn cut_from_others(&mut self, host: WorkerId, node: usize, until: Time) {
+        self.cut_from_others.insert(host, (node, until));
+    }
+
+    /// Cuts a node from the table.
+    pub(super) const fn cut_from_table(&mut self, node: usize, until: Time) {
+        self.cut_from_table = Some((node, until));
+    }
+
+    /// Returns whether messages between a host and a node are lost.
+    pub(super) fn is_cut(&self, now: Time, host: WorkerId, node: usize) -> bool {
+        let others = self.cut_from_others.get(&host);
         self.cut_until.get(&host).is_some_and(|&until| now < until)
+            || others.is_some_and(|&(only, until)| node != only && now < until)
     }
 
     pub(super) fn cut_answers(&mut self, host: WorkerId, until: Time) {
@@ -92,9 +111,9 @@
         cut.is_some_and(|&until| now < until)
     }
 
-    /// Draws the delivery of an order or a poll to a host.
-    pub(super) fn deliver_order(&mut self, now: Time, host: WorkerId) -> Delivery {
-        if self.is_cut(now, host) {
+    /// Draws the delivery of an order or a poll of a node to a host.
+    pub(super) fn deliver_order(&mut self, now: Time, host: WorkerId, node: usize) -> Delivery {
+        if self.is_cut(now, host, node) {
             return Delivery::Lost;
         }
         if now < self.orders_late_until && self.rng.chance(LATE_ORDERS_PER_MILLE) {
@@ -111,9 +130,11 @@
         Delivery::Arrives(now + self.delay())
     }
 
-    /// Draws the delivery of a transaction to the table.
-    pub(super) fn deliver_write(&mut self, now: Time) -> Delivery {
-        if now < self.table_down_until {
+    /// Draws the delivery of a node's transaction to the table.
+    pub(super) fn deliver_write(&mut self, now: Time, node: usize) -> Delivery {
+        let cut = self.cut_from_table;
+        let is_cut = cut.is_some_and(|(from, until)| node == from && now < until);
+        if is_cut || now < self.table_down_until {
             return Delivery::Lost;
         }
         let mut at = now + self.delay();
--- a/crates/fakes/src/cell/table.rs
+++ b/crates/fakes/src/cell/table.rs
@@ -101,6 +101,7 @@
                 .collect(),
             progress: progress.collect(),
             cancelled: self.cancelled.keys().copied().collect(),
+            ..Recovered::default()
         }
     }
 }
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -9,8 +9,8 @@
 use jobs::{JobId, StepKey, TaskKey, TeamPolicy};
 use model::{Size, Time, WorkerId};
 use sched::{
-    Action, LeaseRow, Listing, Now, Poll, PollFailure, PollOrder, SchedConfig, Scheduler,
-    Settlement, StartAnswer, StartOrder, StopOrder, WorkerInfo,
+    Action, LeaseRow, Listing, Now, PastLeases, Poll, PollFailure, PollOrder, SchedConfig,
+    Scheduler, Settlement, StartAnswer, StartOrder, StopOrder, WorkerInfo,
 };
 
 use super::{
@@ -33,6 +33,10 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long the other nodes take to detect that the scheduler has failed.
 const FAILURE_DETECTION: Duration = Duration::from_secs(1);
+/// How long after a change of the lease row another node has read it at the latest, if the scheduler is suspected then.
+const ROW_READ_DELAY: Duration = Duration::from_millis(600);
+/// How long other nodes take to open a link to a new scheduler.
+const LINK_DELAY: Duration = Duration::from_millis(200);
 /// How long after its restart a host appears in the schedulers' list of hosts.
 const DIRECTORY_LAG: Duration = Duration::from_millis(500);
 /// How long a host that is gone for good stays listed: three heartbeat intervals of 1.5 s each.
@@ -153,6 +157,8 @@
     Settled(usize, (usize, u64), Settlement),
     Fault(CellFault),
     TakeOver,
+    /// A node has a link to another one, which schedules in this incarnation.
+    Follows(usize, usize, u64),
     Decide(usize, u64),
     WriteArrives(usize, u64, Box<Write>, bool),
     WriteAnswered(usize, u64, Written),
@@ -228,6 +234,8 @@
     /// The ids of the hosts, by name.
     host_ids: HashMap<Arc<str>, WorkerId>,
     table: Table,
+    /// When the lease row was last written.
+    lease_written_at: Time,
     approvals: Approvals,
     network: Network,
     rng: Rng,
@@ -264,6 +272,7 @@
             given_up: HashSet::new(),
             host_ids,
             table,
+            lease_written_at: Time::ZERO,
             approvals: Approvals::new(spec.seed),
             network: Network::new(rng.next_u64()),
             rng,
@@ -373,9 +382,12 @@
             }
             Event::Fault(fault) => self.inject_fault(fault),
             Event::TakeOver => self.take_over(),
+            Event::Follows(follower, node, incarnation) => {
+                self.follow(follower, node, incarnation);
+            }
             Event::Decide(node, incarnation) => self.decide(node, incarnation),
             Event::WriteArrives(node, incarnation, write, answers) => {
-                let written = self.table.write(&write);
+                let written = self.write_table(&write);
                 if answers {
                     let at = self.now + self.network.delay();
                     self.schedule(at, Event::WriteAnswered(node, incarnation, written));
@@ -438,24 +450,26 @@
             {
                 self.schedule(self.network.directory_stuck_until, event);
             }
-            Event::HostUnlisted(host) => {
-                let name = self.fleet.hosts[index(host)].name().clone();
-                for node in &mut self.nodes {
-                    if let Some(scheduler) = &mut node.scheduler {
-                        scheduler.worker_unlisted(&name);
-                    }
-                }
+            Event::HostUnlisted(host) => self.unlist_host(host),
+            Event::HostListed(host) => self.list_host(host),
+        }
+    }
+
+    fn unlist_host(&mut self, host: WorkerId) {
+        let name = self.fleet.hosts[index(host)].name().clone();
+        for node in &mut self.nodes {
+            if let Some(scheduler) = &mut node.scheduler {
+                scheduler.worker_unlisted(&name);
             }
-            Event::HostListed(host) => {
-                let (now, info) = (
-                    self.scheduler_now(),
-                    self.fleet.hosts[index(host)].info.clone(),
-                );
-                for node in &mut self.nodes {
-                    if let Some(scheduler) = &mut node.scheduler {
-                        scheduler.worker_listed(now, info.clone());
-                    }
-                }
+        }
+    }
+
+    fn list_host(&mut self, host: WorkerId) {
+        let now = self.scheduler_now();
+        let info = self.fleet.hosts[index(host)].info.clone();
+        for node in &mut self.nodes {
+            if let Some(scheduler) = &mut node.scheduler {
+                scheduler.worker_listed(now, info.clone());
             }
         }
     }
@@ -636,6 +650,17 @@
                 self.schedule(self.now + UNLIST_DELAY, Event::HostUnlisted(host));
             }
             CellFault::HostCut(span) => self.network.cut(host, self.now + span),
+            CellFault::HostCutFromOthers(span) => {
+                if let Some(node) = active_node {
+                    self.network.cut_from_others(host, node, self.now + span);
+                }
+            }
+            CellFault::SchedulerCutFromTable(span) => {
+                if let Some(node) = active_node {
+                    self.network.cut_from_table(node, self.now + span);
+                }
+                self.schedule(self.now + FAILURE_DETECTION, Event::TakeOver);
+            }
             CellFault::TableDown(span) => self.network.table_down_until = self.now + span,
             CellFault::TableSlow(span) => self.network.table_slow_until = self.now + span,
             CellFault::OrdersLate(span) => self.network.orders_late_until = self.now + span,
@@ -706,22 +731,30 @@
             return;
         }
         let node = idle[usize::try_from(self.rng.below(idle.len() as u64)).unwrap_or(0)];
-        let old = self.table.lease.clone();
+        let mut old = self.table.lease.clone();
+        if self.spec.mutation == Mutation::TakeForStopped {
+            old.row.holder.clear();
+        }
+        let now = self.scheduler_now();
+        let name = self.nodes[node].name.clone();
+        let seen_at = self.now.min(self.lease_written_at + ROW_READ_DELAY);
+        let past = PastLeases::from_row(now.time, seen_at, &old.row, &name, &self.spec.sched);
         let write = Write {
             expected: old.version,
             row: LeaseRow {
-                holder: self.nodes[node].name.to_string(),
+                holder: name.to_string(),
                 address: String::new(),
                 epoch: old.row.next_epoch(),
                 seq: 0,
+                leases: Some(past.to_row(now.time)),
             },
             batch: sched::Batch::default(),
         };
-        let Written::Stored(version) = self.table.write(&write) else {
+        let Written::Stored(version) = self.write_table(&write) else {
             return;
         };
-        let now = self.scheduler_now();
         let mut recovered = self.table.read();
+        recovered.leases = Some(past);
         if self.spec.mutation == Mutation::IgnoreOrphans {
             let ids: HashSet<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
             recovered.progress.retain(|id, _| ids.contains(id));
@@ -745,6 +778,35 @@
         new_active.scheduler = Some(scheduler);
         let incarnation = new_active.incarnation;
         self.schedule_decision(node, incarnation);
+        for other in (0..self.nodes.len()).filter(|&other| other != node) {
+            let at = self.now + LINK_DELAY;
+            self.schedule(at, Event::Follows(other, node, incarnation));
+        }
+    }
+
+    fn write_table(&mut self, write: &Write) -> Written {
+        let written = self.table.write(write);
+        if matches!(written, Written::Stored(_)) {
+            self.lease_written_at = self.now;
+        }
+        written
+    }
+
+    /// Tells a scheduler that another node follows it, once that node schedules no longer.
+    fn follow(&mut self, follower: usize, node: usize, incarnation: u64) {
+        let other = &self.nodes[follower];
+        let at = (self.now + LINK_DELAY).max(other.paused_until);
+        if other.is_gone || self.nodes[node].incarnation != incarnation {
+            return;
+        }
+        if other.is_scheduling() || self.now < other.paused_until {
+            self.schedule(at, Event::Follows(follower, node, incarnation));
+            return;
+        }
+        let (now, name) = (self.scheduler_now(), other.name.clone());
+        if let Some(scheduler) = self.scheduler_of(node, incarnation) {
+            scheduler.node_follows(now, &name);
+        }
     }
 
     /// Under [`Mutation::NoLists`], makes a new scheduler believe that every host has listed no runs.
@@ -795,12 +857,17 @@
         self.fleet.checker.report.decisions += 1;
         if let Some(batch) = batch {
             let lease = &self.nodes[node].lease;
+            let mut row = LeaseRow {
+                seq: lease.row.seq + 1,
+                leases: batch.leases.clone(),
+                ..lease.row.clone()
+            };
+            if self.spec.mutation == Mutation::KeepWithheld {
+                keep_withheld(&lease.row, &mut row);
+            }
             let write = Write {
                 expected: lease.version,
-                row: LeaseRow {
-                    seq: lease.row.seq + 1,
-                    ..lease.row.clone()
-                },
+                row,
                 batch,
             };
             self.nodes[node].write = Some(write);
@@ -832,7 +899,7 @@
         let Some(write) = self.nodes[node].write.clone() else {
             return;
         };
-        let (at, answers) = match self.network.deliver_write(self.now) {
+        let (at, answers) = match self.network.deliver_write(self.now, node) {
             Delivery::Arrives(at) => (Some(at), true),
             Delivery::Unanswered(at) | Delivery::Reset(at, _) => (Some(at), false),
             Delivery::Lost => (None, false),
@@ -960,7 +1027,7 @@
         worker: WorkerId,
     ) -> (Delivery, Sent) {
         let host = self.host_of(node, worker);
-        let delivery = self.network.deliver_order(self.now, host);
+        let delivery = self.network.deliver_order(self.now, host, node);
         let is_late = matches!(delivery, Delivery::Unanswered(_) | Delivery::Reset(..));
         let started_unix_ms = self.fleet.hosts[index(host)].info.started_unix_ms;
         let sent = Sent {
@@ -1234,8 +1301,8 @@
                 self.poll_fails_at(poll.deadline + CALL_TIMEOUT, &poll);
                 continue;
             }
-            let answer = if self.fleet.hosts[index(id)].is_up && !self.network.is_cut(self.now, id)
-            {
+            let is_cut = self.network.is_cut(self.now, id, poll.sent.node);
+            let answer = if self.fleet.hosts[index(id)].is_up && !is_cut {
                 Ok(Box::new(listing))
             } else {
                 Err(PollFailure::Silent)
@@ -1295,6 +1362,18 @@
     }
 }
 
+/// Lists in a lease row the hosts that the one before lists, without those that it lists itself.
+fn keep_withheld(before: &LeaseRow, row: &mut LeaseRow) {
+    let (Some(before), Some(leases)) = (&before.leases, &mut row.leases) else {
+        return;
+    };
+    for old in &before.withheld {
+        if !leases.withheld.iter().any(|new| new.worker == old.worker) {
+            leases.withheld.push(old.clone());
+        }
+    }
+}
+
 fn make_host(spec: &CellSpec, i: usize, rng: &mut Rng) -> Host {
     // The clock of a host is slow by 0 to 2 %.
     let clock_slow_per_mille = rng.below(21);
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -5,7 +5,7 @@
 use jobs::{Crash, End, JobId, State, StepKey, TaskKey};
 use model::{Time, WorkerId};
 
-use crate::Ticket;
+use crate::{TaskLeases, Ticket};
 
 /// The present time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -321,4 +321,6 @@
     pub rows: Vec<(JobId, Vec<u8>)>,
     /// Jobs whose progress rows must be deleted.
     pub forgotten: Vec<JobId>,
+    /// What the lease row tells about task leases; `None` if the scheduler has not begun.
+    pub leases: Option<TaskLeases>,
 }
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -19,9 +19,12 @@
     /// Added to each wait for leases to lapse, to cover rounding on either side.
     pub lapse_margin: Duration,
     /// How long a scheduler that cannot reach the table continues to renew leases. A successor
-    /// waits for the same time for workers that it cannot reach. It covers the outages that the
-    /// platform has had.
+    /// waits for the same time for workers that it cannot reach, unless it knows more of their leases. It covers the
+    /// outages that the platform has had.
     pub renew_without_table: Duration,
+    /// How long a worker with runs is out of contact before its leases are withheld. A shorter loss needs no row, and its
+    /// leases are renewed at once afterwards.
+    pub withhold_after: Duration,
     /// How old the list of workers may be when a task is started. A worker may have shrunk since then, and the platform
     /// lets its former size count for 4 s and the interval between two entries.
     pub workers_max_age: Duration,
@@ -124,6 +127,7 @@
             clock_drift_milli: 20,
             lapse_margin: Duration::from_millis(150),
             renew_without_table: Duration::from_secs(6),
+            withhold_after: Duration::from_millis(500),
             workers_max_age: Duration::from_secs(3),
             poll_wait: Duration::from_secs(1),
             idle_poll: Duration::from_secs(5),
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -111,6 +111,7 @@
         let worker = self.fleet.get_mut(worker);
         worker.begin_incarnation(now, started_unix_ms);
         worker.lapse_at = worker.lapse_at.max(lapse_at);
+        worker.assumed_lapse = None;
         for run in worker.runs.values_mut() {
             if run.phase != RunPhase::Pending {
                 run.is_of_earlier_incarnation = true;
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -8,9 +8,12 @@
 
 use std::time::Duration;
 
+use jobs::trailing;
 use model::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::{PastLeases, SchedConfig, TaskLeases};
+
 /// The lease row, which names the scheduler. Each transaction of the scheduler rewrites it with a
 /// higher `seq`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -25,6 +28,9 @@
     pub epoch: u64,
     /// The number of transactions in this epoch.
     pub seq: u64,
+    /// What is known of task leases; `None` in rows of earlier builds.
+    #[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]
+    pub leases: Option<TaskLeases>,
 }
 
 /// The number of fencing tokens of each epoch. A scheduler begins with the lowest one for each worker. Tokens are
@@ -174,6 +180,15 @@
         self.row.as_ref()
     }
 
+    /// Returns what is known of task leases to this node, `own`, when it replaces the row.
+    #[must_use]
+    pub fn past_leases(&self, now: Time, own: &str, cfg: &SchedConfig) -> PastLeases {
+        let row = self.row.as_ref();
+        let past = row.map(|row| PastLeases::from_row(now, self.changed_at, row, own, cfg));
+        // Without a row, no node has ever scheduled.
+        past.unwrap_or_default()
+    }
+
     /// Sets the number of nodes that try to take over before this one.
     pub const fn set_rank(&mut self, rank: u32) {
         self.rank = rank;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -43,6 +43,7 @@
 mod holding;
 mod journal;
 mod leader;
+mod leases;
 mod ordering;
 mod orders;
 mod polls;
@@ -65,6 +66,7 @@
     approval::Ticket,
     config::SchedConfig,
     leader::{Candidacy, CandidacyConfig, LeaseRow, LinkState, Step},
+    leases::{PastLeases, TaskLeases, Withheld},
     ordering::Order,
     recovery::Recovered,
     scheduler::{Scheduler, StartAges, Summary},
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -39,6 +39,8 @@
         // from before may still be carried out, and those sent while it is open carry a higher fencing token.
         let awaits_starts = worker.has_unacknowledged_ends() && worker.awaits_starts(now);
         let may_acknowledge = !awaits_starts && worker.is_known_to_last(now, &cfg);
+        // Its leases are renewed as soon as a row that does not list it is stored.
+        let is_withheld = !worker.runs.is_empty() && !worker.withholding.allows_grants();
         let pause = if worker.probed_at.is_some() {
             Duration::ZERO
         } else if worker.silent_since.is_some() {
@@ -53,6 +55,8 @@
             // The answer to the start order is likely to come before, and ends the pause.
             let read_at = worker.lists_read.map_or(polled_at, |(_, read_at)| read_at);
             read_at.max(polled_at) + cfg.ack_pause - polled_at
+        } else if is_withheld {
+            cfg.ack_pause
         } else if worker.is_idle() && !worker.has_unacknowledged_ends() {
             cfg.idle_poll
         } else {
@@ -77,7 +81,8 @@
         worker.poll_acknowledges = acknowledged > 0;
         worker.poll_raises = worker.fence_raises;
         let is_acknowledged = !is_acknowledging && !worker.has_unacknowledged_ends();
-        let may_wait = worker.is_synced && worker.silent_since.is_none() && is_acknowledged;
+        let may_wait =
+            worker.is_synced && worker.silent_since.is_none() && is_acknowledged && !is_withheld;
         let wait = if may_wait && !worker.is_idle() {
             cfg.poll_wait
         } else {
@@ -129,7 +134,13 @@
         if self.lists_orphans(listing) {
             return;
         }
-        self.fleet.get_mut(id).lists_read = Some((sent_at, now));
+        let lapse_at = now + self.cfg.lapse_after();
+        let worker = self.fleet.get_mut(id);
+        worker.lists_read = Some((sent_at, now));
+        if worker.assumed_lapse.take().is_some() {
+            // From now on it refuses earlier schedulers.
+            worker.lapse_at = worker.lapse_at.min(lapse_at);
+        }
         // Ends are applied first: a run whose order reached the new incarnation may already have
         // ended there.
         self.forget_lapses(now, id);
@@ -144,8 +155,7 @@
         }
         let worker = self.fleet.get_mut(id);
         worker.is_synced = true;
-        worker.unheard_since = None;
-        worker.reported_lapse = None;
+        worker.heard();
         self.heard_without_orphans(id);
     }
 
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -4,7 +4,7 @@
 //! stored runs. A worker's lists, read under the new epoch, show which of them are in progress:
 //! from then on the worker refuses orders of earlier epochs. The runs of a worker that cannot be
 //! reached keep their capacity until every lease that the old scheduler could have renewed has
-//! lapsed.
+//! lapsed, see [`leases`](crate::leases).
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,7 +12,7 @@
 use model::{Time, WorkerId};
 
 use crate::{
-    Now, Scheduler, WorkerInfo,
+    Now, PastLeases, Scheduler, WorkerInfo,
     worker::{Run, RunPhase},
 };
 
@@ -25,10 +25,17 @@
     pub progress: BTreeMap<JobId, Progress>,
     /// The jobs that were cancelled by a client.
     pub cancelled: BTreeSet<JobId>,
+    /// What is known of leases that were granted before; `None` if nothing is.
+    pub leases: Option<PastLeases>,
+    /// When the last transaction of this scheduler that is known to be stored was sent; `None` for now.
+    pub confirmed_at: Option<Time>,
 }
 
 impl Scheduler {
     pub(crate) fn recover(&mut self, now: Now, mut recovered: Recovered) {
+        self.confirmed_at = recovered.confirmed_at.unwrap_or(now.time);
+        let unknown = || PastLeases::unknown(now.time, &self.cfg);
+        self.past_leases = recovered.leases.unwrap_or_else(unknown);
         let mut runs = Vec::new();
         let mut lapsed = Vec::new();
         for (id, job) in recovered.jobs {
@@ -110,10 +117,8 @@
         incarnation: &Incarnation,
     ) {
         let id = self.recover_worker(now, incarnation);
-        let worker = self.fleet.get_mut(id);
+        let worker = self.fleet.get(id);
         let is_of_earlier_incarnation = incarnation.started_unix_ms < worker.info.started_unix_ms;
-        worker.unheard_since.get_or_insert(now.time);
-        worker.lapse_at = now.time + self.cfg.renew_without_table + self.cfg.lapse_after();
         let size = self
             .jobs
             .get(&key.job)
@@ -126,6 +131,7 @@
             is_certain: false,
             is_alone: false,
         };
+        self.recover_lease_end(now.time, id);
         let run = Run {
             number: run,
             size,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -11,7 +11,7 @@
 use model::{Size, Time, WorkerId};
 
 use crate::{
-    Action, Batch, Now, Recovered, SchedConfig, Ticket, WorkerInfo,
+    Action, Batch, Now, PastLeases, Recovered, SchedConfig, Ticket, WorkerInfo,
     announced::Announced,
     approval::Approvals,
     approvers::Approvers,
@@ -75,6 +75,8 @@
     pub(crate) approvers: Approvers,
     pub(crate) journal: Journal<Effect>,
     trips: Trips,
+    /// What is known of leases that earlier schedulers have granted.
+    pub(crate) past_leases: PastLeases,
     pub(crate) waits: Waits,
     pub(crate) actions: Vec<Action>,
     pub(crate) run_times: RunTimes,
@@ -165,6 +167,7 @@
             approvers: Approvers::default(),
             journal: Journal::default(),
             trips: Trips::default(),
+            past_leases: PastLeases::default(),
             waits: Waits::default(),
             actions: Vec::new(),
             run_times: RunTimes::default(),
@@ -518,7 +521,8 @@
     /// or if there is neither a change to store nor a lease renewal due.
     pub fn take_batch(&mut self, now: Now) -> Option<Batch> {
         let is_renewal_due = now.time >= self.batch_sent_at + self.cfg.heartbeat_interval;
-        let has_work = self.journal.has_changes() || !self.forgotten.is_empty();
+        let has_work =
+            self.journal.has_changes() || !self.forgotten.is_empty() || self.has_withheld_to_end();
         if self.is_deposed || self.journal.is_busy() || !(has_work || is_renewal_due) {
             return None;
         }
@@ -531,7 +535,12 @@
             .into_iter()
             .filter_map(|id| Some((id, encode(&self.jobs.get(&id)?.progress))))
             .collect();
-        Some(Batch { rows, forgotten })
+        let leases = Some(self.list_leases(now.time, self.journal.batches() + 1));
+        Some(Batch {
+            rows,
+            forgotten,
+            leases,
+        })
     }
 
     /// Returns how long it takes to store a change that is made now: the rest of the batch in flight and
@@ -552,6 +561,7 @@
         for effect in self.journal.batch_stored() {
             self.release(now.time, effect);
         }
+        self.leases_listed(self.journal.batches());
         self.wake_ackable();
     }
 
--- a/crates/sched/src/waits.rs
+++ b/crates/sched/src/waits.rs
@@ -1,15 +1,12 @@
 //! Reports why work that ran before does not run, for the log.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use jobs::StepKey;
 use model::Time;
 
 use crate::{Action, Scheduler, StartsHeld, WaitReason};
 
-/// How long a worker is out of contact before this is reported. A short loss changes nothing.
-const REPORT_AFTER: Duration = Duration::from_millis(500);
-
 /// What was reported last, so that only changes are.
 #[derive(Debug, Default)]
 pub(crate) struct Waits {
@@ -22,8 +19,9 @@
 impl Scheduler {
     /// Reports the workers with runs that have not been heard of for some time, and how long their leases may last.
     pub(crate) fn report_lapses(&mut self, now: Time) {
+        let after = self.cfg.withhold_after;
         for worker in self.fleet.iter_mut() {
-            let is_due = worker.unheard_for(now) >= REPORT_AFTER && now < worker.lapse_at;
+            let is_due = worker.unheard_for(now) >= after && now < worker.lapse_at;
             let runs = worker.sent_runs().count();
             if is_due && runs > 0 && worker.reported_lapse != Some(worker.lapse_at) {
                 worker.reported_lapse = Some(worker.lapse_at);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use jobs::{Crash, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
-use crate::{SchedConfig, teams::ledger::Charge};
+use crate::{SchedConfig, leases::Withholding, teams::ledger::Charge};
 
 /// The longest estimate of tasks for a worker that crashes again and again, in milliseconds. It has crashed three times
 /// within 30 s, so it stays up for about 10 s, and such a task meets a crash in one of five runs.
@@ -142,6 +142,9 @@
     clock: Option<ClockReading>,
     /// When every lease that was ever granted to it has lapsed, unless one is renewed.
     pub(crate) lapse_at: Time,
+    /// What a new scheduler assumes of the leases of earlier ones, until it has read the worker's lists.
+    pub(crate) assumed_lapse: Option<Time>,
+    pub(crate) withholding: Withholding,
     /// The number of the last end that was processed.
     pub(crate) processed: u64,
     /// The number of the change that must be stored before `processed` may be acknowledged.
@@ -215,6 +218,8 @@
             restarted_at: None,
             clock: None,
             lapse_at: Time::ZERO,
+            assumed_lapse: None,
+            withholding: Withholding::default(),
             processed: 0,
             ack_after: 0,
             ackable: 0,
@@ -282,6 +287,7 @@
             && self.is_synced
             && !self.info.is_draining
             && self.silent_since.is_none()
+            && self.withholding.allows_grants()
             && self.clock.is_some()
             && now >= self.quarantine_until
     }
@@ -297,6 +303,13 @@
             && step.label.as_ref().is_none_or(has_label)
     }
 
+    /// Notes that its lists were read.
+    pub(crate) fn heard(&mut self) {
+        self.unheard_since = None;
+        self.reported_lapse = None;
+        self.withholding.end();
+    }
+
     /// Returns for how long its lists have not been read after it was lost.
     pub(crate) fn unheard_for(&self, now: Time) -> Duration {
         self.unheard_since.map_or(Duration::ZERO, |at| now - at)
@@ -444,13 +457,13 @@
     }
 
     /// Grants or renews leases at `now`. Returns when they end, in milliseconds on the worker's
-    /// clock, or `None` if no reading of that clock is known.
+    /// clock, or `None` if no reading of that clock is known or its leases are withheld.
     ///
     /// The worker's clock shows at least its last reading plus the least that a slow clock
     /// has advanced since then.
     /// So the lease has certainly lapsed [`SchedConfig::lapse_after`] from now.
     pub(crate) fn grant_lease(&mut self, now: Time, cfg: &SchedConfig) -> Option<u64> {
-        let clock = self.clock?;
+        let clock = self.clock.filter(|_| self.withholding.allows_grants())?;
         let passed = millis(now - clock.at);
         let passed = passed - passed * cfg.clock_drift_milli / 1_000;
         self.lapse_at = self.lapse_at.max(now + cfg.lapse_after());
--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -72,6 +72,7 @@
         address: "n1:1".into(),
         epoch: 3,
         seq,
+        ..LeaseRow::default()
     }
 }
 
--- a/crates/sched/tests/lapses.rs
+++ b/crates/sched/tests/lapses.rs
@@ -15,7 +15,7 @@
 const RESTART_LIMIT_UNKNOWN: Duration = Duration::from_secs(11);
 
 /// Runs tasks that are longer than a lease, with room for those of a lost host.
-fn run(seed: u64, faults: &[(Duration, CellFault)], mutation: Mutation) -> Report {
+fn run(seed: u64, hosts: usize, faults: &[(Duration, CellFault)], mutation: Mutation) -> Report {
     let mut load = LoadSpec {
         duration: Duration::from_secs(10),
         factor: 0.08,
@@ -35,7 +35,7 @@
     let cell = Cell::new(CellSpec {
         arrivals: generate(&load, seed),
         kinds: load.kinds,
-        hosts: 8,
+        hosts,
         host_size: Size::new(64_000, 262_144, 0),
         faults: faults
             .map(|&(at, fault)| (Time::ZERO + at, fault))
@@ -50,7 +50,7 @@
 fn assert_restarts(faults: &[(Duration, CellFault)], limit: Duration) {
     let mut longest = Duration::ZERO;
     for seed in 0..12 {
-        let report = run(seed, faults, Mutation::None);
+        let report = run(seed, 8, faults, Mutation::None);
         assert_eq!(report.breaches, [], "seed {seed}");
         longest = longest.max(report.longest_restart);
     }
@@ -104,3 +104,54 @@
     ];
     assert_restarts(&faults, RESTART_LIMIT_UNKNOWN);
 }
+
+/// The host that only the former scheduler reaches is one of three.
+const FEW_HOSTS: usize = 3;
+
+/// A host that has been silent is back, and the scheduler renews its leases. Then its successor does not reach it.
+fn silent_host_and_hidden_host() -> Vec<(Duration, CellFault)> {
+    let silent = CellFault::HostCut(Duration::from_millis(2_500));
+    let hidden = CellFault::HostCutFromOthers(20 * SECOND);
+    vec![
+        (12 * SECOND, silent),
+        (12 * SECOND, silent),
+        (16 * SECOND, hidden),
+        (16 * SECOND, hidden),
+        (17 * SECOND, CellFault::SchedulerDies),
+    ]
+}
+
+/// The former scheduler renews leases of a host that its successor does not reach, and knows of no successor.
+fn hidden_host_and_hidden_scheduler() -> Vec<(Duration, CellFault)> {
+    let hidden = CellFault::HostCutFromOthers(20 * SECOND);
+    vec![
+        (12 * SECOND, hidden),
+        (12 * SECOND, hidden),
+        (13 * SECOND, CellFault::SchedulerCutFromTable(15 * SECOND)),
+    ]
+}
+
+/// Returns the seeds of which a run breaks a guarantee.
+fn broken(faults: &[(Duration, CellFault)], mutation: Mutation) -> Vec<u64> {
+    let is_broken = |&seed: &u64| {
+        let report = run(seed, FEW_HOSTS, faults, mutation);
+        !report.breaches.is_empty()
+    };
+    (0..24).filter(is_broken).collect()
+}
+
+/// Guards against a second run of a task whose lease an earlier scheduler still renews.
+#[test]
+fn no_task_runs_twice_while_an_earlier_scheduler_renews_leases() {
+    let faults = hidden_host_and_hidden_scheduler();
+    assert_eq!(broken(&faults, Mutation::None), Vec::<u64>::new());
+    assert!(!broken(&faults, Mutation::TakeForStopped).is_empty());
+}
+
+/// Guards against a row that lists a host as silent while its leases are renewed.
+#[test]
+fn no_task_runs_twice_after_its_host_was_silent_for_a_while() {
+    let faults = silent_host_and_hidden_host();
+    assert_eq!(broken(&faults, Mutation::None), Vec::<u64>::new());
+    assert!(!broken(&faults, Mutation::KeepWithheld).is_empty());
+}
