A takeover whose answer was lost is completed by the next try

Callers got no service for 15 s: a node took over, the answer was lost, and it then tried the takeover again every 10 ms, each time refused.

Cause: after a conflict, the node takes the row that the table has for the one to replace, but kept the version of the row before, so each further try conflicted as well. Until a repeated try was the same row, and was recognised as the node's own; since then the row tells for how long leases may be renewed, which differs from try to try.

The version of a conflicting row is now kept with the row.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -57,9 +57,9 @@
                 // Other nodes may read the new lease row, and open links to this node, before the answer to
                 // the transaction arrives here.
                 node.0.recovery_sent_at.set(Some(now));
-                let taken = take_over(&node, version).await;
-                if let Some(writer) = taken {
-                    schedule(&node, writer, now).await;
+                match take_over(&node, version).await {
+                    Ok(writer) => schedule(&node, writer, now).await,
+                    Err(found) => version = found,
                 }
                 node.0.recovery_sent_at.set(None);
             }
@@ -153,8 +153,9 @@
     }
 }
 
-/// Replaces the lease row with one of this node. Returns the writer of the new row, or `None` if the takeover failed.
-async fn take_over<P: Ports>(node: &Node<P>, version: u64) -> Option<LeaseWriter> {
+/// Replaces the lease row with one of this node. Returns the writer of the new row or, if the takeover failed, the version
+/// of the row that the candidacy knows then.
+async fn take_over<P: Ports>(node: &Node<P>, version: u64) -> Result<LeaseWriter, u64> {
     let now = node.0.clock.time();
     let old = node.0.candidacy.borrow().row().cloned();
     let (own, cfg) = (&node.0.settings.name, &node.0.settings.sched);
@@ -178,20 +179,20 @@
         Outcome::Stored(version) => {
             log::info!("event=takeover epoch={} before={before}", row.epoch);
             node.0.metrics.count("takeovers");
-            Some(LeaseWriter::new(row, version, past))
+            Ok(LeaseWriter::new(row, version, past))
         }
         Outcome::Conflict { current } => {
             let current = current.iter().find(|r| r.key == LEASE_KEY);
-            let seen = current.and_then(|r| Some((lease::decode_lease(r).ok()?, r.version)));
-            match seen {
+            let found = current.map_or(0, |r| r.version);
+            match current.and_then(|r| lease::decode_lease(r).ok()) {
                 // An earlier attempt was stored, but its answer was lost.
-                Some((seen, version)) if seen == row => {
+                Some(seen) if seen == row => {
                     log::info!("event=takeover epoch={} before={before}", row.epoch);
-                    Some(LeaseWriter::new(row, version, past))
+                    Ok(LeaseWriter::new(row, found, past))
                 }
                 seen => {
-                    apply_lease_row(node, seen.map(|(row, _)| row));
-                    None
+                    apply_lease_row(node, seen);
+                    Err(found)
                 }
             }
         }
@@ -200,7 +201,7 @@
                 "event=takeover_failed epoch={} reason={reason:?}",
                 row.epoch
             );
-            None
+            Err(version)
         }
     }
 }
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -268,6 +268,26 @@
     });
 }
 
+/// Guards against a node that tries a takeover again and again, under a version that the row no longer has, because one of
+/// its tries was stored without an answer.
+#[test]
+fn a_takeover_whose_answer_was_lost_is_completed() {
+    run(async {
+        let platform = platform();
+        let other = platform.for_another();
+        let (_first, second) = start_two(&platform, &other).await;
+        other.fault.set(TableFault::HoldsAnswers);
+        platform.fault.set(TableFault::Refuses);
+        let epoch = platform.lease().unwrap().next_epoch();
+        // The second try replaces the node's own row.
+        let is_tried_twice = || platform.lease().is_some_and(|row| row.epoch > epoch);
+        until("two takeovers are stored", is_tried_twice).await;
+        other.fault.set(TableFault::None);
+        assert_eq!(submit(&second, ID, 3).await, SubmitOutcome::Accepted);
+        until_state(&second, ID, State::Completed).await;
+    });
+}
+
 /// Makes one of two busy workers silent, and `after` that has another scheduler take over. Returns how long a task of the
 /// worker takes to run again.
 async fn restart_after_takeover(after: Duration) -> Duration {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -44,6 +44,8 @@
     Silent,
     /// Transactions are stored, but their answers are lost.
     LosesAnswers,
+    /// Transactions are stored, and the calls wait for an answer that never comes.
+    HoldsAnswers,
     /// Transactions are refused, and reads are served.
     RefusesTransactions,
 }
@@ -205,7 +207,10 @@
     /// Returns `refused` if the current fault prevents the call, after a long wait if the table is silent.
     async fn injected_error<T>(&self, refused: T) -> Option<T> {
         match self.fault.get() {
-            TableFault::None | TableFault::LosesAnswers | TableFault::RefusesTransactions => None,
+            TableFault::None
+            | TableFault::LosesAnswers
+            | TableFault::HoldsAnswers
+            | TableFault::RefusesTransactions => None,
             TableFault::Refuses => Some(refused),
             TableFault::Silent => {
                 sleep(WAIT_TIMEOUT).await;
@@ -233,8 +238,12 @@
         if let Some((key, _)) = tx.set.first() {
             self.wait_for_part(&key.part).await;
         }
+        let fault = self.fault.get();
         let outcome = apply(&mut self.shared.store.borrow_mut(), tx);
-        if self.fault.get() == TableFault::LosesAnswers {
+        if fault == TableFault::HoldsAnswers {
+            sleep(WAIT_TIMEOUT).await;
+        }
+        if matches!(fault, TableFault::LosesAnswers | TableFault::HoldsAnswers) {
             return Err(CommitError::Unknown("the answer was lost".into()));
         }
         outcome
