Only workers that have answered count as the fleet

Seen: with one entry whose `cpu` is 2^64-1 no task starts any more.

Cause: each pass added up the processors of all listed workers, whether they exist or not. A sum that fits is wrong too: a machine that is not there made the fleet look idle, so that no batch waited for a gang, and teams below their shares.

Fix: the size of the fleet, which decides about held steps and shares, is that of the listed workers that have answered this scheduler, and sums of sizes saturate, as does the share of a worker that a task leaves free. A worker that does not answer got no work before either. Right after a takeover the fleet grows with the first answers; work cannot start elsewhere at that time.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -135,13 +135,12 @@
             .map(|worker| free_size(now.time, worker))
             .collect();
         let least = least_size(&steps);
-        let (fleet_processors, used_processors) = self
+        let (fleet, used) = self
             .fleet
             .iter()
-            .filter(|worker| worker.is_listed)
-            .fold((0, 0), |(fleet, used), worker| {
-                let size = worker.info.size.milli_processors;
-                (fleet + size, used + worker.used.milli_processors)
+            .filter(|worker| worker.is_in_fleet())
+            .fold((Size::ZERO, Size::ZERO), |(fleet, used), worker| {
+                (fleet + worker.info.size, used + worker.used)
             });
         let mut pass = Pass {
             workers_with_room: self
@@ -156,7 +155,7 @@
             gang_reservations: self.cfg.max_gang_reservations,
             searches_left: self.cfg.max_searches,
             claims: Claims::default(),
-            holding: Holding::new(fleet_processors, used_processors),
+            holding: Holding::new(fleet.milli_processors, used.milli_processors),
             held_steps: 0,
             strays: self.fleet.iter().flat_map(Worker::stray_tasks).collect(),
             turns: Turns::default(),
--- a/crates/sched/src/fit.rs
+++ b/crates/sched/src/fit.rs
@@ -55,7 +55,7 @@
 /// size: the smaller of the shares of processors and memory.
 fn leftover(candidate: &Candidate<'_>, size: Size) -> u64 {
     let left = candidate.free - size;
-    let share = |part: u64, whole: u64| part * 1_000 / whole.max(1);
+    let share = |part: u64, whole: u64| part.saturating_mul(1_000) / whole.max(1);
     let processors = share(left.milli_processors, candidate.size.milli_processors);
     processors.min(share(left.memory_mb, candidate.size.memory_mb))
 }
--- a/crates/sched/src/teams/pass.rs
+++ b/crates/sched/src/teams/pass.rs
@@ -196,8 +196,8 @@
         let mut ledger = mem::take(&mut self.teams.ledger);
         ledger.recount(count, self.team_charges());
         self.teams.ledger = ledger;
-        let listed = self.fleet.iter().filter(|worker| worker.is_listed);
-        self.teams.capacity = listed.fold(Size::ZERO, |sum, worker| sum + worker.info.size);
+        let fleet = self.fleet.iter().filter(|worker| worker.is_in_fleet());
+        self.teams.capacity = fleet.fold(Size::ZERO, |sum, worker| sum + worker.info.size);
     }
 
     /// Returns what the runs and strays of all workers count against their teams.
@@ -315,8 +315,8 @@
             return;
         }
         if pass.turns.lacks_room && !self.teams.was_full {
-            let listed = self.fleet.iter().filter(|worker| worker.is_listed);
-            let used = listed.fold(Size::ZERO, |sum, worker| sum + worker.used);
+            let fleet = self.fleet.iter().filter(|worker| worker.is_in_fleet());
+            let used = fleet.fold(Size::ZERO, |sum, worker| sum + worker.used);
             self.teams.was_full = self.teams.is_full(used);
         }
         self.teams.revise_admissions(now);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -248,6 +248,12 @@
         }
     }
 
+    /// Returns whether its size counts as part of the fleet's: the directory lists it, and it has answered. An entry of
+    /// the directory may name a machine that is not there.
+    pub(crate) const fn is_in_fleet(&self) -> bool {
+        self.is_listed && self.heard_at.is_some()
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Size {
         self.info.size - self.used
