A false start time in an entry no longer hides the next entries

Seen: another writer's entry under a worker's key names a later `born`. All further entries and lists of the worker are ignored, and it is polled at the false address, until it restarts later than that time.

Cause: an entry or list with an earlier start counts as late. Nothing could show that the later start was false.

Fix: the scheduler notes the version of the entry that alone tells a start time, until the worker answers with it. A newer entry with an earlier start then replaces it. Once the worker has answered, earlier starts are ignored as before, so a late heartbeat of the previous incarnation changes nothing.

Evidence: `the_next_entry_of_a_worker_replaces_one_with_a_false_start_time` failed before: the address stayed `elsewhere`. `a_late_entry_of_an_earlier_incarnation_is_ignored` passes before and after.

--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -116,6 +116,7 @@
         }
         let worker = self.fleet.get_mut(id);
         worker.known_at.get_or_insert(now);
+        worker.start_told_by = None;
         worker.read_clock(listing.clock_ms, now);
         worker.heard_at = Some(now);
         self.needs_pass |= worker.probed_at.take().is_some();
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -368,11 +368,21 @@
 
     /// Adds a worker that the directory lists, or updates its properties.
     pub fn worker_listed(&mut self, now: Now, info: WorkerInfo) {
+        let is_new = self.fleet.id(&info.name).is_none();
         let id = self.fleet.intern(&info);
-        if info.started_unix_ms > self.fleet.get(id).info.started_unix_ms {
+        let is_restarted = info.started_unix_ms > self.fleet.get(id).info.started_unix_ms;
+        if is_restarted {
             self.worker_restarted(now.time, id, info.started_unix_ms);
         }
         let worker = self.fleet.get_mut(id);
+        let is_earlier = info.started_unix_ms < worker.info.started_unix_ms;
+        if is_new || is_restarted {
+            worker.start_told_by = Some(info.version);
+        } else if is_earlier && worker.start_told_by.is_some_and(|told| told < info.version) {
+            // The entry that told the later start is replaced, and no incarnation with that start has ever answered.
+            worker.begin_incarnation(now.time, info.started_unix_ms);
+            worker.start_told_by = Some(info.version);
+        }
         let is_older = info.version > 0 && info.version < worker.info.version;
         if info.started_unix_ms < worker.info.started_unix_ms || is_older {
             // A directory entry that arrived late.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -139,6 +139,8 @@
     pub(crate) fence_raises: u64,
     /// When the last restart was noticed. Polls that were sent by then carry an earlier fencing token.
     pub(crate) restarted_at: Option<Time>,
+    /// The version of the entry that tells when its present incarnation started; `None` once an answer has confirmed it.
+    pub(crate) start_told_by: Option<u64>,
     clock: Option<ClockReading>,
     /// When every lease that was ever granted to it has lapsed, unless one is renewed.
     pub(crate) lapse_at: Time,
@@ -213,6 +215,7 @@
             is_synced: false,
             fence_raises: 0,
             restarted_at: None,
+            start_told_by: None,
             clock: None,
             lapse_at: Time::ZERO,
             processed: 0,
--- a/crates/sched/tests/odd_workers.rs
+++ b/crates/sched/tests/odd_workers.rs
@@ -1,13 +1,18 @@
-//! Entries of the list of workers that another writer has left: sizes that no worker has.
+//! Entries of the list of workers that another writer has left: sizes and start times that no worker has.
 
 use std::time::Duration;
 
 use jobs::{Job, JobId, Queue, Step};
 use model::{Size, Time};
-use sched::{Action, Listing, Now, Recovered, RunningRow, SchedConfig, Scheduler, WorkerInfo};
+use sched::{
+    Action, Listing, Now, Poll, Recovered, RunningRow, SchedConfig, Scheduler, WorkerInfo,
+};
 
 const SIZE: Size = Size::new(32_000, 131_072, 0);
 
+/// A start time that no worker has.
+const LATER: u64 = 4_000_000_000_000;
+
 fn at(ms: u64) -> Now {
     Now {
         time: Time::from_ms(ms),
@@ -136,3 +141,56 @@
     submit(&mut scheduler, 1, "batch", step(3, 20));
     assert_eq!(starts(&mut scheduler, at(1_000)).len(), 3);
 }
+
+/// Guards against a worker that is lost for ever after an entry with a later start time than its own.
+#[test]
+fn the_next_entry_of_a_worker_replaces_one_with_a_false_start_time() {
+    let mut scheduler = scheduler(&[info("w1", 1)]);
+    submit(&mut scheduler, 1, "batch", step(1, 20));
+    let order = starts(&mut scheduler, at(1_000)).remove(0);
+    let id = order.worker;
+    let row = RunningRow {
+        key: order.key,
+        run: order.run,
+        ..RunningRow::default()
+    };
+    scheduler.polled(
+        at(1_200),
+        id,
+        Time::from_ms(1_100),
+        &listing(vec![row.clone()]),
+    );
+    let false_entry = WorkerInfo {
+        address: "elsewhere".to_owned(),
+        started_unix_ms: LATER,
+        ..info("w1", 2)
+    };
+    scheduler.worker_listed(at(1_300), false_entry);
+    scheduler.worker_listed(at(1_400), info("w1", 3));
+    assert_eq!(scheduler.worker_info(id).address, "w1");
+    assert!(matches!(scheduler.next_poll(at(1_500), id), Poll::Now(_)));
+    scheduler.polled(at(1_600), id, Time::from_ms(1_500), &listing(vec![row]));
+    submit(&mut scheduler, 2, "batch", step(1, 10));
+    let started: Vec<_> = starts(&mut scheduler, at(1_700));
+    assert_eq!(started.len(), 1, "only the second job starts: {started:?}");
+    assert_eq!(started[0].key.job, JobId(2));
+}
+
+/// Guards against a late entry of an earlier incarnation that takes a worker's place after it has answered.
+#[test]
+fn a_late_entry_of_an_earlier_incarnation_is_ignored() {
+    let mut scheduler = scheduler(&[info("w1", 1)]);
+    let id = scheduler.worker_id("w1").unwrap();
+    let restarted = WorkerInfo {
+        started_unix_ms: LATER,
+        ..info("w1", 2)
+    };
+    scheduler.worker_listed(at(1_300), restarted);
+    let lists = Listing {
+        started_unix_ms: LATER,
+        ..listing(Vec::new())
+    };
+    scheduler.polled(at(1_500), id, Time::from_ms(1_400), &lists);
+    scheduler.worker_listed(at(1_600), info("w1", 3));
+    assert_eq!(scheduler.worker_info(id).started_unix_ms, LATER);
+}
