Leases on a worker whose clock shows the latest time do not overflow

Seen: a scheduler panics in `grant_lease` (debug), or orders a lease in the past (release), for a worker that answers with a `clockMs` such as 1e300. The address in an odd entry may lead to anything that answers.

Cause: the lease was added to the clock's reading without a bound. Fix: the sum saturates.

--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -463,7 +463,8 @@
         let passed = millis(now - clock.at);
         let passed = passed - passed * cfg.clock_drift_milli / 1_000;
         self.lapse_at = self.lapse_at.max(now + cfg.lapse_after());
-        Some(clock.worker_ms + passed + millis(cfg.task_lease))
+        let worker_ms = clock.worker_ms.saturating_add(passed);
+        Some(worker_ms.saturating_add(millis(cfg.task_lease)))
     }
 
     /// Returns whether it has ends that a poll must still acknowledge.
--- a/crates/sched/tests/odd_workers.rs
+++ b/crates/sched/tests/odd_workers.rs
@@ -194,3 +194,18 @@
     scheduler.worker_listed(at(1_600), info("w1", 3));
     assert_eq!(scheduler.worker_info(id).started_unix_ms, LATER);
 }
+
+/// Guards against a clock of a worker whose lease times overflow.
+#[test]
+fn a_worker_whose_clock_shows_the_latest_time_gets_leases() {
+    let mut scheduler = scheduler(&[info("w1", 1)]);
+    let id = scheduler.worker_id("w1").unwrap();
+    let lists = Listing {
+        clock_ms: u64::MAX,
+        ..listing(Vec::new())
+    };
+    scheduler.polled(at(1_200), id, Time::from_ms(1_100), &lists);
+    submit(&mut scheduler, 1, "batch", step(1, 20));
+    let orders = starts(&mut scheduler, at(1_300));
+    assert_eq!(orders[0].lease_until_ms, u64::MAX);
+}
