Log a worker as unlisted only if it was listed

Seen: `event=worker_unlisted` for each change of an invalid entry, so a writer that repeats one every 1.5 s fills the log.

Cause: an invalid entry counts as the removal of its worker, and each removal was logged.

Fix: `Scheduler::worker_unlisted` returns whether the worker was listed, and only then the line is written.

Evidence: `a_worker_is_unlisted_once` tests the new result; there was none before.

--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -110,10 +110,9 @@
             if let Some(info) = info {
                 log_resize(&scheduler, &info);
                 scheduler.worker_listed(now, info);
-            } else {
+            } else if scheduler.worker_unlisted(&name) {
                 let version = change.version;
                 log::info!("event=worker_unlisted worker={name} version={version}");
-                scheduler.worker_unlisted(&name);
             }
         }
         scheduler.workers_read(now, sent_at);
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -416,11 +416,12 @@
         self.workers_read_at.is_none_or(|at| now < at + max_age)
     }
 
-    /// Records that the directory no longer lists a worker.
-    pub fn worker_unlisted(&mut self, name: &str) {
-        if let Some(id) = self.fleet.id(name) {
-            self.fleet.get_mut(id).is_listed = false;
-        }
+    /// Records that the directory no longer lists a worker. Returns whether it was listed.
+    pub fn worker_unlisted(&mut self, name: &str) -> bool {
+        let Some(id) = self.fleet.id(name) else {
+            return false;
+        };
+        std::mem::take(&mut self.fleet.get_mut(id).is_listed)
     }
 
     /// Returns the names of the workers that the directory lists.
--- a/crates/sched/tests/odd_workers.rs
+++ b/crates/sched/tests/odd_workers.rs
@@ -209,3 +209,14 @@
     let orders = starts(&mut scheduler, at(1_300));
     assert_eq!(orders[0].lease_until_ms, u64::MAX);
 }
+
+/// Guards against a log line about a removed worker for each heartbeat of a writer whose entry is invalid.
+#[test]
+fn a_worker_is_unlisted_once() {
+    let mut scheduler = scheduler(&[info("w1", 1)]);
+    assert!(!scheduler.worker_unlisted("odd"));
+    assert!(scheduler.worker_unlisted("w1"));
+    assert!(!scheduler.worker_unlisted("w1"));
+    scheduler.worker_listed(at(1_100), info("w1", 2));
+    assert!(scheduler.worker_unlisted("w1"));
+}
