A node whose task panics hands over or ends

Seen: after one panic a node lives on without its part: it links, answers clients and its readiness checks, and does not schedule, follow the list of workers or read the lease row again.

Cause: the tasks run detached, and a panic ends only the task.

Fix: a scheduler of which any task panics releases its lease (`event=scheduling_failed`). `Node::run` returns if a task that the node depends on ends (`event=task_ended`); the process then ends with an error, as it did before for `run` itself, and can be started again.

Evidence, before: `a_scheduler_whose_reader_panics_hands_over` failed with `not within 30s: another scheduler began`, and `a_node_whose_scheduling_panics_ends` with `the node runs on`.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -12,6 +12,7 @@
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
+    thread,
     time::Duration,
 };
 
@@ -86,10 +87,23 @@
     nodes_schedule: Cell<Schedule>,
     /// Signals that another node has replaced this scheduler.
     deposed: Notify,
+    /// Signals that a task of this scheduler has panicked.
+    panicked: Rc<Notify>,
     /// Signals that there may be changes to store.
     changed: Notify,
 }
 
+/// Signals when it is dropped by a panic.
+struct PanicSignal(Rc<Notify>);
+
+impl Drop for PanicSignal {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.0.notify_one();
+        }
+    }
+}
+
 impl<P: Ports> Leader<P> {
     pub(crate) fn new(node: Node<P>, scheduler: Scheduler, writer: LeaseWriter) -> Rc<Self> {
         Rc::new(Self {
@@ -108,6 +122,7 @@
             is_draining: Cell::default(),
             nodes_schedule: Cell::new(Schedule::of_nodes()),
             deposed: Notify::new(),
+            panicked: Rc::default(),
             changed: Notify::new(),
         })
     }
@@ -123,8 +138,8 @@
         self.changed.notify_one();
     }
 
-    /// Schedules until another node has taken over or this one has handed over. Follows the tables from
-    /// `positions`.
+    /// Schedules until another node has taken over or this one has handed over, which it also does after a task has
+    /// panicked. Follows the tables from `positions`.
     pub(crate) async fn run(self: Rc<Self>, positions: FeedPositions) {
         self.set_queues();
         self.set_approvers();
@@ -144,6 +159,9 @@
         tokio::select! {
             _ = both => {}
             () = self.deposed.notified() => {}
+            () = self.panicked.notified() => {
+                log::error!("event=scheduling_failed epoch={} error=\"a task has panicked\"", self.epoch());
+            }
         }
         self.tasks.borrow_mut().abort_all();
         if self.scheduler.borrow().is_deposed() {
@@ -161,7 +179,11 @@
         let mut tasks = self.tasks.borrow_mut();
         // Removes ended tasks, so that the set does not grow without limit.
         while tasks.try_join_next().is_some() {}
-        tasks.spawn_local(task);
+        let signal = PanicSignal(self.panicked.clone());
+        tasks.spawn_local(async move {
+            let _signal = signal;
+            task.await;
+        });
     }
 
     /// Stores the scheduler's changes, one batch at a time, and executes the actions that depend on them.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -15,7 +15,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc},
-    task::spawn_local,
+    task::{JoinSet, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -160,23 +160,40 @@
     }
 
     /// Runs the node until [`drain`](Self::drain) is called and scheduling is handed over. Accepts the links of other
-    /// nodes on `links`. Must be called inside a `LocalSet`.
+    /// nodes on `links`. Must be called inside a `LocalSet`. Returns early if a task that the node depends on has
+    /// panicked; the process should then end.
     ///
     /// The links and feeds stay open after that, until the `LocalSet` is dropped: the node still accepts jobs, and
     /// requests approvals for them.
     pub async fn run(&self, links: TcpListener) {
         let node = self.clone();
-        spawn_local(link::accept(links, move |link| node.serve_link(link)));
-        spawn_local(feed::follow_routes(self.clone()));
-        spawn_local(follow::keep_scheduler_link(self.clone()));
-        spawn_local(self.clone().expire_states());
-        spawn_local(monitor_table(self.clone()));
-        spawn_local(self.clone().exchange_configuration());
-        spawn_local(self.clone().watch_door());
-        let candidacy = spawn_local(follow::run_candidacy(self.clone()));
-        while !self.0.is_draining.get() {
-            self.0.draining.notified().await;
+        // None of these tasks returns.
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(link::accept(links, move |link| node.serve_link(link)));
+        tasks.spawn_local(feed::follow_routes(self.clone()));
+        tasks.spawn_local(follow::keep_scheduler_link(self.clone()));
+        tasks.spawn_local(self.clone().expire_states());
+        tasks.spawn_local(monitor_table(self.clone()));
+        tasks.spawn_local(self.clone().exchange_configuration());
+        tasks.spawn_local(self.clone().watch_door());
+        let mut candidacy = spawn_local(follow::run_candidacy(self.clone()));
+        let draining = async {
+            while !self.0.is_draining.get() {
+                self.0.draining.notified().await;
+            }
+        };
+        let failed = tokio::select! {
+            // Once the node drains, `candidacy` returns.
+            biased;
+            () = draining => None,
+            ended = &mut candidacy => Some(ended),
+            Some(ended) = tasks.join_next() => Some(ended),
+        };
+        if let Some(ended) = failed {
+            log::error!("event=task_ended result={ended:?}");
+            return;
         }
+        tasks.detach_all();
         if timeout(HANDOVER_TIMEOUT, candidacy).await.is_err() {
             log::warn!("event=hand_over_unfinished");
         }
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -7,9 +7,9 @@
 
 use std::time::Duration;
 
-use cluster::{CancelOutcome, Node, StateAnswer, SubmitOutcome};
+use cluster::{AccessSettings, CancelOutcome, Node, StateAnswer, SubmitOutcome};
 use jobs::{JobId, State, StepKey};
-use support::{Platform, TableFault, deadline, job, platform, queue, start, until};
+use support::{Platform, TableFault, deadline, job, platform, queue, start, start_running, until};
 use tokio::{
     runtime::Builder,
     task::LocalSet,
@@ -534,3 +534,36 @@
         assert_eq!(platform.starts(), 1);
     });
 }
+
+/// Guards against a scheduler that holds its lease although it no longer follows the list of workers.
+#[test]
+fn a_scheduler_whose_reader_panics_hands_over() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        assert_eq!(submit(&node, JobId(1), 1).await, SubmitOutcome::Accepted);
+        until_state(&node, JobId(1), State::Completed).await;
+        let epoch = platform.lease().unwrap().epoch;
+        platform.shared.next_changes_panic.set(true);
+        until("another scheduler began", || {
+            platform.lease().is_some_and(|row| row.epoch > epoch)
+        })
+        .await;
+        assert_eq!(submit(&node, ID, 3).await, SubmitOutcome::Accepted);
+        until_state(&node, ID, State::Completed).await;
+    });
+}
+
+/// Guards against a process that answers clients and links though it has stopped to read who schedules.
+#[test]
+fn a_node_whose_scheduling_panics_ends() {
+    run(async {
+        let platform = platform();
+        let access = AccessSettings::default();
+        let (node, running) = start_running("n1", 0, &platform, access).await;
+        assert_eq!(submit(&node, ID, 1).await, SubmitOutcome::Accepted);
+        platform.shared.next_renewal_panics.set(true);
+        let ended = timeout(Duration::from_secs(10), running).await;
+        assert!(ended.is_ok(), "the node runs on");
+    });
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -22,7 +22,7 @@
 };
 use tokio::{
     net::TcpListener,
-    task::spawn_local,
+    task::{JoinHandle, spawn_local},
     time::{Instant, sleep, timeout},
 };
 
@@ -79,6 +79,10 @@
     pub task_time: Cell<Duration>,
     /// The number of approval requests for each step.
     pub asked: RefCell<BTreeMap<StepKey, u32>>,
+    /// Whether the next call for changes of workers panics.
+    pub next_changes_panic: Cell<bool>,
+    /// Whether the next transaction of the scheduler panics.
+    pub next_renewal_panics: Cell<bool>,
     started_at: Instant,
 }
 
@@ -136,6 +140,8 @@
         part_times: RefCell::default(),
         task_time: Cell::new(Duration::from_millis(20)),
         asked: RefCell::default(),
+        next_changes_panic: Cell::default(),
+        next_renewal_panics: Cell::default(),
         started_at: Instant::now(),
     };
     Platform {
@@ -207,6 +213,10 @@
 
 impl Table for Platform {
     async fn commit(&self, tx: &Transaction) -> Result<u64, CommitError> {
+        let is_renewal = tx.set.iter().any(|(key, _)| key.table == "lease");
+        if is_renewal {
+            assert!(!self.shared.next_renewal_panics.take(), "as the test wants");
+        }
         if let Some(e) = self
             .injected_error(CommitError::NotStored("503".into()))
             .await
@@ -452,6 +462,7 @@
         if let Some(e) = self.injected_error(refused).await {
             return Err(e);
         }
+        assert!(!self.shared.next_changes_panic.take(), "as the test wants");
         sleep(wait).await;
         Ok(Versioned {
             value: WorkerChanges::new(),
@@ -498,6 +509,19 @@
     platform: &Platform,
     access: AccessSettings,
 ) -> Node<Platform> {
+    let (node, running) = start_running(name, rank, platform, access).await;
+    // The node runs on without its handle.
+    drop(running);
+    node
+}
+
+/// Starts a node, waits until it has a configuration, and also returns the task that runs it.
+pub async fn start_running(
+    name: &str,
+    rank: u32,
+    platform: &Platform,
+    access: AccessSettings,
+) -> (Node<Platform>, JoinHandle<()>) {
     let links = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let settings = NodeSettings {
         name: name.into(),
@@ -516,9 +540,9 @@
         Metrics::default(),
     );
     let running = node.clone();
-    spawn_local(async move { running.run(links).await });
+    let running = spawn_local(async move { running.run(links).await });
     until("the configuration is in force", || node.is_ready()).await;
-    node
+    (node, running)
 }
 
 /// Waits until `condition` returns true. Panics after [`WAIT_TIMEOUT`]; `what` describes the condition.
