Stored values and messages cannot ask for all memory

Seen: a row or message whose bytes state a text of 2^62 bytes ends or panics each process that decodes it: each node that takes over, if it is a row of a job or of progress.

Cause: bincode allocates a text with the length that it states before it reads it, and no limit was set.

Fix: decoding stops at a limit: 64 MB for rows on the users' platform, whose rows have at most 1 MB; eight times the longest message, and 1 MB, for links; 128 MB for rows, objects and messages of the product's own cell. A number of one byte counts as eight there, so every value that could be stored or sent before can still be decoded. Encodings stay the same.

The decoders of links and of messages between nodes have the same change and no test of their own.

--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -29,6 +29,9 @@
 /// The longest message, in bytes. It bounds the memory that a faulty peer can make a node use.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
+/// The most memory that decoding a message may take, in bytes. A number of one byte counts as eight.
+const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES + (1 << 20);
+
 /// Waiting messages are joined into one write until it has at least this many bytes.
 const WRITE_TARGET_BYTES: usize = 16 << 10;
 
@@ -210,7 +213,7 @@
     }
     buf.advance(4);
     let bytes = buf.split_to(length);
-    let (message, _) = bincode::serde::decode_from_slice(&bytes, bincode::config::standard())
-        .map_err(|e| e.to_string())?;
+    let cfg = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (message, _) = bincode::serde::decode_from_slice(&bytes, cfg).map_err(|e| e.to_string())?;
     Ok(Some(message))
 }
--- a/crates/jobs/src/codec.rs
+++ b/crates/jobs/src/codec.rs
@@ -7,6 +7,10 @@
 /// The format version of stored values. It is raised when a stored type changes.
 pub(crate) const FORMAT_VERSION: u8 = 1;
 
+/// The most memory that decoding a value may take, in bytes. A text is allocated with the length that it states before it is
+/// read. A number of one byte counts as eight.
+const MAX_DECODED_BYTES: usize = 64 << 20;
+
 /// Encodes a value for the store: one byte with the format version, then `bincode`.
 ///
 /// # Panics
@@ -27,12 +31,13 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes have another format version or do not encode a `T`.
+/// Returns an error if the bytes have another format version, do not encode a `T`, or encode one that is too large.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     let (&format, rest) = bytes.split_first().ok_or(CodecError::Empty)?;
     if format != FORMAT_VERSION {
         return Err(CodecError::Format(format));
     }
-    let (value, _) = bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
+    let cfg = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (value, _) = bincode::serde::decode_from_slice(rest, cfg)?;
     Ok(value)
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -20,6 +20,10 @@
 /// The delay after a connection could not be accepted, for example because no file descriptor was free.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
+/// The most memory that decoding a message may take, in bytes. A text is allocated with the length that it states before it
+/// is read.
+const MAX_DECODED_BYTES: usize = 128 << 20;
+
 /// A caller's request that another node has forwarded.
 #[derive(Debug)]
 pub struct ForwardedRequest {
@@ -125,7 +129,8 @@
 async fn read_message(cfg: &LinksConfig, from: NodeId, recv: RecvStream) -> Option<PeerMsg> {
     let reading = read_body(cfg.max_message_bytes, recv);
     let body = timeout(cfg.message_timeout, reading).await.ok()??;
-    match bincode::serde::decode_from_slice(&body, bincode::config::standard()) {
+    let cfg = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    match bincode::serde::decode_from_slice(&body, cfg) {
         Ok((msg, _)) => Some(msg),
         Err(e) => {
             log::warn!("peer: a message of {from} cannot be read: {e}");
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -8,6 +8,10 @@
 #[error("cannot decode the value: {0}")]
 pub struct DecodeError(String);
 
+/// The most memory that decoding a value may take, in bytes. A text is allocated with the length that it states before it is
+/// read. A number of one byte counts as eight.
+const MAX_DECODED_BYTES: usize = 128 << 20;
+
 /// Encodes a value for a row or an object.
 ///
 /// # Panics
@@ -25,8 +29,9 @@
 ///
 /// Returns an error if the bytes are not an encoding of a `T`, or if bytes are left over.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
-    let (value, read) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-        .map_err(|e| DecodeError(e.to_string()))?;
+    let cfg = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (value, read) =
+        bincode::serde::decode_from_slice(bytes, cfg).map_err(|e| DecodeError(e.to_string()))?;
     if read == bytes.len() {
         Ok(value)
     } else {
