One odd VM no longer hides the VM list

Seen, in the product's own cell: with one odd entry in the VM list (a nested list, an unknown state, a size of 1e400 or -1) a node reads no VM of its failure domain. New workers stay unknown, and leaving ones in use, until the entry is gone. An entry with a size of 2^64-1 is used.

Cause: the answer was decoded as a whole, and sizes were not checked.

Fix: entries are decoded one by one, as on the users' platform. Invalid ones, and those of a size above 2^40 in a dimension, are left out: the VM counts as not listed. `event=bad_entry list=vms` tells the count whenever it changes.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,18 +1,32 @@
 //! The HTTP adapter of the ports, which sends JSON with `ureq`.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use model::DomainId;
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::{
-    ObjectReq, ObjectResp, Objects, StoreError, Table, TableReq, TableResp, VmInfo, VmList,
+    ObjectReq, ObjectResp, Objects, StoreError, Table, TableReq, TableResp, VmInfo, VmList, VmRole,
     WorkerCall, WorkerReport, Workers,
 };
 
 /// The maximum size of a response body, in bytes.
 const RESPONSE_MAX_BYTES: u64 = 64 << 20;
 
+/// The most characters of an error in the log. Errors quote entries, which may be long.
+const MAX_ERROR_CHARS: usize = 200;
+
+/// The largest processors, in thousandths, and the largest memory, in MB, of a VM. Sums over all VMs stay far below the
+/// largest number.
+const MAX_VM_SIZE: u64 = 1 << 40;
+
 /// Settings of [`HttpPlatform`].
 #[derive(Clone, Debug)]
 pub struct HttpPlatformConfig {
@@ -39,6 +53,8 @@
 pub struct HttpPlatform {
     agent: ureq::Agent,
     url: String,
+    /// The number of invalid entries of the VM list that was read last.
+    bad_vms: Arc<AtomicUsize>,
 }
 
 impl HttpPlatform {
@@ -54,6 +70,7 @@
         Self {
             agent,
             url: cfg.url,
+            bad_vms: Arc::default(),
         }
     }
 
@@ -121,7 +138,35 @@
     fn vms(&mut self, domain: DomainId) -> Result<Vec<VmInfo>, StoreError> {
         let url = format!("{}/vms/{domain}", self.url);
         let resp = self.agent.get(&url).call().map_err(|e| call_error(&e))?;
-        read_response(resp)
+        let entries: Vec<Box<RawValue>> = read_response(resp)?;
+        let mut vms = Vec::with_capacity(entries.len());
+        let mut errors = Vec::new();
+        for entry in &entries {
+            match read_vm(entry) {
+                Ok(vm) => vms.push(vm),
+                Err(e) => errors.push(e),
+            }
+        }
+        let before = self.bad_vms.swap(errors.len(), Ordering::Relaxed);
+        if let Some(error) = errors.first().filter(|_| errors.len() != before) {
+            let error: String = error.chars().take(MAX_ERROR_CHARS).collect();
+            log::warn!(
+                "event=bad_entry list=vms count={} error={error:?}",
+                errors.len()
+            );
+        }
+        Ok(vms)
+    }
+}
+
+/// Reads an entry of the VM list.
+fn read_vm(entry: &RawValue) -> Result<VmInfo, String> {
+    let vm: VmInfo = serde_json::from_str(entry.get()).map_err(|e| e.to_string())?;
+    match vm.role {
+        VmRole::Worker { size, .. } if size.milli_processors.max(size.memory_mb) > MAX_VM_SIZE => {
+            Err("`size` is too large".to_owned())
+        }
+        VmRole::Worker { .. } | VmRole::Entry { .. } => Ok(vm),
     }
 }
 
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -32,7 +32,7 @@
 
 /// The platform's list of VMs.
 pub trait VmList {
-    /// Returns the VMs of a failure domain. The list lags behind the actual state.
+    /// Returns the VMs of a failure domain. The list lags behind the actual state. Invalid entries are left out.
     ///
     /// # Errors
     ///
