Sizes of hosts with accelerators do not overflow in placement

Seen: a scheduler of the product's own cell panics (debug) or keeps a wrong part free (release) with a VM whose processors times its accelerators times 1000 exceed 2^64.

Fix: the part that is kept free for accelerators is computed in 128 bits.

Evidence, before: `work_is_placed_beside_a_worker_of_the_largest_size` panicked at place/src/worker.rs:63, attempt to multiply with overflow.

--- a/crates/place/src/worker.rs
+++ b/crates/place/src/worker.rs
@@ -60,8 +60,10 @@
         let free = self.free();
         let whole = self.spec.size;
         let kept_part = |amount: u64| {
-            let shares = amount * u64::from(free.accelerators) * share_permille;
-            shares / (1_000 * u64::from(whole.accelerators.max(1)))
+            let shares = u128::from(free.accelerators) * u128::from(share_permille);
+            let whole_shares = 1_000 * u128::from(whole.accelerators.max(1));
+            let kept = u128::from(amount).saturating_mul(shares) / whole_shares;
+            u64::try_from(kept).unwrap_or(u64::MAX)
         };
         let kept = Size::new(
             kept_part(whole.milli_processors),
--- a/crates/place/tests/rules.rs
+++ b/crates/place/tests/rules.rs
@@ -81,6 +81,17 @@
     assert_eq!(workers_of(&world, "model").len(), 2);
 }
 
+/// An entry of the VM list may name any size. Its arithmetic must not overflow.
+#[test]
+fn work_is_placed_beside_a_worker_of_the_largest_size() {
+    let mut world = world(1);
+    world.add_worker(1, Size::new(u64::MAX, u64::MAX, u32::MAX));
+    let firm = unit("firm", Class::Standard, batch(12), size(2, 2, 0));
+    world.submit(&firm).unwrap();
+    world.decide();
+    assert_eq!(workers_of(&world, "firm").len(), 12);
+}
+
 /// Preemption of the task that has run longest would lose the most work.
 #[test]
 fn urgent_work_preempts_the_cheapest_victim() {
