--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -139,6 +139,8 @@
     pub(crate) fence_raises: u64,
     /// When the last restart was noticed. Polls that were sent by then carry an earlier fencing token.
     pub(crate) restarted_at: Option<Time>,
+    /// The version of the entry that tells when its present incarnation started; `None` once an answer has confirmed it.
+    pub(crate) start_told_by: Option<u64>,
     clock: Option<ClockReading>,
     /// When every lease that was ever granted to it has lapsed, unless one is renewed.
     pub(crate) lapse_at: Time,
@@ -216,6 +218,7 @@
             is_synced: false,
             fence_raises: 0,
             restarted_at: None,
+            start_told_by: None,
             clock: None,
             lapse_at: Time::ZERO,
             assumed_lapse: None,
@@ -253,6 +256,12 @@
         }
     }
 
+    /// Returns whether its size counts as part of the fleet's: the directory lists it, and it has answered. An entry of
+    /// the directory may name a machine that is not there.
+    pub(crate) const fn is_in_fleet(&self) -> bool {
+        self.is_listed && self.heard_at.is_some()
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Size {
         self.info.size - self.used
@@ -467,7 +476,8 @@
         let passed = millis(now - clock.at);
         let passed = passed - passed * cfg.clock_drift_milli / 1_000;
         self.lapse_at = self.lapse_at.max(now + cfg.lapse_after());
-        Some(clock.worker_ms + passed + millis(cfg.task_lease))
+        let worker_ms = clock.worker_ms.saturating_add(passed);
+        Some(worker_ms.saturating_add(millis(cfg.task_lease)))
     }
 
     /// Returns whether it has ends that a poll must still acknowledge.
