--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -184,16 +184,21 @@
         Outcome::Conflict { current } => {
             let current = current.iter().find(|r| r.key == LEASE_KEY);
             let found = current.map_or(0, |r| r.version);
-            match current.and_then(|r| lease::decode_lease(r).ok()) {
+            match current.map(lease::decode_lease).transpose() {
                 // An earlier attempt was stored, but its answer was lost.
-                Some(seen) if seen == row => {
+                Ok(Some(seen)) if seen == row => {
                     log::info!("event=takeover epoch={} before={before}", row.epoch);
                     Ok(LeaseWriter::new(row, found, past))
                 }
-                seen => {
+                Ok(seen) => {
                     apply_lease_row(node, seen);
                     Err(found)
                 }
+                Err(e) => {
+                    log::warn!("event=lease_unread error={:?}", e.to_string());
+                    node.0.candidacy.borrow_mut().row_unreadable();
+                    Err(found)
+                }
             }
         }
         Outcome::NotStored(reason) | Outcome::Unknown(reason) => {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Records that the row has changed to one that cannot be read, so that there is none to replace.
+    pub const fn row_unreadable(&mut self) {
+        self.is_read = false;
+    }
+
     /// Updates the state of the link to the scheduler.
     pub fn link_changed(&mut self, now: Time, link: LinkState) {
         self.link = link;
--- a/crates/sched/tests/candidacy.rs
+++ b/crates/sched/tests/candidacy.rs
@@ -255,3 +255,23 @@
         }
     }
 }
+
+/// Guards against replacing a row that cannot be read as if no node had ever scheduled.
+#[test]
+fn a_row_that_cannot_be_read_is_not_replaced() {
+    let mut candidacy = Candidacy::new(CandidacyConfig::default(), 0);
+    let released = LeaseRow {
+        holder: String::new(),
+        ..row(4)
+    };
+    candidacy.read_started(Time::ZERO);
+    candidacy.row_read(Time::ZERO, Some(released.clone()));
+    assert_eq!(candidacy.next_step(Time::from_ms(10)), Step::TakeOver);
+    candidacy.row_unreadable();
+    for ms in 10..5_000 {
+        assert_ne!(candidacy.next_step(Time::from_ms(ms)), Step::TakeOver);
+    }
+    candidacy.read_started(Time::from_ms(5_000));
+    candidacy.row_read(Time::from_ms(5_010), Some(released));
+    assert_eq!(candidacy.next_step(Time::from_ms(5_010)), Step::TakeOver);
+}
