Tasks do not wait for silent workers that the list no longer names

A worker is removed from the list after 4.5 s of silence, before its leases lapse, and one that is missing there is gone by the platform's rules. So a task waits only for workers that are still listed. The test took 8 s before, and starts at once now; those of tasks that crash their hosts are as before.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -252,7 +252,7 @@
         let count = tasks.len();
         let is_awaiting = |key: &TaskKey| {
             let until = self.awaiting_workers.get(key);
-            until.is_some_and(|&until| now < until)
+            until.is_some_and(|&until| now < until) && self.may_return(*key)
         };
         tasks.retain(|&index| {
             let task = key.task(index);
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -231,6 +231,22 @@
         }
     }
 
+    /// Returns whether a silent worker that may have crashed under a task, or under its gang, may come back. One that the
+    /// directory no longer lists is gone.
+    pub(crate) fn may_return(&self, key: TaskKey) -> bool {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let is_gang = self.is_gang(key);
+        let is_same =
+            |other: TaskKey| other == key || (is_gang && other.step_key() == key.step_key());
+        let mut lapsed = entry.progress.lapsed_runs(key.job);
+        lapsed.any(|(other, _, incarnation)| {
+            let worker = self.fleet.id(&incarnation.worker);
+            is_same(other) && worker.is_some_and(|id| self.fleet.get(id).is_listed)
+        })
+    }
+
     /// Forgets the runs that have lapsed on a worker that was only silent.
     pub(crate) fn forget_lapses(&mut self, now: Time, id: WorkerId) {
         for ((key, run), _) in std::mem::take(&mut self.fleet.get_mut(id).lapsed) {
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -345,3 +345,62 @@
         assert!(!cell.scheduler.take_actions().iter().any(is_crash));
     }
 }
+
+/// Returns how long after the lapse of its third run a task starts again, under two of whose workers have crashed and whose
+/// third one is silent. The silent worker may be gone from the list.
+fn restart_after_lapse(is_gone: bool) -> u64 {
+    let mut cell = Cell::new(at_ms(1_000), 6);
+    let step = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+    cell.scheduler.job_stored(at_ms(1_000), JOB, job(step));
+    for crash in 0..2 {
+        let now = 1_000 + crash * 1_000;
+        cell.poll(at_ms(now));
+        let workers = cell.start(at_ms(now + 10));
+        cell.crash(at_ms(now + 300), workers[0]);
+    }
+    cell.poll(at_ms(3_000));
+    let silent = cell.start(at_ms(3_010))[0];
+    let silence = sched::PollFailure::Silent;
+    cell.scheduler.poll_failed(at_ms(3_100), silent, silence);
+    cell.running.clear();
+    if is_gone {
+        let name = cell.scheduler.worker_info(silent).name.clone();
+        cell.scheduler.worker_unlisted(&name);
+    }
+    let mut lapsed_at = None;
+    for ms in (3_110..30_000).step_by(10) {
+        let now = at_ms(ms);
+        cell.store(now);
+        let others = (0..6).map(|worker| cell.id(worker));
+        for id in others.filter(|&id| id != silent).collect::<Vec<_>>() {
+            let listing = Listing {
+                started_unix_ms: cell.scheduler.worker_info(id).started_unix_ms,
+                clock_ms: ms,
+                ..Listing::default()
+            };
+            cell.scheduler.polled(now, id, now.time, &listing);
+        }
+        cell.scheduler.request_pass();
+        cell.scheduler.decide(now);
+        cell.store(now);
+        for action in cell.scheduler.take_actions() {
+            match action {
+                Action::Interrupted { .. } => lapsed_at = Some(ms),
+                Action::Start(_) => return ms - lapsed_at.unwrap(),
+                _ => {}
+            }
+        }
+    }
+    panic!("the task does not start again")
+}
+
+/// Guards against a task that waits for a worker to come back that is gone for good, and again after each takeover.
+#[test]
+fn a_task_does_not_wait_for_a_worker_that_is_gone() {
+    assert!((7_000..9_000).contains(&restart_after_lapse(false)));
+    let took = restart_after_lapse(true);
+    assert!(took < 1_000, "started after {took} ms");
+}
