A lease stays within the earliest bound that rows have told

Found by reading: if a worker's restart was noticed while it was not heard of, the next row told a later end, and a lease up to that could be granted while only the row before was stored. The earliest end that was told counts until a row without the worker is stored. No test shows it: the runs of such a worker are not renewed for other reasons.

--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -183,14 +183,22 @@
 pub(crate) struct LeaseBound {
     /// When they have lapsed, if the next row tells it.
     wanted: Option<Time>,
-    /// The same for the rows so far, with the number of the last batch that has told it, until one that does not is stored.
+    /// The earliest end that the rows so far have told, with the number of the last batch that told one, until a batch that
+    /// does not is stored.
     told: Option<(Time, u64)>,
 }
 
 impl LeaseBound {
     /// Returns by when a lease that is granted now must have lapsed.
     pub(crate) fn limit(self) -> Option<Time> {
-        self.wanted.or(self.told.map(|(end, _)| end))
+        let told = self.told.map(|(end, _)| end);
+        self.wanted.into_iter().chain(told).min()
+    }
+
+    /// Notes that a batch tells an end.
+    fn tell(&mut self, end: Time, batch: u64) {
+        let earliest = self.told.map_or(end, |(told, _)| told.min(end));
+        self.told = Some((earliest, batch));
     }
 
     /// Tells the bound no longer.
@@ -276,7 +284,7 @@
             let ends_at = worker.leases_end();
             if let Some(end) = worker.bound.wanted {
                 if bounded.add(worker, end.max(ends_at), now) {
-                    worker.bound.told = Some((end, batch));
+                    worker.bound.tell(end, batch);
                 }
             } else if ends_at > usual && worker.sent_runs().next().is_some() {
                 longer.add(worker, ends_at, now);
