--- a/crates/sched/src/waits.rs
+++ b/crates/sched/src/waits.rs
@@ -10,7 +10,7 @@
 /// What was reported last, so that only changes are.
 #[derive(Debug, Default)]
 pub(crate) struct Waits {
-    /// Why steps wait whose tasks have run before.
+    /// Why steps wait.
     steps: BTreeMap<StepKey, WaitReason>,
     /// Why no task may start.
     starts_held: Option<StartsHeld>,
@@ -23,9 +23,12 @@
         for worker in self.fleet.iter_mut() {
             let ends_at = worker.leases_end();
             let is_due = worker.unheard_for(now) >= after && now < ends_at;
+            if !is_due || worker.reported_lapse == Some(ends_at) {
+                continue;
+            }
+            worker.reported_lapse = Some(ends_at);
             let runs = worker.sent_runs().count();
-            if is_due && runs > 0 && worker.reported_lapse != Some(ends_at) {
-                worker.reported_lapse = Some(ends_at);
+            if runs > 0 {
                 self.actions.push(Action::LapseAwaited {
                     worker: worker.id,
                     runs,
@@ -37,13 +40,16 @@
 
     /// Reports why a step waits, if it has run before and the reason has changed.
     pub(crate) fn report_wait(&mut self, step: StepKey, reason: WaitReason) {
+        if self.waits.steps.insert(step, reason) == Some(reason) {
+            return;
+        }
         let Some(entry) = self.jobs.get(&step.job) else {
             return;
         };
         let waiting = entry.progress.waiting(&entry.job, step);
         let has_run = |&&index: &&u32| entry.progress.task(step.task(index)).run > 0;
         let tasks = waiting.iter().filter(has_run).count();
-        if tasks > 0 && self.waits.steps.insert(step, reason) != Some(reason) {
+        if tasks > 0 {
             self.actions.push(Action::Waits {
                 step,
                 tasks,
