--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -24,6 +24,7 @@
         "born" => born(root, dir, has_trouble).await,
         "reserved" => reserved(root, dir, has_trouble).await,
         "crashloop" => crashloop(root, dir, has_trouble).await,
+        "atonce" => atonce(root, dir, has_trouble).await,
         "batch" => batch(root, dir, has_trouble).await,
         _ => Err(format!("no case {case}")),
     };
@@ -440,6 +441,66 @@
     judge(&world, &jobs).await
 }
 
+/// A minion is lost for good, and the machine that schedules at the same moment.
+async fn atonce(root: &Path, dir: &Path, has_trouble: bool) -> Result<bool, String> {
+    let world = World::new(root, dir, 3, 6, 16_000)
+        .await
+        .map_err(|e| e.to_string())?;
+    if !world.wait_until_ready().await {
+        return Err("no node is ready".to_owned());
+    }
+    sleep(Duration::from_secs(3)).await;
+    let id = "ee00000000000001";
+    let job = json!({"spec": "ms=0 cpu=1000", "steps": [
+        {"count": 6, "cpu": 1000, "memMb": 64, "estimateMs": 500, "longRunning": true},
+    ]});
+    if !world.submit(id, &job).await {
+        return Err("the job was not accepted".to_owned());
+    }
+    sleep(Duration::from_secs(8)).await;
+    let running = || world.seen.borrow().running.get(id).copied().unwrap_or(0);
+    let all = running();
+    let lost_at = Instant::now();
+    if has_trouble {
+        let worker = (world.workers.iter()).find(|worker| !worker.running_of(id).is_empty());
+        let Some((worker, node)) = worker.cloned().zip(world.scheduling_node().cloned()) else {
+            return Err("nothing runs".to_owned());
+        };
+        world.record.say(&format!(
+            "{} and {} are lost for good",
+            worker.name, node.name
+        ));
+        worker.crash(Duration::from_secs(3_600));
+        node.is_held.set(true);
+        node.kill();
+        let store = world.store.clone();
+        spawn_local(async move {
+            sleep(Duration::from_millis(4_500)).await;
+            store.put("servers", &worker.name, None);
+        });
+        sleep(Duration::from_millis(100)).await;
+    }
+    while running() < all && lost_at.elapsed() < Duration::from_secs(40) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let gap = lost_at.elapsed();
+    for node in &world.nodes {
+        node.quote_log(&["event=scheduling ", "lapse_awaited", "interrupted"], 6);
+    }
+    world.record.say(&format!(
+        "all {all} tasks run again after {} ms",
+        gap.as_millis()
+    ));
+    // 4 s until all is calm, the 4 s before and the 3 s themselves.
+    let is_broken = gap > Duration::from_secs(11);
+    world.record.say(if is_broken {
+        "LOST is broken"
+    } else {
+        "the rule held"
+    });
+    Ok(is_broken)
+}
+
 /// The rule LOST, `finish_s` after the end of the traffic: jobs are asked for. It is broken if one is not known or gets
 /// no answer, or if for 3 s a job has nothing running while it has tasks to run, less than half of the service's
 /// capacity is in use, and so there is capacity for it twice over.
