A successor stops the tasks of jobs that ended before it came

Cause: that a run is to be stopped is held in memory only. A new scheduler orders the stops of a job that has ended when it adds the job, and adds the runs that it has read to its workers after that, so it finds none. A later list of the worker then turns the recorded run into a running one.

Evidence: the successor logged the job and its cancellation as recovered, and for the task neither event=stopped nor event=not_stopped, so no order was sent. A successor that found the cancellation but progress without an outcome did stop the tasks, before the fix too, since it handles cancellations after the runs (the test of that case).

Fix: a run that is recovered for a job that has ended is stopped at once, and the order is repeated until it is answered. This covers progress that is adopted when its job's row appears, too.

The simulated cell now goes on until its hosts are idle and reports how long tasks of cancelled jobs ran on.

--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -95,6 +95,8 @@
     /// The longest time from the crash of a host until one of the tasks that it ran began again elsewhere, or until the
     /// end of the simulation. Tasks of cancelled jobs are left out.
     pub longest_restart: Duration,
+    /// The longest time for which a task ran on after the cancellation of its job was acknowledged.
+    pub longest_after_cancel: Duration,
     /// The number of hosts that were crashed by a task.
     pub crashes: u64,
     /// The number of jobs that were shown as failed because of crashes though none of their tasks crashes hosts.
@@ -355,6 +357,7 @@
         };
         let duration_s = (now - active.at).as_secs_f64();
         self.running.remove(&key);
+        self.ran_until(now, key.job);
         let step = self
             .jobs
             .get(&key.job)
@@ -379,8 +382,20 @@
         self.report.longest_restart = self.report.longest_restart.max(span);
     }
 
-    /// Records the tasks that have not begun again by the end.
+    /// Records that a task of a job ran until `now`.
+    fn ran_until(&mut self, now: Time, id: JobId) {
+        if let Some(&at) = self.cancelled.get(&id) {
+            let longest = &mut self.report.longest_after_cancel;
+            *longest = (*longest).max(now - at);
+        }
+    }
+
+    /// Records the tasks that run at the end, and those that have not begun again by then.
     pub(super) fn finish(&mut self, now: Time) {
+        let running: BTreeSet<JobId> = self.running.keys().map(|key| key.job).collect();
+        for id in running {
+            self.ran_until(now, id);
+        }
         for (key, at) in std::mem::take(&mut self.lost) {
             if !self.is_cancelled(key.job) {
                 self.restarted_after(now - at);
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -318,7 +318,9 @@
         let published = &self.fleet.checker.published;
         let is_over = |id: &JobId| published.get(id).is_some_and(|(state, _)| state.is_final());
         let has_ended = |id: &JobId| is_over(id) || self.given_up.contains(id);
-        self.fleet.arrivals.keys().all(has_ended) && self.table.rows_without_job() == 0
+        let are_hosts_idle = self.fleet.hosts.iter().all(|host| host.runs.is_empty());
+        let has_rows = self.table.rows_without_job() > 0;
+        self.fleet.arrivals.keys().all(has_ended) && are_hosts_idle && !has_rows
     }
 
     fn finish(mut self) -> Report {
--- a/crates/sched/src/cancel.rs
+++ b/crates/sched/src/cancel.rs
@@ -18,6 +18,12 @@
         }
     }
 
+    /// Returns whether a job was completed, has failed or was cancelled.
+    pub(crate) fn has_ended(&self, id: JobId) -> bool {
+        let entry = self.jobs.get(&id);
+        entry.is_some_and(|entry| entry.ended_at.is_some())
+    }
+
     /// Stops all tasks of a job.
     pub(crate) fn stop_all(&mut self, now: Time, id: JobId) {
         self.stop_assigned(now, id, |_, _| true);
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -5,6 +5,9 @@
 //! from then on the worker refuses orders of earlier epochs. The runs of a worker that cannot be
 //! reached keep their capacity until every lease that the old scheduler could have renewed has
 //! lapsed, see [`leases`](crate::leases).
+//!
+//! That a run is to be stopped is not stored. It follows from the job's progress, so the runs of jobs that have ended are
+//! stopped again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -149,5 +152,9 @@
             preemptible_below: self.preemptible_below(key),
         };
         self.fleet.get_mut(id).add_run(key, run);
+        // The stop orders of the former scheduler may not have arrived.
+        if self.has_ended(key.job) {
+            self.stop_run(now.time, id, key);
+        }
     }
 }
