A run that a later incarnation of its worker begins is stopped though its stop was confirmed

A worker confirms the stop of a run and crashes; its next incarnation carries out a start order late, which it does not refuse as it has not seen the stop. The list shows the run, and the scheduler orders no stop: the run counts as stopping and confirmed, so it goes on for good.

Fix: what an earlier incarnation has confirmed is dropped before the run is stopped. The new test failed before.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -287,6 +287,8 @@
             if let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) {
                 run.is_of_earlier_incarnation = false;
                 run.crash = None;
+                // What the earlier incarnation has confirmed, a stop included, says nothing about this one.
+                run.phase = RunPhase::Running;
             }
             self.stop_run(now, worker, key);
         }
--- a/crates/sched/tests/cancels.rs
+++ b/crates/sched/tests/cancels.rs
@@ -226,6 +226,30 @@
     assert_eq!(scheduler.summary(at_ms(3_010)).runs, 2);
 }
 
+/// Guards against a task that runs on for good because an incarnation of its worker has confirmed its stop and ended, and the
+/// next one has carried out a start order late.
+#[test]
+fn a_run_that_a_later_incarnation_begins_is_stopped_although_its_stop_was_confirmed() {
+    let job = job(service());
+    let mut progress = started(&job);
+    assert!(progress.cancel());
+    let (mut scheduler, w1) = successor(job, progress);
+    poll(&mut scheduler, at_ms(2_000), w1, [0, 1]);
+    for order in stops(&decide(&mut scheduler, at_ms(2_010))) {
+        scheduler.stop_answered(at_ms(2_020), &order);
+    }
+    poll_incarnation(&mut scheduler, at_ms(2_100), w1, 2, []);
+    poll_incarnation(&mut scheduler, at_ms(2_200), w1, 2, [1]);
+    let actions = decide(&mut scheduler, at_ms(2_210));
+    assert_eq!(
+        stops(&actions).iter().map(|o| o.key).collect::<Vec<_>>(),
+        [task(1)]
+    );
+    scheduler.stop_answered(at_ms(2_310), &stops(&actions)[0]);
+    poll_incarnation(&mut scheduler, at_ms(2_400), w1, 2, []);
+    assert_eq!(scheduler.summary(at_ms(2_400)).runs, 0);
+}
+
 /// How long after the last fault a task of a cancelled job may run: the nodes and the host are in touch after 4 s, the
 /// cancellation takes effect within 3 s, and the task stops within 0.4 s.
 const STOP_LIMIT: Duration = Duration::from_millis(7_400);
