Revert "A successor stops what is left of a gang that has lost a member"

Gangs whose members crash their workers start again sooner, before all crashes are known.

The fault was never observed. The platform ends the other members itself when one has ended (`broken`), so little is lost.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -333,21 +333,6 @@
         waiting
     }
 
-    /// Returns whether a member of a gang has ended while others of its run are assigned to workers. They cannot work
-    /// without it.
-    #[must_use]
-    pub fn is_gang_broken(&self, job: &Job, key: StepKey) -> bool {
-        let is_gang = (job.steps.get(usize::from(key.step))).is_some_and(|step| step.gang);
-        let steps = self.open.get(&key.occurrence);
-        let Some(step) = steps.and_then(|steps| steps.get(usize::from(key.step))) else {
-            return false;
-        };
-        let has = |is_chosen: fn(&Phase) -> bool| step.tasks.iter().any(|t| is_chosen(&t.phase));
-        is_gang
-            && has(|phase| *phase == Phase::Waiting)
-            && has(|phase| matches!(phase, Phase::Assigned(_)))
-    }
-
     /// Assigns waiting tasks of one step to workers, as one run. Returns the run's number, which is
     /// higher than that of every earlier run of these tasks.
     pub fn assign(&mut self, tasks: &[(TaskKey, Incarnation)]) -> u32 {
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -93,12 +93,6 @@
         step.is_some_and(|step| step.gang)
     }
 
-    /// Returns whether a task is left of a gang of which another member has ended.
-    pub(crate) fn is_gang_broken(&self, key: TaskKey) -> bool {
-        let entry = self.jobs.get(&key.job);
-        entry.is_some_and(|e| e.progress.is_gang_broken(&e.job, key.step_key()))
-    }
-
     /// Stops the other members of a gang's run, which cannot work without the one that ended.
     pub(crate) fn stop_gang(&mut self, now: Time, member: TaskKey, run: u32) {
         let step = member.step_key();
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -6,8 +6,8 @@
 //! reached keep their capacity until every lease that the old scheduler could have renewed has
 //! lapsed, see [`leases`](crate::leases).
 //!
-//! That a run is to be stopped is not stored. It follows from the job's progress, so the runs of jobs that have ended, and of
-//! gangs that have lost a member, are stopped again.
+//! That a run is to be stopped is not stored. It follows from the job's progress, so the runs of jobs that have ended are
+//! stopped again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -153,7 +153,7 @@
         };
         self.fleet.get_mut(id).add_run(key, run);
         // The stop orders of the former scheduler may not have arrived.
-        if self.has_ended(key.job) || self.is_gang_broken(key) {
+        if self.has_ended(key.job) {
             self.stop_run(now.time, id, key);
         }
     }
