No worker is reserved for a long-running task that can never fit on it

Cause: a task of a long-running step that fits nowhere has a worker reserved in each pass, for as long as it would fit on that worker empty. Such steps go first, and tasks that run until their job is cancelled do not end, so no worker ever became empty.

Fix: a worker counts as a candidate only if the task would fit on it after the ends of all runs that end by themselves.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -470,11 +470,12 @@
     }
 
     /// Reserves the workers with the most free processors, one for each task of a long-running step that fits nowhere.
-    /// Smaller tasks would otherwise take the pieces in which their capacity becomes free.
+    /// Smaller tasks would otherwise take the pieces in which their capacity becomes free. Workers on which the step would
+    /// not fit after the ends of all runs that end by themselves are left out.
     fn reserve_workers(&self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
         let size = demand.step().reserved();
         let mut candidates = self.candidates(now, demand, TicketFilter::Any, pass);
-        candidates.retain(|c| c.slots > 0 && size.fits(&c.size));
+        candidates.retain(|c| c.slots > 0 && size.fits(&c.free_eventually));
         candidates.sort_by_key(|c| (Reverse(c.free.milli_processors), c.worker));
         for candidate in candidates.iter().take(tasks) {
             pass.free[index(candidate.worker)] = Size::ZERO;
@@ -667,6 +668,7 @@
     Candidate {
         worker: worker.id,
         free: pass.free[index(worker.id)],
+        free_eventually: worker.free_eventually(),
         size: worker.info.size,
         slots: step.per_worker.map_or(u32::MAX, left),
         is_near: step.data_rack.is_none() || step.data_rack == worker.info.rack,
--- a/crates/sched/src/fit.rs
+++ b/crates/sched/src/fit.rs
@@ -14,6 +14,8 @@
     pub(crate) worker: WorkerId,
     /// The capacity that is left in this pass.
     pub(crate) free: Size,
+    /// The capacity that is free once all runs have ended that end by themselves.
+    pub(crate) free_eventually: Size,
     /// The worker's total size.
     pub(crate) size: Size,
     /// The number of further tasks of the step that it may take.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -174,6 +174,8 @@
     strays: BTreeMap<(TaskKey, u32), Stray>,
     /// The capacity that the runs and the strays occupy.
     pub(crate) used: Size,
+    /// The part of it that runs of long-running tasks occupy.
+    used_for_long: Size,
     /// The number of runs that must stay apart from other work.
     isolated_runs: usize,
     /// The number of runs of tasks that are suspected to crash workers.
@@ -236,6 +238,7 @@
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
             used: Size::ZERO,
+            used_for_long: Size::ZERO,
             isolated_runs: 0,
             suspect_runs: 0,
             repeated_runs: 0,
@@ -267,6 +270,11 @@
         self.info.size - self.used
     }
 
+    /// Returns the capacity that is free once all runs have ended that end by themselves.
+    pub(crate) fn free_eventually(&self) -> Size {
+        self.info.size - self.used_for_long
+    }
+
     /// Returns the free capacity that new work may use. A worker that crashes again and again gets half as much.
     pub(crate) fn usable(&self) -> Size {
         if self.steadiness == Steadiness::Steady {
@@ -339,6 +347,9 @@
 
     pub(crate) fn add_run(&mut self, key: TaskKey, run: Run) {
         self.used += run.size;
+        if run.charge.is_long_running {
+            self.used_for_long += run.size;
+        }
         self.isolated_runs += usize::from(run.suspicion == Suspicion::Strong);
         self.suspect_runs += usize::from(run.suspicion != Suspicion::None);
         self.repeated_runs += usize::from(run.is_repeated);
@@ -349,6 +360,9 @@
 
     fn removed(&mut self, run: &Run) {
         self.used -= run.size;
+        if run.charge.is_long_running {
+            self.used_for_long -= run.size;
+        }
         self.isolated_runs -= usize::from(run.suspicion == Suspicion::Strong);
         self.suspect_runs -= usize::from(run.suspicion != Suspicion::None);
         self.repeated_runs -= usize::from(run.is_repeated);
