Workers reserved for long-running tasks are at most a quarter of those that suit them

Found while looking for other ways in which one job keeps all workers from the rest; no caller is known to have seen it. A service that asks for as many whole workers as there are has all of them reserved at once, and several services together do the same. Other jobs then wait until the last run on each worker has ended, however long that takes and however idle the workers are.

Fix: at most one in four of the workers that suit the step is reserved in a pass, for all steps together, and at least one. The services still get their workers, a quarter at a time.

The number of reserved workers is in the summary, in event=load and in the metrics: so far nothing told that idle workers were withheld.

--- a/crates/cluster/src/lead/peers.rs
+++ b/crates/cluster/src/lead/peers.rs
@@ -83,6 +83,10 @@
             u64::try_from(summary.waiting_steps).unwrap_or(0),
         );
         metrics.set("held_steps", u64::try_from(summary.held_steps).unwrap_or(0));
+        metrics.set(
+            "reserved_workers",
+            u64::try_from(summary.reserved_workers).unwrap_or(0),
+        );
         metrics.set("running_tasks", u64::try_from(summary.runs).unwrap_or(0));
         metrics.set(
             "unheard_runs",
@@ -107,9 +111,10 @@
         );
         self.report_teams(&summary.teams);
         log::info!(
-            "event=load waiting={} held={} runs={} workers={} used={} of={}",
+            "event=load waiting={} held={} reserved={} runs={} workers={} used={} of={}",
             summary.waiting_steps,
             summary.held_steps,
+            summary.reserved_workers,
             summary.runs,
             summary.workers,
             summary.used,
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -28,6 +28,10 @@
 /// Requests of many such gangs would delay those of gangs that can still be in time.
 const GANG_CAPACITY_FACTOR: usize = 3;
 
+/// At most one in so many of the workers that suit a long-running step is reserved for tasks that fit nowhere. While less
+/// than half of them is in use, a quarter is then free for other work.
+const RESERVED_WORKERS_DIVISOR: usize = 4;
+
 /// The capacity and the budgets that are left to the steps not yet considered in this pass.
 pub(crate) struct Pass {
     /// The free capacity of each worker, by worker index.
@@ -40,6 +44,8 @@
     is_room_stale: bool,
     /// The number of gangs that may still have capacity reserved for them.
     gang_reservations: usize,
+    /// The workers that are reserved for long-running tasks.
+    reserved_workers: HashSet<WorkerId>,
     /// The number of searches over all workers that may still be made.
     pub(crate) searches_left: usize,
     /// The capacity of stopping runs that is already claimed by a step.
@@ -153,6 +159,7 @@
             is_room_stale: false,
             free,
             gang_reservations: self.cfg.max_gang_reservations,
+            reserved_workers: HashSet::new(),
             searches_left: self.cfg.max_searches,
             claims: Claims::default(),
             holding: Holding::new(fleet.milli_processors, used.milli_processors),
@@ -163,6 +170,7 @@
         self.place_in_turns(now.time, &steps, &mut pass);
         self.end_team_pass(now.time, &pass);
         self.held_steps = pass.held_steps;
+        self.reserved_workers = pass.reserved_workers.len();
     }
 
     /// Returns when [`decide`](Self::decide) next has something to do even if no event occurs.
@@ -471,14 +479,20 @@
 
     /// Reserves the workers with the most free processors, one for each task of a long-running step that fits nowhere.
     /// Smaller tasks would otherwise take the pieces in which their capacity becomes free. Workers on which the step would
-    /// not fit after the ends of all runs that end by themselves are left out.
+    /// not fit after the ends of all runs that end by themselves are left out, and so are most of the others: how soon
+    /// those runs end is not known.
     fn reserve_workers(&self, now: Time, demand: &Demand, tasks: usize, pass: &mut Pass) {
         let size = demand.step().reserved();
         let mut candidates = self.candidates(now, demand, TicketFilter::Any, pass);
-        candidates.retain(|c| c.slots > 0 && size.fits(&c.free_eventually));
+        let is_reserved = |c: &Candidate<'_>| pass.reserved_workers.contains(&c.worker);
+        let reserved = candidates.iter().filter(|c| is_reserved(c)).count();
+        let most = (candidates.len() / RESERVED_WORKERS_DIVISOR).max(1);
+        candidates.retain(|c| c.slots > 0 && !is_reserved(c) && size.fits(&c.free_eventually));
         candidates.sort_by_key(|c| (Reverse(c.free.milli_processors), c.worker));
-        for candidate in candidates.iter().take(tasks) {
+        let count = tasks.min(most.saturating_sub(reserved));
+        for candidate in candidates.iter().take(count) {
             pass.free[index(candidate.worker)] = Size::ZERO;
+            pass.reserved_workers.insert(candidate.worker);
         }
     }
 
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -108,6 +108,8 @@
     pub(crate) held_steps: usize,
     /// The number of waiting steps of the last pass whose jobs could no longer be in time.
     pub(crate) late_steps: usize,
+    /// The number of workers that the last pass reserved for long-running tasks.
+    pub(crate) reserved_workers: usize,
 }
 
 /// Counts and sizes for metrics and for clients' queries.
@@ -121,6 +123,8 @@
     pub held_steps: usize,
     /// The number of steps whose jobs could no longer be in time when the last pass began.
     pub late_steps: usize,
+    /// The number of workers that the last pass reserved for long-running tasks that fit nowhere.
+    pub reserved_workers: usize,
     /// The number of runs that occupy capacity on workers.
     pub runs: usize,
     /// The number of runs on workers that are not heard of, which occupy capacity until the leases have lapsed.
@@ -186,6 +190,7 @@
             needs_pass: true,
             held_steps: 0,
             late_steps: 0,
+            reserved_workers: 0,
         };
         scheduler.recover(now, recovered);
         scheduler
@@ -690,6 +695,7 @@
             waiting_steps: self.waiting.len(),
             held_steps: self.held_steps,
             late_steps: self.late_steps,
+            reserved_workers: self.reserved_workers,
             jobs: self.jobs.len(),
             teams: self.summarize_teams(),
             ..Summary::default()
--- a/crates/sched/tests/reservations.rs
+++ b/crates/sched/tests/reservations.rs
@@ -204,6 +204,49 @@
     assert_eq!((cluster.running(LARGE), cluster.running(SMALL)), (0, 120));
 }
 
+/// Guards against a service that takes the room of all workers while it waits for what runs there.
+#[test]
+fn long_running_tasks_that_fit_nowhere_leave_most_workers_to_others() {
+    let mut cluster = Cluster::new(8);
+    cluster.submit(
+        AGENTS,
+        queue("batch", 2),
+        Step {
+            per_worker: Some(1),
+            ..step(8, 1)
+        },
+    );
+    cluster.decide(|_| None);
+    cluster.submit(LARGE, queue("watch", 1), service(8, PROCESSORS));
+    cluster.submit(SMALL, queue("batch", 2), step(120, 1));
+    cluster.decide(|_| None);
+    assert_eq!(
+        (cluster.running(LARGE), cluster.running(SMALL)),
+        (0, 6 * 15)
+    );
+}
+
+/// Guards against several services that together take the room of all workers.
+#[test]
+fn several_services_that_fit_nowhere_leave_most_workers_to_others() {
+    let mut cluster = Cluster::new(8);
+    cluster.submit(
+        AGENTS,
+        queue("batch", 2),
+        Step {
+            per_worker: Some(1),
+            ..step(8, 1)
+        },
+    );
+    cluster.decide(|_| None);
+    for id in 10..18 {
+        cluster.submit(id, queue("watch", 1), service(1, PROCESSORS));
+    }
+    cluster.submit(SMALL, queue("batch", 2), step(120, 1));
+    cluster.decide(|_| None);
+    assert_eq!(cluster.running(SMALL), 6 * 15);
+}
+
 /// Guards against large tasks of a service that never start because small tasks take each piece that becomes free.
 #[test]
 fn large_long_running_tasks_start_beside_a_stream_of_small_ones() {
