No room is reserved for a gang that can never fit

A gang that waits has the free part of its room reserved if it would fit on empty workers. Tasks that run until their job is cancelled were not subtracted, nor was the limit of members on one worker taken into account, so a gang that can never start took that room from all steps after it: without end if the gang is long-running itself, otherwise until it was late. Other steps are held back for gangs by the same count.

Fix: the count is of what fits after the ends of all runs that end by themselves, and within the limit on each worker. Two of the three new tests failed before; the third shows that room is still reserved for a gang that will fit, before and now.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -617,15 +617,18 @@
         }
     }
 
-    /// Returns how many tasks of a step would fit on the allowed workers if they were empty.
+    /// Returns how many tasks of a step would fit on the allowed workers once all runs have ended that end by themselves.
     pub(crate) fn capacity(&mut self, now: Time, demand: &Demand) -> usize {
         let known = self.approvals.get(&demand.key);
         if let Some(capacity) = known.and_then(|approvals| approvals.capacity(now)) {
             return capacity;
         }
         let size = demand.step().reserved();
-        let task_count =
-            |worker: &Worker| usize::try_from(size.fit_count(worker.info.size)).unwrap_or(0);
+        let most = demand.step().per_worker.unwrap_or(u32::MAX);
+        let task_count = |worker: &Worker| {
+            let count = size.fit_count(worker.free_eventually()).min(most);
+            usize::try_from(count).unwrap_or(0)
+        };
         let suits = |worker: &&Worker| worker.suits(now, &demand.pool, demand.step());
         let capacity = match known {
             Some(approvals) if demand.approval.is_some() => {
--- a/crates/sched/tests/reservations.rs
+++ b/crates/sched/tests/reservations.rs
@@ -263,3 +263,49 @@
     }
     assert_eq!(cluster.running(LARGE), 4);
 }
+
+/// Guards against a gang that keeps its part of the room for good because it would fit on empty workers, which do not become
+/// empty.
+#[test]
+fn a_gang_that_fits_only_without_the_services_keeps_no_room_from_others() {
+    let mut cluster = cluster_with_agents(4, 1);
+    let gang = Step {
+        gang: true,
+        ..service(8, 8)
+    };
+    cluster.submit(LARGE, queue("watch", 1), gang);
+    cluster.submit(SMALL, queue("batch", 2), step(4, 15));
+    cluster.decide(|_| None);
+    assert_eq!((cluster.running(LARGE), cluster.running(SMALL)), (0, 4));
+}
+
+/// Guards against the same for a gang of which fewer members may run on a worker than would fit.
+#[test]
+fn a_gang_that_may_not_run_on_so_few_workers_keeps_no_room_from_others() {
+    let mut cluster = Cluster::new(4);
+    let gang = Step {
+        gang: true,
+        per_worker: Some(1),
+        ..step(8, 4)
+    };
+    cluster.submit(LARGE, queue("watch", 1), gang);
+    cluster.submit(SMALL, queue("batch", 2), step(4, 16));
+    cluster.decide(|_| None);
+    assert_eq!((cluster.running(LARGE), cluster.running(SMALL)), (0, 4));
+}
+
+/// Guards against a gang that never starts because single tasks take each piece that becomes free.
+#[test]
+fn a_gang_that_will_fit_has_room_reserved() {
+    let mut cluster = cluster_with_agents(2, 1);
+    cluster.submit(4, queue("batch", 2), step(1, 15));
+    cluster.decide(|_| None);
+    let gang = Step {
+        gang: true,
+        ..step(2, 15)
+    };
+    cluster.submit(LARGE, queue("watch", 1), gang);
+    cluster.submit(SMALL, queue("batch", 2), step(15, 1));
+    cluster.decide(|_| None);
+    assert_eq!((cluster.running(LARGE), cluster.running(SMALL)), (0, 0));
+}
