--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -175,7 +175,7 @@
     /// The capacity that the runs and the strays occupy.
     pub(crate) used: Size,
     /// The part of it that runs of long-running tasks occupy.
-    used_for_long: Size,
+    used_by_long_running: Size,
     /// The number of runs that must stay apart from other work.
     isolated_runs: usize,
     /// The number of runs of tasks that are suspected to crash workers.
@@ -238,7 +238,7 @@
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
             used: Size::ZERO,
-            used_for_long: Size::ZERO,
+            used_by_long_running: Size::ZERO,
             isolated_runs: 0,
             suspect_runs: 0,
             repeated_runs: 0,
@@ -272,7 +272,7 @@
 
     /// Returns the capacity that is free once all runs have ended that end by themselves.
     pub(crate) fn free_eventually(&self) -> Size {
-        self.info.size - self.used_for_long
+        self.info.size - self.used_by_long_running
     }
 
     /// Returns the free capacity that new work may use. A worker that crashes again and again gets half as much.
@@ -348,7 +348,7 @@
     pub(crate) fn add_run(&mut self, key: TaskKey, run: Run) {
         self.used += run.size;
         if run.charge.is_long_running {
-            self.used_for_long += run.size;
+            self.used_by_long_running += run.size;
         }
         self.isolated_runs += usize::from(run.suspicion == Suspicion::Strong);
         self.suspect_runs += usize::from(run.suspicion != Suspicion::None);
@@ -361,7 +361,7 @@
     fn removed(&mut self, run: &Run) {
         self.used -= run.size;
         if run.charge.is_long_running {
-            self.used_for_long -= run.size;
+            self.used_by_long_running -= run.size;
         }
         self.isolated_runs -= usize::from(run.suspicion == Suspicion::Strong);
         self.suspect_runs -= usize::from(run.suspicion != Suspicion::None);
