At most four connections to a worker; stop orders go first, over those that work

Callers saw UNASKED: a task of a cancelled job ran on.

Cause: a worker accepts 64 connections, and a VM that loses power closes none of its own. A node kept up to 32 idle connections to each worker and opened one more for each order that found none, without a bound. After some losses of power a worker was full: the poll went on over the connection that it had, and each order over a new one, which was reset.

Change: a pool in `cluster` bounds the connections to a worker that are open at all, in use, idle and being opened, to four. Calls wait for one, stops before the others; one is left to the polls, so that orders without an answer do not keep leases from being renewed. Once a new connection is refused beside one that works, none is tried for a second, polls wait for 0.2 s only, and all calls share what works. Idle connections beyond one are closed after 2 s. The time of a start order is measured without its wait for a connection. Why it works: whoever can renew a lease has a connection, and that is the one by which the next stop goes. The pool counts: `lacewing_worker_connections`, `_opened`, `_refused`, `lacewing_worker_connection_waits`.

--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -16,7 +16,7 @@
 
 use jobs::StepKey;
 use model::Time;
-use sched::{Listing, PollFailure, PollOrder, StartAnswer, StartOrder, StopOrder, WorkerInfo};
+use sched::{Listing, PollFailure, PollOrder, StartOrder, StopOrder, WorkerInfo};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -24,7 +24,8 @@
 
 use crate::{
     Approval, Approver, AskError, CallError, Clock, CommitError, Directory, FeedError, FeedPage,
-    Metrics, Page, Ports, Routes, Table, Transaction, Versioned, WorkerChanges, Workers,
+    Metrics, Page, Ports, Routes, StartOutcome, Table, Transaction, Versioned, WorkerChanges,
+    Workers,
     rows::{LEASE, LEASE_KEY, SCHEDULER_PART},
     succession::average_answer,
 };
@@ -344,7 +345,7 @@
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
-    ) -> StartAnswer {
+    ) -> StartOutcome {
         self.ports.start(to, order, time_limit).await
     }
 
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -22,17 +22,19 @@
         let now = self.now();
         let sent_at = now.time;
         let may_send = self.scheduler.borrow().may_send(now);
-        let answer = if may_send {
+        let outcome = if may_send {
             let time_limit = self.order_times.borrow().limit(order.unanswered);
             self.node.0.ports.start(&info, &order, time_limit).await
         } else {
-            StartAnswer::Unknown
+            StartAnswer::Unknown.into()
         };
+        let answer = outcome.answer;
         let taken = self.now().time - sent_at;
         self.node.0.metrics.time("start", taken);
-        let is_answered = !matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent);
-        if is_answered && self.node.0.settings.policy.limits_orders {
-            self.order_times.borrow_mut().record(taken);
+        if let Some(answer_time) = outcome.taken
+            && self.node.0.settings.policy.limits_orders
+        {
+            self.order_times.borrow_mut().record(answer_time);
         }
         if answer == StartAnswer::Started {
             let ages = (self.scheduler.borrow()).start_ages(now, order.worker, order.key);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -32,6 +32,7 @@
 mod clock;
 mod commit;
 mod configuration;
+mod connections;
 mod door;
 mod entry;
 mod error;
@@ -59,6 +60,7 @@
 pub use crate::{
     access::{AccessSettings, Caller, KeyDigest, Refusal, Team},
     clock::Clock,
+    connections::{CallClass, Connection, ConnectionLimits, ConnectionPool, Lease},
     entry::{CancelOutcome, StateAnswer, SubmitOutcome},
     error::{AskError, CallError, CommitError, FeedError},
     logs::start_logs,
@@ -66,8 +68,8 @@
     metrics::Metrics,
     node::{Node, NodeSettings},
     ports::{
-        Approval, Approver, Directory, FeedPage, Page, Ports, Row, RowKey, Table, Transaction,
-        Versioned, WorkerChanges, Workers,
+        Approval, Approver, Directory, FeedPage, Page, Ports, Row, RowKey, StartOutcome, Table,
+        Transaction, Versioned, WorkerChanges, Workers,
     },
     routes::{Route, Routes},
 };
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -89,17 +89,37 @@
     ) -> impl Future<Output = Result<FeedPage, FeedError>>;
 }
 
+/// The outcome of a start order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartOutcome {
+    /// The answer.
+    pub answer: StartAnswer,
+    /// How long the worker took to answer, without the time for which the order waited for a connection; `None` if there was
+    /// no answer.
+    pub taken: Option<Duration>,
+}
+
+impl From<StartAnswer> for StartOutcome {
+    /// Returns the outcome of an order that the worker has not answered.
+    fn from(answer: StartAnswer) -> Self {
+        Self {
+            answer,
+            taken: None,
+        }
+    }
+}
+
 /// Calls to workers. `fence` is the fencing token that [`Scheduler::fence`](sched::Scheduler::fence) returns. A
 /// worker refuses calls with a lower token than it has seen since it started.
 pub trait Workers {
     /// Orders a worker to start a task. The order has its fencing token. Returns [`StartAnswer::Unknown`] if there is no
-    /// answer within `time_limit`.
+    /// answer within `time_limit` from when the order is sent.
     fn start(
         &self,
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
-    ) -> impl Future<Output = StartAnswer>;
+    ) -> impl Future<Output = StartOutcome>;
 
     /// Orders a worker to stop a task.
     fn stop(
