A node that has stopped to schedule closes its connections to workers

A fleet of 97 nodes that schedule in turn would fill workers without any fault.

`Workers::disconnect` closes them when a node stops to schedule; calls that are open end with their tasks. Without the call in `Leader::run` both new tests fail (not within 30 s: it has disconnected).

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -286,6 +286,17 @@
         self.show_open(servers);
     }
 
+    /// Closes the idle connections to all servers.
+    pub fn close_all_idle(&self) {
+        let mut servers = self.servers.borrow_mut();
+        let servers = &mut *servers;
+        let closed = servers.by_address.values_mut().map(Server::close_idle);
+        servers.open -= closed.sum::<usize>();
+        servers.idle = 0;
+        servers.by_address.retain(|_, server| !server.is_unused());
+        self.show_open(servers);
+    }
+
     /// Gives a call an idle connection, or the right to open one.
     fn grant(
         &self,
--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -361,6 +361,10 @@
     ) -> Result<Listing, PollFailure> {
         self.ports.poll(to, fence, order).await
     }
+
+    fn disconnect(&self) {
+        self.ports.disconnect();
+    }
 }
 
 impl<P: Ports> Approver for MonitoredPorts<P> {
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -27,7 +27,7 @@
 
 use self::lists::{Pools, Schedule};
 use crate::{
-    Metrics, Node, Ports, access::Owner, lease::LeaseWriter, message::Message,
+    Metrics, Node, Ports, Workers, access::Owner, lease::LeaseWriter, message::Message,
     order_times::OrderTimes, recover::FeedPositions, succession::Standing,
 };
 
@@ -164,6 +164,8 @@
             }
         }
         self.tasks.borrow_mut().abort_all();
+        // Workers accept a limited number of connections, and the successor needs some.
+        self.node.0.ports.disconnect();
         if self.scheduler.borrow().is_deposed() {
             log::warn!("event=deposed epoch={}", self.epoch());
         } else {
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -137,6 +137,9 @@
         fence: u64,
         order: &PollOrder,
     ) -> impl Future<Output = Result<Listing, PollFailure>>;
+
+    /// Closes the idle connections to all workers. Called once a node has stopped to schedule.
+    fn disconnect(&self);
 }
 
 /// An answer of the approval service: which of the workers in a request may run a step.
--- a/crates/cluster/tests/connections.rs
+++ b/crates/cluster/tests/connections.rs
@@ -179,6 +179,21 @@
     });
 }
 
+/// Guards against connections that a node keeps to workers after it has stopped to schedule.
+#[test]
+fn all_idle_connections_are_closed_together() {
+    run(async {
+        let pool = pool(4);
+        lease(&pool).await.answered(Instant::now(), Fake(1));
+        let used = lease(&pool).await;
+        lease(&pool).await.answered(Instant::now(), Fake(2));
+        pool.close_all_idle();
+        assert_eq!(pool.open_to(WORKER), 1);
+        used.answered(Instant::now(), Fake(1));
+        assert_eq!(pool.open_to(WORKER), 1);
+    });
+}
+
 /// The steps of the property below, each chosen by a byte: a call begins, one gives up, or a leased connection is
 /// answered, refused or lost.
 async fn play(mut steps: Vec<u8>) -> Result<(), String> {
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -227,6 +227,37 @@
     });
 }
 
+/// Guards against nodes that no longer schedule and hold connections of which workers accept a limited number.
+#[test]
+fn a_node_that_stops_to_schedule_closes_its_connections_to_workers() {
+    run(async {
+        let platform = platform();
+        let (first, _second) = start_two(&platform, &platform.for_another()).await;
+        assert_eq!(platform.shared.disconnects.get(), 0);
+        first.drain();
+        until("it has disconnected", || {
+            platform.shared.disconnects.get() == 1
+        })
+        .await;
+    });
+}
+
+/// Guards against the same for a scheduler that another one has replaced.
+#[test]
+fn a_deposed_scheduler_closes_its_connections_to_workers() {
+    run(async {
+        let platform = platform();
+        let (_first, second) = start_two(&platform, &platform.for_another()).await;
+        platform.fault.set(TableFault::Refuses);
+        assert_eq!(submit(&second, ID, 3).await, SubmitOutcome::Accepted);
+        until_state(&second, ID, State::Completed).await;
+        until("it has disconnected", || {
+            platform.shared.disconnects.get() == 1
+        })
+        .await;
+    });
+}
+
 /// Guards against a new scheduler requesting approvals again that a node already has: after a takeover
 /// these requests would keep the approval service busy.
 #[test]
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -87,6 +87,8 @@
     pub next_changes_panic: Cell<bool>,
     /// Whether the next transaction of the scheduler panics.
     pub next_renewal_panics: Cell<bool>,
+    /// How often a node has closed its idle connections to workers.
+    pub disconnects: Cell<u32>,
     started_at: Instant,
 }
 
@@ -147,6 +149,7 @@
         asked: RefCell::default(),
         next_changes_panic: Cell::default(),
         next_renewal_panics: Cell::default(),
+        disconnects: Cell::default(),
         started_at: Instant::now(),
     };
     Platform {
@@ -429,6 +432,12 @@
             ended: worker.ended.clone(),
         })
     }
+
+    fn disconnect(&self) {
+        self.shared
+            .disconnects
+            .set(self.shared.disconnects.get() + 1);
+    }
 }
 
 impl SharedState {
