One stop call at a time for a run on a worker

The scheduler had a part in it: it sent another stop each `stop_retry`, whether the last call was open or not, and a stop of a stray after each list, so that calls piled up at a worker that was slow to answer or short of connections.

Now the failure of a stop is reported (`Scheduler::stop_failed`), the scheduler knows which calls are open, and sends a stop again `stop_retry` after the earlier one has failed, never beside it. Strays are stopped after each list that has them unless a call is open. An order names the incarnation that it is meant for: calls to an earlier one hold nothing up, and their answers no longer count for the present one.

`no_stop_is_sent_while_an_earlier_call_for_the_run_is_open`, `no_stop_of_a_stray_is_sent_while_an_earlier_call_for_it_is_open` and, for the driver, `a_stop_that_fails_is_sent_again` failed before. `assert_stopped` in tests/cancels.rs reports the first stops as failed before it expects the second ones; that they are not repeated sooner is tested apart.

The simulated cell reports failures after its call timeout, as the driver does.

--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -67,7 +67,7 @@
         self.wake.notify_one();
     }
 
-    /// Orders a worker to stop a task, and reports a success to the scheduler.
+    /// Orders a worker to stop a task, and reports the outcome to the scheduler.
     pub(super) async fn stop(self: Rc<Self>, order: StopOrder) {
         let (info, fence) = {
             let scheduler = self.scheduler.borrow();
@@ -76,7 +76,9 @@
                 scheduler.fence(order.worker),
             )
         };
-        match self.node.0.ports.stop(&info, fence, &order).await {
+        let answer = self.node.0.ports.stop(&info, fence, &order).await;
+        let now = self.now();
+        match answer {
             Ok(()) => {
                 log::info!(
                     "event=stopped task={} run={} worker={}",
@@ -84,18 +86,20 @@
                     order.run,
                     info.name
                 );
-                let now = self.now();
                 self.scheduler.borrow_mut().stop_answered(now, &order);
-                self.wake.notify_one();
             }
-            Err(e) => log::warn!(
-                "event=not_stopped task={} run={} worker={} error={:?}",
-                order.key,
-                order.run,
-                info.name,
-                e.to_string()
-            ),
+            Err(e) => {
+                log::warn!(
+                    "event=not_stopped task={} run={} worker={} error={:?}",
+                    order.key,
+                    order.run,
+                    info.name,
+                    e.to_string()
+                );
+                self.scheduler.borrow_mut().stop_failed(now, &order);
+            }
         }
+        self.wake.notify_one();
     }
 
     /// Wakes a worker's poller. Starts it first if there is none yet.
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -101,6 +101,23 @@
     });
 }
 
+/// Guards against stops that are given up because their failure is not reported, or sent beside those that are open.
+#[test]
+fn a_stop_that_fails_is_sent_again() {
+    run(async {
+        let platform = platform();
+        platform.shared.task_time.set(Duration::from_secs(60));
+        platform.shared.stops_to_fail.set(2);
+        let node = start("n1", 0, &platform).await;
+        assert_eq!(submit(&node, ID, 1).await, SubmitOutcome::Accepted);
+        until("the task runs", || platform.starts() == 1).await;
+        assert_eq!(node.cancel(ID, deadline()).await, CancelOutcome::Accepted);
+        until("the task stops", || platform.busy_workers().is_empty()).await;
+        assert_eq!(platform.shared.stops_to_fail.get(), 0);
+        assert!(!platform.shared.is_stop_doubled.get());
+    });
+}
+
 /// Guards against duplicate runs when the table stores transactions but their answers are lost: the node
 /// sends them again and finds its own rows.
 #[test]
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -83,6 +83,12 @@
     pub task_time: Cell<Duration>,
     /// The number of approval requests for each step.
     pub asked: RefCell<BTreeMap<StepKey, u32>>,
+    /// How many stop orders fail, from the next one on. Each takes longer than schedulers pause between two.
+    pub stops_to_fail: Cell<u32>,
+    /// The runs with a stop order that is not answered yet.
+    open_stops: RefCell<BTreeSet<(TaskKey, u32)>>,
+    /// Whether a stop order was sent beside an open one for the same run.
+    pub is_stop_doubled: Cell<bool>,
     /// Whether the next call for changes of workers panics.
     pub next_changes_panic: Cell<bool>,
     /// Whether the next transaction of the scheduler panics.
@@ -147,6 +153,9 @@
         part_times: RefCell::default(),
         task_time: Cell::new(Duration::from_millis(20)),
         asked: RefCell::default(),
+        stops_to_fail: Cell::default(),
+        open_stops: RefCell::default(),
+        is_stop_doubled: Cell::default(),
         next_changes_panic: Cell::default(),
         next_renewal_panics: Cell::default(),
         disconnects: Cell::default(),
@@ -392,6 +401,19 @@
     }
 
     async fn stop(&self, to: &WorkerInfo, _: u64, order: &StopOrder) -> Result<(), CallError> {
+        let run = (order.key, order.run);
+        if !self.shared.open_stops.borrow_mut().insert(run) {
+            self.shared.is_stop_doubled.set(true);
+        }
+        let failures = self.shared.stops_to_fail.get();
+        if failures > 0 {
+            self.shared.stops_to_fail.set(failures - 1);
+            sleep(SchedConfig::default().stop_retry * 2).await;
+        }
+        self.shared.open_stops.borrow_mut().remove(&run);
+        if failures > 0 {
+            return Err(CallError::NoAnswer("reset".into()));
+        }
         self.shared
             .end(&to.name, order.key, order.run, EndKind::Interrupted);
         Ok(())
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -167,6 +167,7 @@
     StartAnswered(usize, u64, StartOrder, StartAnswer),
     Stop(Sent, StopOrder),
     StopAnswered(usize, u64, StopOrder),
+    StopFailed(usize, u64, StopOrder),
     NextPoll(usize, u64, WorkerId),
     PollArrives(PendingPoll),
     PollTimeout(WorkerId),
@@ -415,6 +416,13 @@
                     self.schedule_decision(node, incarnation);
                 }
             }
+            Event::StopFailed(node, incarnation, order) => {
+                let now = self.scheduler_now();
+                if let Some(scheduler) = self.scheduler_of(node, incarnation) {
+                    scheduler.stop_failed(now, &order);
+                    self.schedule_decision(node, incarnation);
+                }
+            }
             Event::NextPoll(node, incarnation, host) => {
                 self.continue_polling(node, incarnation, host);
             }
@@ -999,11 +1007,18 @@
             Action::Stop(order) => {
                 let fence = self.fence(node, order.worker);
                 let (delivery, sent) = self.send(node, incarnation, fence, order.worker);
-                match delivery {
-                    Delivery::Arrives(at) | Delivery::Unanswered(at) | Delivery::Reset(at, _) => {
-                        self.schedule(at, Event::Stop(sent, order));
-                    }
-                    Delivery::Lost => {}
+                let timeout = self.now + CALL_TIMEOUT;
+                let (at, failed_at) = match delivery {
+                    Delivery::Arrives(at) => (Some(at), None),
+                    Delivery::Unanswered(at) => (Some(at), Some(timeout)),
+                    Delivery::Reset(at, noticed_at) => (Some(at), Some(noticed_at)),
+                    Delivery::Lost => (None, Some(timeout)),
+                };
+                if let Some(at) = at {
+                    self.schedule(at, Event::Stop(sent, order));
+                }
+                if let Some(at) = failed_at {
+                    self.schedule(at, Event::StopFailed(node, incarnation, order));
                 }
             }
             Action::Ask {
@@ -1180,16 +1195,29 @@
 
     fn stop_arrives(&mut self, sent: Sent, order: StopOrder) {
         let (key, run) = (order.key, order.run);
-        let is_done =
-            self.is_received(sent) && self.fleet.stop(self.now, sent.host, key, run, sent.fence);
-        if !is_done {
+        let Sent {
+            node, incarnation, ..
+        } = sent;
+        let is_received = self.is_received(sent);
+        let is_done = is_received && self.fleet.stop(self.now, sent.host, key, run, sent.fence);
+        if is_done {
+            self.process_host_changes();
+        }
+        if !sent.is_answered {
             return;
         }
-        self.process_host_changes();
-        if sent.is_answered && !self.network.are_answers_cut(self.now, sent.host) {
-            let at = self.now + self.network.delay();
-            self.schedule(at, Event::StopAnswered(sent.node, sent.incarnation, order));
+        if !is_received || self.network.are_answers_cut(self.now, sent.host) {
+            let at = self.now + CALL_TIMEOUT;
+            self.schedule(at, Event::StopFailed(node, incarnation, order));
+            return;
         }
+        let answer = if is_done {
+            Event::StopAnswered(node, incarnation, order)
+        } else {
+            Event::StopFailed(node, incarnation, order)
+        };
+        let at = self.now + self.network.delay();
+        self.schedule(at, answer);
     }
 
     fn continue_polling(&mut self, node: usize, incarnation: u64, worker: WorkerId) {
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -30,7 +30,9 @@
 pub enum Action {
     /// Order a worker to start a task.
     Start(StartOrder),
-    /// Order a worker to stop a task.
+    /// Order a worker to stop a task. The outcome must be reported with
+    /// [`Scheduler::stop_answered`](crate::Scheduler::stop_answered) or
+    /// [`Scheduler::stop_failed`](crate::Scheduler::stop_failed): until then, no further order to stop the run is sent.
     Stop(StopOrder),
     /// Have an approver ask which of some workers may run a step.
     Ask {
@@ -210,6 +212,8 @@
 pub struct StopOrder {
     /// The worker.
     pub worker: WorkerId,
+    /// When the worker's incarnation started that the order is meant for, in Unix milliseconds on its own clock.
+    pub started_unix_ms: u64,
     /// The task.
     pub key: TaskKey,
     /// The run.
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -48,7 +48,7 @@
     pub late_start: Duration,
     /// How many times an unanswered start order is sent again before it is withdrawn.
     pub start_retries: u32,
-    /// The pause before an unanswered stop order is sent again.
+    /// The pause after a stop order has failed, before it is sent again.
     pub stop_retry: Duration,
     /// The most rows that one transaction writes. The platform accepts 100 entries, and the lease
     /// row takes two: a condition and a change.
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -105,10 +105,10 @@
     /// of the earlier incarnation are gone, but orders in flight may still reach the new one until it
     /// has seen a higher fencing token. So the runs keep their capacity until the new incarnation's
     /// lists have been read with a poll that carries it.
-    pub(crate) fn worker_restarted(&mut self, now: Time, worker: WorkerId, started_unix_ms: u64) {
+    pub(crate) fn worker_restarted(&mut self, now: Time, id: WorkerId, started_unix_ms: u64) {
         let lapse_at = now + self.cfg.longest_lapse();
-        self.incarnation_ended(now, worker);
-        let worker = self.fleet.get_mut(worker);
+        self.incarnation_ended(now, id);
+        let worker = self.fleet.get_mut(id);
         worker.begin_incarnation(now, started_unix_ms);
         worker.lapse_at = worker.lapse_at.max(lapse_at);
         for run in worker.runs.values_mut() {
@@ -118,6 +118,7 @@
                 run.orders_lapse_at = Time::MAX;
             }
         }
+        self.renew_stops(now, id);
     }
 
     /// Notes the end of a worker's incarnation for the runs that it had, or may have had, and counts it as a crash for
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -233,26 +233,27 @@
             RunPhase::Recorded | RunPhase::Ordered { .. } | RunPhase::Running => {
                 run.phase = RunPhase::Stopping;
                 run.confirmed_at = None;
-                self.order_stop(now, worker, key);
+                self.order_stop(worker, key);
             }
         }
     }
 
-    /// Sends a stop order for a run, and schedules a check that it was answered.
-    pub(crate) fn order_stop(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
-        let Some(run) = self.fleet.get(worker).runs.get(&key) else {
-            return;
-        };
-        let run = run.number;
-        self.actions
-            .push(Action::Stop(StopOrder { worker, key, run }));
-        self.stop_checks
-            .insert((now + self.cfg.stop_retry, worker, key));
+    /// Sends a stop order for a run, unless an earlier one is open.
+    fn order_stop(&mut self, worker: WorkerId, key: TaskKey) {
+        let worker = self.fleet.get_mut(worker);
+        if let Some(run) = worker.runs.get(&key).map(|run| run.number) {
+            let order = worker.open_stop(key, run);
+            self.actions.extend(order.map(Action::Stop));
+        }
     }
 
     /// Handles a worker's confirmation of a stop order: the run ends soon, or never starts there.
     pub fn stop_answered(&mut self, now: Now, order: &StopOrder) {
         let worker = self.fleet.get_mut(order.worker);
+        if !worker.close_stop(order) {
+            // The present incarnation has not seen the order.
+            return;
+        }
         if let Some(run) = worker.runs.get_mut(&order.key)
             && run.number == order.run
             && run.phase == RunPhase::Stopping
@@ -262,7 +263,25 @@
         }
     }
 
-    /// Sends unanswered stop orders again.
+    /// Handles the failure of a stop order: the worker has refused it or has not answered. It is sent again after a pause.
+    pub fn stop_failed(&mut self, now: Now, order: &StopOrder) {
+        if self.fleet.get_mut(order.worker).close_stop(order) {
+            let retry_at = now.time + self.cfg.stop_retry;
+            self.stop_checks.insert((retry_at, order.worker, order.key));
+        }
+    }
+
+    /// Schedules the stop orders again that an earlier incarnation of a worker may have had. The lists of the new one are
+    /// likely to be read before, and to show that most are not needed.
+    pub(crate) fn renew_stops(&mut self, now: Time, id: WorkerId) {
+        let retry_at = now + self.cfg.stop_retry;
+        let runs = self.fleet.get(id).runs.iter();
+        let stopping = runs.filter(|(_, run)| run.phase == RunPhase::Stopping);
+        self.stop_checks
+            .extend(stopping.map(|(&key, _)| (retry_at, id, key)));
+    }
+
+    /// Sends failed stop orders again.
     pub(crate) fn repeat_stops(&mut self, now: Time) {
         while let Some(&(at, worker, key)) = self.stop_checks.first() {
             if at > now {
@@ -273,7 +292,7 @@
             let is_unanswered =
                 run.is_some_and(|r| r.phase == RunPhase::Stopping && r.confirmed_at.is_none());
             if is_unanswered {
-                self.order_stop(now, worker, key);
+                self.order_stop(worker, key);
             }
         }
     }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -8,7 +8,6 @@
 
 use crate::{
     Action, Interruption, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler,
-    StopOrder,
     teams::ledger::Charge,
     worker::{Run, RunPhase},
 };
@@ -245,7 +244,8 @@
     }
 
     /// Stops a run that is not the current one of its task. Its capacity stays occupied until the worker no
-    /// longer lists it, or until its lease has lapsed. The order is sent again after each list that has it.
+    /// longer lists it, or until its lease has lapsed. After each list that has it, the order is sent again unless the last
+    /// one is open.
     fn stop_stray(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
         let step = self
             .jobs
@@ -270,11 +270,8 @@
                 worker: id,
             });
         }
-        self.actions.push(Action::Stop(StopOrder {
-            worker: id,
-            key: row.key,
-            run: row.run,
-        }));
+        let order = worker.open_stop(row.key, row.run);
+        self.actions.extend(order.map(Action::Stop));
     }
 
     /// Releases the capacity of the strays that the worker no longer lists.
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -83,7 +83,7 @@
     pub(crate) allowed_shares: AllowedShares,
     /// Cancelled jobs whose cancellation arrived before the job itself.
     pub(crate) early_cancels: HashSet<JobId>,
-    /// When to check whether a stop order was answered, so that it can be sent again.
+    /// When to send stop orders again that have failed.
     pub(crate) stop_checks: BTreeSet<(Time, WorkerId, TaskKey)>,
     /// Tasks that wait until silent workers come back or until this time: workers have crashed under them, and the
     /// silent ones may have.
@@ -390,7 +390,9 @@
             // The entry that told the later start is replaced, and no incarnation with that start has ever answered.
             worker.begin_incarnation(now.time, info.started_unix_ms);
             worker.start_told_by = Some(info.version);
+            self.renew_stops(now.time, id);
         }
+        let worker = self.fleet.get_mut(id);
         let is_older = info.version > 0 && info.version < worker.info.version;
         if info.started_unix_ms < worker.info.started_unix_ms || is_older {
             // A directory entry that arrived late.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,7 +1,7 @@
 //! The scheduler's view of a worker.
 
 use std::{
-    collections::{BTreeMap, VecDeque, btree_map::Entry},
+    collections::{BTreeMap, BTreeSet, VecDeque, btree_map::Entry},
     sync::Arc,
     time::Duration,
 };
@@ -9,7 +9,7 @@
 use jobs::{Crash, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
-use crate::{SchedConfig, leases::LeaseBound, teams::ledger::Charge};
+use crate::{SchedConfig, StopOrder, leases::LeaseBound, teams::ledger::Charge};
 
 /// The longest estimate of tasks for a worker that crashes again and again, in milliseconds. It has crashed three times
 /// within 30 s, so it stays up for about 10 s, and such a task meets a crash in one of five runs.
@@ -166,6 +166,8 @@
     pub(crate) open_starts: u32,
     /// When a start order was last sent or answered.
     pub(crate) last_start_at: Time,
+    /// The runs with a stop order that its present incarnation has not answered yet, and that has not failed.
+    open_stops: BTreeSet<(TaskKey, u32)>,
     /// The runs whose start orders went without an answer, and until when these may still be carried out.
     pub(crate) late_starts: BTreeMap<(TaskKey, u32), Time>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
@@ -234,6 +236,7 @@
             lists_read: None,
             open_starts: 0,
             last_start_at: Time::ZERO,
+            open_stops: BTreeSet::new(),
             late_starts: BTreeMap::new(),
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
@@ -547,6 +550,27 @@
         self.last_start_at = now;
     }
 
+    /// Returns an order to stop a run, and notes that it is about to be sent. Returns `None` while an earlier one is open.
+    pub(crate) fn open_stop(&mut self, key: TaskKey, run: u32) -> Option<StopOrder> {
+        let is_new = self.open_stops.insert((key, run));
+        is_new.then_some(StopOrder {
+            worker: self.id,
+            started_unix_ms: self.info.started_unix_ms,
+            key,
+            run,
+        })
+    }
+
+    /// Notes that an order to stop a run was answered or has failed. Returns whether it was meant for the present
+    /// incarnation.
+    pub(crate) fn close_stop(&mut self, order: &StopOrder) -> bool {
+        let is_current = order.started_unix_ms == self.info.started_unix_ms;
+        if is_current {
+            self.open_stops.remove(&(order.key, order.run));
+        }
+        is_current
+    }
+
     /// Resets the state that is valid for one incarnation only.
     pub(crate) fn begin_incarnation(&mut self, now: Time, started_unix_ms: u64) {
         self.info.started_unix_ms = started_unix_ms;
@@ -555,6 +579,7 @@
         self.is_synced = false;
         self.clock = None;
         self.lists_read = None;
+        self.open_stops.clear();
         self.processed = 0;
         self.ack_after = 0;
         self.ackable = 0;
--- a/crates/sched/tests/cancels.rs
+++ b/crates/sched/tests/cancels.rs
@@ -143,11 +143,19 @@
     orders.collect()
 }
 
+/// Reports that these orders went without an answer.
+fn fail(scheduler: &mut Scheduler, now: Now, orders: &[StopOrder]) {
+    for order in orders {
+        scheduler.stop_failed(now, order);
+    }
+}
+
 /// Asserts that the scheduler orders stops of exactly these tasks, from the takeover until the worker has listed them and a
 /// while later, and that they are over once it lists them no longer.
 fn assert_stopped(scheduler: &mut Scheduler, w1: WorkerId, tasks: &[u32]) {
     poll(scheduler, at_ms(3_000), w1, tasks.iter().copied());
     let actions = decide(scheduler, at_ms(3_010));
+    fail(scheduler, at_ms(3_100), &stops(&actions));
     let again = decide(scheduler, at_ms(3_500));
     for actions in [&actions, &again] {
         let stopped: BTreeSet<u32> = stops(actions).iter().map(|o| o.key.index).collect();
@@ -250,6 +258,76 @@
     assert_eq!(scheduler.summary(at_ms(2_400)).runs, 0);
 }
 
+/// Guards against stop calls that pile up at a worker, because each is sent beside earlier ones that are still open.
+#[test]
+fn no_stop_is_sent_while_an_earlier_call_for_the_run_is_open() {
+    let job = job(service());
+    let mut progress = started(&job);
+    assert!(progress.cancel());
+    let (mut scheduler, w1) = successor(job, progress);
+    poll(&mut scheduler, at_ms(2_000), w1, [0, 1]);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(2_010))).len(), 2);
+    for ms in (2_100..4_800).step_by(100) {
+        poll(&mut scheduler, at_ms(ms), w1, [0, 1]);
+        assert_eq!(stops(&decide(&mut scheduler, at_ms(ms + 10))), []);
+    }
+}
+
+/// Guards against the same for runs that are not the current ones of their tasks.
+#[test]
+fn no_stop_of_a_stray_is_sent_while_an_earlier_call_for_it_is_open() {
+    let (mut scheduler, w1) = take_over(Recovered::default());
+    poll(&mut scheduler, at_ms(2_000), w1, [0]);
+    let first = stops(&decide(&mut scheduler, at_ms(2_010)));
+    assert_eq!(first.len(), 1);
+    poll(&mut scheduler, at_ms(2_500), w1, [0]);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(2_510))), []);
+    fail(&mut scheduler, at_ms(2_600), &first);
+    poll(&mut scheduler, at_ms(2_700), w1, [0]);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(2_710))), first);
+}
+
+/// Guards against stops that are given up after a failure, or repeated without a pause.
+#[test]
+fn a_failed_stop_is_sent_again_after_a_pause() {
+    let job = job(service());
+    let mut progress = started(&job);
+    assert!(progress.cancel());
+    let (mut scheduler, w1) = successor(job, progress);
+    poll(&mut scheduler, at_ms(2_000), w1, [0, 1]);
+    let first = stops(&decide(&mut scheduler, at_ms(2_010)));
+    assert_eq!(first.len(), 2);
+    fail(&mut scheduler, at_ms(4_000), &first[..1]);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(4_290))), []);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(4_310))), first[..1]);
+    scheduler.stop_answered(at_ms(4_320), &first[0]);
+    fail(&mut scheduler, at_ms(4_320), &first[1..]);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(4_630))), first[1..]);
+}
+
+/// Guards against a stop that waits for the outcome of a call to an earlier incarnation of the worker, and against such a
+/// call's answer being taken for one of the present incarnation.
+#[test]
+fn a_stop_is_sent_to_a_new_incarnation_while_a_call_to_the_earlier_one_is_open() {
+    let job = job(service());
+    let mut progress = started(&job);
+    assert!(progress.cancel());
+    let (mut scheduler, w1) = successor(job, progress);
+    poll(&mut scheduler, at_ms(2_000), w1, [0, 1]);
+    let earlier = stops(&decide(&mut scheduler, at_ms(2_010)));
+    assert_eq!(earlier.len(), 2);
+    poll_incarnation(&mut scheduler, at_ms(2_100), w1, 2, []);
+    let renewed = stops(&decide(&mut scheduler, at_ms(2_410)));
+    assert_eq!(renewed.len(), 2, "its lists are not read yet");
+    poll_incarnation(&mut scheduler, at_ms(2_500), w1, 2, [0, 1]);
+    for order in &earlier {
+        scheduler.stop_answered(at_ms(2_600), order);
+    }
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(2_610))), []);
+    fail(&mut scheduler, at_ms(2_700), &renewed);
+    assert_eq!(stops(&decide(&mut scheduler, at_ms(3_010))), renewed);
+}
+
 /// How long after the last fault a task of a cancelled job may run: the nodes and the host are in touch after 4 s, the
 /// cancellation takes effect within 3 s, and the task stops within 0.4 s.
 const STOP_LIMIT: Duration = Duration::from_millis(7_400);
--- a/crates/sched/tests/refusals.rs
+++ b/crates/sched/tests/refusals.rs
@@ -156,6 +156,7 @@
         );
         let stop = StopOrder {
             worker: order.worker,
+            started_unix_ms: 1,
             key: TASK,
             run: order.run,
         };
--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -153,6 +153,7 @@
     for run in runs {
         let stop = StopOrder {
             worker: run.worker,
+            started_unix_ms: 1,
             key: run.key,
             run: run.run,
         };
