Connections of links are closed when the other side vanishes

A node kept the connection of a link to another node that had lost power or was cut off: the link was dropped after some seconds of silence, but the task that read from it waited on, and nothing bounded the handshake. Each loss of power left a descriptor at every other node until the kernel gave up on unsent data, or for good if there was none.

A link's connection is now closed within 1.5 s after both ends of the link are dropped, whether the other side answers or not, and one on which no link is opened in that time as well. Messages that are queued or have arrived are still delivered.

--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -1,10 +1,15 @@
 //! Links between nodes: one `h2` stream with `bincode` messages each way.
 //!
-//! A link is closed by dropping its sender, or by the failure of the other side's connection. A peer
+//! A link is closed by dropping both of its ends, or by the failure of the other side's connection. A peer
 //! that has gone silent is not detected here: both sides send messages at intervals and time out on
-//! missing ones.
+//! missing ones. The connection is closed soon after the link, whether the other side answers or not.
 
-use std::{future::poll_fn, io, net::SocketAddr, time::Duration};
+use std::{
+    future::{poll_fn, ready},
+    io,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::{RecvStream, SendStream, client, server};
@@ -39,6 +44,9 @@
 /// 1 s.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long the last messages and the closing of a link may take.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The pause after a connection could not be accepted, for example because no file descriptors were left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -64,7 +72,7 @@
         .handshake::<_, Bytes>(socket)
         .await
         .map_err(io::Error::other)?;
-    let driver = spawn_local(async move {
+    let mut driver = spawn_local(async move {
         if let Err(e) = connection.await {
             log::debug!("link closed: {e}");
         }
@@ -75,17 +83,17 @@
         .map_err(io::Error::other)?;
     let (tx, outgoing) = mpsc::channel(QUEUE_MESSAGES);
     let (incoming, rx) = mpsc::channel(QUEUE_MESSAGES);
+    let body = async {
+        let response = response.await;
+        response.map(Response::into_body)
+    };
     spawn_local(async move {
-        write(send, outgoing).await;
+        carry(send, outgoing, body, incoming).await;
         // Dropping the last handle lets the connection close once its stream has ended.
         drop(requests);
-    });
-    spawn_local(async move {
-        match response.await {
-            Ok(response) => read(response.into_body(), incoming).await,
-            Err(e) => log::debug!("cannot open link: {e}"),
+        if timeout(CLOSE_TIMEOUT, &mut driver).await.is_err() {
+            driver.abort();
         }
-        driver.abort();
     });
     Ok(Link { tx, rx })
 }
@@ -114,21 +122,63 @@
     if let Err(e) = socket.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {e}");
     }
-    let mut connection = server::Builder::new()
+    let handshake = server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
-        .handshake::<_, Bytes>(socket)
-        .await?;
-    while let Some(stream) = connection.accept().await {
-        let (request, mut respond) = stream?;
-        let send = respond.send_response(Response::new(()), false)?;
-        let (tx, outgoing) = mpsc::channel(QUEUE_MESSAGES);
-        let (incoming, rx) = mpsc::channel(QUEUE_MESSAGES);
-        spawn_local(write(send, outgoing));
-        spawn_local(read(request.into_body(), incoming));
-        on_link(Link { tx, rx });
+        .handshake::<_, Bytes>(socket);
+    let opening = async {
+        let mut connection = handshake.await?;
+        let stream = connection.accept().await.transpose()?;
+        Ok::<_, h2::Error>((connection, stream))
+    };
+    let Ok(opened) = timeout(OPEN_TIMEOUT, opening).await else {
+        return Err(h2::Reason::SETTINGS_TIMEOUT.into());
+    };
+    let (mut connection, stream) = opened?;
+    let Some((request, mut respond)) = stream else {
+        return Ok(());
+    };
+    let send = respond.send_response(Response::new(()), false)?;
+    let (tx, outgoing) = mpsc::channel(QUEUE_MESSAGES);
+    let (incoming, rx) = mpsc::channel(QUEUE_MESSAGES);
+    on_link(Link { tx, rx });
+    let body = ready(Ok(request.into_body()));
+    let mut carrying = spawn_local(carry(send, outgoing, body, incoming));
+    tokio::select! {
+        _ = &mut carrying => {}
+        // There is no further stream, and the connection has to be polled all the time. Messages that have arrived are
+        // still read when it is closed.
+        closed = poll_fn(|cx| connection.poll_closed(cx)) => return closed,
+    }
+    connection.graceful_shutdown();
+    let closing = poll_fn(|cx| connection.poll_closed(cx));
+    timeout(CLOSE_TIMEOUT, closing).await.unwrap_or(Ok(()))
+}
+
+/// Passes messages both ways until the other side ends the link, or `incoming` is not read any more. The messages of
+/// `outgoing` are then sent for a while longer.
+async fn carry(
+    send: SendStream<Bytes>,
+    outgoing: mpsc::Receiver<Message>,
+    body: impl Future<Output = Result<RecvStream, h2::Error>>,
+    incoming: mpsc::Sender<Message>,
+) {
+    let mut writing = spawn_local(write(send, outgoing));
+    let reader = incoming.clone();
+    let reading = async move {
+        match body.await {
+            Ok(body) => read(body, incoming).await,
+            Err(e) => log::debug!("cannot open link: {e}"),
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = reader.closed() => {}
+    }
+    drop(reader);
+    if timeout(CLOSE_TIMEOUT, &mut writing).await.is_err() {
+        writing.abort();
     }
-    Ok(())
 }
 
 /// Sends the messages of `outgoing` until its sender is dropped.
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -2,6 +2,7 @@
 //! changes of the scheduler.
 
 mod keys;
+mod links;
 mod outages;
 mod support;
 
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -190,6 +191,30 @@
             .map(|(_, (value, _))| jobs::decode(value).unwrap())
     }
 
+    /// Replaces the lease row with one of another node at this address.
+    pub fn name_scheduler(&self, node: &str, address: SocketAddr) {
+        let mut store = self.shared.store.borrow_mut();
+        let store = &mut *store;
+        let mut rows = store.rows.iter_mut();
+        let ((_, _, key), (value, version)) =
+            rows.find(|((table, _, _), _)| table == "lease").unwrap();
+        let old: LeaseRow = jobs::decode(value).unwrap();
+        *value = jobs::encode(&LeaseRow {
+            holder: node.to_owned(),
+            address: address.to_string(),
+            epoch: old.next_epoch(),
+            ..old
+        });
+        store.version += 1;
+        *version = store.version;
+        let row = Row {
+            key: key.clone(),
+            value: Some(value.clone()),
+            version: *version,
+        };
+        store.log.push((*version, "lease", row));
+    }
+
     /// Returns the number of runs that were started on workers.
     pub fn starts(&self) -> usize {
         self.shared
