The leases of a worker that answers no stops are not renewed

Now a worker whose leases are renewed can also be told to stop. If a run must stop and the worker has answered polls, but no stop order, for `SchedConfig::stop_overdue` since, its leases are renewed neither by polls nor by starts, and it gets no new work, until it answers a stop or the runs that must stop have ended. So they end by the lapse of their leases. Stops count from when they are due, from the last answered one, or from the start of the incarnation, whichever is last; the time in which the worker is silent does not count. A successor counts anew. `lapse_at` and the bounds of lease rows stay as they are: a lease that is not renewed ends earlier. Logged as `stops_overdue`, counted as `workers_without_stops`.

The cell has a new fault, `OrdersRefused`: hosts answer polls and reset all orders.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -282,14 +282,13 @@
                     self.node.0.metrics.count("interrupted");
                 }
                 Action::LapseAwaited { worker, runs, wait } => {
-                    let scheduler = self.scheduler.borrow();
-                    let worker = &scheduler.worker_info(worker).name;
-                    log::info!(
-                        "event=lapse_awaited worker={worker} runs={runs} wait_ms={} epoch={}",
-                        wait.as_millis(),
-                        scheduler.epoch()
-                    );
+                    self.log_awaited_lapse(worker, runs, wait);
                 }
+                Action::StopsOverdue {
+                    worker,
+                    runs,
+                    due_for,
+                } => self.log_overdue_stops(worker, runs, due_for),
                 Action::Waits {
                     step,
                     tasks,
@@ -351,6 +350,26 @@
         }
     }
 
+    fn log_awaited_lapse(&self, worker: WorkerId, runs: usize, wait: Duration) {
+        let scheduler = self.scheduler.borrow();
+        let worker = &scheduler.worker_info(worker).name;
+        log::info!(
+            "event=lapse_awaited worker={worker} runs={runs} wait_ms={} epoch={}",
+            wait.as_millis(),
+            scheduler.epoch()
+        );
+    }
+
+    fn log_overdue_stops(&self, worker: WorkerId, runs: usize, due_for: Duration) {
+        let scheduler = self.scheduler.borrow();
+        let worker = &scheduler.worker_info(worker).name;
+        log::warn!(
+            "event=stops_overdue worker={worker} runs={runs} for_ms={}",
+            due_for.as_millis()
+        );
+        self.node.0.metrics.count("workers_without_stops");
+    }
+
     fn log_crash(&self, crash: &Crash, worker: WorkerId, count: u32, weight: i32) {
         let scheduler = self.scheduler.borrow();
         let worker = &scheduler.worker_info(worker).name;
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -49,6 +49,8 @@
     /// A share of the connections to hosts is reset before the answer arrives. Their orders and polls are carried
     /// out at once or seconds later.
     OrdersReset(Duration),
+    /// Hosts answer polls, and reset the connections of all orders to start and stop tasks before they read them.
+    OrdersRefused(Duration),
     /// A host has half of its size. It is listed with it after the delay of the list.
     HostShrinks(Duration),
     /// The schedulers see no changes of the list of hosts.
--- a/crates/fakes/src/cell/network.rs
+++ b/crates/fakes/src/cell/network.rs
@@ -54,6 +54,7 @@
     pub(super) table_slow_until: Time,
     pub(super) orders_late_until: Time,
     pub(super) orders_reset_until: Time,
+    pub(super) orders_refused_until: Time,
     pub(super) answers_lost_until: Time,
     pub(super) directory_stuck_until: Time,
 }
@@ -71,6 +72,7 @@
             table_slow_until: Time::ZERO,
             orders_late_until: Time::ZERO,
             orders_reset_until: Time::ZERO,
+            orders_refused_until: Time::ZERO,
             answers_lost_until: Time::ZERO,
             directory_stuck_until: Time::ZERO,
         }
@@ -140,6 +142,11 @@
         Delivery::Arrives(now + self.delay())
     }
 
+    /// Returns when the sender of an order notices that the host has refused its connection, if hosts do so.
+    pub(super) fn refuse_order(&mut self, now: Time) -> Option<Time> {
+        (now < self.orders_refused_until).then(|| now + self.delay() * 2)
+    }
+
     /// Draws the delivery of a node's transaction to the table.
     pub(super) fn deliver_write(&mut self, now: Time, node: usize) -> Delivery {
         let cut = self.cut_from_table;
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -687,6 +687,7 @@
             CellFault::HostFlaps(span) => self.fleet.make_unhealthy(host, self.now + span, true),
             CellFault::HostAnswersCut(span) => self.network.cut_answers(host, self.now + span),
             CellFault::OrdersReset(span) => self.network.orders_reset_until = self.now + span,
+            CellFault::OrdersRefused(span) => self.network.orders_refused_until = self.now + span,
             CellFault::HostShrinks(span) => {
                 let Size {
                     milli_processors,
@@ -986,6 +987,12 @@
                 self.start_unanswered(node, incarnation, order);
             }
             Action::Start(order) => {
+                if let Some(noticed_at) = self.network.refuse_order(self.now) {
+                    let answer = StartAnswer::Unknown;
+                    let event = Event::StartAnswered(node, incarnation, order, answer);
+                    self.schedule(noticed_at, event);
+                    return;
+                }
                 let (delivery, sent) = self.send(node, incarnation, order.fence, order.worker);
                 match delivery {
                     Delivery::Arrives(at) => self.schedule(at, Event::Start(sent, order)),
@@ -1005,6 +1012,10 @@
                 }
             }
             Action::Stop(order) => {
+                if let Some(noticed_at) = self.network.refuse_order(self.now) {
+                    self.schedule(noticed_at, Event::StopFailed(node, incarnation, order));
+                    return;
+                }
                 let fence = self.fence(node, order.worker);
                 let (delivery, sent) = self.send(node, incarnation, fence, order.worker);
                 let timeout = self.now + CALL_TIMEOUT;
@@ -1040,6 +1051,7 @@
             | Action::Stray { .. }
             | Action::EndIgnored { .. }
             | Action::LapseAwaited { .. }
+            | Action::StopsOverdue { .. }
             | Action::Waits { .. }
             | Action::StartsHeld(_) => {}
         }
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -85,6 +85,16 @@
         /// How long its leases may last.
         wait: Duration,
     },
+    /// Report that a worker answers polls and no stop orders. Its leases are not renewed, and it gets no new work, until it
+    /// answers one or the runs that must stop have ended.
+    StopsOverdue {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of runs that must stop.
+        runs: usize,
+        /// How long no stop was answered.
+        due_for: Duration,
+    },
     /// Report why tasks that have run before wait, if the reason has changed.
     Waits {
         /// Their step.
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -50,6 +50,9 @@
     pub start_retries: u32,
     /// The pause after a stop order has failed, before it is sent again.
     pub stop_retry: Duration,
+    /// How long it takes from when a worker carries out a stop until it has ended the run, and the scheduler has read that and
+    /// has renewed the leases of other runs. Workers take up to 0.4 s to end a run.
+    pub stop_time: Duration,
     /// The most rows that one transaction writes. The platform accepts 100 entries, and the lease
     /// row takes two: a condition and a change.
     pub batch_rows: usize,
@@ -141,6 +144,7 @@
             late_start: Duration::from_secs(6),
             start_retries: 2,
             stop_retry: Duration::from_millis(300),
+            stop_time: Duration::from_secs(1),
             batch_rows: 90,
             heartbeat_interval: Duration::from_millis(200),
             approval_margin: Duration::from_millis(150),
@@ -171,6 +175,14 @@
 }
 
 impl SchedConfig {
+    /// Returns for how long a stop of a run may be due, while its worker answers polls but no stop order, before the leases of
+    /// the worker are not renewed any more. A stop that is carried out as late as a start may be must end its run before the
+    /// leases of the other runs lapse. They are last renewed by a poll that may wait.
+    #[must_use]
+    pub fn stop_overdue(&self) -> Duration {
+        (self.late_start + self.stop_time + self.poll_wait).saturating_sub(self.task_lease)
+    }
+
     /// Returns the time after which a lease that is granted or renewed now has certainly lapsed, by
     /// this process's clock.
     pub(crate) fn lapse_after(&self) -> Duration {
--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -596,6 +596,7 @@
                 phase: RunPhase::Pending,
                 confirmed_at: None,
                 since: now,
+                stop_due: Duration::ZERO,
                 orders_lapse_at: Time::ZERO,
                 has_begun: false,
                 is_of_earlier_incarnation: false,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns the start order for a run, if tasks may be started, the run is still wanted, the worker has not shrunk
-    /// below what it has, and its clock is known.
+    /// below what it has, its clock is known, and its leases may be renewed, which the order does.
     fn start_order(
         &mut self,
         now: Time,
@@ -83,7 +83,9 @@
         ticket: Option<Ticket>,
         unanswered: u32,
     ) -> Option<StartOrder> {
-        if !self.may_start(now) || self.fleet.get(worker).is_overcommitted() {
+        let target = self.fleet.get(worker);
+        let takes_starts = !target.is_overcommitted() && !target.has_overdue_stops(now, &self.cfg);
+        if !self.may_start(now) || !takes_starts {
             return None;
         }
         let entry = self.jobs.get(&key.job)?;
@@ -222,7 +224,9 @@
 
     /// Stops a run. A run whose start order was not sent yet ends at once.
     pub(crate) fn stop_run(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
-        let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) else {
+        let target = self.fleet.get_mut(worker);
+        let stop_due = target.contact_time(now);
+        let Some(run) = target.runs.get_mut(&key) else {
             return;
         };
         match run.phase {
@@ -233,6 +237,7 @@
             RunPhase::Recorded | RunPhase::Ordered { .. } | RunPhase::Running => {
                 run.phase = RunPhase::Stopping;
                 run.confirmed_at = None;
+                run.stop_due = stop_due;
                 self.order_stop(worker, key);
             }
         }
@@ -254,6 +259,8 @@
             // The present incarnation has not seen the order.
             return;
         }
+        self.needs_pass |= worker.stops.are_overdue;
+        worker.stop_answered(now.time);
         if let Some(run) = worker.runs.get_mut(&order.key)
             && run.number == order.run
             && run.phase == RunPhase::Stopping
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -90,7 +90,10 @@
         };
         // The leases of a silent worker are not renewed. Each renewal that it might have received
         // would postpone the time from which its tasks may start elsewhere.
-        let renews = may_renew && !worker.runs.is_empty() && worker.silent_since.is_none();
+        let renews = may_renew
+            && !worker.runs.is_empty()
+            && worker.silent_since.is_none()
+            && !worker.has_overdue_stops(now, &cfg);
         Poll::Now(PollOrder {
             worker: id,
             acknowledged,
@@ -124,6 +127,7 @@
         worker.start_told_by = None;
         worker.read_clock(listing.clock_ms, now);
         worker.heard_at = Some(now);
+        worker.contacted(now);
         self.needs_pass |= worker.probed_at.take().is_some();
         if worker.silent_since.take().is_some() || !worker.is_synced {
             self.needs_pass = true;
@@ -151,6 +155,23 @@
         }
         self.fleet.get_mut(id).is_synced = true;
         self.heard_without_orphans(id);
+        self.check_overdue_stops(now, id);
+    }
+
+    /// Reports stops that are overdue, so that the leases of the worker are not renewed.
+    fn check_overdue_stops(&mut self, now: Time, id: WorkerId) {
+        let worker = self.fleet.get_mut(id);
+        let is_overdue = worker.has_overdue_stops(now, &self.cfg);
+        let was_overdue = std::mem::replace(&mut worker.stops.are_overdue, is_overdue);
+        if is_overdue && !was_overdue {
+            let (runs, due_for) = worker.unanswered_stops(now);
+            self.actions.push(Action::StopsOverdue {
+                worker: id,
+                runs,
+                due_for,
+            });
+        }
+        self.needs_pass |= was_overdue && !is_overdue;
     }
 
     /// Handles the failure of a poll.
@@ -176,6 +197,7 @@
         if has_acknowledged && is_fence_current {
             worker.fence_raises += 1;
         }
+        worker.contact_lost();
         worker.silent_since.get_or_insert(now.time);
         worker.unheard_since.get_or_insert(now.time);
     }
@@ -262,7 +284,7 @@
             size,
             ..Charge::default()
         });
-        if worker.add_stray(row.key, row.run, size, charge) {
+        if worker.add_stray(now, row.key, row.run, size, charge) {
             worker.lapse_at = worker.lapse_at.max(lapse_at);
             self.actions.push(Action::Stray {
                 key: row.key,
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -9,7 +9,10 @@
 //! That a run is to be stopped is not stored. It follows from the job's progress, so the runs of jobs that have ended are
 //! stopped again.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use jobs::{Crash, Incarnation, Job, JobId, Progress, TaskKey};
 use model::{Time, WorkerId};
@@ -142,6 +145,7 @@
             phase: RunPhase::Recorded,
             confirmed_at: None,
             since: now.time,
+            stop_due: Duration::ZERO,
             orders_lapse_at: Time::ZERO,
             has_begun: false,
             is_of_earlier_incarnation,
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -93,6 +93,8 @@
     pub(crate) confirmed_at: Option<Time>,
     /// When the scheduler decided to start it.
     pub(crate) since: Time,
+    /// When a stop of it became due, as a [contact time](Worker::contact_time).
+    pub(crate) stop_due: Duration,
     /// When the leases of all its start orders have lapsed, so that the worker refuses those that are late. Zero
     /// if this scheduler has sent none.
     pub(crate) orders_lapse_at: Time,
@@ -117,6 +119,8 @@
 struct Stray {
     size: Size,
     charge: Charge,
+    /// When its stop became due, as a [contact time](Worker::contact_time).
+    stop_due: Duration,
 }
 
 /// A reading of a worker's clock.
@@ -126,6 +130,17 @@
     at: Time,
 }
 
+/// The stop orders to the present incarnation of a worker.
+#[derive(Debug, Default)]
+pub(crate) struct StopOrders {
+    /// The runs with an order that is not answered yet and has not failed.
+    open: BTreeSet<(TaskKey, u32)>,
+    /// When an order was last answered, or the incarnation began, as a [contact time](Worker::contact_time).
+    answered: Duration,
+    /// Whether orders were overdue when the worker's lists were last read.
+    pub(crate) are_overdue: bool,
+}
+
 /// A worker and its runs.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -166,8 +181,11 @@
     pub(crate) open_starts: u32,
     /// When a start order was last sent or answered.
     pub(crate) last_start_at: Time,
-    /// The runs with a stop order that its present incarnation has not answered yet, and that has not failed.
-    open_stops: BTreeSet<(TaskKey, u32)>,
+    pub(crate) stops: StopOrders,
+    /// For how long it had answered polls by its last answer.
+    contact: Duration,
+    /// When it gave that answer, unless a poll has failed since.
+    contact_at: Option<Time>,
     /// The runs whose start orders went without an answer, and until when these may still be carried out.
     pub(crate) late_starts: BTreeMap<(TaskKey, u32), Time>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
@@ -236,7 +254,9 @@
             lists_read: None,
             open_starts: 0,
             last_start_at: Time::ZERO,
-            open_stops: BTreeSet::new(),
+            stops: StopOrders::default(),
+            contact: Duration::ZERO,
+            contact_at: None,
             late_starts: BTreeMap::new(),
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
@@ -307,6 +327,7 @@
             && self.is_synced
             && !self.info.is_draining
             && self.silent_since.is_none()
+            && !self.stops.are_overdue
             && self.clock.is_some()
             && now >= self.quarantine_until
     }
@@ -426,11 +447,23 @@
     }
 
     /// Adds a stray of this size, unless it is known. Returns whether it is new.
-    pub(crate) fn add_stray(&mut self, key: TaskKey, run: u32, size: Size, charge: Charge) -> bool {
+    pub(crate) fn add_stray(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        run: u32,
+        size: Size,
+        charge: Charge,
+    ) -> bool {
+        let stop_due = self.contact_time(now);
         let Entry::Vacant(entry) = self.strays.entry((key, run)) else {
             return false;
         };
-        entry.insert(Stray { size, charge });
+        entry.insert(Stray {
+            size,
+            charge,
+            stop_due,
+        });
         self.used += size;
         true
     }
@@ -552,7 +585,7 @@
 
     /// Returns an order to stop a run, and notes that it is about to be sent. Returns `None` while an earlier one is open.
     pub(crate) fn open_stop(&mut self, key: TaskKey, run: u32) -> Option<StopOrder> {
-        let is_new = self.open_stops.insert((key, run));
+        let is_new = self.stops.open.insert((key, run));
         is_new.then_some(StopOrder {
             worker: self.id,
             started_unix_ms: self.info.started_unix_ms,
@@ -561,12 +594,57 @@
         })
     }
 
+    /// Returns for how long it has answered polls. The time stands still from its last answer while it is silent.
+    pub(crate) fn contact_time(&self, now: Time) -> Duration {
+        let since = self.contact_at.map(|at| now - at);
+        self.contact + since.unwrap_or_default()
+    }
+
+    /// Notes that it has answered a poll.
+    pub(crate) fn contacted(&mut self, now: Time) {
+        self.contact = self.contact_time(now);
+        self.contact_at = Some(now);
+    }
+
+    /// Notes that it has not answered a poll.
+    pub(crate) const fn contact_lost(&mut self) {
+        self.contact_at = None;
+    }
+
+    /// Notes that it has answered a stop order.
+    pub(crate) fn stop_answered(&mut self, now: Time) {
+        self.stops.answered = self.contact_time(now);
+        self.stops.are_overdue = false;
+    }
+
+    /// Returns the number of runs and strays that are to be stopped without an answer, and for how long it has answered
+    /// polls, but no stop order, since the first of these stops became due.
+    pub(crate) fn unanswered_stops(&self, now: Time) -> (usize, Duration) {
+        let runs = self.runs.values();
+        let stopping =
+            runs.filter(|run| run.phase == RunPhase::Stopping && run.confirmed_at.is_none());
+        let strays = self.strays.values().map(|stray| stray.stop_due);
+        let due = stopping.map(|run| run.stop_due).chain(strays);
+        let (count, first) = due.fold((0, Duration::MAX), |(count, first), due| {
+            (count + 1, first.min(due))
+        });
+        let since = first.max(self.stops.answered);
+        (count, self.contact_time(now).saturating_sub(since))
+    }
+
+    /// Returns whether it has answered polls, but no stop order, for so long since the stop of a run became due that its
+    /// leases may not be renewed: only their lapse ends the run.
+    pub(crate) fn has_overdue_stops(&self, now: Time, cfg: &SchedConfig) -> bool {
+        let (count, due_for) = self.unanswered_stops(now);
+        count > 0 && due_for >= cfg.stop_overdue()
+    }
+
     /// Notes that an order to stop a run was answered or has failed. Returns whether it was meant for the present
     /// incarnation.
     pub(crate) fn close_stop(&mut self, order: &StopOrder) -> bool {
         let is_current = order.started_unix_ms == self.info.started_unix_ms;
         if is_current {
-            self.open_stops.remove(&(order.key, order.run));
+            self.stops.open.remove(&(order.key, order.run));
         }
         is_current
     }
@@ -579,7 +657,8 @@
         self.is_synced = false;
         self.clock = None;
         self.lists_read = None;
-        self.open_stops.clear();
+        self.stops.open.clear();
+        self.stop_answered(now);
         self.processed = 0;
         self.ack_after = 0;
         self.ackable = 0;
--- a/crates/sched/tests/cancels.rs
+++ b/crates/sched/tests/cancels.rs
@@ -9,7 +9,8 @@
 use jobs::{End, EndKind, Incarnation, Job, JobId, Progress, Queue, Step, TaskKey};
 use model::{Size, Time, WorkerId};
 use sched::{
-    Action, Listing, Now, Recovered, RunningRow, SchedConfig, Scheduler, StopOrder, WorkerInfo,
+    Action, Listing, Now, Poll, PollFailure, Recovered, RunningRow, SchedConfig, Scheduler,
+    StopOrder, WorkerInfo,
 };
 
 const JOB: JobId = JobId(7);
@@ -328,6 +329,148 @@
     assert_eq!(stops(&decide(&mut scheduler, at_ms(3_010))), renewed);
 }
 
+/// A job that stays open, with its only task on w1.
+const OPEN: JobId = JobId(8);
+
+const OPEN_TASK: TaskKey = TaskKey {
+    job: OPEN,
+    ..task(0)
+};
+
+/// Returns a scheduler that has taken over, and has just polled w1, which runs both tasks of a cancelled job and the one of
+/// an open job. Stops are due since 2,000 ms, and all calls fail.
+fn scheduler_without_stops() -> (Scheduler, WorkerId) {
+    let cancelled = job(service());
+    let mut progress = started(&cancelled);
+    assert!(progress.cancel());
+    let open = job(Step {
+        tasks: 1,
+        ..service()
+    });
+    let mut open_progress = Progress::new(&open);
+    open_progress.assign(&[(OPEN_TASK, Incarnation::new("w1", 1))]);
+    let (mut scheduler, w1) = take_over(Recovered {
+        jobs: vec![(JOB, cancelled), (OPEN, open)],
+        progress: BTreeMap::from([(JOB, progress), (OPEN, open_progress)]),
+        ..Recovered::default()
+    });
+    let actions = decide(&mut scheduler, at_ms(1_980));
+    fail(&mut scheduler, at_ms(1_990), &stops(&actions));
+    poll_all(
+        &mut scheduler,
+        at_ms(2_000),
+        w1,
+        &[task(0), task(1), OPEN_TASK],
+    );
+    (scheduler, w1)
+}
+
+/// Answers a poll with a list of these tasks.
+fn poll_all(scheduler: &mut Scheduler, now: Now, worker: WorkerId, running: &[TaskKey]) {
+    let rows = running.iter().map(|&key| RunningRow { key, ..row(0) });
+    let listing = Listing {
+        started_unix_ms: 1,
+        clock_ms: now.time.as_ms(),
+        running: rows.collect(),
+        ..Listing::default()
+    };
+    scheduler.polled(now, worker, now.time, &listing);
+}
+
+/// Returns until when a poll that is sent now renews the leases, in milliseconds, if it does.
+fn renewal(scheduler: &mut Scheduler, now: Now, worker: WorkerId) -> Option<u64> {
+    match scheduler.next_poll(now, worker) {
+        Poll::Now(order) => order.lease_until_ms,
+        other => panic!("no poll is due: {other:?}"),
+    }
+}
+
+/// Returns how often a report that stops are overdue is among the actions.
+fn overdue_reports(actions: &[Action]) -> usize {
+    let is_report = |action: &&Action| matches!(action, Action::StopsOverdue { .. });
+    actions.iter().filter(is_report).count()
+}
+
+/// Polls w1, which lists these tasks, from `from_ms` every second until before `to_ms`, and has all stops fail. Returns until
+/// when its leases are renewed at the end, and the number of reports that its stops are overdue.
+fn poll_without_stops(
+    scheduler: &mut Scheduler,
+    w1: WorkerId,
+    (from_ms, to_ms): (u64, u64),
+    running: &[TaskKey],
+) -> (u64, usize) {
+    let (mut lease, mut reports) = (0, 0);
+    for ms in (from_ms..to_ms).step_by(1_000) {
+        lease = renewal(scheduler, at_ms(ms), w1).unwrap_or(0).max(lease);
+        let actions = decide(scheduler, at_ms(ms + 500));
+        fail(scheduler, at_ms(ms + 510), &stops(&actions));
+        reports += overdue_reports(&actions);
+        poll_all(scheduler, at_ms(ms + 1_000), w1, running);
+    }
+    (lease, reports)
+}
+
+/// Guards against leases that are renewed for good at a worker that answers polls and no stops, and against new work there.
+#[test]
+fn the_leases_of_a_worker_that_answers_no_stops_are_not_renewed_until_it_does() {
+    let (mut scheduler, w1) = scheduler_without_stops();
+    let all = [task(0), task(1), OPEN_TASK];
+    let (lease, _) = poll_without_stops(&mut scheduler, w1, (2_000, 5_000), &all);
+    assert_eq!(lease, 9_000, "stops are not overdue when the poll is sent");
+    let (lease, reports) = poll_without_stops(&mut scheduler, w1, (5_000, 8_000), &all);
+    assert_eq!((lease, reports), (0, 1), "reported once");
+    assert_eq!(scheduler.summary(at_ms(8_000)).workers, 0);
+    // One answered stop shows that orders get through.
+    let order = stops(&decide(&mut scheduler, at_ms(8_010)))[0];
+    scheduler.stop_answered(at_ms(8_020), &order);
+    assert_eq!(scheduler.summary(at_ms(8_020)).workers, 1);
+    assert!(renewal(&mut scheduler, at_ms(8_030), w1).is_some());
+    // The other stop counts anew from then.
+    poll_all(
+        &mut scheduler,
+        at_ms(8_040),
+        w1,
+        &[task(1), task(0), OPEN_TASK],
+    );
+    let (lease, reports) = poll_without_stops(&mut scheduler, w1, (8_050, 15_000), &all);
+    assert_eq!((lease, reports), (15_050, 1));
+}
+
+/// Guards against tasks that lapse on a worker that carries out stops as late as starts, and answers none of them.
+#[test]
+fn a_worker_that_carries_out_stops_late_keeps_its_other_tasks() {
+    let (mut scheduler, w1) = scheduler_without_stops();
+    let cfg = SchedConfig::default();
+    let late_ms = u64::try_from(cfg.late_start.as_millis()).unwrap();
+    // A stop takes 0.4 s at most.
+    let ended_ms = 2_000 + late_ms + 400;
+    let all = [task(0), task(1), OPEN_TASK];
+    let (lease, _) = poll_without_stops(&mut scheduler, w1, (2_000, ended_ms), &all);
+    assert!(lease > ended_ms, "{lease} ms");
+    // The poll that was open then is answered at once.
+    poll_all(&mut scheduler, at_ms(ended_ms + 20), w1, &[OPEN_TASK]);
+    assert_eq!(scheduler.summary(at_ms(ended_ms + 20)).runs, 1);
+    let renewed = renewal(&mut scheduler, at_ms(ended_ms + 30), w1);
+    assert!(
+        lease > ended_ms + 30 && renewed > Some(lease),
+        "{renewed:?}"
+    );
+}
+
+/// Guards against leases that lapse because a worker was out of contact while a stop was due.
+#[test]
+fn a_stop_is_not_overdue_because_its_worker_was_silent() {
+    let (mut scheduler, w1) = scheduler_without_stops();
+    let all = [task(0), task(1), OPEN_TASK];
+    scheduler.next_poll(at_ms(2_000), w1);
+    scheduler.poll_failed(at_ms(2_700), w1, PollFailure::Silent);
+    poll_all(&mut scheduler, at_ms(6_700), w1, &all);
+    let (lease, reports) = poll_without_stops(&mut scheduler, w1, (6_700, 9_700), &all);
+    assert_eq!((lease, reports), (13_700, 0));
+    let (lease, reports) = poll_without_stops(&mut scheduler, w1, (9_700, 11_700), &all);
+    assert_eq!((lease, reports), (0, 1));
+}
+
 /// How long after the last fault a task of a cancelled job may run: the nodes and the host are in touch after 4 s, the
 /// cancellation takes effect within 3 s, and the task stops within 0.4 s.
 const STOP_LIMIT: Duration = Duration::from_millis(7_400);
@@ -335,9 +478,20 @@
 /// Returns for how long after the last fault tasks of cancelled jobs ran on, in a cell that has lost its scheduler by `loss`
 /// after the jobs were cancelled while a host was out of contact.
 fn longest_after_faults(seed: u64, loss: CellFault) -> Duration {
-    let ms = |ms| Time::ZERO + Duration::from_millis(ms);
-    let (cut_at, cancelled_at, lost_at, calm_from) =
-        (ms(11_500), ms(12_000), ms(13_000), ms(14_500));
+    let (cut_at, lost_at) = (Time::from_ms(11_500), Time::from_ms(13_000));
+    let calm_from = Time::from_ms(14_500);
+    let faults = vec![
+        (cut_at, CellFault::HostCut(calm_from - cut_at)),
+        (lost_at, loss),
+    ];
+    longest_after_cancel(seed, faults).saturating_sub(calm_from - CANCELLED_AT)
+}
+
+/// When the jobs of a cell are cancelled. Their tasks would run for a minute.
+const CANCELLED_AT: Time = Time::from_ms(12_000);
+
+/// Returns for how long tasks of cancelled jobs ran on in a cell with these faults.
+fn longest_after_cancel(seed: u64, faults: Vec<(Time, CellFault)>) -> Duration {
     let mut load = LoadSpec {
         duration: Duration::from_secs(10),
         factor: 0.08,
@@ -352,24 +506,21 @@
     }
     let mut arrivals = generate(&load, seed);
     for arrival in &mut arrivals {
-        arrival.cancelled_at = Some(cancelled_at);
+        arrival.cancelled_at = Some(CANCELLED_AT);
     }
     let cell = CellSpec {
         arrivals,
         kinds: load.kinds,
         hosts: 4,
         host_size: Size::new(256_000, 1_048_576, 0),
-        faults: vec![
-            (cut_at, CellFault::HostCut(calm_from - cut_at)),
-            (lost_at, loss),
-        ],
+        faults,
         seed,
         ..CellSpec::default()
     };
     let report = Cell::new(cell).run();
     assert_eq!(report.breaches, [], "seed {seed}");
     assert!(report.starts > 0, "nothing ran");
-    (report.longest_after_cancel).saturating_sub(calm_from - cancelled_at)
+    report.longest_after_cancel
 }
 
 /// Guards against tasks of cancelled jobs that run on for good, whichever way the scheduler is lost.
@@ -387,3 +538,44 @@
         assert!(longest <= Some(STOP_LIMIT), "{loss:?}: {longest:?}");
     }
 }
+
+/// Returns for how long a task may run after the scheduler has ordered its stop, or has taken over, if its host answers polls
+/// and refuses all orders: the lease is renewed until the stop is overdue, and then lapses. Messages take 0.1 s.
+fn refused_limit(cfg: &SchedConfig) -> Duration {
+    let drift = u32::try_from(cfg.clock_drift_milli).unwrap();
+    let lapse = cfg.task_lease * 1_000 / (1_000 - drift) + cfg.lapse_margin;
+    cfg.stop_overdue() + lapse + Duration::from_millis(100)
+}
+
+/// Guards against tasks of cancelled jobs that run on for good on hosts that answer polls, by which leases are renewed, and
+/// refuse all orders, also if the scheduler is replaced.
+#[test]
+fn tasks_of_cancelled_jobs_end_on_hosts_that_refuse_all_orders() {
+    let limit = refused_limit(&SchedConfig::default());
+    let (refused_at, lost_at) = (Time::from_ms(11_500), Time::from_ms(13_000));
+    let refused = (
+        refused_at,
+        CellFault::OrdersRefused(Duration::from_secs(60)),
+    );
+    for seed in 0..8 {
+        let longest = longest_after_cancel(seed, vec![refused]);
+        assert!(longest <= limit, "seed {seed}: {longest:?} > {limit:?}");
+    }
+    // Another node takes over so long after the loss.
+    let losses = [
+        (CellFault::SchedulerDies, 1),
+        (CellFault::SchedulerReplaced, 0),
+        (CellFault::AllNodesDie, 2),
+    ];
+    for (loss, takeover_s) in losses {
+        let from = lost_at + Duration::from_secs(takeover_s);
+        let limit = limit + (from - CANCELLED_AT);
+        for seed in 0..8 {
+            let longest = longest_after_cancel(seed, vec![refused, (lost_at, loss)]);
+            assert!(
+                longest <= limit,
+                "{loss:?}, seed {seed}: {longest:?} > {limit:?}"
+            );
+        }
+    }
+}
