The checker sees each clause of the rule on unasked work

It found starts of unknown jobs and starts after a cancellation only. It now compares the specification and the checkpoint of each start with what was submitted and saved, and finds tasks that run on after a cancellation: without faults after the time to cancel and to stop, in any case after the time that a scheduler renews leases without the table, the longest lease on a slow clock, and the same two. A task that its job does not have counts as unasked. Failures of tasks that last are not limited, as the platform's rules say. Hosts can list the checkpoints of their runs, and save those of gangs; this is off in the cells of existing tests, whose random draws stay as they were.

--- a/crates/fakes/src/cell/checker.rs
+++ b/crates/fakes/src/cell/checker.rs
@@ -8,6 +8,7 @@
 
 use jobs::{EndKind, Job, JobId, State, StepKey, TaskKey, TeamPolicy};
 use model::{Size, Time, WorkerId};
+use sched::{SchedConfig, StartOrder};
 
 /// A violated guarantee.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,8 +30,17 @@
     OverSpread(StepKey),
     /// A task began while its team ran more than its limit with it, although other work of the team was running.
     OverLimit(TaskKey),
-    /// A task began whose job was not submitted, or had been cancelled for longer than a grace period.
+    /// A task began that no submitted job has.
     Unasked(TaskKey),
+    /// A start order carried another specification than the job was submitted with.
+    OtherSpec(TaskKey),
+    /// A start order carried a checkpoint that no run of its task or gang has saved, or another one than the members
+    /// that had started.
+    OtherCheckpoint(TaskKey),
+    /// A task began too long after the cancellation of its job was acknowledged.
+    StartedAfterCancel(TaskKey),
+    /// A task ran on for too long after the cancellation of its job was acknowledged.
+    RanOnAfterCancel(TaskKey),
     /// A state was shown of a job that is not stored.
     ShownUnstored(JobId),
     /// A job was shown as completed while a task was not done.
@@ -52,7 +62,11 @@
             | Self::OverBudget(key)
             | Self::OverCrashed(key)
             | Self::OverLimit(key)
-            | Self::Unasked(key) => Some(key),
+            | Self::Unasked(key)
+            | Self::OtherSpec(key)
+            | Self::OtherCheckpoint(key)
+            | Self::StartedAfterCancel(key)
+            | Self::RanOnAfterCancel(key) => Some(key),
             _ => None,
         }
     }
@@ -92,6 +106,8 @@
     pub outcomes: Vec<JobOutcome>,
     /// The number of runs that began.
     pub starts: u64,
+    /// The number of runs that began from a checkpoint.
+    pub resumed: u64,
     /// The longest time from the crash of a host until one of the tasks that it ran began again elsewhere, or until the
     /// end of the simulation. Tasks of cancelled jobs are left out.
     pub longest_restart: Duration,
@@ -172,10 +188,24 @@
     /// The runs of each task or gang whose failure was acknowledged, with the time of the failure.
     acknowledged_failures: HashMap<TaskKey, BTreeMap<u32, Time>>,
     cancelled: BTreeMap<JobId, Time>,
+    /// The checkpoints that the runs of each task or gang have saved.
+    saved: HashMap<TaskKey, BTreeSet<String>>,
+    /// The last run of each gang with the checkpoint that its first member was started with.
+    gang_checkpoints: HashMap<TaskKey, (u32, String)>,
+    /// Until when faults excuse starts and runs of cancelled jobs.
+    excused_until: Time,
+    /// How much longer than [`CANCEL_GRACE`] faults may delay a start.
+    start_delay: Duration,
     pub(super) published: HashMap<JobId, (State, Time)>,
     first_starts: HashMap<JobId, Time>,
 }
 
+/// Returns whether a job has a task.
+fn has_task(job: &Job, key: TaskKey) -> bool {
+    let step = job.steps.get(usize::from(key.step));
+    step.is_some_and(|step| key.index < step.tasks) && key.occurrence < job.occurrences()
+}
+
 /// Returns the key for what is counted for a task: its own, or that of the first member of its gang.
 fn unit(job: &Job, key: TaskKey) -> TaskKey {
     if job.steps[usize::from(key.step)].gang {
@@ -197,6 +227,20 @@
 /// How long after the acknowledgement of its cancellation a task of a job may still begin.
 const CANCEL_GRACE: Duration = Duration::from_secs(3);
 
+/// How long a host takes to stop a task.
+const STOP_GRACE: Duration = Duration::from_millis(400);
+
+/// How long after a fault, or after its own late start, a task of a cancelled job is not judged yet.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// Returns how long a task may run after the cancellation of its job, or after its own later start, whatever faults
+/// there are: a scheduler that cannot read the cancellation renews leases for a time, and the last one has to lapse.
+fn run_on_limit() -> Duration {
+    let cfg = SchedConfig::default();
+    let fast = u32::try_from(1_000 - cfg.clock_drift_milli).unwrap_or(1_000);
+    cfg.renew_without_table + cfg.max_task_lease * 1_000 / fast + CANCEL_GRACE + STOP_GRACE
+}
+
 impl Checker {
     pub(super) fn submitted(&mut self, id: JobId, job: &Job) {
         self.jobs.insert(id, job.clone());
@@ -204,7 +248,87 @@
 
     /// Records that the cancellation of a job was acknowledged to a client.
     pub fn cancel_acknowledged(&mut self, now: Time, id: JobId) {
-        self.cancelled.insert(id, now);
+        self.cancelled.entry(id).or_insert(now);
+    }
+
+    /// Sets by how much faults may delay a start of a cancelled job.
+    pub const fn allow_start_delay(&mut self, delay: Duration) {
+        self.start_delay = delay;
+    }
+
+    /// Records that a fault lasts until `until`.
+    pub fn excuse_until(&mut self, until: Time) {
+        self.excused_until = self.excused_until.max(until + CONTACT);
+    }
+
+    /// Records a checkpoint that a run has saved.
+    pub(super) fn checkpoint_saved(&mut self, key: TaskKey, checkpoint: &str) {
+        if let Some(job) = self
+            .jobs
+            .get(&key.job)
+            .filter(|job| has_task(job, key) && !checkpoint.is_empty())
+        {
+            let saved = self.saved.entry(unit(job, key)).or_default();
+            saved.insert(checkpoint.to_owned());
+        }
+    }
+
+    /// Checks the specification and the checkpoint that a new run was started with.
+    pub(super) fn order_carried_out(&mut self, order: &StartOrder) {
+        let key = order.key;
+        let Some(job) = self.jobs.get(&key.job).filter(|job| has_task(job, key)) else {
+            return;
+        };
+        let (unit, checkpoint) = (unit(job, key), &order.checkpoint);
+        let has_spec = job.spec == order.spec;
+        let is_gang = job.steps[usize::from(key.step)].gang;
+        let is_saved = |saved: &BTreeSet<String>| saved.contains(checkpoint);
+        let mut is_own = checkpoint.is_empty() || self.saved.get(&unit).is_some_and(is_saved);
+        self.report.resumed += u64::from(!checkpoint.is_empty());
+        if is_gang {
+            let first = self.gang_checkpoints.entry(unit).or_default();
+            if first.0 < order.run {
+                *first = (order.run, checkpoint.clone());
+            }
+            is_own &= first.0 != order.run || first.1 == *checkpoint;
+        }
+        if !has_spec {
+            self.record(Breach::OtherSpec(key));
+        }
+        if !is_own {
+            self.record(Breach::OtherCheckpoint(key));
+        }
+    }
+
+    /// Returns whether a task of a cancelled job runs.
+    #[must_use]
+    pub fn has_cancelled_runs(&self) -> bool {
+        self.running.keys().any(|key| self.is_cancelled(key.job))
+    }
+
+    /// Records the tasks of cancelled jobs that have run on for too long, also with regard to the faults.
+    pub fn check_cancelled_runs(&mut self, now: Time) {
+        let runs: Vec<(TaskKey, Time)> = self.running.iter().map(|(&k, r)| (k, r.at)).collect();
+        for (key, began_at) in runs {
+            let Some(&cancelled_at) = self.cancelled.get(&key.job) else {
+                continue;
+            };
+            let late_start = (began_at > cancelled_at).then(|| began_at + CONTACT);
+            let since = cancelled_at
+                .max(self.excused_until)
+                .max(late_start.unwrap_or_default());
+            if now > since + CANCEL_GRACE + STOP_GRACE {
+                self.ran_on(key);
+            }
+            self.ran_until(now, key, began_at);
+        }
+    }
+
+    fn ran_on(&mut self, key: TaskKey) {
+        let breach = Breach::RanOnAfterCancel(key);
+        if !self.report.breaches.contains(&breach) {
+            self.record(breach);
+        }
     }
 
     pub(super) fn is_cancelled(&self, id: JobId) -> bool {
@@ -233,7 +357,7 @@
     ) {
         self.report.starts += 1;
         self.first_starts.entry(key.job).or_insert(now);
-        let Some(job) = self.jobs.get(&key.job) else {
+        let Some(job) = self.jobs.get(&key.job).filter(|job| has_task(job, key)) else {
             self.record(Breach::Unasked(key));
             return;
         };
@@ -253,6 +377,8 @@
         let is_spread = step
             .per_worker
             .is_none_or(|limit| step_tasks_on_host <= limit);
+        // Tasks that last may be started again however often they fail.
+        let is_limited = !step.is_long_running;
         let limit = job.queue.max_failures;
         let unit = unit(job, key);
         let failures = self.acknowledged_failures.get(&unit);
@@ -263,21 +389,21 @@
             member.is_some_and(|active| active.run != run)
         };
         let overlaps = self.running.contains_key(&key) || members.into_iter().any(is_other_run);
-        let is_after_cancel = self
-            .cancelled
-            .get(&key.job)
-            .is_some_and(|&at| now > at + CANCEL_GRACE);
+        let is_after_cancel = self.cancelled.get(&key.job).is_some_and(|&at| {
+            let (calm, longest) = (at.max(self.excused_until), at + self.start_delay);
+            now > calm.min(longest) + CANCEL_GRACE
+        });
         if !is_in_order {
             self.record(Breach::OutOfOrder(key.step_key()));
         }
         if !is_spread {
             self.record(Breach::OverSpread(key.step_key()));
         }
-        if failures >= usize::try_from(limit).unwrap_or(usize::MAX) {
+        if is_limited && failures >= usize::try_from(limit).unwrap_or(usize::MAX) {
             self.record(Breach::OverBudget(key));
         }
         if is_after_cancel {
-            self.record(Breach::Unasked(key));
+            self.record(Breach::StartedAfterCancel(key));
         }
         if !used.fits(&size) {
             self.record(Breach::OverCapacity(host));
@@ -355,9 +481,10 @@
         let Some(active) = self.running.get(&key).filter(|active| is_same(active)) else {
             return;
         };
-        let duration_s = (now - active.at).as_secs_f64();
+        let began_at = active.at;
+        let duration_s = (now - began_at).as_secs_f64();
         self.running.remove(&key);
-        self.ran_until(now, key.job);
+        self.ran_until(now, key, began_at);
         let step = self
             .jobs
             .get(&key.job)
@@ -382,19 +509,22 @@
         self.report.longest_restart = self.report.longest_restart.max(span);
     }
 
-    /// Records that a task of a job ran until `now`.
-    fn ran_until(&mut self, now: Time, id: JobId) {
-        if let Some(&at) = self.cancelled.get(&id) {
+    /// Records that a task that began at `began_at` ran until `now`.
+    fn ran_until(&mut self, now: Time, key: TaskKey, began_at: Time) {
+        if let Some(&at) = self.cancelled.get(&key.job) {
             let longest = &mut self.report.longest_after_cancel;
             *longest = (*longest).max(now - at);
+            if now > at.max(began_at) + run_on_limit() {
+                self.ran_on(key);
+            }
         }
     }
 
     /// Records the tasks that run at the end, and those that have not begun again by then.
     pub(super) fn finish(&mut self, now: Time) {
-        let running: BTreeSet<JobId> = self.running.keys().map(|key| key.job).collect();
-        for id in running {
-            self.ran_until(now, id);
+        let running: Vec<(TaskKey, Time)> = self.running.iter().map(|(&k, r)| (k, r.at)).collect();
+        for (key, began_at) in running {
+            self.ran_until(now, key, began_at);
         }
         for (key, at) in std::mem::take(&mut self.lost) {
             if !self.is_cancelled(key.job) {
@@ -440,7 +570,7 @@
         kind: EndKind,
         ended_at: Time,
     ) {
-        let Some(job) = self.jobs.get(&key.job) else {
+        let Some(job) = self.jobs.get(&key.job).filter(|job| has_task(job, key)) else {
             return;
         };
         let unit = unit(job, key);
@@ -457,7 +587,8 @@
                 let failures = self.acknowledged_failures.entry(unit).or_default();
                 failures.insert(run, ended_at);
                 let earlier = failures.values().filter(|&&at| at < last_start).count();
-                if last_start > ended_at && earlier >= limit {
+                let is_limited = !job.steps[usize::from(key.step)].is_long_running;
+                if is_limited && last_start > ended_at && earlier >= limit {
                     self.record(Breach::OverBudget(key));
                 }
             }
--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -83,4 +83,14 @@
     TrustAnnouncements,
     /// A new scheduler ignores progress of jobs whose rows it has not found.
     IgnoreOrphans,
+    /// Start orders carry another specification.
+    OtherSpec,
+    /// Start orders carry another checkpoint, where they carry one.
+    OtherCheckpoint,
+    /// Start orders name tasks that their jobs do not have.
+    UnknownTask,
+    /// Stop orders are not sent.
+    NoStops,
+    /// Schedulers do not learn of cancellations before a takeover.
+    IgnoreCancels,
 }
--- a/crates/fakes/src/cell/fleet.rs
+++ b/crates/fakes/src/cell/fleet.rs
@@ -10,7 +10,7 @@
 
 use jobs::{EndKind, JobId, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
-use sched::{StartAnswer, StartOrder};
+use sched::{Listing, StartAnswer, StartOrder};
 
 use super::{
     checker::{Checker, WorkEnd},
@@ -196,13 +196,15 @@
             .get(&key.job)
             .and_then(|arrival| arrival.job.steps.get(usize::from(key.step)));
         let size = step.map(jobs::Step::reserved).unwrap_or_default();
-        let saves = step.is_some_and(|step| step.saves_progress && !step.gang);
         let host = &mut self.hosts[index(id)];
+        let saves =
+            step.is_some_and(|step| step.saves_progress && (!step.gang || host.lists_checkpoints));
         let (answer, is_new) = host.start(now, order, size, saves);
         if is_new {
             let lease_until_ms = order.lease_until_ms;
             let event = RunEvent::Began { lease_until_ms };
             self.record(now, id, key, order.run, event);
+            self.checker.order_carried_out(order);
             self.run_began(now, rng, id, key, order.run);
         }
         answer
@@ -251,6 +253,9 @@
                 self.schedule_tick(now, id);
                 return;
             };
+            for &(member, host) in &members {
+                self.hosts[index(host)].begin_work(now, key.step_key().task(member));
+            }
             members
         } else {
             vec![(key.index, id)]
@@ -348,6 +353,8 @@
             return;
         };
         self.record(now, id, key, run, RunEvent::Ended { kind, due });
+        let checkpoint = self.hosts[index(id)].last_checkpoint();
+        self.checker.checkpoint_saved(key, checkpoint);
         self.checker
             .run_ended(due, key, run, id, WorkEnd::of(kind, saves));
         if kind == EndKind::Failed {
@@ -372,6 +379,8 @@
                 .is_some_and(|r| r.run == run);
             if is_same && self.hosts[index(host)].end(due, task, kind).is_some() {
                 self.record(now, host, task, run, RunEvent::Ended { kind, due });
+                let checkpoint = self.hosts[index(host)].last_checkpoint();
+                self.checker.checkpoint_saved(task, checkpoint);
                 self.checker
                     .run_ended(due, task, run, host, WorkEnd::of(kind, false));
                 self.changed_hosts.push(host);
@@ -409,6 +418,8 @@
             let kind = EndKind::Interrupted;
             self.record(now, id, key, run, RunEvent::Ended { kind, due: now });
             let work = WorkEnd::of(kind, saves);
+            let checkpoint = self.hosts[index(id)].last_checkpoint();
+            self.checker.checkpoint_saved(key, checkpoint);
             self.checker.run_ended(now, key, run, id, work);
             self.end_gang((now, now), key, run, kind);
             self.changed_hosts.push(id);
@@ -416,6 +427,15 @@
         true
     }
 
+    /// Returns the running and ended runs of a host, the answer to a poll.
+    pub fn list(&mut self, now: Time, id: WorkerId) -> Listing {
+        let listing = self.hosts[index(id)].list(now);
+        for row in &listing.running {
+            self.checker.checkpoint_saved(row.key, &row.checkpoint);
+        }
+        listing
+    }
+
     /// Handles a poll that reaches a host that is up. Returns whether its fence is current.
     pub fn poll(
         &mut self,
--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -16,6 +16,9 @@
 /// How long a run takes to restore a checkpoint.
 const RESTORE_TIME: Duration = Duration::from_millis(600);
 
+/// How much work a run does between two checkpoints.
+const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The longest lease, in milliseconds on the host's clock. A longer one is shortened to it.
 const MAX_LEASE_MS: u64 = 10_000;
 
@@ -31,6 +34,28 @@
     pub(super) ends: Option<(Time, EndKind)>,
     /// The work that it saves, if its step saves progress.
     pub(super) saved: Option<SavedWork>,
+    /// The checkpoint that it resumed from.
+    checkpoint: String,
+}
+
+impl HostRun {
+    /// Returns the checkpoint that the run has saved at the last interval, or saves if it is stopped now. The members
+    /// of a gang do no work before all of them are there.
+    fn saved_checkpoint(&self, now: Time, key: TaskKey, is_stopped: bool) -> String {
+        let is_working = self.ends.is_some();
+        let Some(saved) = self.saved.filter(|_| is_working) else {
+            return self.checkpoint.clone();
+        };
+        let added = now - saved.since;
+        let interval = CHECKPOINT_INTERVAL.as_millis();
+        let added_ms = match added.as_millis() {
+            ms if is_stopped => ms,
+            ms if ms < interval => return self.checkpoint.clone(),
+            ms => ms - ms % interval,
+        };
+        let total_ms = saved.before.as_millis() + added_ms;
+        format!("{total_ms}@{key}#{}", self.run)
+    }
 }
 
 /// The work that a run saves in a checkpoint when it is stopped.
@@ -43,10 +68,11 @@
 }
 
 impl SavedWork {
-    /// Returns the saved work of a run that begins now and resumes from `checkpoint`, the saved
-    /// milliseconds in decimal.
+    /// Returns the saved work of a run that begins now and resumes from `checkpoint`: the saved
+    /// milliseconds in decimal, and the run that has saved it.
     fn resume(now: Time, checkpoint: &str) -> Self {
-        let before = Duration::from_millis(checkpoint.parse().unwrap_or(0));
+        let saved_ms = checkpoint.split('@').next().and_then(|ms| ms.parse().ok());
+        let before = Duration::from_millis(saved_ms.unwrap_or(0));
         let restore = if before.is_zero() {
             Duration::ZERO
         } else {
@@ -62,11 +88,6 @@
     pub(super) fn remaining(&self, now: Time, run_time: Duration) -> Duration {
         (self.since - now) + run_time.saturating_sub(self.before)
     }
-
-    /// Returns the checkpoint of the work done by `now`.
-    fn checkpoint(&self, now: Time) -> String {
-        (self.before + (now - self.since)).as_millis().to_string()
-    }
 }
 
 /// A stand-in worker. See the [module documentation](super).
@@ -80,6 +101,8 @@
     /// The factor of the run times of tasks.
     pub(super) run_time_factor: f64,
     pub(super) started_at: Time,
+    /// Whether the list of runs tells their checkpoints, and gangs save them too.
+    pub(super) lists_checkpoints: bool,
     fence: u64,
     pub(super) runs: BTreeMap<TaskKey, HostRun>,
     /// The highest run number of each task that was stopped or has ended.
@@ -107,6 +130,7 @@
             overrun_ms,
             run_time_factor: 1.0,
             started_at: Time::ZERO,
+            lists_checkpoints: false,
             fence: 0,
             runs: BTreeMap::new(),
             last_ended_run: HashMap::new(),
@@ -129,6 +153,15 @@
         }
     }
 
+    /// Returns the host, which lists the checkpoints of its runs and saves those of gangs.
+    #[must_use]
+    pub fn with_listed_checkpoints(self) -> Self {
+        Self {
+            lists_checkpoints: true,
+            ..self
+        }
+    }
+
     /// Extends the lease of all runs, to [`MAX_LEASE_MS`] from now at most; an earlier `until_ms` leaves it as
     /// it is. Records the end of a lease that has lapsed before this renewal.
     fn renew(&mut self, now: Time, until_ms: Option<u64>) {
@@ -255,6 +288,7 @@
             size,
             ends: None,
             saved: saves.then(|| SavedWork::resume(now, &start.checkpoint)),
+            checkpoint: start.checkpoint.clone(),
         };
         self.runs.insert(start.key, run);
         (StartAnswer::Started, true)
@@ -287,15 +321,13 @@
         *last_ended_run = (*last_ended_run).max(run.run);
         self.last_end_number += 1;
         self.ended_at.insert(self.last_end_number, now);
+        let saves = run.saved.is_some() && kind == EndKind::Interrupted;
+        let checkpoint = saves.then(|| run.saved_checkpoint(now, key, true));
         let end = End {
             key,
             run: run.run,
             kind,
-            checkpoint: run
-                .saved
-                .filter(|_| kind == EndKind::Interrupted)
-                .map(|saved| saved.checkpoint(now))
-                .unwrap_or_default(),
+            checkpoint: checkpoint.unwrap_or_default(),
         };
         self.ended.push(EndedRow {
             number: self.last_end_number,
@@ -304,6 +336,19 @@
         Some(run.run)
     }
 
+    /// Returns the checkpoint of the last end.
+    pub(super) fn last_checkpoint(&self) -> &str {
+        self.ended.last().map_or("", |row| &row.end.checkpoint)
+    }
+
+    /// Makes the members of a gang that has gathered work from now on.
+    pub(super) fn begin_work(&mut self, now: Time, key: TaskKey) {
+        if let Some(run) = self.runs.get_mut(&key) {
+            let checkpoint = &run.checkpoint;
+            run.saved = (run.saved).map(|_| SavedWork::resume(now, checkpoint));
+        }
+    }
+
     /// Handles a poll: forgets the acknowledged ends and renews leases. Returns the acknowledged ends with their
     /// times, or `None` for an outdated fence.
     pub(super) fn poll(
@@ -346,6 +391,11 @@
             .map(|(&key, run)| RunningRow {
                 key,
                 run: run.run,
+                checkpoint: if self.lists_checkpoints && run.saved.is_some() {
+                    run.saved_checkpoint(now, key, false)
+                } else {
+                    String::new()
+                },
                 ..RunningRow::default()
             })
             .collect();
--- a/crates/fakes/src/cell/load.rs
+++ b/crates/fakes/src/cell/load.rs
@@ -104,12 +104,14 @@
             if at >= Time::ZERO + spec.duration {
                 break;
             }
-            let (job, seconds) = draw_job(kind, &mut rng);
+            let (mut job, seconds) = draw_job(kind, &mut rng);
             let is_cancelled = chance(&mut rng, spec.cancelled);
+            let id = JobId(rng.next_u64());
+            job.spec = format!("spec of {id}");
             arrivals.push(Arrival {
                 at,
                 kind: number,
-                id: JobId(rng.next_u64()),
+                id,
                 job,
                 seconds,
                 cancelled_at: is_cancelled.then_some(at + Duration::from_secs(1)),
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -94,6 +94,8 @@
     /// Whether an order or a poll that is carried out late may be carried out by the next incarnation of its host.
     /// The platform's description does not say. `false` by default.
     pub orders_outlive_hosts: bool,
+    /// Whether hosts list the checkpoints of their runs, and gangs save them too. `false` by default.
+    pub lists_checkpoints: bool,
     /// The safeguard that is left out, if any.
     pub mutation: Mutation,
     /// The seed of the random delays, faults and failures.
@@ -119,6 +121,7 @@
             crashing_steps: Vec::new(),
             late_starts: 2,
             orders_outlive_hosts: false,
+            lists_checkpoints: false,
             mutation: Mutation::None,
             seed: 0,
         }
@@ -610,6 +613,9 @@
         }
         self.table.cancel(id);
         self.fleet.checker.cancel_acknowledged(self.now, id);
+        if self.spec.mutation == Mutation::IgnoreCancels {
+            return;
+        }
         for node in 0..self.nodes.len() {
             let incarnation = self.nodes[node].incarnation;
             if let Some(scheduler) = self.scheduler_of(node, incarnation) {
@@ -986,13 +992,21 @@
             Action::Start(order) if !self.may_send(node) => {
                 self.start_unanswered(node, incarnation, order);
             }
-            Action::Start(order) => {
+            Action::Start(mut order) => {
                 if let Some(noticed_at) = self.network.refuse_order(self.now) {
                     let answer = StartAnswer::Unknown;
                     let event = Event::StartAnswered(node, incarnation, order, answer);
                     self.schedule(noticed_at, event);
                     return;
                 }
+                match self.spec.mutation {
+                    Mutation::OtherSpec => order.spec.push('x'),
+                    Mutation::OtherCheckpoint if !order.checkpoint.is_empty() => {
+                        order.checkpoint.push('x');
+                    }
+                    Mutation::UnknownTask => order.key.index = u32::MAX,
+                    _ => {}
+                }
                 let (delivery, sent) = self.send(node, incarnation, order.fence, order.worker);
                 match delivery {
                     Delivery::Arrives(at) => self.schedule(at, Event::Start(sent, order)),
@@ -1011,6 +1025,7 @@
                     Delivery::Lost => self.start_unanswered(node, incarnation, order),
                 }
             }
+            Action::Stop(_) if self.spec.mutation == Mutation::NoStops => {}
             Action::Stop(order) => {
                 if let Some(noticed_at) = self.network.refuse_order(self.now) {
                     self.schedule(noticed_at, Event::StopFailed(node, incarnation, order));
@@ -1360,7 +1375,7 @@
             .partition(|poll| has_ends || self.now >= poll.deadline);
         self.pending_polls.insert(id, waiting);
         for poll in due {
-            let listing = self.fleet.hosts[index(id)].list(self.now);
+            let listing = self.fleet.list(self.now, id);
             if self.network.are_answers_cut(self.now, id) {
                 self.poll_fails_at(poll.deadline + CALL_TIMEOUT, &poll);
                 continue;
@@ -1464,7 +1479,13 @@
     };
     let is_slow = spec.slow_host_period > 0 && i.is_multiple_of(spec.slow_host_period);
     let run_time_factor = if is_slow { spec.slow_host_factor } else { 1.0 };
-    Host::new(info, clock_slow_per_mille, overrun_ms).with_run_time_factor(run_time_factor)
+    let host = Host::new(info, clock_slow_per_mille, overrun_ms);
+    let host = host.with_run_time_factor(run_time_factor);
+    if spec.lists_checkpoints {
+        host.with_listed_checkpoints()
+    } else {
+        host
+    }
 }
 
 fn time_objective(arrival: &Arrival) -> Duration {
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -487,3 +487,64 @@
     let mutation = Mutation::None;
     assert!(!is_detected_announcing(mutation, replaced, seeds, |_| true));
 }
+
+/// A load of long jobs with checkpoints, of which many are cancelled.
+fn cancelled_load() -> LoadSpec {
+    let mut load = LoadSpec {
+        cancelled: 0.3,
+        ..small_load()
+    };
+    for kind in &mut load.kinds {
+        kind.seconds = 30.0;
+        kind.checkpoint_share = 1.0;
+    }
+    load
+}
+
+/// Without a stop, or without the news of a cancellation, tasks of cancelled jobs run on.
+#[test]
+fn tasks_of_cancelled_jobs_that_run_on_are_detected() {
+    for mutation in [Mutation::NoStops, Mutation::IgnoreCancels] {
+        assert_detected_with(cancelled_load, mutation, &[], |breach| {
+            matches!(breach, Breach::RanOnAfterCancel(_))
+        });
+    }
+    assert_detected_with(cancelled_load, Mutation::IgnoreCancels, &[], |breach| {
+        matches!(breach, Breach::StartedAfterCancel(_))
+    });
+}
+
+#[test]
+fn orders_for_what_no_client_has_sent_are_detected() {
+    assert_detected(Mutation::OtherSpec, &[], |breach| {
+        matches!(breach, Breach::OtherSpec(_))
+    });
+    assert_detected(Mutation::UnknownTask, &[], |breach| {
+        matches!(breach, Breach::Unasked(_))
+    });
+    let cuts = [CellFault::HostCut(14 * SECOND); 3];
+    assert_detected_with(cancelled_load, Mutation::OtherCheckpoint, &cuts, |breach| {
+        matches!(breach, Breach::OtherCheckpoint(_))
+    });
+}
+
+/// Gangs resume from the checkpoint of any member, and runs that were lost from one that was listed.
+#[test]
+fn checkpoints_belong_to_their_tasks_under_many_faults() {
+    let mut resumed = 0;
+    for seed in 0..20 {
+        let faults = random_faults(seed, 6);
+        let mut load = cancelled_load();
+        for kind in &mut load.kinds {
+            kind.seconds = 4.0;
+        }
+        let spec = CellSpec {
+            lists_checkpoints: true,
+            ..spec(load, seed, faults, Mutation::None)
+        };
+        let report = Cell::new(spec).run();
+        assert_eq!(report.breaches, [], "seed {seed}");
+        resumed += report.resumed;
+    }
+    assert!(resumed > 0);
+}
