The mutation without stops confirms them

Since the leases of a worker that answers no stop are not renewed, leaving out stop orders alone breaks nothing any more: the tasks lapse. tasks_of_cancelled_jobs_that_run_on_are_detected failed for that reason. The mutation now confirms the orders and does not carry them out, which the checker finds.

--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -89,7 +89,7 @@
     OtherCheckpoint,
     /// Start orders name tasks that their jobs do not have.
     UnknownTask,
-    /// Stop orders are not sent.
+    /// Stop orders are confirmed and not carried out.
     NoStops,
     /// Schedulers do not learn of cancellations before a takeover.
     IgnoreCancels,
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -1025,7 +1025,10 @@
                     Delivery::Lost => self.start_unanswered(node, incarnation, order),
                 }
             }
-            Action::Stop(_) if self.spec.mutation == Mutation::NoStops => {}
+            Action::Stop(order) if self.spec.mutation == Mutation::NoStops => {
+                let at = self.now + self.network.delay();
+                self.schedule(at, Event::StopAnswered(node, incarnation, order));
+            }
             Action::Stop(order) => {
                 if let Some(noticed_at) = self.network.refuse_order(self.now) {
                     self.schedule(noticed_at, Event::StopFailed(node, incarnation, order));
