A node closes accepted connections that answer no pings

A node that lost power or was cut off left its connection behind at each node that had accepted one: only the side that opens a connection sent pings, and the other side kept it for good, with its descriptor and its task.

The accepting side now sends the same pings, and closes the connection when one is not answered in time.

The new test failed before: the connection was open after 5 s.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -194,24 +194,24 @@
             // Ends when the connection is closed or a ping is not answered in time.
             tokio::select! {
                 _ = connection => {}
-                () = client.wait_for_ping_failure(pings) => {}
+                () = wait_for_ping_failure(&client.cfg, pings) => {}
             }
             client.drop_connection(target);
         });
         Ok(sender)
     }
+}
 
-    /// Sends pings at regular intervals. Returns when a ping is not answered in time.
-    async fn wait_for_ping_failure(&self, pings: Option<h2::PingPong>) {
-        let Some(mut pings) = pings else {
+/// Sends pings at regular intervals. Returns when a ping is not answered in time.
+pub(crate) async fn wait_for_ping_failure(cfg: &LinksConfig, pings: Option<h2::PingPong>) {
+    let Some(mut pings) = pings else {
+        return;
+    };
+    loop {
+        sleep(cfg.ping_interval).await;
+        let answered = timeout(cfg.ping_timeout, pings.ping(h2::Ping::opaque())).await;
+        if !matches!(answered, Ok(Ok(_))) {
             return;
-        };
-        loop {
-            sleep(self.cfg.ping_interval).await;
-            let answered = timeout(self.cfg.ping_timeout, pings.ping(h2::Ping::opaque())).await;
-            if !matches!(answered, Ok(Ok(_))) {
-                return;
-            }
         }
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,7 +14,9 @@
 use crate::{
     AnswerWriter, BodyReader, LinkHandler, LinksConfig, PeerMsg,
     body::{self, Answer},
-    client::{MESSAGE_PATH, NODE_HEADER, TOKEN_HEADER, receive_body, send_body},
+    client::{
+        MESSAGE_PATH, NODE_HEADER, TOKEN_HEADER, receive_body, send_body, wait_for_ping_failure,
+    },
 };
 
 /// The delay after a connection could not be accepted, for example because no file descriptor was free.
@@ -57,8 +59,19 @@
     let Ok(Ok(mut connection)) = handshake.await else {
         return;
     };
-    while let Some(Ok((req, respond))) = connection.accept().await {
-        tokio::spawn(stream(cfg.clone(), req, respond, handler.clone()));
+    let ping_failure = wait_for_ping_failure(&cfg, connection.ping_pong());
+    tokio::pin!(ping_failure);
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => {
+                let Some(Ok((req, respond))) = accepted else {
+                    return;
+                };
+                tokio::spawn(stream(cfg.clone(), req, respond, handler.clone()));
+            }
+            // A node that vanishes closes none of its connections.
+            () = &mut ping_failure => return,
+        }
     }
 }
 
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -1,8 +1,8 @@
 //! Tests the links between two nodes over loopback.
 
 use std::{
-    io::{Cursor, Read},
-    net::{SocketAddr, TcpListener},
+    io::{Cursor, ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::mpsc::{self, Receiver, Sender},
     thread,
     time::Duration,
@@ -191,3 +191,20 @@
         .expect_err("nothing listens");
     assert_eq!(e.verdict(), Verdict::NotRun, "{e}");
 }
+
+/// Guards against connections that are held for good by nodes that vanish without closing them.
+#[test]
+fn an_accepted_connection_that_answers_no_pings_is_closed() {
+    let (links, _received) = start_node(1, "secret");
+    let mut socket = TcpStream::connect(links.address()).expect("the node listens");
+    let settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    let opening = [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", &settings[..]].concat();
+    socket.write_all(&opening).expect("the node reads");
+    let timeout = Some(Duration::from_secs(5));
+    socket.set_read_timeout(timeout).expect("a valid timeout");
+    // Whatever the node sends is read, and nothing is answered.
+    let mut sent = Vec::new();
+    let end = socket.read_to_end(&mut sent).map_err(|e| e.kind());
+    let is_closed = matches!(end, Ok(_) | Err(ErrorKind::ConnectionReset));
+    assert!(is_closed, "{end:?} after {} bytes", sent.len());
+}
