A test that late ends of earlier runs change no checkpoint

It rules out one cause of a start with a checkpoint that is not the task's. It passes on the present code, and fails if ends are not compared with the number of the task's last run.

--- a/crates/jobs/tests/progress.rs
+++ b/crates/jobs/tests/progress.rs
@@ -222,6 +222,38 @@
     assert_eq!(progress.task(key(1, 0)).checkpoint, "");
 }
 
+/// Guards against a run that resumes from the checkpoint of an earlier run whose end is listed late.
+#[test]
+fn a_late_end_of_an_earlier_run_changes_no_checkpoint() {
+    for is_gang in [false, true] {
+        let job = job(vec![step(2, &[], is_gang)]);
+        let mut progress = Progress::new(&job);
+        let tasks = [key(0, 0), key(0, 1)];
+        let stopped = |task, run, checkpoint: &str| End {
+            checkpoint: checkpoint.into(),
+            ..end(task, run, EndKind::Interrupted)
+        };
+        let first = assign(&mut progress, &tasks);
+        for task in tasks {
+            progress.end(&job, &stopped(task, first, "c1"), 3);
+        }
+        let second = assign(&mut progress, &tasks);
+        assert!(!progress.end(&job, &stopped(tasks[0], first, "c0"), 3));
+        assert_eq!(
+            tasks.map(|task| progress.task(task).checkpoint),
+            ["c1", "c1"]
+        );
+        for task in tasks {
+            assert!(progress.end(&job, &stopped(task, second, "c2"), 3));
+        }
+        assert!(!progress.end(&job, &stopped(tasks[1], first, "c0"), 3));
+        assert_eq!(
+            tasks.map(|task| progress.task(task).checkpoint),
+            ["c2", "c2"]
+        );
+    }
+}
+
 /// Guards against a long-running task that is not restarted, or that fails its job, after it ends.
 #[test]
 fn long_running_tasks_are_restarted_however_they_end() {
