Polls of a full worker neither wait behind stops for good nor try a further connection

At a worker with one connection left, stops that were sent again and again kept polls from being sent for 13 s, as urgent calls always went first; leases of sound tasks would have lapsed. And any call could be the one that tried a further connection after a second: 7 of 36 polls failed in that way, and the worker counted as lost.

At most eight urgent calls now go before a poll that came earlier, and only start orders try a refusing worker again, one at a time. Idle connections that the other side has closed are removed whenever a connection is opened, also of workers that are not called any more; they had counted among the idle ones for good.

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -20,6 +20,10 @@
 
 use crate::Metrics;
 
+/// The most urgent calls that may go before a call with a reserved connection that came earlier. Without a bound, stop
+/// orders that are repeated over the only connection that works would keep polls from renewing leases.
+const MAX_OVERTAKING: u64 = 8;
+
 /// A connection that a [`ConnectionPool`] may keep.
 pub trait Connection {
     /// Returns whether the other side can still be sent a request.
@@ -32,20 +36,27 @@
 pub enum CallClass {
     /// Goes before all others that wait.
     Urgent,
-    /// Goes in turn.
+    /// Goes after the calls of the other classes.
     Normal,
-    /// Goes in turn, and the calls of the other classes leave one connection to those of this one.
-    Regular,
+    /// Goes after the urgent calls that came before it or soon after it. One connection is reserved for calls of this class.
+    Reserved,
 }
 
+/// The key by which calls that wait are sorted. The last number is unique.
+type Turn = (bool, u64, u64);
+
 impl CallClass {
     /// Returns the key by which calls that wait are sorted, for the call with this number.
-    const fn turn(self, number: u64) -> (bool, u64) {
-        (!matches!(self, Self::Urgent), number)
+    const fn turn(self, number: u64) -> Turn {
+        match self {
+            Self::Urgent => (false, number, number),
+            Self::Reserved => (false, number + MAX_OVERTAKING, number),
+            Self::Normal => (true, number, number),
+        }
     }
 
-    const fn leaves_one(self) -> bool {
-        !matches!(self, Self::Regular)
+    const fn is_reserved(self) -> bool {
+        matches!(self, Self::Reserved)
     }
 }
 
@@ -65,7 +76,7 @@
 }
 
 impl Default for ConnectionLimits {
-    /// A worker that accepts 64 connections has room for sixteen schedulers, whether they are there or have vanished.
+    /// Limits for servers of which each client needs few connections.
     fn default() -> Self {
         Self {
             open: 4,
@@ -91,11 +102,11 @@
     open: usize,
     /// The number of those that have carried an answer.
     proven: usize,
-    /// The number of leases that leave one connection to other calls.
-    leaving_one: usize,
+    /// The number of leases of calls without a reserved connection.
+    unreserved: usize,
     /// The calls that wait, in their turn.
-    waiting: BTreeMap<(bool, u64), Waiting<C>>,
-    /// Until when no connection is opened beside those that work, after one was refused.
+    waiting: BTreeMap<Turn, Waiting<C>>,
+    /// Until when no connection is opened beside those that work, after one was refused. It is kept until one is accepted.
     refused_until: Option<Instant>,
 }
 
@@ -105,7 +116,7 @@
             idle: Vec::new(),
             open: 0,
             proven: 0,
-            leaving_one: 0,
+            unreserved: 0,
             waiting: BTreeMap::new(),
             refused_until: None,
         }
@@ -122,6 +133,19 @@
         closed
     }
 
+    /// Removes the idle connections that the other side has closed, and returns their number.
+    fn remove_closed(&mut self) -> usize
+    where
+        C: Connection,
+    {
+        let before = self.idle.len();
+        self.idle.retain(|(connection, _)| connection.is_open());
+        let closed = before - self.idle.len();
+        self.open -= closed;
+        self.proven -= closed;
+        closed
+    }
+
     fn is_unused(&self) -> bool {
         self.open == 0 && self.waiting.is_empty()
     }
@@ -130,16 +154,19 @@
         self.proven > 0 && self.refused_until.is_some()
     }
 
-    /// Returns whether a call of this class may have a connection now.
-    fn admits(&self, class: CallClass, limit: usize) -> bool {
-        let is_left = !class.leaves_one() || self.leaving_one < (limit - 1).max(1);
-        is_left && (!self.idle.is_empty() || (self.open < limit && !self.is_refusing()))
+    /// Returns whether a call of this class may have a connection now. Only normal calls try whether a server that has
+    /// refused connections accepts one again, as a refused call fails.
+    fn admits(&self, now: Instant, class: CallClass, limit: usize) -> bool {
+        let is_left = class.is_reserved() || self.unreserved < limit.saturating_sub(1).max(1);
+        let may_try = class == CallClass::Normal && self.refused_until.is_some_and(|at| now >= at);
+        let may_open = self.open < limit && (!self.is_refusing() || may_try);
+        is_left && (!self.idle.is_empty() || may_open)
     }
 
     /// Removes the first call that waits and may have a connection now.
-    fn next_waiting(&mut self, limit: usize) -> Option<Waiting<C>> {
+    fn next_waiting(&mut self, now: Instant, limit: usize) -> Option<Waiting<C>> {
         let mut waiting = self.waiting.iter();
-        let found = waiting.find(|(_, call)| self.admits(call.class, limit));
+        let found = waiting.find(|(_, call)| self.admits(now, call.class, limit));
         let (&turn, _) = found?;
         self.waiting.remove(&turn)
     }
@@ -237,17 +264,10 @@
             Some(server) => server,
             None => servers.by_address.entry(address.to_owned()).or_default(),
         };
-        let before = server.idle.len();
-        server.idle.retain(|(connection, _)| connection.is_open());
-        let closed = before - server.idle.len();
-        server.open -= closed;
-        server.proven -= closed;
+        let closed = server.remove_closed();
         servers.open -= closed;
         servers.idle -= closed;
-        if server.refused_until.is_some_and(|until| now >= until) {
-            server.refused_until = None;
-        }
-        if server.admits(class, self.limits.open) {
+        if server.admits(now, class, self.limits.open) {
             return Ok(self.grant(now, servers, address, class));
         }
         let (tx, rx) = oneshot::channel();
@@ -258,7 +278,8 @@
         Err(rx)
     }
 
-    /// Returns whether a server has lately refused a connection, so that calls share those that work.
+    /// Returns whether a server has refused the last connection that was opened beside one that works, so that calls share
+    /// those that work.
     #[must_use]
     pub fn is_refusing(&self, address: &str) -> bool {
         let servers = self.servers.borrow();
@@ -297,6 +318,21 @@
         self.show_open(servers);
     }
 
+    /// Removes the idle connections that the other side has closed, also of servers that are not called any more.
+    fn remove_all_closed(&self)
+    where
+        C: Connection,
+    {
+        let mut servers = self.servers.borrow_mut();
+        let servers = &mut *servers;
+        let closed = servers.by_address.values_mut().map(Server::remove_closed);
+        let closed: usize = closed.sum();
+        servers.open -= closed;
+        servers.idle -= closed;
+        servers.by_address.retain(|_, server| !server.is_unused());
+        self.show_open(servers);
+    }
+
     /// Gives a call an idle connection, or the right to open one.
     fn grant(
         &self,
@@ -307,13 +343,17 @@
     ) -> Lease<C> {
         let mut connection = None;
         if let Some(server) = servers.by_address.get_mut(address) {
-            server.leaving_one += usize::from(class.leaves_one());
+            server.unreserved += usize::from(!class.is_reserved());
             connection = server.idle.pop().map(|(connection, _)| connection);
             if connection.is_some() {
                 servers.idle -= 1;
             } else {
                 server.open += 1;
                 servers.open += 1;
+                if let Some(until) = &mut server.refused_until {
+                    // One connection at a time is tried.
+                    *until = (*until).max(now + self.limits.refused_pause);
+                }
             }
         }
         Lease {
@@ -334,7 +374,7 @@
         let Some(server) = servers.by_address.get_mut(&lease.address) else {
             return;
         };
-        server.leaving_one -= usize::from(lease.class.leaves_one());
+        server.unreserved -= usize::from(!lease.class.is_reserved());
         if let Some(connection) = lease.connection.take() {
             server.idle.push((connection, used_at));
             servers.idle += 1;
@@ -354,7 +394,7 @@
                 let Some(server) = servers.by_address.get_mut(address) else {
                     return;
                 };
-                let Some(call) = server.next_waiting(self.limits.open) else {
+                let Some(call) = server.next_waiting(now, self.limits.open) else {
                     break;
                 };
                 let lease = self.grant(now, &mut servers, address, call.class);
@@ -427,9 +467,12 @@
     }
 
     /// Notes that the call has opened a connection.
-    pub fn opened(&self) {
+    pub fn opened(&self)
+    where
+        C: Connection,
+    {
         self.pool.count("connections_opened");
-        self.pool.show_open(&mut self.pool.servers.borrow_mut());
+        self.pool.remove_all_closed();
     }
 
     /// Returns the connection, which has carried an answer at `now`.
--- a/crates/cluster/tests/connections.rs
+++ b/crates/cluster/tests/connections.rs
@@ -12,17 +12,18 @@
 
 const WORKER: &str = "10.0.0.1:80";
 
-/// A connection with its number.
+/// A connection with its number. The other side has closed number 0.
 #[derive(Debug, PartialEq, Eq)]
 struct Fake(u32);
 
 impl Connection for Fake {
     fn is_open(&self) -> bool {
-        true
+        let Self(number) = self;
+        *number > 0
     }
 }
 
-const CLASSES: [CallClass; 3] = [CallClass::Urgent, CallClass::Normal, CallClass::Regular];
+const CLASSES: [CallClass; 3] = [CallClass::Urgent, CallClass::Normal, CallClass::Reserved];
 
 type Pool = ConnectionPool<Fake>;
 
@@ -68,7 +69,7 @@
         let pool = pool(3);
         let log = Rc::default();
         let (first, _second) = (lease(&pool).await, lease(&pool).await);
-        let regular = wait_for(&pool, CallClass::Regular, "poll", &log).await;
+        let regular = wait_for(&pool, CallClass::Reserved, "poll", &log).await;
         let waiting = CLASSES.map(|class| wait_for(&pool, class, "later", &log));
         yield_now().await;
         assert_eq!((pool.open_to(WORKER), log.borrow().len()), (3, 1));
@@ -90,7 +91,7 @@
         let waiting = wait_for(&pool, CallClass::Urgent, "stop", &log);
         yield_now().await;
         assert!(log.borrow().is_empty());
-        let regular = wait_for(&pool, CallClass::Regular, "poll", &log);
+        let regular = wait_for(&pool, CallClass::Reserved, "poll", &log);
         regular.await.unwrap().answered(Instant::now(), Fake(1));
         yield_now().await;
         assert_eq!(*log.borrow(), ["poll"], "the connection stays idle");
@@ -194,6 +195,45 @@
     });
 }
 
+/// Guards against closed connections to workers that have left, which would count among the idle ones for good.
+#[test]
+fn closed_connections_to_servers_that_are_not_called_any_more_are_removed() {
+    run(async {
+        let pool = pool(4);
+        let now = Instant::now();
+        let gone = "10.0.1.1:80";
+        let lease_of_gone = pool.lease(now, gone, CallClass::Reserved).await;
+        lease_of_gone.answered(now, Fake(0));
+        assert_eq!(pool.open_to(gone), 1);
+        lease(&pool).await.opened();
+        assert_eq!(pool.open_to(gone), 0);
+    });
+}
+
+/// Guards against polls that fail because they try whether a full worker accepts a connection again.
+#[test]
+fn only_normal_calls_try_a_server_again_that_refuses_connections() {
+    run(async {
+        let pool = pool(4);
+        let log = Rc::default();
+        lease(&pool).await.answered(Instant::now(), Fake(1));
+        let first = lease(&pool).await;
+        lease(&pool).await.refused(Instant::now());
+        let later = Instant::now() + ConnectionLimits::default().refused_pause;
+        for class in [CallClass::Urgent, CallClass::Reserved] {
+            let waiting = tokio::time::timeout(Duration::ZERO, pool.lease(later, WORKER, class));
+            assert!(waiting.await.is_err(), "{class:?}");
+        }
+        let start = pool.lease(later, WORKER, CallClass::Normal).await;
+        assert!(!start.is_proven());
+        let another = wait_for(&pool, CallClass::Normal, "start", &log);
+        yield_now().await;
+        assert!(log.borrow().is_empty(), "one is tried at a time");
+        first.answered(later, Fake(1));
+        assert!(another.await.unwrap().is_proven());
+    });
+}
+
 /// The steps of the property below, each chosen by a byte: a call begins, one gives up, or a leased connection is
 /// answered, refused or lost.
 async fn play(mut steps: Vec<u8>) -> Result<(), String> {
@@ -216,7 +256,7 @@
             way => {
                 let lease = held.borrow_mut().pop();
                 match (way, lease) {
-                    (2, Some(lease)) => lease.answered(Instant::now(), Fake(0)),
+                    (2, Some(lease)) => lease.answered(Instant::now(), Fake(1)),
                     (3, Some(lease)) => lease.refused(Instant::now()),
                     // The connection is lost while it is used.
                     (_, Some(mut lease)) => drop(lease.take()),
