Start orders that wait for a connection do not bring their worker under quarantine

Of 40 start orders at once to a sound worker that takes 100 ms for each, 21 were sent; the others had waited 0.7 s for a connection, and counted as not sent because none could be opened: the worker was under quarantine for 1.5 s.

They wait for up to 1.5 s, which leaves the size of the worker current when they are sent, and then end as `StartAnswer::Busy`, without a quarantine.

--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -251,6 +251,8 @@
     Fenced,
     /// The order was not sent, because no connection to the worker could be opened.
     NotSent,
+    /// The order was not sent, because other calls to the worker held all connections for too long.
+    Busy,
     /// There was no answer. The worker may have the run, or may still receive the order.
     Unknown,
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -154,6 +154,7 @@
                 }
                 self.start_refused(now, order, answer, unanswered);
             }
+            StartAnswer::Busy => self.start_refused(now, order, answer, unanswered),
             StartAnswer::Unhealthy
             | StartAnswer::Faulty
             | StartAnswer::OtherLife
