A node closes its connections to workers once its calls have ended

The tasks of a scheduler that stops were only marked as aborted when the idle connections were closed. One that a waiting call had just been given became idle after that, and stayed open. The tasks are now awaited first.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -163,7 +163,8 @@
                 log::error!("event=scheduling_failed epoch={} error=\"a task has panicked\"", self.epoch());
             }
         }
-        self.tasks.borrow_mut().abort_all();
+        let mut tasks = self.tasks.take();
+        tasks.shutdown().await;
         // Workers accept a limited number of connections, and the successor needs some.
         self.node.0.ports.disconnect();
         if self.scheduler.borrow().is_deposed() {
