Known failure: overdue stops are not noticed if each second poll fails

Found in the review. A worker that answers every second poll and no stop has its leases renewed for good, if the polls that fail have reached it. The time between answered polls alone counts towards overdue stops, since a worker that was cut off must not lose its tasks (a_stop_is_not_overdue_because_its_worker_was_silent).

--- a/crates/sched/tests/cancels.rs
+++ b/crates/sched/tests/cancels.rs
@@ -579,3 +579,28 @@
         }
     }
 }
+
+/// Guards against tasks that run on at a worker that answers each second poll only, and no stop. Each unanswered poll may have
+/// renewed its leases.
+#[test]
+fn the_leases_of_a_worker_that_answers_each_second_poll_and_no_stops_are_not_renewed_for_good() {
+    let (mut scheduler, w1) = scheduler_without_stops();
+    let all = [task(0), task(1), OPEN_TASK];
+    let mut last_renewal = 0;
+    for ms in (2_000..62_000).step_by(2_000) {
+        if let Poll::Now(order) = scheduler.next_poll(at_ms(ms), w1)
+            && order.lease_until_ms.is_some()
+        {
+            last_renewal = ms;
+        }
+        scheduler.poll_failed(at_ms(ms + 1_700), w1, PollFailure::Silent);
+        assert!(matches!(
+            scheduler.next_poll(at_ms(ms + 1_900), w1),
+            Poll::Now(_)
+        ));
+        poll_all(&mut scheduler, at_ms(ms + 1_950), w1, &all);
+        let actions = decide(&mut scheduler, at_ms(ms + 1_960));
+        fail(&mut scheduler, at_ms(ms + 1_970), &stops(&actions));
+    }
+    assert!(last_renewal < 32_000, "renewed at {last_renewal} ms");
+}
