--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -368,7 +368,7 @@
             "event=stops_overdue worker={worker} runs={runs} for_ms={}",
             due_for.as_millis()
         );
-        self.node.0.metrics.count("workers_without_stops");
+        self.node.0.metrics.count("workers_with_overdue_stops");
     }
 
     fn log_crash(&self, crash: &Crash, worker: WorkerId, count: u32, weight: i32) {
