--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -3,7 +3,7 @@
 //! A server counts a connection until it learns that the other side has closed it. It does not learn this from a machine
 //! that loses power or is cut off, so each of these leaves behind as many connections as it held. A pool therefore bounds
 //! the connections to one server that are open at all: in use, idle and being opened. A call that finds none free waits for
-//! one, the urgent calls first.
+//! one; its [`CallClass`] tells which goes first.
 //!
 //! A server that has no room left closes each new connection while the older ones still work. Calls then go over those,
 //! one after the other.
@@ -34,7 +34,7 @@
 /// in which they came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallClass {
-    /// Goes before all others that wait.
+    /// Goes before the normal calls, and before a reserved one that has not waited for long.
     Urgent,
     /// Goes after the calls of the other classes.
     Normal,
