--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,8 +3,8 @@
 
 #![recursion_limit = "256"]
 
-mod cancel;
 mod flap;
+mod hopeless;
 mod http;
 mod large;
 mod nodes;
@@ -208,8 +208,8 @@
 
 async fn play(case: &str, record: Record, dir: PathBuf) -> Verdict {
     match case {
-        "cancel" => cancel::play(record, dir).await,
         "flap" => flap::play(record, dir).await,
+        "hopeless" => hopeless::play(record, dir).await,
         "large" => large::play(record, dir).await,
         "reborn" => reborn::play(record, dir).await,
         "thaw" => thaw::play(record, dir).await,
--- a/review/standin-2/src/workers.rs
+++ b/review/standin-2/src/workers.rs
@@ -101,6 +101,8 @@
     pub record: Record,
     /// Returns how long a task runs, given its name and spec.
     pub duration: Box<dyn Fn(&str, &str) -> Duration>,
+    /// The spec of tasks that fail.
+    pub hopeless: &'static str,
 }
 
 impl Fleet {
@@ -112,6 +114,7 @@
             ended: RefCell::default(),
             record,
             duration: Box::new(duration),
+            hopeless: "hopeless",
         })
     }
 
@@ -284,6 +287,17 @@
         }
     }
 
+    /// Lets a task fail that runs now. Returns whether it did run.
+    pub fn fail(&self, task: &str) -> bool {
+        let workers = self.workers.borrow().clone();
+        let runs = |worker: &&Rc<Worker>| worker.state.borrow().running.contains_key(task);
+        let on = workers.iter().find(runs);
+        if let Some(worker) = on {
+            self.end(worker, task, None, "failed");
+        }
+        on.is_some()
+    }
+
     /// Returns the tasks that run now.
     pub fn running(&self) -> Vec<String> {
         let workers = self.workers.borrow();
@@ -409,9 +423,14 @@
                 &json!({"clockMs": self.clock(worker), "born": worker.born.get()}),
             );
         }
+        let how = if spec == self.hopeless {
+            "failed"
+        } else {
+            "done"
+        };
         spawn_local(async move {
             sleep(duration).await;
-            fleet.end(&on, &task, Some(number), "done");
+            fleet.end(&on, &task, Some(number), how);
         });
         reply(
             200,
