--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,7 +5,7 @@
 program=target/review-2/release/review-standin-2
 [ -x "$program" ] && [ -x target/release/lacewingrouter ] || exit 2
 set -m
-"$program" thaw review/7/record.txt &
+"$program" reborn review/7/record.txt &
 pid=$!
 trap 'kill -KILL -- "-$pid" 2>/dev/null' EXIT
 wait "$pid"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 program=target/review-2/release/review-standin-2
 [ -x "$program" ] && [ -x target/release/lacewingrouter ] || exit 2
 set -m
-"$program" flap review/9/record.txt &
+"$program" cancel review/9/record.txt &
 pid=$!
 trap 'kill -KILL -- "-$pid" 2>/dev/null' EXIT
 wait "$pid"
--- a/review/standin-2/src/flap.rs
+++ b/review/standin-2/src/flap.rs
@@ -20,7 +20,7 @@
 const CALM: Duration = Duration::from_secs(30);
 
 pub async fn play(record: Record, dir: PathBuf) -> Verdict {
-    let fleet = Fleet::new(record.clone(), |_, _| WORK);
+    let fleet = Fleet::new(record.clone(), false, |_, _| WORK);
     let started = Deployment::start(record.clone(), dir, fleet.clone(), (3, WORKERS)).await;
     let deployment = started.map_err(|e| e.to_string())?;
     sleep(Duration::from_secs(6)).await;
--- a/review/standin-2/src/nodes.rs
+++ b/review/standin-2/src/nodes.rs
@@ -41,7 +41,12 @@
 
 impl Node {
     /// Writes the settings of a node. `store` is the address of the platform's store.
-    pub fn new(dir: &Path, number: u8, store: SocketAddr) -> io::Result<Self> {
+    pub fn new(
+        dir: &Path,
+        number: u8,
+        store: SocketAddr,
+        advice: Option<SocketAddr>,
+    ) -> io::Result<Self> {
         let ip = address(number);
         let name = format!("edge-z{}-{number}", number % 3);
         let at = |port: u16| format!("{ip}:{port}");
@@ -65,7 +70,7 @@
                 "maintenanceS": 2, "requireFence": false, "leaseTtlMs": 3000, "thawMs": 300, "paceMs": 100,
                 "harmMs": 4000,
             },
-            "orders": "push",
+            "orders": "push", "advice": advice.map(|address| address.to_string()),
             "platform": {
                 "address": store.to_string(), "form": "table", "writesPerS": 600, "readsPerS": 2000, "txMs": 5.0,
                 "partitionWritesS": 200, "rowBytes": 65536, "across": false, "historyS": 20, "blobBytes": 8388608,
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -37,6 +37,10 @@
     log: Vec<(u64, Key, Option<String>)>,
 }
 
+/// Decides what happens to a write: `None` carries it out and answers it; a delay carries it out that much later, if its
+/// condition still holds, and answers nothing.
+pub type WriteFault = Box<dyn Fn(&Value) -> Option<Duration>>;
+
 /// Is told of a write that was carried out for a node, before it is answered.
 pub type WriteHook = Box<dyn Fn(usize, &Value)>;
 
@@ -44,6 +48,7 @@
 pub struct Store {
     rows: RefCell<Rows>,
     changed: Notify,
+    pub write_fault: RefCell<Option<WriteFault>>,
     pub write_hook: RefCell<Option<WriteHook>>,
     pub record: Record,
     refused: Cell<u64>,
@@ -153,7 +158,11 @@
     pub async fn answer(self: Rc<Self>, node: usize, call: Call) -> Result<Reply, NoAnswer> {
         sleep(ANSWER_DELAY).await;
         match (&call.method, call.uri.path()) {
-            (&Method::POST, "/-/rows-tx") => self.transact(node, &call.body),
+            (&Method::POST, "/-/rows-tx") => match self.transact(node, &call.body) {
+                // The connection delivers nothing further.
+                Err(NoAnswer) => std::future::pending().await,
+                answer => answer,
+            },
             (&Method::GET, "/-/rows-get") => self.get(&call),
             (&Method::GET, "/-/rows-feed") => self.feed(&call).await,
             _ => reply(404, &json!({})),
@@ -170,6 +179,32 @@
             }
             return reply(400, &json!({"error": excess}));
         }
+        let late = self
+            .write_fault
+            .borrow()
+            .as_ref()
+            .and_then(|fault| fault(body));
+        if let Some(delay) = late {
+            let keys: Vec<String> = entries(body, "setKeys").map(|row| key(row).2).collect();
+            let ms = delay.as_millis();
+            self.record.line(&format!(
+                "the store loses the answer to a write of {keys:?}, and does it {ms} ms later"
+            ));
+            let (store, body) = (self.clone(), body.clone());
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                let outcome = store.commit(&body);
+                let done = if outcome.is_ok() {
+                    "done"
+                } else {
+                    "not done, its condition does not hold"
+                };
+                store
+                    .record
+                    .line(&format!("the late write of {keys:?} is {done}"));
+            });
+            return Err(NoAnswer);
+        }
         match self.commit(body) {
             Ok(version) => {
                 if let Some(hook) = &*self.write_hook.borrow() {
--- a/review/standin-2/src/thaw.rs
+++ b/review/standin-2/src/thaw.rs
@@ -29,7 +29,7 @@
 
 pub async fn play(record: Record, dir: PathBuf) -> Verdict {
     let duration = |_: &str, spec: &str| if spec == "lookup" { LOOKUP } else { STUDY };
-    let fleet = Fleet::new(record.clone(), duration);
+    let fleet = Fleet::new(record.clone(), false, duration);
     let started = Deployment::start(record.clone(), dir, fleet.clone(), (3, WORKERS)).await;
     let deployment = Rc::new(started.map_err(|e| e.to_string())?);
     sleep(Duration::from_secs(4)).await;
