--- a/review/standin-2/src/reborn.rs
+++ b/review/standin-2/src/reborn.rs
@@ -16,7 +16,7 @@
 const SUBMIT_AFTER: Duration = Duration::from_millis(200);
 /// When the worker is cut off, after the study was accepted, and for how long.
 const CUT_AFTER: Duration = Duration::from_millis(400);
-const CUT: Duration = Duration::from_millis(12_000);
+const CUT: Duration = Duration::from_millis(5_500);
 
 pub async fn play(record: Record, dir: PathBuf) -> Verdict {
     let duration = |_: &str, spec: &str| if spec == "lookup" { LOOKUP } else { STUDY };
