Logs: the incarnations of workers, and the leases that a restart leaves

The logs did not tell which incarnation a scheduler takes a worker to be, nor for how long an order on the clock of a former incarnation may hold a lease on the next one. So a restart that was not noticed could not be told from one that was.

event=worker_restarted with the new incarnation and that time, metric workers_restarted; started_unix_ms in event=started.

--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -282,6 +282,11 @@
                     );
                     self.node.0.metrics.count("interrupted");
                 }
+                Action::Restarted {
+                    worker,
+                    started_unix_ms,
+                    leases_last,
+                } => self.log_restart(worker, started_unix_ms, leases_last),
                 Action::LapseAwaited { worker, runs, wait } => {
                     self.log_awaited_lapse(worker, runs, wait);
                 }
@@ -351,6 +356,16 @@
         }
     }
 
+    fn log_restart(&self, worker: WorkerId, started_unix_ms: u64, leases_last: Duration) {
+        let scheduler = self.scheduler.borrow();
+        let worker = &scheduler.worker_info(worker).name;
+        log::info!(
+            "event=worker_restarted worker={worker} started_unix_ms={started_unix_ms} leases_last_ms={}",
+            leases_last.as_millis()
+        );
+        self.node.0.metrics.count("workers_restarted");
+    }
+
     fn log_awaited_lapse(&self, worker: WorkerId, runs: usize, wait: Duration) {
         let scheduler = self.scheduler.borrow();
         let worker = &scheduler.worker_info(worker).name;
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -41,10 +41,11 @@
             let ages = ages.unwrap_or_default();
             let approved = ages.approved.unwrap_or(ages.accepted);
             log::info!(
-                "event=started task={} run={} worker={} epoch={epoch} ms={} age_ms={} approved_ms={} decided_ms={}",
+                "event=started task={} run={} worker={} started_unix_ms={} epoch={epoch} ms={} age_ms={} approved_ms={} decided_ms={}",
                 order.key,
                 order.run,
                 info.name,
+                info.started_unix_ms,
                 taken.as_millis(),
                 ages.accepted.as_millis(),
                 approved.as_millis(),
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -1069,6 +1069,7 @@
             | Action::Stray { .. }
             | Action::EndIgnored { .. }
             | Action::LapseAwaited { .. }
+            | Action::Restarted { .. }
             | Action::StopsOverdue { .. }
             | Action::Waits { .. }
             | Action::StartsHeld(_) => {}
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -76,6 +76,15 @@
         /// Why the run counts as interrupted.
         cause: Interruption,
     },
+    /// Report that a worker has restarted.
+    Restarted {
+        /// The worker.
+        worker: WorkerId,
+        /// When its new incarnation started, in Unix milliseconds on its own clock.
+        started_unix_ms: u64,
+        /// For how long a lease may last that an earlier order has granted to the new incarnation.
+        leases_last: Duration,
+    },
     /// Report that a worker with runs is not heard of. Its tasks start elsewhere once its leases have lapsed.
     LapseAwaited {
         /// The worker.
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -111,6 +111,11 @@
         let worker = self.fleet.get_mut(id);
         worker.begin_incarnation(now, started_unix_ms);
         worker.lapse_at = worker.lapse_at.max(lapse_at);
+        self.actions.push(Action::Restarted {
+            worker: id,
+            started_unix_ms,
+            leases_last: worker.leases_end() - now,
+        });
         for run in worker.runs.values_mut() {
             if run.phase != RunPhase::Pending {
                 run.is_of_earlier_incarnation = true;
