--- /dev/null
+++ b/crates/sched/tests/restarts.rs
@@ -0,0 +1,379 @@
+//! Leases on workers that restart under their names. An order on the clock of an earlier incarnation grants the next one the
+//! longest lease, which lasts though nothing runs, and applies to what starts later.
+
+use jobs::{Incarnation, Job, JobId, Progress, Queue, Step, TaskKey};
+use model::{Size, Time, WorkerId};
+use sched::{
+    Action, LeaseRow, Listing, Now, PastLeases, Poll, PollFailure, PollOrder, Recovered,
+    RunningRow, SchedConfig, Scheduler, StartAnswer, StartOrder, WorkerInfo,
+};
+
+fn at_ms(ms: u64) -> Now {
+    Now {
+        time: Time::from_ms(ms),
+        unix_ms: 1_700_000_000_000 + ms,
+    }
+}
+
+const JOB: JobId = JobId(7);
+
+const TASK: TaskKey = TaskKey {
+    job: JOB,
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
+fn queue() -> Queue {
+    Queue {
+        name: "studies".into(),
+        pool: "desk".into(),
+        ..Queue::default()
+    }
+}
+
+fn job() -> Job {
+    Job {
+        queue: queue(),
+        steps: vec![Step {
+            tasks: 1,
+            size: Size::new(1_000, 1_000, 0),
+            estimate_ms: 9_000,
+            ..Step::default()
+        }],
+        ..Job::default()
+    }
+}
+
+fn info(started_unix_ms: u64) -> WorkerInfo {
+    WorkerInfo {
+        name: "w1".into(),
+        address: "w1".into(),
+        pool: "desk".into(),
+        size: Size::new(8_000, 32_000, 0),
+        started_unix_ms,
+        ..WorkerInfo::default()
+    }
+}
+
+/// The longest lease, on a clock that is exact.
+const LONGEST_MS: u64 = 10_000;
+
+/// A worker as the platform describes it. Its clock shows the time since it started.
+#[derive(Default)]
+struct Worker {
+    started_ms: u64,
+    fence: u64,
+    lease_until_ms: u64,
+    running: Vec<RunningRow>,
+}
+
+impl Worker {
+    /// Returns a worker that started at `ms`, and knows nothing of before.
+    fn started_at(ms: u64) -> Self {
+        Self {
+            started_ms: ms,
+            ..Self::default()
+        }
+    }
+
+    fn clock_ms(&self, now: Now) -> u64 {
+        now.time.as_ms() - self.started_ms
+    }
+
+    fn renew(&mut self, now: Now, until_ms: u64) {
+        let until_ms = until_ms.min(self.clock_ms(now) + LONGEST_MS);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+    }
+
+    fn poll(&mut self, now: Now, order: &PollOrder, fence: u64) -> Listing {
+        assert!(fence >= self.fence, "a poll of a former scheduler");
+        self.fence = fence;
+        self.renew(now, order.lease_until_ms.unwrap_or(0));
+        Listing {
+            started_unix_ms: self.started_ms + 1,
+            clock_ms: self.clock_ms(now),
+            running: self.running.clone(),
+            ..Listing::default()
+        }
+    }
+
+    fn start(&mut self, now: Now, order: &StartOrder) {
+        assert!(order.fence >= self.fence, "an order of a former scheduler");
+        self.fence = order.fence;
+        self.renew(now, order.lease_until_ms);
+        self.running.push(RunningRow {
+            key: order.key,
+            run: order.run,
+            ..RunningRow::default()
+        });
+    }
+
+    /// Returns when its leases have lapsed.
+    fn lapses_at(&self) -> u64 {
+        self.started_ms + self.lease_until_ms
+    }
+}
+
+/// A scheduler and the time of its last transaction.
+struct Node {
+    scheduler: Scheduler,
+    row: LeaseRow,
+}
+
+impl Node {
+    fn new(epoch: u64, now: Now, recovered: Recovered) -> Self {
+        let mut scheduler = Scheduler::new(SchedConfig::default(), epoch, now, recovered);
+        scheduler.set_queues([queue()]);
+        let row = LeaseRow {
+            holder: format!("n{epoch}"),
+            epoch,
+            ..LeaseRow::default()
+        };
+        Self { scheduler, row }
+    }
+
+    fn worker(&self) -> WorkerId {
+        self.scheduler.worker_id("w1").unwrap()
+    }
+
+    /// Polls the worker and reads its lists.
+    fn poll(&mut self, now: Now, worker: &mut Worker) {
+        let order = self.next_poll(now);
+        let fence = self.scheduler.fence(order.worker);
+        let listing = worker.poll(now, &order, fence);
+        let id = self.worker();
+        self.scheduler.polled(now, id, now.time, &listing);
+    }
+
+    fn next_poll(&mut self, now: Now) -> PollOrder {
+        match self.scheduler.next_poll(now, self.worker()) {
+            Poll::Now(order) => order,
+            other => panic!("no poll: {other:?}"),
+        }
+    }
+
+    /// Runs a pass and stores its changes. Returns the start orders.
+    fn store(&mut self, now: Now) -> Vec<StartOrder> {
+        self.scheduler.request_pass();
+        self.scheduler.decide(now);
+        if let Some(batch) = self.scheduler.take_batch(now) {
+            self.row.leases = batch.leases;
+            self.scheduler.batch_stored(now);
+        }
+        let actions = self.scheduler.take_actions().into_iter();
+        let starts = actions.filter_map(|action| match action {
+            Action::Start(order) => Some(order),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// Has the worker start the task.
+    fn start(&mut self, now: Now, worker: &mut Worker) {
+        let starts = self.store(now);
+        assert_eq!(starts.len(), 1);
+        worker.start(now, &starts[0]);
+        (self.scheduler).start_answered(now, &starts[0], StartAnswer::Started);
+    }
+
+    /// Returns a node that replaces this one. The list shows the incarnation of the worker that started then, and the task
+    /// is assigned to an incarnation, if to any.
+    fn successor(&self, now: Now, listed: u64, assigned_to: Option<u64>) -> Self {
+        let cfg = SchedConfig::default();
+        let past = PastLeases::from_row(now.time, now.time, &self.row, "other", &cfg);
+        let job = job();
+        let mut progress = Progress::new(&job);
+        if let Some(started_unix_ms) = assigned_to {
+            progress.assign(&[(TASK, Incarnation::new("w1", started_unix_ms))]);
+        }
+        let recovered = Recovered {
+            jobs: vec![(JOB, job)],
+            progress: [(JOB, progress)].into(),
+            leases: Some(past),
+            ..Recovered::default()
+        };
+        let mut node = Self::new(self.row.next_epoch(), now, recovered);
+        node.scheduler.worker_listed(now, info(listed));
+        node
+    }
+
+    /// The worker does not answer from now on. Returns when the task may start elsewhere.
+    fn gives_up_at(&mut self, from_ms: u64) -> u64 {
+        let id = self.worker();
+        (self.scheduler).poll_failed(at_ms(from_ms), id, PollFailure::Silent);
+        self.scheduler.take_actions();
+        let is_end = |action: &Action| matches!(action, Action::Interrupted { .. });
+        let mut times = (from_ms..from_ms + 30_000).step_by(10);
+        let found = times.find(|&ms| {
+            self.scheduler.decide(at_ms(ms));
+            self.scheduler.take_actions().iter().any(is_end)
+        });
+        found.expect("the run is given up")
+    }
+}
+
+/// Returns the first of all schedulers, which knows the worker's first incarnation.
+fn first(worker: &mut Worker) -> Node {
+    let now = at_ms(60_000);
+    let mut node = Node::new(
+        1,
+        now,
+        Recovered {
+            leases: Some(PastLeases::default()),
+            ..Recovered::default()
+        },
+    );
+    (node.scheduler).worker_listed(now, info(worker.started_ms + 1));
+    node.poll(now, worker);
+    node
+}
+
+/// Orders on the clock of the incarnation before reach the one of 61.0 s until 61.7 s.
+fn restart(node: &mut Node, worker: &mut Worker) {
+    *worker = Worker::started_at(61_000);
+    for ms in [61_100, 61_700] {
+        worker.renew(at_ms(ms), 61_700 + 5_000);
+    }
+    assert_eq!(worker.lapses_at(), 61_700 + LONGEST_MS);
+    // The scheduler learns of the restart from the list of workers.
+    (node.scheduler).worker_listed(at_ms(61_750), info(61_001));
+}
+
+/// Guards against two runs of a task: the worker that the successor finds idle has a lease from the former scheduler.
+#[test]
+fn a_lease_of_a_worker_without_runs_is_forgotten_in_a_takeover() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    restart(&mut first, &mut worker);
+    first.store(at_ms(61_800));
+
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 61_001, None);
+    next.poll(now, &mut worker);
+    next.start(now, &mut worker);
+    next.poll(at_ms(62_100), &mut worker);
+    assert!(next.gives_up_at(62_300) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the former scheduler is lost before it has noticed the restart.
+#[test]
+fn a_lease_that_the_former_scheduler_did_not_know_of_is_not_waited_for() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    worker = Worker::started_at(61_000);
+    worker.renew(at_ms(61_700), 66_700);
+
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 61_001, None);
+    next.poll(now, &mut worker);
+    next.start(now, &mut worker);
+    next.poll(at_ms(62_100), &mut worker);
+    assert!(next.gives_up_at(62_300) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the answer of its worker makes the successor forget what the row tells.
+#[test]
+fn a_longer_lease_is_forgotten_once_the_worker_has_answered_a_successor() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    restart(&mut first, &mut worker);
+    first.poll(at_ms(61_800), &mut worker);
+    first.scheduler.job_stored(at_ms(61_800), JOB, job());
+    first.start(at_ms(61_800), &mut worker);
+    first.poll(at_ms(61_900), &mut worker);
+    first.store(at_ms(62_100));
+
+    let mut next = first.successor(at_ms(62_200), 61_001, Some(61_001));
+    next.poll(at_ms(62_200), &mut worker);
+    next.store(at_ms(62_200));
+    next.poll(at_ms(62_300), &mut worker);
+    assert!(next.gives_up_at(62_500) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the scheduler is lost with the row that has stored the start.
+#[test]
+fn a_longer_lease_is_not_told_by_the_row_that_stores_a_start() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    restart(&mut first, &mut worker);
+    first.poll(at_ms(61_800), &mut worker);
+    first.scheduler.job_stored(at_ms(61_800), JOB, job());
+    first.start(at_ms(61_800), &mut worker);
+
+    let mut next = first.successor(at_ms(62_200), 61_001, Some(61_001));
+    next.poll(at_ms(62_200), &mut worker);
+    next.store(at_ms(62_200));
+    next.poll(at_ms(62_300), &mut worker);
+    assert!(next.gives_up_at(62_500) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the worker restarts, begins a run and is cut off before any list of it is read.
+#[test]
+fn a_run_that_a_later_incarnation_may_have_begun_is_given_up_after_a_usual_lease() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    worker = Worker::started_at(61_000);
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    first.start(at_ms(61_200), &mut worker);
+    assert!(first.gives_up_at(61_900) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the same, and the scheduler is lost as well.
+#[test]
+fn a_run_that_a_later_incarnation_may_have_begun_is_given_up_early_by_a_successor() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    worker = Worker::started_at(61_000);
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    first.start(at_ms(61_200), &mut worker);
+
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 1, Some(1));
+    next.scheduler.node_follows(now, &first.row.holder);
+    next.store(now);
+    assert!(next.gives_up_at(62_300) >= worker.lapses_at());
+}
+
+/// Guards against a wait for the longest lease where a usual one is known to be the last.
+#[test]
+fn a_run_that_its_worker_has_listed_is_given_up_after_a_usual_lease() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.scheduler.job_stored(at_ms(60_000), JOB, job());
+    first.start(at_ms(60_000), &mut worker);
+    first.poll(at_ms(60_100), &mut worker);
+    first.store(at_ms(60_300));
+    let mut next = first.successor(at_ms(61_000), 1, Some(1));
+    first.poll(at_ms(60_400), &mut worker);
+    let given_up_at = first.gives_up_at(60_700);
+    assert!((worker.lapses_at()..=65_700).contains(&given_up_at));
+
+    next.poll(at_ms(61_000), &mut worker);
+    next.store(at_ms(61_000));
+    next.poll(at_ms(61_200), &mut worker);
+    let given_up_at = next.gives_up_at(61_500);
+    assert!((worker.lapses_at()..=66_500).contains(&given_up_at));
+}
+
+/// Guards against a wait for the longest lease on each worker that a successor cannot reach.
+#[test]
+fn a_run_that_its_worker_had_listed_is_given_up_by_a_successor_after_a_usual_lease() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.scheduler.job_stored(at_ms(60_000), JOB, job());
+    first.start(at_ms(60_000), &mut worker);
+    first.poll(at_ms(60_100), &mut worker);
+    first.store(at_ms(60_300));
+    let now = at_ms(61_000);
+    let mut next = first.successor(now, 1, Some(1));
+    next.scheduler.node_follows(now, &first.row.holder);
+    next.store(now);
+    assert!(next.gives_up_at(61_300) <= 66_300);
+}
