A lease is bounded by the longest one until a list tells which incarnation has it

Callers saw two runs of a task at the same time (TWICE), where workers restart under their old ids and are cut off soon after, mostly across a takeover. An order names the end of a lease on the worker's clock. A worker that has restarted takes orders that were meant for its former life, and then grants the longest lease, 10 s. It lasts though nothing runs, and applies to what starts later.

Only the scheduler that noticed a restart waited for that, while its process lasted. Its row told of it only for workers whose runs had been ordered in an earlier batch, a successor forgot it once the worker had answered, and nobody assumed it where a restart had not been noticed, by this scheduler or by the one before.

Now the longest lease is the assumption, and a usual one has to be shown: by a list that has the run, or, after a takeover, by a run that is recorded on the present incarnation, and by what the row tells. The row names the workers with runs that no list has shown yet.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -20,7 +20,7 @@
     preempt::{self, Claims},
     scheduler::Effect,
     teams::pass::Turns,
-    worker::{Run, RunPhase, Suspicion, Worker},
+    worker::{BegunBy, Run, RunPhase, Suspicion, Worker},
 };
 
 /// A gang that is already late requests approvals for more workers only while its allowed workers
@@ -181,12 +181,8 @@
             now.time + Duration::from_millis(wait)
         });
         let stop = self.stop_checks.first().map(|&(at, _, _)| at);
-        let lapse = self
-            .fleet
-            .iter()
-            .filter(|worker| !worker.is_idle() && worker.leases_end() > now.time)
-            .map(Worker::leases_end)
-            .min();
+        let busy = self.fleet.iter().filter(|worker| !worker.is_idle());
+        let lapse = busy.filter_map(|worker| worker.next_lapse(now.time)).min();
         let quarantine_end = self
             .fleet
             .iter()
@@ -598,6 +594,7 @@
                 since: now,
                 stop_due: Duration::ZERO,
                 orders_lapse_at: Time::ZERO,
+                begun_by: BegunBy::Any,
                 has_begun: false,
                 is_of_earlier_incarnation: false,
                 crash: None,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Action, Interruption, Listing, Scheduler,
-    worker::{Run, RunPhase},
+    worker::{BegunBy, Run, RunPhase},
 };
 
 impl Scheduler {
@@ -114,11 +114,12 @@
         self.actions.push(Action::Restarted {
             worker: id,
             started_unix_ms,
-            leases_last: worker.leases_end() - now,
+            leases_last: worker.known_leases_end() - now,
         });
         for run in worker.runs.values_mut() {
             if run.phase != RunPhase::Pending {
                 run.is_of_earlier_incarnation = true;
+                run.begun_by = BegunBy::Any;
                 // The leases of its orders name times on the old clock.
                 run.orders_lapse_at = Time::MAX;
             }
@@ -319,12 +320,14 @@
         let mut lapsed: Vec<(WorkerId, TaskKey, u32)> = Vec::new();
         let mut any_strays = false;
         for worker in self.fleet.iter_mut() {
-            if now < worker.leases_end() {
+            if now < worker.known_leases_end() {
                 continue;
             }
-            let was_sent = |run: &Run| run.phase != RunPhase::Pending;
+            let has_lapsed = |key: &TaskKey, run: &Run| {
+                run.phase != RunPhase::Pending && now >= worker.lease_end(now, key, run)
+            };
             let before = lapsed.len();
-            let runs = worker.runs.iter().filter(|(_, run)| was_sent(run));
+            let runs = worker.runs.iter().filter(|(key, run)| has_lapsed(key, run));
             lapsed.extend(runs.map(|(&key, run)| (worker.id, key, run.number)));
             let has_strays = worker.retain_strays(|_, _| false);
             any_strays |= has_strays;
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -9,20 +9,27 @@
 //!   row without the worker is stored, it is granted no lease that ends later. A successor replaces the very row that it
 //!   has read, so the bound holds for all schedulers before it. Starts are not delayed, as each is stored first, with a
 //!   row that does not tell the bound of a worker that has answered;
-//! - the workers that may have longer leases than usual.
+//! - the workers with runs that may have longer leases than usual;
+//! - the workers whose runs a later incarnation may have begun than the one that the scheduler knows.
 //!
 //! The leases of a worker without a bound may be renewed for as long as an earlier scheduler renews without the table, or
 //! until that one is known to have stopped: it has handed over, or its node tells that it follows the successor.
+//!
+//! A lease belongs to an incarnation of a worker, lasts though nothing runs, and applies to what starts later. It names a
+//! time on the worker's clock, so an order that reaches a later incarnation than the one it was meant for grants the longest
+//! lease. A scheduler does not know which incarnation has carried out its last orders until it has read the lists. So:
+//!
+//! - a run that no list has shown yet is waited for as if each order to its worker had granted the longest lease;
+//! - an incarnation may have the longest lease from all orders before the first answer to a poll that makes it refuse them,
+//!   unless an earlier scheduler has recorded a run on it, and so has told in the row what it knows.
 
 use std::{sync::Arc, time::Duration};
 
+use jobs::trailing;
 use model::{Time, WorkerId};
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    LeaseRow, Now, SchedConfig, Scheduler,
-    worker::{Worker, millis},
-};
+use crate::{LeaseRow, Now, SchedConfig, Scheduler, worker::millis};
 
 /// The most bytes of names of workers in each list of a row. A row has at most 64 KB, and is rewritten several times a
 /// second.
@@ -38,8 +45,12 @@
     pub holder_grants: bool,
     /// The workers that are granted no leases beyond a bound.
     pub bounded: Vec<LeaseEnd>,
-    /// The workers whose leases may end later than those that are granted now.
+    /// The workers with runs whose leases may end later than those that are granted now.
     pub longer: Vec<LeaseEnd>,
+    /// The workers with runs that a later incarnation may have begun than the one that the holder knows. `None` if that or
+    /// `longer` is not known of all workers, as in rows of earlier builds.
+    #[serde(with = "trailing", skip_serializing_if = "trailing::is_default")]
+    pub unsettled: Option<Vec<Arc<str>>>,
 }
 
 /// A scheduler that may still renew leases.
@@ -62,22 +73,33 @@
     pub in_ms: u64,
 }
 
+impl LeaseEnd {
+    fn new(worker: &Arc<str>, end: Time, now: Time) -> Self {
+        Self {
+            worker: worker.clone(),
+            in_ms: millis(end - now),
+        }
+    }
+}
+
 /// What a new scheduler knows of leases that were granted before, in its own time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PastLeases {
-    /// By when all earlier schedulers but the `renewers` had stopped.
-    stopped_by: Time,
+    /// By when all earlier schedulers but the `renewers` had stopped; `None` if there was none.
+    stopped_by: Option<Time>,
     /// The nodes that may renew leases as earlier schedulers, and until when.
     renewers: Vec<(String, Time)>,
     bounded: Vec<(Arc<str>, Time)>,
     longer: Vec<(Arc<str>, Time)>,
+    /// The workers with runs that a later incarnation may have begun than is recorded; `None` if it is not known which.
+    unsettled: Option<Vec<Arc<str>>>,
 }
 
 impl PastLeases {
     /// Returns what holds if nothing is known of the schedulers before.
     pub(crate) fn unknown(now: Time, cfg: &SchedConfig) -> Self {
         Self {
-            stopped_by: now,
+            stopped_by: Some(now),
             renewers: vec![(String::new(), now + cfg.renew_without_table)],
             ..Self::default()
         }
@@ -97,7 +119,7 @@
         let Some(leases) = &row.leases else {
             // Earlier builds do not tell, but those before the holder were replaced before the row was written.
             return Self {
-                stopped_by: now,
+                stopped_by: Some(now),
                 renewers: vec![(String::new(), unconfirmed_until)],
                 ..Self::default()
             };
@@ -117,10 +139,11 @@
                 .collect()
         };
         Self {
-            stopped_by: now,
+            stopped_by: Some(now),
             renewers,
             bounded: ends(&leases.bounded),
             longer: ends(&leases.longer),
+            unsettled: leases.unsettled.clone(),
         }
     }
 
@@ -129,17 +152,15 @@
     pub fn to_row(&self, now: Time) -> TaskLeases {
         let ends = |list: &[(Arc<str>, Time)]| {
             let left = list.iter().filter(|(_, end)| *end > now);
-            left.map(|(worker, end)| LeaseEnd {
-                worker: worker.clone(),
-                in_ms: millis(*end - now),
-            })
-            .collect()
+            left.map(|(worker, end)| LeaseEnd::new(worker, *end, now))
+                .collect()
         };
         TaskLeases {
             renewers: self.renewers(now),
             holder_grants: false,
             bounded: ends(&self.bounded),
             longer: ends(&self.longer),
+            unsettled: self.unsettled.clone(),
         }
     }
 
@@ -153,12 +174,45 @@
         .collect()
     }
 
+    /// Returns until when earlier schedulers may have granted leases; `None` if there was none.
+    fn granted_until(&self) -> Option<Time> {
+        let renewed_until = self.renewers.iter().map(|&(_, until)| until).max();
+        renewed_until.max(self.stopped_by)
+    }
+
+    /// Returns whether the recorded runs of a worker are on the incarnation that is recorded with them, or nowhere.
+    pub(crate) fn is_settled(&self, worker: &str) -> bool {
+        let unsettled = self.unsettled.as_ref();
+        unsettled.is_some_and(|workers| !workers.iter().any(|name| **name == *worker))
+    }
+
     /// Returns by when the leases of a worker without a bound have lapsed, as far as earlier schedulers have granted them.
     fn assumed_end(&self, worker: &str, cfg: &SchedConfig) -> Time {
-        let renewed_until = self.renewers.iter().map(|&(_, until)| until).max();
-        let granted_until = renewed_until.unwrap_or_default().max(self.stopped_by);
+        let lapse = if self.is_settled(worker) {
+            cfg.lapse_after()
+        } else {
+            cfg.longest_lapse()
+        };
         let longer = find(&self.longer, worker).unwrap_or_default();
-        longer.max(granted_until + cfg.lapse_after())
+        longer.max(self.granted_until().unwrap_or_default() + lapse)
+    }
+
+    /// Returns by when the leases of a worker have lapsed that refuses earlier schedulers from now on, if runs of its
+    /// present incarnation are recorded.
+    pub(crate) fn recorded_end(&self, now: Time, worker: &str, cfg: &SchedConfig) -> Time {
+        let lapse = if self.unsettled.is_some() {
+            cfg.lapse_after()
+        } else {
+            cfg.longest_lapse()
+        };
+        let longer = find(&self.longer, worker).unwrap_or_default();
+        longer.max(now + lapse)
+    }
+
+    /// The same if nothing is recorded of that incarnation; `None` if there was no earlier scheduler.
+    pub(crate) fn longest_end(&self, now: Time, cfg: &SchedConfig) -> Option<Time> {
+        let until = self.granted_until()?;
+        Some(until.min(now) + cfg.longest_lapse())
     }
 
     /// Notes that a node does not schedule. Returns whether that changes anything.
@@ -167,7 +221,7 @@
         self.renewers.retain(|(renewer, _)| renewer != node);
         let has_stopped = self.renewers.len() < before;
         if has_stopped {
-            self.stopped_by = now;
+            self.stopped_by = Some(now);
         }
         has_stopped
     }
@@ -257,11 +311,11 @@
             if !is_lost {
                 worker.bound.end();
             } else if is_new {
-                worker.bound.wanted = Some(worker.leases_end());
+                worker.bound.wanted = Some(worker.leases_end(now));
             } else if worker.bound.wanted.is_none() && worker.unheard_for(now) >= after {
                 // It may answer again while no row can be stored.
                 let told = worker.bound.told.map(|(end, _)| end);
-                worker.bound.wanted = Some(told.unwrap_or(worker.leases_end() + grace));
+                worker.bound.wanted = Some(told.unwrap_or(worker.leases_end(now) + grace));
             }
         }
     }
@@ -280,21 +334,29 @@
         let usual = now + self.cfg.lapse_after();
         let mut bounded = List::default();
         let mut longer = List::default();
+        let mut unsettled = List::default();
         for worker in self.fleet.iter_mut() {
-            let ends_at = worker.leases_end();
+            let name = worker.info.name.clone();
+            let ends_at = worker.known_leases_end();
             if let Some(end) = worker.bound.wanted {
-                if bounded.add(worker, end.max(ends_at), now) {
+                let end_now = end.max(worker.leases_end(now));
+                if bounded.add(&name, || LeaseEnd::new(&name, end_now, now)) {
                     worker.bound.tell(end, batch);
                 }
-            } else if ends_at > usual && worker.sent_runs().next().is_some() {
-                longer.add(worker, ends_at, now);
+            } else if ends_at > usual && !worker.runs.is_empty() {
+                longer.add(&name, || LeaseEnd::new(&name, ends_at, now));
+            }
+            if worker.has_unsettled_runs(now) {
+                unsettled.add(&name, || name.clone());
             }
         }
+        let is_complete = longer.is_complete && unsettled.is_complete;
         TaskLeases {
             renewers: self.past_leases.renewers(now),
             holder_grants: true,
-            bounded: bounded.ends,
-            longer: longer.ends,
+            bounded: bounded.rows,
+            longer: longer.rows,
+            unsettled: is_complete.then_some(unsettled.rows),
         }
     }
 
@@ -310,24 +372,32 @@
 }
 
 /// A list of a row, which is bounded in size.
-#[derive(Default)]
-struct List {
-    ends: Vec<LeaseEnd>,
+struct List<T> {
+    rows: Vec<T>,
     name_bytes: usize,
+    /// Whether nothing was left out.
+    is_complete: bool,
+}
+
+impl<T> Default for List<T> {
+    fn default() -> Self {
+        Self {
+            rows: Vec::new(),
+            name_bytes: 0,
+            is_complete: true,
+        }
+    }
 }
 
-impl List {
-    /// Adds a worker, unless the list is full. Returns whether it was added.
-    fn add(&mut self, worker: &Worker, end: Time, now: Time) -> bool {
-        let name = &worker.info.name;
+impl<T> List<T> {
+    /// Adds the row of a worker, unless the list is full. Returns whether it was added.
+    fn add(&mut self, name: &str, row: impl FnOnce() -> T) -> bool {
         self.name_bytes += name.len();
         let has_room = self.name_bytes <= MAX_NAME_BYTES;
         if has_room {
-            self.ends.push(LeaseEnd {
-                worker: name.clone(),
-                in_ms: millis(end - now),
-            });
+            self.rows.push(row());
         }
+        self.is_complete &= has_room;
         has_room
     }
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -125,6 +125,7 @@
         let worker = self.fleet.get_mut(order.worker);
         worker.open_starts = worker.open_starts.saturating_sub(1);
         worker.last_start_at = now;
+        worker.may_have_granted(now, &self.cfg);
         if answer == StartAnswer::Unknown {
             worker.start_unanswered(now, order.key, order.run, now + self.cfg.late_start);
         }
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -9,7 +9,7 @@
 use crate::{
     Action, Interruption, Listing, Now, Poll, PollFailure, PollOrder, RunningRow, Scheduler,
     teams::ledger::Charge,
-    worker::{Run, RunPhase},
+    worker::{BegunBy, Run, RunPhase},
 };
 
 /// The most ends that a worker lists at a time. A list of this length may be incomplete.
@@ -136,7 +136,7 @@
             // Orders for the earlier incarnation may still be carried out after these lists.
             return;
         }
-        worker.answered(now, &self.cfg);
+        worker.answered(now, &self.past_leases, &self.cfg);
         if self.lists_orphans(listing) {
             return;
         }
@@ -198,6 +198,9 @@
             worker.fence_raises += 1;
         }
         worker.contact_lost();
+        if worker.silent_since.is_none() {
+            worker.may_have_granted(now.time, &self.cfg);
+        }
         worker.silent_since.get_or_insert(now.time);
         worker.unheard_since.get_or_insert(now.time);
     }
@@ -257,6 +260,7 @@
             return;
         };
         run.checkpoint.clone_from(&row.checkpoint);
+        run.begun_by = BegunBy::Known;
         if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
             run.phase = RunPhase::Running;
             run.has_begun = true;
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     Now, PastLeases, Scheduler, WorkerInfo,
-    worker::{Run, RunPhase},
+    worker::{BegunBy, Run, RunPhase},
 };
 
 /// The state that a new scheduler has read from the table.
@@ -87,8 +87,12 @@
         if incarnation.started_unix_ms > self.fleet.get(id).info.started_unix_ms {
             self.worker_restarted(now.time, id, incarnation.started_unix_ms);
         }
+        let worker = self.fleet.get_mut(id);
         // It ran before this scheduler began.
-        self.fleet.get_mut(id).known_at = Some(Time::ZERO);
+        worker.known_at = Some(Time::ZERO);
+        worker.recorded_unix_ms = worker
+            .recorded_unix_ms
+            .max(Some(incarnation.started_unix_ms));
         id
     }
 
@@ -148,6 +152,11 @@
             stop_due: Duration::ZERO,
             orders_lapse_at: Time::ZERO,
             has_begun: false,
+            begun_by: if self.past_leases.is_settled(&incarnation.worker) {
+                BegunBy::Known
+            } else {
+                BegunBy::Any
+            },
             is_of_earlier_incarnation,
             crash: is_of_earlier_incarnation.then_some(crash),
             checkpoint: String::new(),
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,7 +9,7 @@
 use jobs::{Crash, Step, StepKey, TaskKey};
 use model::{Size, Time, WorkerId};
 
-use crate::{SchedConfig, StopOrder, leases::LeaseBound, teams::ledger::Charge};
+use crate::{PastLeases, SchedConfig, StopOrder, leases::LeaseBound, teams::ledger::Charge};
 
 /// The longest estimate of tasks for a worker that crashes again and again, in milliseconds. It has crashed three times
 /// within 30 s, so it stays up for about 10 s, and such a task meets a crash in one of five runs.
@@ -58,6 +58,15 @@
     Stopping,
 }
 
+/// Which incarnation of its worker has begun a run, if any has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BegunBy {
+    /// The one that the scheduler knows: it has listed the run.
+    Known,
+    /// That one or a later one. An answer to a start order does not tell which has given it.
+    Any,
+}
+
 /// How far a task is suspected to crash the workers that start it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Suspicion {
@@ -100,6 +109,7 @@
     pub(crate) orders_lapse_at: Time,
     /// Whether the present incarnation of the worker has confirmed that it has the run.
     pub(crate) has_begun: bool,
+    pub(crate) begun_by: BegunBy,
     /// Whether it was given to an earlier incarnation of the worker.
     pub(crate) is_of_earlier_incarnation: bool,
     /// The crash of its worker, which counts unless the new incarnation has the run.
@@ -161,6 +171,11 @@
     pub(crate) lapse_at: Time,
     /// The same for the leases that earlier schedulers may have granted, until it has answered this one.
     pub(crate) assumed_lapse: Option<Time>,
+    /// When every lease has lapsed that a later incarnation than the present one may hold by orders of this scheduler.
+    later_lapse_at: Time,
+    /// When the incarnation started on which an earlier scheduler has recorded runs. It had read its lists, so the lease row
+    /// tells whether that one may have longer leases than usual.
+    pub(crate) recorded_unix_ms: Option<u64>,
     pub(crate) bound: LeaseBound,
     /// The number of the last end that was processed.
     pub(crate) processed: u64,
@@ -244,6 +259,8 @@
             clock: None,
             lapse_at: Time::ZERO,
             assumed_lapse: None,
+            later_lapse_at: Time::ZERO,
+            recorded_unix_ms: None,
             bound: LeaseBound::default(),
             processed: 0,
             ack_after: 0,
@@ -343,19 +360,70 @@
             && step.label.as_ref().is_none_or(has_label)
     }
 
-    /// Returns when every lease has lapsed that may have been granted to it, unless one is renewed.
-    pub(crate) fn leases_end(&self) -> Time {
+    /// Returns when every lease has lapsed that its present incarnation may have, unless one is renewed.
+    pub(crate) fn known_leases_end(&self) -> Time {
         self.lapse_at.max(self.assumed_lapse.unwrap_or_default())
     }
 
-    /// Notes that it has answered a poll with the present fencing token. From then on it refuses earlier schedulers.
-    pub(crate) fn answered(&mut self, now: Time, cfg: &SchedConfig) {
+    /// Returns when the lease of a run has lapsed, unless it is renewed.
+    pub(crate) fn lease_end(&self, now: Time, key: &TaskKey, run: &Run) -> Time {
+        let known = self.known_leases_end();
+        if self.is_settled(now, key, run) {
+            known
+        } else {
+            known.max(self.later_lapse_at)
+        }
+    }
+
+    /// Returns when every lease has lapsed that may have been granted to it, unless one is renewed.
+    pub(crate) fn leases_end(&self, now: Time) -> Time {
+        let sent = (self.runs.iter()).filter(|(_, run)| run.phase != RunPhase::Pending);
+        let ends = sent.map(|(key, run)| self.lease_end(now, key, run));
+        ends.fold(self.known_leases_end(), Time::max)
+    }
+
+    /// Returns when the first of its leases lapses from now on.
+    pub(crate) fn next_lapse(&self, now: Time) -> Option<Time> {
+        let runs = (self.runs.iter()).map(|(key, run)| self.lease_end(now, key, run));
+        let ends = runs.chain([self.known_leases_end()]);
+        ends.filter(|&end| end > now).min()
+    }
+
+    /// Returns whether no later incarnation than the present one can have begun a run: the present one has listed it, and
+    /// no start order for it may still be carried out.
+    fn is_settled(&self, now: Time, key: &TaskKey, run: &Run) -> bool {
+        let late = self.late_starts.get(&(*key, run.number));
+        run.begun_by == BegunBy::Known && late.is_none_or(|&until| until <= now)
+    }
+
+    /// Returns whether a later incarnation may have begun one of its runs, or may once the order is sent.
+    pub(crate) fn has_unsettled_runs(&self, now: Time) -> bool {
+        let mut runs = self.runs.iter();
+        runs.any(|(key, run)| !self.is_settled(now, key, run))
+    }
+
+    /// Notes that a later incarnation may have carried out an order that grants a lease until now.
+    pub(crate) fn may_have_granted(&mut self, now: Time, cfg: &SchedConfig) {
+        self.later_lapse_at = self.later_lapse_at.max(now + cfg.longest_lapse());
+    }
+
+    /// Notes that it has answered a poll with the present fencing token. From then on it refuses earlier schedulers, and
+    /// orders that were meant for earlier incarnations.
+    pub(crate) fn answered(&mut self, now: Time, past: &PastLeases, cfg: &SchedConfig) {
         self.unheard_since = None;
         self.reported_lapse = None;
         self.bound.end();
-        if self.assumed_lapse.take().is_some() {
-            self.lapse_at = self.lapse_at.max(now + cfg.lapse_after());
-        }
+        let is_first = self.lists_read.is_none();
+        let is_recorded = self.recorded_unix_ms == Some(self.info.started_unix_ms);
+        let is_assumed = self.assumed_lapse.take().is_some();
+        let granted = if !is_first || is_recorded {
+            is_assumed.then(|| past.recorded_end(now, &self.info.name, cfg))
+        } else if self.restarted_at.is_some() {
+            Some(now + cfg.longest_lapse())
+        } else {
+            past.longest_end(now, cfg)
+        };
+        self.lapse_at = self.lapse_at.max(granted.unwrap_or_default());
     }
 
     /// Returns for how long its lists have not been read after it was lost.
@@ -527,11 +595,17 @@
     ///
     /// The worker's clock shows at least its last reading plus the least that a slow clock
     /// has advanced since then.
-    /// So the lease has certainly lapsed [`SchedConfig::lapse_after`] from now.
+    /// So the lease has certainly lapsed [`SchedConfig::lapse_after`] from now. A later incarnation, whose clock shows less,
+    /// takes the longest lease.
     pub(crate) fn grant_lease(&mut self, now: Time, cfg: &SchedConfig) -> Option<u64> {
         let clock = self.clock?;
         let lapse_at = now + cfg.lapse_after();
-        let limit = self.bound.limit().filter(|&limit| limit < lapse_at);
+        let bound = self.bound.limit();
+        if bound.is_some_and(|end| end < now + cfg.longest_lapse()) && self.has_unsettled_runs(now)
+        {
+            return None;
+        }
+        let limit = bound.filter(|&limit| limit < lapse_at);
         let (lease, lapse_at) = match limit {
             Some(limit) => (cfg.lease_within(limit - now)?, limit),
             None => (cfg.task_lease, lapse_at),
@@ -539,6 +613,7 @@
         let passed = millis(now - clock.at);
         let passed = passed - passed * cfg.clock_drift_milli / 1_000;
         self.lapse_at = self.lapse_at.max(lapse_at);
+        self.may_have_granted(now, cfg);
         let worker_ms = clock.worker_ms.saturating_add(passed);
         Some(worker_ms.saturating_add(millis(lease)))
     }
--- a/crates/sched/tests/leases.rs
+++ b/crates/sched/tests/leases.rs
@@ -320,6 +320,7 @@
         holder_grants: true,
         bounded: vec![end.clone()],
         longer: vec![end],
+        unsettled: Some(vec!["w2".into()]),
     };
     let row = LeaseRow {
         holder: "n1".into(),
@@ -333,6 +334,7 @@
         (told.bounded[0].in_ms, told.longer[0].in_ms),
         (3_500, 3_500)
     );
+    assert_eq!(told.unsettled, leases.unsettled);
     // The holder may renew leases for 6 s without the table.
     let of = |node: &str, ms| (node.to_owned(), ms);
     assert_eq!(renewers(&row, "n2"), [of("n0", 2_500), of("n1", 5_500)]);
@@ -381,6 +383,7 @@
             holder_grants: true,
             bounded: Vec::new(),
             longer: Vec::new(),
+            unsettled: Some(vec!["w1".into()]),
         }),
         ..row
     };
@@ -389,3 +392,36 @@
     let read: LeaseRow = jobs::decode(&jobs::encode(&told)).unwrap();
     assert_eq!(read, told);
 }
+
+/// What the lease row of an earlier build tells about task leases.
+#[derive(Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct EarlierLeases {
+    renewers: Vec<Renewer>,
+    holder_grants: bool,
+    bounded: Vec<LeaseEnd>,
+    longer: Vec<LeaseEnd>,
+}
+
+/// Guards against rows of which earlier builds cannot read what they know, or the reverse.
+#[test]
+fn workers_that_are_not_settled_come_after_the_fields_of_earlier_builds() {
+    let earlier = EarlierLeases {
+        holder_grants: true,
+        longer: vec![LeaseEnd {
+            worker: "w1".into(),
+            in_ms: 9_000,
+        }],
+        ..EarlierLeases::default()
+    };
+    let told: TaskLeases = jobs::decode(&jobs::encode(&earlier)).unwrap();
+    assert_eq!((&told.longer, &told.unsettled), (&earlier.longer, &None));
+    let told = TaskLeases {
+        unsettled: Some(Vec::new()),
+        ..told
+    };
+    let read: EarlierLeases = jobs::decode(&jobs::encode(&told)).unwrap();
+    assert_eq!(read, earlier);
+    let read: TaskLeases = jobs::decode(&jobs::encode(&told)).unwrap();
+    assert_eq!(read, told);
+}
