A worker that the full list of bounds leaves out is told among the longer leases

A lease row lists the workers whose leases are bounded, or else may be longer than usual. With more than about a thousand workers that are not heard of, the first list is full, and a worker that it left out was not listed in the second either. A further successor then waited for a usual lease, and started its tasks while they ran. Lists are bounded by their bytes instead of those of the names, as there are three of them now and a row takes 64 KB.

--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -31,9 +31,11 @@
 
 use crate::{LeaseRow, Now, SchedConfig, Scheduler, worker::millis};
 
-/// The most bytes of names of workers in each list of a row. A row has at most 64 KB, and is rewritten several times a
-/// second.
-const MAX_NAME_BYTES: usize = 16 << 10;
+/// The most bytes of each list of a row. A row has at most 64 KB, and is rewritten several times a second.
+const MAX_LIST_BYTES: usize = 20 << 10;
+
+/// The bytes of an entry of a list besides the worker's name: the length of the name, and a time of less than a minute.
+const ENTRY_BYTES: usize = 4;
 
 /// What a lease row tells about task leases, as of when it was written.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -338,12 +340,15 @@
         for worker in self.fleet.iter_mut() {
             let name = worker.info.name.clone();
             let ends_at = worker.known_leases_end();
-            if let Some(end) = worker.bound.wanted {
+            let is_bounded = worker.bound.wanted.is_some_and(|end| {
                 let end_now = end.max(worker.leases_end(now));
-                if bounded.add(&name, || LeaseEnd::new(&name, end_now, now)) {
+                let is_told = bounded.add(&name, || LeaseEnd::new(&name, end_now, now));
+                if is_told {
                     worker.bound.tell(end, batch);
                 }
-            } else if ends_at > usual && !worker.runs.is_empty() {
+                is_told
+            });
+            if !is_bounded && ends_at > usual && !worker.runs.is_empty() {
                 longer.add(&name, || LeaseEnd::new(&name, ends_at, now));
             }
             if worker.has_unsettled_runs(now) {
@@ -374,7 +379,7 @@
 /// A list of a row, which is bounded in size.
 struct List<T> {
     rows: Vec<T>,
-    name_bytes: usize,
+    bytes: usize,
     /// Whether nothing was left out.
     is_complete: bool,
 }
@@ -383,7 +388,7 @@
     fn default() -> Self {
         Self {
             rows: Vec::new(),
-            name_bytes: 0,
+            bytes: 0,
             is_complete: true,
         }
     }
@@ -392,8 +397,8 @@
 impl<T> List<T> {
     /// Adds the row of a worker, unless the list is full. Returns whether it was added.
     fn add(&mut self, name: &str, row: impl FnOnce() -> T) -> bool {
-        self.name_bytes += name.len();
-        let has_room = self.name_bytes <= MAX_NAME_BYTES;
+        self.bytes += name.len() + ENTRY_BYTES;
+        let has_room = self.bytes <= MAX_LIST_BYTES;
         if has_room {
             self.rows.push(row());
         }
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -377,3 +377,50 @@
     next.store(now);
     assert!(next.gives_up_at(61_300) <= 66_300);
 }
+
+/// Guards against two runs of a task: a row whose list of bounds is full tells neither the bound of a worker nor its longer
+/// lease.
+#[test]
+fn a_longer_lease_is_told_if_the_list_of_bounds_is_full() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    restart(&mut first, &mut worker);
+    first.poll(at_ms(61_800), &mut worker);
+    first.scheduler.job_stored(at_ms(61_800), JOB, job());
+    first.start(at_ms(61_800), &mut worker);
+    first.poll(at_ms(61_900), &mut worker);
+    first.store(at_ms(62_100));
+    assert_eq!(first.row.leases.as_ref().unwrap().longer.len(), 1);
+
+    // The successor has found runs on many workers, and is lost before any has answered.
+    let now = at_ms(62_200);
+    let cfg = SchedConfig::default();
+    let past = PastLeases::from_row(now.time, now.time, &first.row, "other", &cfg);
+    let mut many = job();
+    many.steps[0].tasks = 2_000;
+    let mut progress = Progress::new(&many);
+    for index in 0..2_000 {
+        let task = TaskKey { index, ..TASK };
+        let name = format!("i-{index:010}");
+        progress.assign(&[(task, Incarnation::new(&name, 1))]);
+    }
+    let mut own = Progress::new(&job());
+    own.assign(&[(TASK, Incarnation::new("w1", 61_001))]);
+    let recovered = Recovered {
+        jobs: vec![(JobId(6), many), (JOB, job())],
+        progress: [(JobId(6), progress), (JOB, own)].into(),
+        leases: Some(past),
+        ..Recovered::default()
+    };
+    let mut second = Node::new(first.row.next_epoch(), now, recovered);
+    (second.scheduler).worker_listed(now, info(61_001));
+    second.store(now);
+
+    let now = at_ms(62_500);
+    let mut third = second.successor(now, 61_001, Some(61_001));
+    third.scheduler.node_follows(now, &first.row.holder);
+    third.scheduler.node_follows(now, &second.row.holder);
+    third.store(now);
+    assert!(third.gives_up_at(62_700) >= worker.lapses_at());
+}
