Lease rows name the workers of jobs whose rows have not appeared yet

A former scheduler may still order a run of a job that was announced to it. A successor that has read the progress of that job, but not its row, kept it apart from its workers' runs, so its own rows did not name the worker as one with a run that no list has shown. A further successor, which reads the row as well, waited for a usual lease. Found in the review, at the scheduler's interface; the test failed before.

--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -84,6 +84,12 @@
 }
 
 impl Announced {
+    /// Returns the workers that may still be given runs of orphans.
+    pub(crate) fn orphan_workers(&self) -> impl Iterator<Item = &Arc<str>> {
+        let orphans = self.orphans.values();
+        orphans.flat_map(|orphan| &orphan.unheard)
+    }
+
     /// Returns whether a job is announced and not known to be stored.
     pub(crate) fn contains(&self, id: JobId) -> bool {
         self.jobs.contains_key(&id)
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -355,6 +355,9 @@
                 unsettled.add(&name, || name.clone());
             }
         }
+        for name in self.announced.orphan_workers() {
+            unsettled.add(name, || name.clone());
+        }
         let is_complete = longer.is_complete && unsettled.is_complete;
         TaskLeases {
             renewers: self.past_leases.renewers(now),
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -424,3 +424,49 @@
     third.store(now);
     assert!(third.gives_up_at(62_700) >= worker.lapses_at());
 }
+
+/// Guards against two runs of a task: the former scheduler orders a run of a job that it has been told of before its row was
+/// stored, and the scheduler in between has read the table before the row appeared.
+#[test]
+fn a_worker_of_a_job_whose_row_appears_late_is_named_by_further_rows() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.scheduler.job_announced(at_ms(60_900), JOB, job(), 1);
+    assert_eq!(first.store(at_ms(61_000)).len(), 0);
+    let told = first.row.leases.clone().unwrap().unsettled;
+    assert_eq!(told, Some(vec!["w1".into()]));
+
+    let cfg = SchedConfig::default();
+    let now = at_ms(61_500);
+    let mut progress = Progress::new(&job());
+    progress.assign(&[(TASK, Incarnation::new("w1", 1))]);
+    let recovered = Recovered {
+        progress: [(JOB, progress)].into(),
+        leases: Some(PastLeases::from_row(
+            now.time, now.time, &first.row, "n2", &cfg,
+        )),
+        ..Recovered::default()
+    };
+    let mut second = Node::new(first.row.next_epoch(), now, recovered);
+    second.scheduler.worker_listed(now, info(1));
+    second.store(at_ms(61_800));
+    assert!(second.row.leases.is_some());
+
+    // The row has appeared. The first scheduler is told, and orders the run: the worker has restarted.
+    let mut third = second.successor(at_ms(62_500), 1, Some(1));
+    third
+        .scheduler
+        .node_follows(at_ms(62_500), &second.row.holder);
+    third.store(at_ms(62_500));
+    worker = Worker::started_at(63_000);
+    first
+        .scheduler
+        .job_settled(at_ms(63_800), JOB, 1, sched::Settlement::Stored);
+    let actions = first.scheduler.take_actions().into_iter();
+    let mut starts = actions.filter_map(|action| match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    worker.start(at_ms(63_800), &starts.next().unwrap());
+    assert!(third.gives_up_at(62_700) >= worker.lapses_at());
+}
