Orders without an answer may be carried out late by a later incarnation

An order without an answer may be carried out seconds later. The longest lease was waited for from when such an order was given up, and not from when it may last be carried out, so a later incarnation that carried it out in between held the task for longer. A list of the known incarnation ended the wait though an earlier start order was still open.

Now late_start, 6 s, is added after a start or a poll without an answer, and for the orders of an earlier scheduler; and a list settles a run only once no start order for it is open, unless its orders carry a ticket, which a later incarnation refuses.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -549,8 +549,7 @@
 
     /// Starts the first of `tasks` on the workers of `placed`, one task per entry.
     pub(crate) fn start(&mut self, now: Time, key: StepKey, tasks: &[u32], placed: &[WorkerId]) {
-        let job = self.jobs.get(&key.job).map(|entry| &entry.job);
-        let needs_ticket = job.is_some_and(|job| self.policy(job).approval.is_some());
+        let needs_ticket = self.needs_ticket(key.job);
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -323,11 +323,10 @@
             if now < worker.known_leases_end() {
                 continue;
             }
-            let has_lapsed = |key: &TaskKey, run: &Run| {
-                run.phase != RunPhase::Pending && now >= worker.lease_end(now, key, run)
-            };
+            let has_lapsed =
+                |run: &Run| run.phase != RunPhase::Pending && now >= worker.lease_end(run);
             let before = lapsed.len();
-            let runs = worker.runs.iter().filter(|(key, run)| has_lapsed(key, run));
+            let runs = worker.runs.iter().filter(|(_, run)| has_lapsed(run));
             lapsed.extend(runs.map(|(&key, run)| (worker.id, key, run.number)));
             let has_strays = worker.retain_strays(|_, _| false);
             any_strays |= has_strays;
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -176,8 +176,8 @@
         .collect()
     }
 
-    /// Returns until when earlier schedulers may have granted leases; `None` if there was none.
-    fn granted_until(&self) -> Option<Time> {
+    /// Returns until when earlier schedulers may have sent orders that grant leases; `None` if there was none.
+    pub(crate) fn granted_until(&self) -> Option<Time> {
         let renewed_until = self.renewers.iter().map(|&(_, until)| until).max();
         renewed_until.max(self.stopped_by)
     }
@@ -193,7 +193,7 @@
         let lapse = if self.is_settled(worker) {
             cfg.lapse_after()
         } else {
-            cfg.longest_lapse()
+            cfg.late_start + cfg.longest_lapse()
         };
         let longer = find(&self.longer, worker).unwrap_or_default();
         longer.max(self.granted_until().unwrap_or_default() + lapse)
@@ -213,7 +213,7 @@
 
     /// The same if nothing is recorded of that incarnation; `None` if there was no earlier scheduler.
     pub(crate) fn longest_end(&self, now: Time, cfg: &SchedConfig) -> Option<Time> {
-        let until = self.granted_until()?;
+        let until = self.granted_until()? + cfg.late_start;
         Some(until.min(now) + cfg.longest_lapse())
     }
 
@@ -313,11 +313,11 @@
             if !is_lost {
                 worker.bound.end();
             } else if is_new {
-                worker.bound.wanted = Some(worker.leases_end(now));
+                worker.bound.wanted = Some(worker.leases_end());
             } else if worker.bound.wanted.is_none() && worker.unheard_for(now) >= after {
                 // It may answer again while no row can be stored.
                 let told = worker.bound.told.map(|(end, _)| end);
-                worker.bound.wanted = Some(told.unwrap_or(worker.leases_end(now) + grace));
+                worker.bound.wanted = Some(told.unwrap_or(worker.leases_end() + grace));
             }
         }
     }
@@ -341,7 +341,7 @@
             let name = worker.info.name.clone();
             let ends_at = worker.known_leases_end();
             let is_bounded = worker.bound.wanted.is_some_and(|end| {
-                let end_now = end.max(worker.leases_end(now));
+                let end_now = end.max(worker.leases_end());
                 let is_told = bounded.add(&name, || LeaseEnd::new(&name, end_now, now));
                 if is_told {
                     worker.bound.tell(end, batch);
@@ -351,7 +351,7 @@
             if !is_bounded && ends_at > usual && !worker.runs.is_empty() {
                 longer.add(&name, || LeaseEnd::new(&name, ends_at, now));
             }
-            if worker.has_unsettled_runs(now) {
+            if worker.has_unsettled_runs() {
                 unsettled.add(&name, || name.clone());
             }
         }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -125,9 +125,12 @@
         let worker = self.fleet.get_mut(order.worker);
         worker.open_starts = worker.open_starts.saturating_sub(1);
         worker.last_start_at = now;
-        worker.may_have_granted(now, &self.cfg);
         if answer == StartAnswer::Unknown {
-            worker.start_unanswered(now, order.key, order.run, now + self.cfg.late_start);
+            let until = now + self.cfg.late_start;
+            worker.start_unanswered(now, order.key, order.run, until);
+            worker.may_grant(until, &self.cfg);
+        } else {
+            worker.may_grant(now, &self.cfg);
         }
         if worker.has_unacknowledged_ends() && !worker.awaits_starts(now) {
             self.actions.push(Action::Wake(order.worker));
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -148,7 +148,7 @@
         self.end_earlier_incarnations(now, id, sent_at, listing);
         self.end_strays(id, listing);
         for row in &listing.running {
-            self.update_running(now, id, row);
+            self.update_running(now, id, sent_at, row);
         }
         if listing.ended.len() < MAX_LISTED_ENDS {
             self.end_missing(now, id, sent_at, listing);
@@ -199,7 +199,7 @@
         }
         worker.contact_lost();
         if worker.silent_since.is_none() {
-            worker.may_have_granted(now.time, &self.cfg);
+            worker.may_grant(now.time + self.cfg.late_start, &self.cfg);
         }
         worker.silent_since.get_or_insert(now.time);
         worker.unheard_since.get_or_insert(now.time);
@@ -252,7 +252,8 @@
     }
 
     /// Updates a run from the worker's list, or stops the listed run if it is not the current one.
-    fn update_running(&mut self, now: Time, id: WorkerId, row: &RunningRow) {
+    fn update_running(&mut self, now: Time, id: WorkerId, sent_at: Time, row: &RunningRow) {
+        let needs_ticket = self.needs_ticket(row.key.job);
         let worker = self.fleet.get_mut(id);
         let current = worker.runs.get_mut(&row.key);
         let Some(run) = current.filter(|run| run.number == row.run) else {
@@ -260,7 +261,10 @@
             return;
         };
         run.checkpoint.clone_from(&row.checkpoint);
-        run.begun_by = BegunBy::Known;
+        let late = worker.late_starts.get(&(row.key, row.run));
+        if needs_ticket || late.is_none_or(|&until| until <= sent_at) {
+            run.begun_by = BegunBy::Known;
+        }
         if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
             run.phase = RunPhase::Running;
             run.has_begun = true;
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -142,6 +142,14 @@
             is_alone: false,
         };
         self.recover_leases(now.time, id);
+        let is_settled = self.past_leases.is_settled(&incarnation.worker);
+        let granted_until = self.past_leases.granted_until();
+        if let Some(until) = granted_until.filter(|_| !is_settled && !self.needs_ticket(key.job)) {
+            let until = until.max(now.time) + self.cfg.late_start;
+            let worker = self.fleet.get_mut(id);
+            worker.start_unanswered(now.time, key, run, until);
+            worker.may_grant(until, &self.cfg);
+        }
         let run = Run {
             number: run,
             size,
@@ -152,7 +160,7 @@
             stop_due: Duration::ZERO,
             orders_lapse_at: Time::ZERO,
             has_begun: false,
-            begun_by: if self.past_leases.is_settled(&incarnation.worker) {
+            begun_by: if is_settled {
                 BegunBy::Known
             } else {
                 BegunBy::Any
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -254,6 +254,12 @@
         self.queues.get(&job.queue.name).unwrap_or(&job.queue)
     }
 
+    /// Returns whether start orders for tasks of a job carry a ticket, which only one incarnation of a worker accepts.
+    pub(crate) fn needs_ticket(&self, job: JobId) -> bool {
+        let entry = self.jobs.get(&job);
+        entry.is_some_and(|entry| self.policy(&entry.job).approval.is_some())
+    }
+
     /// Adds a job that has been stored in the table. Does nothing if the job is already known.
     pub fn job_stored(&mut self, now: Now, id: JobId, job: Job) {
         self.add_stored_job(now, id, job);
--- a/crates/sched/src/waits.rs
+++ b/crates/sched/src/waits.rs
@@ -21,7 +21,7 @@
     pub(crate) fn report_lapses(&mut self, now: Time) {
         let after = self.cfg.bound_after;
         for worker in self.fleet.iter_mut() {
-            let ends_at = worker.leases_end(now);
+            let ends_at = worker.leases_end();
             let is_due = worker.unheard_for(now) >= after && now < ends_at;
             if !is_due || worker.reported_lapse == Some(ends_at) {
                 continue;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -58,10 +58,10 @@
     Stopping,
 }
 
-/// Which incarnation of its worker has begun a run, if any has.
+/// Which incarnation of its worker has begun a run, or still may, if any.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BegunBy {
-    /// The one that the scheduler knows: it has listed the run.
+    /// The one that the scheduler knows: it has listed the run, and no later one can carry out a start order for it.
     Known,
     /// That one or a later one. An answer to a start order does not tell which has given it.
     Any,
@@ -366,45 +366,36 @@
     }
 
     /// Returns when the lease of a run has lapsed, unless it is renewed.
-    pub(crate) fn lease_end(&self, now: Time, key: &TaskKey, run: &Run) -> Time {
+    pub(crate) fn lease_end(&self, run: &Run) -> Time {
         let known = self.known_leases_end();
-        if self.is_settled(now, key, run) {
-            known
-        } else {
-            known.max(self.later_lapse_at)
+        match run.begun_by {
+            BegunBy::Known => known,
+            BegunBy::Any => known.max(self.later_lapse_at),
         }
     }
 
     /// Returns when every lease has lapsed that may have been granted to it, unless one is renewed.
-    pub(crate) fn leases_end(&self, now: Time) -> Time {
-        let sent = (self.runs.iter()).filter(|(_, run)| run.phase != RunPhase::Pending);
-        let ends = sent.map(|(key, run)| self.lease_end(now, key, run));
+    pub(crate) fn leases_end(&self) -> Time {
+        let ends = self.sent_runs().map(|run| self.lease_end(run));
         ends.fold(self.known_leases_end(), Time::max)
     }
 
     /// Returns when the first of its leases lapses from now on.
     pub(crate) fn next_lapse(&self, now: Time) -> Option<Time> {
-        let runs = (self.runs.iter()).map(|(key, run)| self.lease_end(now, key, run));
+        let runs = self.runs.values().map(|run| self.lease_end(run));
         let ends = runs.chain([self.known_leases_end()]);
         ends.filter(|&end| end > now).min()
     }
 
-    /// Returns whether no later incarnation than the present one can have begun a run: the present one has listed it, and
-    /// no start order for it may still be carried out.
-    fn is_settled(&self, now: Time, key: &TaskKey, run: &Run) -> bool {
-        let late = self.late_starts.get(&(*key, run.number));
-        run.begun_by == BegunBy::Known && late.is_none_or(|&until| until <= now)
-    }
-
     /// Returns whether a later incarnation may have begun one of its runs, or may once the order is sent.
-    pub(crate) fn has_unsettled_runs(&self, now: Time) -> bool {
-        let mut runs = self.runs.iter();
-        runs.any(|(key, run)| !self.is_settled(now, key, run))
+    pub(crate) fn has_unsettled_runs(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.begun_by == BegunBy::Any)
     }
 
-    /// Notes that a later incarnation may have carried out an order that grants a lease until now.
-    pub(crate) fn may_have_granted(&mut self, now: Time, cfg: &SchedConfig) {
-        self.later_lapse_at = self.later_lapse_at.max(now + cfg.longest_lapse());
+    /// Notes that a later incarnation may carry out an order that grants a lease until this time, and not later.
+    pub(crate) fn may_grant(&mut self, until: Time, cfg: &SchedConfig) {
+        self.later_lapse_at = self.later_lapse_at.max(until + cfg.longest_lapse());
     }
 
     /// Notes that it has answered a poll with the present fencing token. From then on it refuses earlier schedulers, and
@@ -601,8 +592,7 @@
         let clock = self.clock?;
         let lapse_at = now + cfg.lapse_after();
         let bound = self.bound.limit();
-        if bound.is_some_and(|end| end < now + cfg.longest_lapse()) && self.has_unsettled_runs(now)
-        {
+        if bound.is_some_and(|end| end < now + cfg.longest_lapse()) && self.has_unsettled_runs() {
             return None;
         }
         let limit = bound.filter(|&limit| limit < lapse_at);
@@ -613,7 +603,7 @@
         let passed = millis(now - clock.at);
         let passed = passed - passed * cfg.clock_drift_milli / 1_000;
         self.lapse_at = self.lapse_at.max(lapse_at);
-        self.may_have_granted(now, cfg);
+        self.may_grant(now, cfg);
         let worker_ms = clock.worker_ms.saturating_add(passed);
         Some(worker_ms.saturating_add(millis(lease)))
     }
@@ -635,7 +625,8 @@
 
     /// Notes that a start order went without an answer, and may be carried out until `until`.
     pub(crate) fn start_unanswered(&mut self, now: Time, key: TaskKey, run: u32, until: Time) {
-        self.late_starts.retain(|_, until| now < *until);
+        let span = until - now;
+        self.late_starts.retain(|_, until| now < *until + span);
         self.late_starts.insert((key, run), until);
     }
 
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -470,3 +470,126 @@
     worker.start(at_ms(63_800), &starts.next().unwrap());
     assert!(third.gives_up_at(62_700) >= worker.lapses_at());
 }
+
+/// Guards against two runs of a task: a start order without an answer is carried out late, by a later incarnation, within
+/// the time for which the scheduler expects that.
+#[test]
+fn a_start_that_a_later_incarnation_carries_out_late_is_waited_for() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    let order = first.store(at_ms(61_200)).remove(0);
+    let id = first.worker();
+    (first.scheduler).poll_failed(at_ms(61_900), id, PollFailure::Silent);
+    let mut open = order.clone();
+    for ms in [61_900, 62_600, 63_300] {
+        (first.scheduler).start_answered(at_ms(ms), &open, StartAnswer::Unknown);
+        for action in first.scheduler.take_actions() {
+            if let Action::Start(again) = action {
+                open = again;
+            }
+        }
+    }
+    // It is up when the order is sent.
+    let mut later = Worker::started_at(61_000);
+    later.start(at_ms(67_100), &order);
+    assert!(first.gives_up_at(63_400) >= later.lapses_at());
+}
+
+/// Guards against two runs of a task: a renewal without an answer is carried out late, by the incarnation that has begun the
+/// run.
+#[test]
+fn a_renewal_that_a_later_incarnation_carries_out_late_is_waited_for() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    worker = Worker::started_at(61_000);
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    first.start(at_ms(61_200), &mut worker);
+    let poll = first.next_poll(at_ms(61_300));
+    let given_up_at = first.gives_up_at(62_000);
+    let fence = first.scheduler.fence(first.worker());
+    worker.poll(at_ms(65_000), &poll, fence);
+    assert!(given_up_at >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: the run counts as begun by the known incarnation once no start order can be carried out
+/// any more, though a later one has carried one out before.
+#[test]
+fn a_late_start_is_waited_for_after_it_may_no_longer_be_carried_out() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    first.scheduler.job_stored(at_ms(60_200), JOB, job());
+    let order = first.store(at_ms(60_200)).remove(0);
+    (first.scheduler).start_answered(at_ms(60_900), &order, StartAnswer::Unknown);
+    let actions = first.scheduler.take_actions().into_iter();
+    let mut again = actions.filter_map(|action| match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    let again = again.next().unwrap();
+    worker.start(at_ms(61_000), &again);
+    (first.scheduler).start_answered(at_ms(61_000), &again, StartAnswer::Started);
+    first.poll(at_ms(61_050), &mut worker);
+    first.store(at_ms(61_300));
+
+    // The worker restarts, and the first order reaches it 1.6 s after it was given up.
+    let mut later = Worker::started_at(62_000);
+    later.start(at_ms(62_500), &order);
+    assert!(first.gives_up_at(61_900) >= later.lapses_at());
+}
+
+/// The same, and the scheduler is lost: the row tells of the late order, but the list of the former incarnation makes the
+/// successor forget it.
+#[test]
+fn a_late_start_of_the_former_scheduler_is_forgotten_once_its_run_is_listed() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    first.scheduler.job_stored(at_ms(60_200), JOB, job());
+    let order = first.store(at_ms(60_200)).remove(0);
+    (first.scheduler).start_answered(at_ms(60_900), &order, StartAnswer::Unknown);
+    let actions = first.scheduler.take_actions().into_iter();
+    let mut again = actions.filter_map(|action| match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    let again = again.next().unwrap();
+    worker.start(at_ms(61_000), &again);
+    (first.scheduler).start_answered(at_ms(61_000), &again, StartAnswer::Started);
+    first.poll(at_ms(61_050), &mut worker);
+    first.store(at_ms(61_300));
+    let told = first.row.leases.clone().unwrap().unsettled;
+    assert_eq!(told, Some(vec!["w1".into()]));
+
+    let mut next = first.successor(at_ms(61_500), 1, Some(1));
+    next.poll(at_ms(61_500), &mut worker);
+    next.store(at_ms(61_500));
+    next.poll(at_ms(61_600), &mut worker);
+    let mut later = Worker::started_at(62_000);
+    later.start(at_ms(62_500), &order);
+    assert!(next.gives_up_at(62_300) >= later.lapses_at());
+}
+
+/// Guards against two runs of a task: an order of the former scheduler is carried out after that one has stopped, and before
+/// the worker answers its successor.
+#[test]
+fn a_late_order_of_a_scheduler_that_has_stopped_is_waited_for() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_300));
+    assert!(first.row.leases.is_some());
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 61_001, None);
+    next.scheduler.node_follows(now, &first.row.holder);
+    worker = Worker::started_at(61_000);
+    // Sent at 61.7 s.
+    worker.renew(at_ms(66_500), 1_000_000);
+    let now = at_ms(66_600);
+    next.poll(now, &mut worker);
+    next.start(now, &mut worker);
+    next.poll(at_ms(66_700), &mut worker);
+    assert!(next.gives_up_at(67_000) >= worker.lapses_at());
+}
