Limit the connections of clients

Callers: clients that open connections and send nothing take all descriptors of a process, and other clients, the store and workers get none.

Cause: the number of clients' connections had no limit; an idle one stays open for 15 s, one whose body stalls for 30 s.

`Inbound` bounds the connections to a listener. The one without progress for longest makes room for a newcomer, so that ordinary clients still get in; a connection whose request is being answered is never closed, because its client would not learn the outcome. It also bounds what the buffers of connections and sockets take.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -39,6 +39,7 @@
 mod feed;
 mod follow;
 mod health;
+mod inbound;
 mod intake;
 mod lead;
 mod lease;
@@ -63,6 +64,7 @@
     connections::{CallClass, Connection, ConnectionLimits, ConnectionPool, Lease},
     entry::{CancelOutcome, StateAnswer, SubmitOutcome},
     error::{AskError, CallError, CommitError, FeedError},
+    inbound::{Closing, Inbound, InboundConnection, InboundLimits, NoRoom},
     logs::start_logs,
     mechanism::{Mechanism, NodePolicy, UnknownMechanism},
     metrics::Metrics,
