Limit the links that others open to a node, and what they hold

Callers: whoever reaches the port for links could take all descriptors or the memory of a node.

Cause: the number of links had no limit. A message that has arrived in part is kept up to 8 MB for each link, headers of the request that opens a link up to 16 MB, and nothing bounded the links together.

Links are now bounded like clients: the one without progress for longest makes room, and messages that have arrived in part share a quarter of the memory, at least 16 MiB. A link that is closed is opened again by its node, which then receives the whole state. Headers have 4 KiB, a link one stream. The buffer of an idle link is freed above 64 KiB.

--- a/crates/cluster/src/inbound.rs
+++ b/crates/cluster/src/inbound.rs
@@ -13,11 +13,14 @@
 
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::Metrics;
+use crate::{Metrics, link};
 
 /// The memory of a connection beside that of a message, with the buffers of its socket, in bytes.
 const CONNECTION_BYTES: usize = 32 << 10;
 
+/// The number of links that any node accepts.
+const MIN_LINKS: usize = 64;
+
 /// The shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -58,6 +61,17 @@
             ..Self::default()
         }
     }
+
+    /// Returns the limits for links of other nodes, of a process with this much memory and this many sockets. There is
+    /// room for a message of the greatest length in any case.
+    #[must_use]
+    pub fn links(memory_bytes: usize, sockets: usize) -> Self {
+        Self {
+            connections: (sockets / 8).max(MIN_LINKS),
+            bytes: (memory_bytes / 4).max(2 * link::MAX_MESSAGE_BYTES),
+            ..Self::default()
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -17,11 +17,14 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    task::spawn_local,
-    time::timeout,
+    task::{spawn_local, yield_now},
+    time::{Instant, timeout},
 };
 
-use crate::message::Message;
+use crate::{
+    inbound::{Closing, Inbound, InboundConnection},
+    message::Message,
+};
 
 /// The number of messages that may wait to be sent or handled. The scheduler closes a link on which more
 /// wait to be sent; the node reopens it and receives the whole state.
@@ -32,11 +35,17 @@
 const WINDOW_BYTES: u32 = 1 << 20;
 
 /// The longest message, in bytes. It bounds the memory that a faulty peer can make a node use.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 /// The most memory that decoding a message may take, in bytes. A number of one byte counts as eight.
 const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES + (1 << 20);
 
+/// The buffer that an idle link keeps, in bytes.
+const MAX_IDLE_BUFFER_BYTES: usize = 64 << 10;
+
+/// The longest headers of the request that opens a link, in bytes.
+const MAX_HEADER_BYTES: u32 = 4 << 10;
+
 /// Waiting messages are joined into one write until it has at least this many bytes.
 const WRITE_TARGET_BYTES: usize = 16 << 10;
 
@@ -88,7 +97,7 @@
         response.map(Response::into_body)
     };
     spawn_local(async move {
-        carry(send, outgoing, body, incoming).await;
+        carry(send, outgoing, body, incoming, None).await;
         // Dropping the last handle lets the connection close once its stream has ended.
         drop(requests);
         if timeout(CLOSE_TIMEOUT, &mut driver).await.is_err() {
@@ -99,16 +108,26 @@
 }
 
 /// Accepts links, and passes each to `on_link`.
-pub(crate) async fn accept(listener: TcpListener, on_link: impl Fn(Link) + Clone + 'static) {
+pub(crate) async fn accept(
+    listener: TcpListener,
+    peers: Inbound,
+    on_link: impl Fn(Link) + Clone + 'static,
+) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                let on_link = on_link.clone();
-                spawn_local(async move {
-                    if let Err(e) = serve(socket, on_link).await {
-                        log::debug!("link closed: {e}");
-                    }
-                });
+                if let Some((peer, closing)) = peers.open(Instant::now()) {
+                    let on_link = on_link.clone();
+                    spawn_local(async move {
+                        if let Err(e) = serve(socket, peer, closing, on_link).await {
+                            log::debug!("link closed: {e}");
+                        }
+                    });
+                }
+                if peers.is_full() {
+                    // Lets the connection that made room close its socket.
+                    yield_now().await;
+                }
             }
             Err(e) => {
                 log::warn!("event=accept_failed error={e:?}");
@@ -118,20 +137,31 @@
     }
 }
 
-async fn serve(socket: TcpStream, on_link: impl Fn(Link)) -> Result<(), h2::Error> {
+async fn serve(
+    socket: TcpStream,
+    peer: InboundConnection,
+    mut closing: Closing,
+    on_link: impl Fn(Link),
+) -> Result<(), h2::Error> {
     if let Err(e) = socket.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {e}");
     }
     let handshake = server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(1)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .handshake::<_, Bytes>(socket);
     let opening = async {
         let mut connection = handshake.await?;
         let stream = connection.accept().await.transpose()?;
         Ok::<_, h2::Error>((connection, stream))
     };
-    let Ok(opened) = timeout(OPEN_TIMEOUT, opening).await else {
+    let opened = tokio::select! {
+        opened = timeout(OPEN_TIMEOUT, opening) => opened,
+        Ok(()) = &mut closing => return Ok(()),
+    };
+    let Ok(opened) = opened else {
         return Err(h2::Reason::SETTINGS_TIMEOUT.into());
     };
     let (mut connection, stream) = opened?;
@@ -143,9 +173,13 @@
     let (incoming, rx) = mpsc::channel(QUEUE_MESSAGES);
     on_link(Link { tx, rx });
     let body = ready(Ok(request.into_body()));
-    let mut carrying = spawn_local(carry(send, outgoing, body, incoming));
+    let mut carrying = spawn_local(carry(send, outgoing, body, incoming, Some(peer)));
     tokio::select! {
         _ = &mut carrying => {}
+        Ok(()) = &mut closing => {
+            carrying.abort();
+            return Ok(());
+        }
         // There is no further stream, and the connection has to be polled all the time. Messages that have arrived are
         // still read when it is closed.
         closed = poll_fn(|cx| connection.poll_closed(cx)) => return closed,
@@ -162,12 +196,13 @@
     outgoing: mpsc::Receiver<Message>,
     body: impl Future<Output = Result<RecvStream, h2::Error>>,
     incoming: mpsc::Sender<Message>,
+    peer: Option<InboundConnection>,
 ) {
     let mut writing = spawn_local(write(send, outgoing));
     let reader = incoming.clone();
     let reading = async move {
         match body.await {
-            Ok(body) => read(body, incoming).await,
+            Ok(body) => read(body, incoming, peer.as_ref()).await,
             Err(e) => log::debug!("cannot open link: {e}"),
         }
     };
@@ -214,7 +249,11 @@
 }
 
 /// Passes received messages to `incoming` until the stream ends or a message cannot be decoded.
-async fn read(mut body: RecvStream, incoming: mpsc::Sender<Message>) {
+async fn read(
+    mut body: RecvStream,
+    incoming: mpsc::Sender<Message>,
+    peer: Option<&InboundConnection>,
+) {
     let mut buf = BytesMut::new();
     while let Some(chunk) = body.data().await {
         let Ok(chunk) = chunk else {
@@ -238,6 +277,17 @@
                 }
             }
         }
+        if buf.is_empty() && buf.capacity() > MAX_IDLE_BUFFER_BYTES {
+            buf = BytesMut::new();
+        }
+        let Some(peer) = peer else {
+            continue;
+        };
+        if buf.is_empty() {
+            peer.finish(Instant::now());
+        } else if peer.receive(Instant::now(), buf.capacity()).is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -26,6 +26,7 @@
     door::Door,
     feed, follow,
     health::{MonitoredPorts, TableHealth},
+    inbound::{Inbound, InboundLimits},
     intake::WriteQueue,
     lead::Leader,
     link,
@@ -61,6 +62,8 @@
     pub policy: NodePolicy,
     /// How current the configuration has to be for decisions about keys.
     pub access: AccessSettings,
+    /// Limits of the links that other nodes open.
+    pub links: InboundLimits,
 }
 
 /// The last state of a job that a node knows, and when it was recorded. A final state keeps the time at which
@@ -169,7 +172,10 @@
         let node = self.clone();
         // None of these tasks returns.
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(link::accept(links, move |link| node.serve_link(link)));
+        let peers = Inbound::new("links", self.0.settings.links, self.0.metrics.clone());
+        tasks.spawn_local(link::accept(links, peers, move |link| {
+            node.serve_link(link);
+        }));
         tasks.spawn_local(feed::follow_routes(self.clone()));
         tasks.spawn_local(follow::keep_scheduler_link(self.clone()));
         tasks.spawn_local(self.clone().expire_states());
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -617,6 +617,7 @@
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
         access,
+        links: cluster::InboundLimits::default(),
     };
     let node = Node::new(
         settings,
