A simulated cell in which restarted hosts are cut off, and schedulers are lost in between

Cause: the cell chose a host at random for each fault, of eight in most tests, so that it seldom cut off one that had just restarted; and the list of hosts was rarely late at the same time. Change: the fault HostsRecut restarts a share of the hosts and cuts the same ones off soon after. The time that a cell has to finish is a setting, as tasks under which hosts have crashed run one after the other, for more than 120 s if they are long.

--- a/crates/fakes/src/cell/faults.rs
+++ b/crates/fakes/src/cell/faults.rs
@@ -20,6 +20,18 @@
     /// This percentage of the hosts, at least one, crash by themselves at once. Each restarts under the same name after
     /// this time.
     HostsCrash(u32, Duration),
+    /// This percentage of the hosts, at least one, crash by themselves at once, restart under the same name, and are cut off
+    /// from all nodes soon after. The choice of a host at random for each fault seldom meets one that has just restarted.
+    HostsRecut {
+        /// The percentage.
+        percent: u32,
+        /// How long they are down.
+        down: Duration,
+        /// How long after their restart they are cut off.
+        up: Duration,
+        /// How long they are cut off.
+        cut: Duration,
+    },
     /// A host crashes and never restarts; no notice is given.
     HostGone,
     /// Messages between the nodes and a host are lost.
--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -49,9 +49,6 @@
 const DECIDE_INTERVAL: Duration = Duration::from_millis(250);
 /// The delay before a decision or a further poll, so that events close together are handled together.
 const COALESCE_DELAY: Duration = Duration::from_millis(4);
-/// How long after the last arrival and the last fault the simulation ends. A job that is not over by then is
-/// reported as a breach.
-const COMPLETION_TIMEOUT: Duration = Duration::from_secs(120);
 /// The Unix time at the start of a simulation, in milliseconds.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -96,6 +93,9 @@
     pub orders_outlive_hosts: bool,
     /// Whether hosts list the checkpoints of their runs, and gangs save them too. `false` by default.
     pub lists_checkpoints: bool,
+    /// How long after the last arrival and the last fault the simulation ends. A job that is not over by then is
+    /// reported as a breach. 120 s by default. Tasks under which hosts have crashed run one after the other.
+    pub completion_timeout: Duration,
     /// The safeguard that is left out, if any.
     pub mutation: Mutation,
     /// The seed of the random delays, faults and failures.
@@ -122,6 +122,7 @@
             late_starts: 2,
             orders_outlive_hosts: false,
             lists_checkpoints: false,
+            completion_timeout: Duration::from_secs(120),
             mutation: Mutation::None,
             seed: 0,
         }
@@ -191,6 +192,7 @@
     ),
     Timer(Timer),
     HostRestarts(WorkerId),
+    HostIsCut(WorkerId, Duration),
     HostResized(WorkerId, Size),
     HostListed(WorkerId),
     HostUnlisted(WorkerId),
@@ -307,7 +309,7 @@
             .map(|(at, _)| *at)
             .max()
             .unwrap_or_default();
-        let end = last_arrival.max(last_fault) + COMPLETION_TIMEOUT;
+        let end = last_arrival.max(last_fault) + self.spec.completion_timeout;
         while let Some(((at, _), event)) = self.events.pop_first() {
             if at > end || (at > last_arrival.max(last_fault) && self.is_over()) {
                 break;
@@ -450,6 +452,7 @@
                 self.process_host_changes();
             }
             Event::Timer(Timer::Crash(host, key, run)) => self.crash_by_task(host, key, run),
+            Event::HostIsCut(host, span) => self.network.cut(host, self.now + span),
             Event::HostResized(host, size) => {
                 self.fleet.hosts[index(host)].resize(self.now, size);
                 self.schedule(self.now + DIRECTORY_LAG, Event::HostListed(host));
@@ -659,7 +662,19 @@
                 self.process_host_changes();
                 self.schedule(self.now + span, Event::HostRestarts(host));
             }
-            CellFault::HostsCrash(percent, span) => self.crash_hosts(percent, span),
+            CellFault::HostsCrash(percent, span) => {
+                self.crash_hosts(percent, span);
+            }
+            CellFault::HostsRecut {
+                percent,
+                down,
+                up,
+                cut,
+            } => {
+                for host in self.crash_hosts(percent, down) {
+                    self.schedule(self.now + down + up, Event::HostIsCut(host, cut));
+                }
+            }
             CellFault::HostGone => {
                 self.fleet.crash(self.now, host);
                 self.process_host_changes();
@@ -723,8 +738,9 @@
         }
     }
 
-    /// Crashes this percentage of the hosts, at least one. Those that are down already count.
-    fn crash_hosts(&mut self, percent: u32, span: Duration) {
+    /// Crashes this percentage of the hosts, at least one. Those that are down already count. Returns the others.
+    fn crash_hosts(&mut self, percent: u32, span: Duration) -> Vec<WorkerId> {
+        let mut crashed = Vec::new();
         let mut hosts: Vec<usize> = (0..self.fleet.hosts.len()).collect();
         let count = hosts.len() * usize::try_from(percent).unwrap_or(100) / 100;
         for _ in 0..count.max(1) {
@@ -737,7 +753,9 @@
             self.fleet.crash(self.now, id);
             self.process_host_changes();
             self.schedule(self.now + span, Event::HostRestarts(id));
+            crashed.push(id);
         }
+        crashed
     }
 
     /// Crashes a host if it still has the run of a task that crashes its hosts.
