A simulated host that has crashed while it was down starts once

Cause: a second crash of a host that was down led to a second restart of a host that was up. It kept its runs and its lease, which was read on a clock that began anew, so runs could outlast any lease. Change: a restart of a host that is up is left out. Measured: no test has met it; the scans of restarted hosts do, which crash hosts several times within a lease.

--- a/crates/fakes/src/cell/world.rs
+++ b/crates/fakes/src/cell/world.rs
@@ -457,6 +457,8 @@
                 self.fleet.hosts[index(host)].resize(self.now, size);
                 self.schedule(self.now + DIRECTORY_LAG, Event::HostListed(host));
             }
+            // A host that has crashed while it was down starts once.
+            Event::HostRestarts(host) if self.fleet.hosts[index(host)].is_up => {}
             Event::HostRestarts(host) => {
                 self.fleet.hosts[index(host)].restart(self.now);
                 self.schedule(self.now + DIRECTORY_LAG, Event::HostListed(host));
