--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -345,8 +345,9 @@
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
+        may_send: &dyn Fn() -> bool,
     ) -> StartOutcome {
-        self.ports.start(to, order, time_limit).await
+        self.ports.start(to, order, time_limit, may_send).await
     }
 
     async fn stop(&self, to: &WorkerInfo, fence: u64, order: &StopOrder) -> Result<(), CallError> {
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -19,12 +19,12 @@
                 scheduler.epoch(),
             )
         };
-        let now = self.now();
-        let sent_at = now.time;
-        let may_send = self.scheduler.borrow().may_send(now);
-        let outcome = if may_send {
+        let sent_at = self.now().time;
+        let may_send = || self.scheduler.borrow().may_send(self.now());
+        let outcome = if may_send() {
             let time_limit = self.order_times.borrow().limit(order.unanswered);
-            self.node.0.ports.start(&info, &order, time_limit).await
+            let ports = &self.node.0.ports;
+            ports.start(&info, &order, time_limit, &may_send).await
         } else {
             StartAnswer::Unknown.into()
         };
@@ -37,6 +37,7 @@
             self.order_times.borrow_mut().record(answer_time);
         }
         if answer == StartAnswer::Started {
+            let now = self.now();
             let ages = (self.scheduler.borrow()).start_ages(now, order.worker, order.key);
             let ages = ages.unwrap_or_default();
             let approved = ages.approved.unwrap_or(ages.accepted);
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -113,12 +113,14 @@
 /// worker refuses calls with a lower token than it has seen since it started.
 pub trait Workers {
     /// Orders a worker to start a task. The order has its fencing token. Returns [`StartAnswer::Unknown`] if there is no
-    /// answer within `time_limit` from when the order is sent.
+    /// answer within `time_limit` from when the order is sent. If the order has to wait before that, it is sent only if
+    /// `may_send` still returns true; otherwise the answer is [`StartAnswer::Busy`].
     fn start(
         &self,
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
+        may_send: &dyn Fn() -> bool,
     ) -> impl Future<Output = StartOutcome>;
 
     /// Orders a worker to stop a task.
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -399,7 +399,13 @@
 }
 
 impl Workers for Platform {
-    async fn start(&self, to: &WorkerInfo, order: &StartOrder, _: Duration) -> StartOutcome {
+    async fn start(
+        &self,
+        to: &WorkerInfo,
+        order: &StartOrder,
+        _: Duration,
+        _: &dyn Fn() -> bool,
+    ) -> StartOutcome {
         if self.is_silent(to) {
             return StartAnswer::Unknown.into();
         }
