--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -345,7 +345,7 @@
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
-        may_send: &dyn Fn() -> bool,
+        may_send: impl Fn() -> bool,
     ) -> StartOutcome {
         self.ports.start(to, order, time_limit, may_send).await
     }
--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -24,7 +24,7 @@
         let outcome = if may_send() {
             let time_limit = self.order_times.borrow().limit(order.unanswered);
             let ports = &self.node.0.ports;
-            ports.start(&info, &order, time_limit, &may_send).await
+            ports.start(&info, &order, time_limit, may_send).await
         } else {
             StartAnswer::Unknown.into()
         };
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -120,7 +120,7 @@
         to: &WorkerInfo,
         order: &StartOrder,
         time_limit: Duration,
-        may_send: &dyn Fn() -> bool,
+        may_send: impl Fn() -> bool,
     ) -> impl Future<Output = StartOutcome>;
 
     /// Orders a worker to stop a task.
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -404,7 +404,7 @@
         to: &WorkerInfo,
         order: &StartOrder,
         _: Duration,
-        _: &dyn Fn() -> bool,
+        _: impl Fn() -> bool,
     ) -> StartOutcome {
         if self.is_silent(to) {
             return StartAnswer::Unknown.into();
