The clock in the answer to a start order settles its run

The answer has the worker's clock. If it shows no less than was expected, that incarnation takes this order and later ones for usual leases, whichever it is, and one that starts later does not have the run. Tests: the wait is the usual one after such an answer, and the longest one if the clock shows less.

--- a/crates/cluster/src/lead/orders.rs
+++ b/crates/cluster/src/lead/orders.rs
@@ -63,9 +63,13 @@
             self.node.0.metrics.count("starts_refused");
         }
         let now = self.now();
-        self.scheduler
-            .borrow_mut()
-            .start_answered(now, &order, answer);
+        {
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.start_answered(now, &order, answer);
+            if let Some(clock_ms) = outcome.clock_ms {
+                scheduler.start_clock_read(now, &order, clock_ms);
+            }
+        }
         self.wake.notify_one();
     }
 
--- a/crates/cluster/src/ports.rs
+++ b/crates/cluster/src/ports.rs
@@ -97,6 +97,8 @@
     /// How long the worker took to answer, without the time for which the order waited for a connection; `None` if there was
     /// no answer.
     pub taken: Option<Duration>,
+    /// The reading of the worker's clock in an answer that it has the run, in milliseconds.
+    pub clock_ms: Option<u64>,
 }
 
 impl From<StartAnswer> for StartOutcome {
@@ -105,6 +107,7 @@
         Self {
             answer,
             taken: None,
+            clock_ms: None,
         }
     }
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -1,11 +1,13 @@
 //! Sends orders to workers and handles their answers.
 
+use std::time::Duration;
+
 use jobs::{Phase, TaskKey};
 use model::{Time, WorkerId};
 
 use crate::{
     Action, Interruption, Now, Scheduler, StartAnswer, StartOrder, StopOrder, Ticket,
-    worker::RunPhase,
+    worker::{BegunBy, RunPhase},
 };
 
 impl Scheduler {
@@ -199,6 +201,26 @@
         }
     }
 
+    /// Handles the clock of a worker in its answer to a start order, after [`start_answered`](Self::start_answered). An
+    /// incarnation whose clock shows no less than was expected takes this order, and later ones, for usual leases.
+    pub fn start_clock_read(&mut self, now: Now, order: &StartOrder, clock_ms: u64) {
+        let granted = Duration::from_millis(order.lease_until_ms.saturating_sub(clock_ms));
+        if granted > self.cfg.task_lease {
+            return;
+        }
+        let needs_ticket = self.needs_ticket(order.key.job);
+        let worker = self.fleet.get_mut(order.worker);
+        let is_late = worker.late_starts.contains_key(&(order.key, order.run));
+        if let Some(run) = worker.runs.get_mut(&order.key)
+            && run.number == order.run
+            && run.phase == RunPhase::Running
+            && (needs_ticket || !is_late)
+        {
+            run.begun_by = BegunBy::Known;
+            worker.lapse_at = worker.lapse_at.max(now.time + self.cfg.lapse_after());
+        }
+    }
+
     /// Handles the refusal of a start order after `unanswered` earlier orders for the same run. The refusal
     /// covers only the order that it answers: an earlier one may have been carried out, or may still be.
     fn start_refused(
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -61,9 +61,10 @@
 /// Which incarnation of its worker has begun a run, or still may, if any.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BegunBy {
-    /// The one that the scheduler knows: it has listed the run, and no later one can carry out a start order for it.
+    /// One that takes the orders of this scheduler for usual leases: the one that is known has listed the run, or the clock
+    /// in an answer has shown that. No later one can carry out a start order for the run.
     Known,
-    /// That one or a later one. An answer to a start order does not tell which has given it.
+    /// That one or a later one.
     Any,
 }
 
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -262,7 +262,8 @@
 fn a_lease_that_the_former_scheduler_did_not_know_of_is_not_waited_for() {
     let mut worker = Worker::default();
     let mut first = first(&mut worker);
-    first.store(at_ms(60_000));
+    first.store(at_ms(60_300));
+    assert!(first.row.leases.is_some());
     worker = Worker::started_at(61_000);
     worker.renew(at_ms(61_700), 66_700);
 
@@ -593,3 +594,35 @@
     next.poll(at_ms(66_700), &mut worker);
     assert!(next.gives_up_at(67_000) >= worker.lapses_at());
 }
+
+/// Has the worker start the task, and reads its clock in the answer. Returns when the run is given up.
+fn gives_up_after_answer(first: &mut Node, worker: &mut Worker) -> u64 {
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    let now = at_ms(61_200);
+    let order = first.store(now).remove(0);
+    worker.start(now, &order);
+    let clock_ms = worker.clock_ms(now);
+    (first.scheduler).start_answered(now, &order, StartAnswer::Started);
+    first.scheduler.start_clock_read(now, &order, clock_ms);
+    first.gives_up_at(61_900)
+}
+
+/// Guards against a wait for the longest lease where an answer has shown that the worker takes orders for usual ones.
+#[test]
+fn a_run_whose_worker_has_told_its_clock_is_given_up_after_a_usual_lease() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    let given_up_at = gives_up_after_answer(&mut first, &mut worker);
+    assert!((worker.lapses_at()..=66_500).contains(&given_up_at));
+}
+
+/// Guards against two runs of a task: the clock in the answer is that of a later incarnation.
+#[test]
+fn a_run_whose_worker_has_told_another_clock_is_given_up_after_a_usual_lease() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    worker = Worker::started_at(61_000);
+    assert!(gives_up_after_answer(&mut first, &mut worker) >= worker.lapses_at());
+}
