--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -17,9 +17,10 @@
 //!
 //! A lease belongs to an incarnation of a worker, lasts though nothing runs, and applies to what starts later. It names a
 //! time on the worker's clock, so an order that reaches a later incarnation than the one it was meant for grants the longest
-//! lease. A scheduler does not know which incarnation has carried out its last orders until it has read the lists. So:
+//! lease. A scheduler does not know which incarnation has carried out its last orders until it has read the lists, or a clock
+//! in an answer to a start. So:
 //!
-//! - a run that no list has shown yet is waited for as if each order to its worker had granted the longest lease;
+//! - a run that neither has shown yet is waited for as if each order to its worker had granted the longest lease;
 //! - an incarnation may have the longest lease from all orders before the first answer to a poll that makes it refuse them,
 //!   unless an earlier scheduler has recorded a run on it, and so has told in the row what it knows.
 
@@ -211,7 +212,8 @@
         longer.max(now + lapse)
     }
 
-    /// The same if nothing is recorded of that incarnation; `None` if there was no earlier scheduler.
+    /// Returns by when the leases of a worker have lapsed that refuses earlier schedulers from now on, if no runs of its
+    /// present incarnation are recorded; `None` if there was no earlier scheduler.
     pub(crate) fn longest_end(&self, now: Time, cfg: &SchedConfig) -> Option<Time> {
         let until = self.granted_until()? + cfg.late_start;
         Some(until.min(now) + cfg.longest_lapse())
@@ -358,6 +360,7 @@
         for name in self.announced.orphan_workers() {
             unsettled.add(name, || name.clone());
         }
+        // A worker that the list of bounds leaves out is among the longer ones, if it has to be.
         let is_complete = longer.is_complete && unsettled.is_complete;
         TaskLeases {
             renewers: self.past_leases.renewers(now),
