--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -202,6 +202,11 @@
     fn gives_up_at(&mut self, from_ms: u64) -> u64 {
         let id = self.worker();
         (self.scheduler).poll_failed(at_ms(from_ms), id, PollFailure::Silent);
+        self.lapses_at(from_ms)
+    }
+
+    /// Returns when the task may start elsewhere if the worker is not polled.
+    fn lapses_at(&mut self, from_ms: u64) -> u64 {
         self.scheduler.take_actions();
         let is_end = |action: &Action| matches!(action, Action::Interrupted { .. });
         let mut times = (from_ms..from_ms + 30_000).step_by(10);
@@ -626,3 +631,85 @@
     worker = Worker::started_at(61_000);
     assert!(gives_up_after_answer(&mut first, &mut worker) >= worker.lapses_at());
 }
+
+/// Has a scheduler start the task on a worker that has restarted without its knowledge.
+fn first_without_list(worker: &mut Worker) -> Node {
+    let mut first = first(worker);
+    first.store(at_ms(60_000));
+    *worker = Worker::started_at(61_000);
+    first.scheduler.job_stored(at_ms(61_200), JOB, job());
+    first.start(at_ms(61_200), worker);
+    first
+}
+
+/// Guards against two runs of a task: the successor never reaches the worker, and knows of it by the row only.
+#[test]
+fn a_run_of_a_worker_that_the_row_names_lapses_early() {
+    let mut worker = Worker::default();
+    let first = first_without_list(&mut worker);
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 1, Some(1));
+    next.scheduler.node_follows(now, &first.row.holder);
+    next.store(now);
+    assert!(next.lapses_at(62_000) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: a row of an earlier build does not tell which runs no list has shown.
+#[test]
+fn a_run_lapses_early_after_a_row_of_an_earlier_build() {
+    let mut worker = Worker::default();
+    let mut first = first_without_list(&mut worker);
+    first.row.leases.as_mut().unwrap().unsettled = None;
+    let now = at_ms(62_000);
+    let mut next = first.successor(now, 1, Some(1));
+    next.scheduler.node_follows(now, &first.row.holder);
+    next.store(now);
+    assert!(next.lapses_at(62_000) >= worker.lapses_at());
+}
+
+/// Guards against two runs of a task: a row of an earlier build may not tell a longer lease of a worker that answers.
+#[test]
+fn a_listed_run_is_given_up_early_after_a_row_of_an_earlier_build() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_000));
+    restart(&mut first, &mut worker);
+    first.poll(at_ms(61_800), &mut worker);
+    first.scheduler.job_stored(at_ms(61_800), JOB, job());
+    first.start(at_ms(61_800), &mut worker);
+    let leases = first.row.leases.as_mut().unwrap();
+    leases.longer.clear();
+    leases.unsettled = None;
+
+    let mut next = first.successor(at_ms(62_200), 61_001, Some(61_001));
+    next.poll(at_ms(62_200), &mut worker);
+    next.store(at_ms(62_200));
+    next.poll(at_ms(62_300), &mut worker);
+    assert!(next.gives_up_at(62_500) >= worker.lapses_at());
+}
+
+/// Guards against a row that leaves workers out, and is taken to name all.
+#[test]
+fn a_row_with_too_many_workers_names_none() {
+    let mut many = job();
+    many.steps[0].tasks = 2_000;
+    let mut progress = Progress::new(&many);
+    for index in 0..2_000 {
+        let task = TaskKey { index, ..TASK };
+        progress.assign(&[(task, Incarnation::new(&format!("i-{index:010}"), 1))]);
+    }
+    let now = at_ms(60_000);
+    let recovered = Recovered {
+        jobs: vec![(JOB, many)],
+        progress: [(JOB, progress)].into(),
+        ..Recovered::default()
+    };
+    let mut node = Node::new(1, now, recovered);
+    node.store(now);
+    let leases = node.row.leases.unwrap();
+    assert_eq!(leases.unsettled, None);
+    assert!(
+        jobs::encode(&leases).len() < 60 << 10,
+        "the row is too long"
+    );
+}
