--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -1,7 +1,7 @@
 //! Leases on workers that restart under their names. An order on the clock of an earlier incarnation grants the next one the
 //! longest lease, which lasts though nothing runs, and applies to what starts later.
 
-use jobs::{Incarnation, Job, JobId, Progress, Queue, Step, TaskKey};
+use jobs::{ApprovalCost, Incarnation, Job, JobId, Progress, Queue, Step, TaskKey};
 use model::{Size, Time, WorkerId};
 use sched::{
     Action, LeaseRow, Listing, Now, PastLeases, Poll, PollFailure, PollOrder, Recovered,
@@ -56,6 +56,15 @@
     }
 }
 
+/// Returns the job in a queue whose starts need tickets, which a later incarnation refuses.
+fn job_with_tickets() -> Job {
+    let queue = Queue {
+        approval: Some(ApprovalCost::default()),
+        ..queue()
+    };
+    Job { queue, ..job() }
+}
+
 /// The longest lease, on a clock that is exact.
 const LONGEST_MS: u64 = 10_000;
 
@@ -180,9 +189,13 @@
     /// Returns a node that replaces this one. The list shows the incarnation of the worker that started then, and the task
     /// is assigned to an incarnation, if to any.
     fn successor(&self, now: Now, listed: u64, assigned_to: Option<u64>) -> Self {
+        self.successor_with(now, listed, assigned_to, job())
+    }
+
+    /// The same for another job.
+    fn successor_with(&self, now: Now, listed: u64, assigned_to: Option<u64>, job: Job) -> Self {
         let cfg = SchedConfig::default();
         let past = PastLeases::from_row(now.time, now.time, &self.row, "other", &cfg);
-        let job = job();
         let mut progress = Progress::new(&job);
         if let Some(started_unix_ms) = assigned_to {
             progress.assign(&[(TASK, Incarnation::new("w1", started_unix_ms))]);
@@ -648,7 +661,7 @@
     let mut worker = Worker::default();
     let first = first_without_list(&mut worker);
     let now = at_ms(62_000);
-    let mut next = first.successor(now, 1, Some(1));
+    let mut next = first.successor_with(now, 1, Some(1), job_with_tickets());
     next.scheduler.node_follows(now, &first.row.holder);
     next.store(now);
     assert!(next.lapses_at(62_000) >= worker.lapses_at());
@@ -661,7 +674,7 @@
     let mut first = first_without_list(&mut worker);
     first.row.leases.as_mut().unwrap().unsettled = None;
     let now = at_ms(62_000);
-    let mut next = first.successor(now, 1, Some(1));
+    let mut next = first.successor_with(now, 1, Some(1), job_with_tickets());
     next.scheduler.node_follows(now, &first.row.holder);
     next.store(now);
     assert!(next.lapses_at(62_000) >= worker.lapses_at());
@@ -681,7 +694,7 @@
     leases.longer.clear();
     leases.unsettled = None;
 
-    let mut next = first.successor(at_ms(62_200), 61_001, Some(61_001));
+    let mut next = first.successor_with(at_ms(62_200), 61_001, Some(61_001), job_with_tickets());
     next.poll(at_ms(62_200), &mut worker);
     next.store(at_ms(62_200));
     next.poll(at_ms(62_300), &mut worker);
