Drop what was decided for an announced job that is cancelled

A job whose cancellation comes before its row could start tasks once it is stored.

Cause: confirming an announcement released the held start orders first and applied the cancellation after them. Ids of unknown cancelled jobs were also kept for good.

Change: a cancellation restarts the announcement without anything decided, and a job that was cancelled before is not announced. Early cancellations expire after early_cancel_retention.

The held orders no longer exist when the row is stored, so none can be released.

--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -115,10 +115,12 @@
 }
 
 impl Scheduler {
-    /// Adds a job that a node is storing. `digest` identifies the content of its row. Does nothing if the job is already
-    /// known, or if too many announcements are open.
+    /// Adds a job that a node is storing. `digest` identifies the content of its row. Does nothing if the job or its
+    /// cancellation is already known, or if too many announcements are open.
     pub fn job_announced(&mut self, now: Now, id: JobId, job: Job, digest: u64) {
-        let is_known = self.jobs.contains_key(&id) || self.announced.orphans.contains_key(&id);
+        let is_known = self.jobs.contains_key(&id)
+            || self.announced.orphans.contains_key(&id)
+            || self.early_cancels.contains_key(&id);
         if self.is_deposed || is_known || self.announced.jobs.len() >= MAX_ANNOUNCEMENTS {
             return;
         }
@@ -220,16 +222,26 @@
             return;
         };
         self.announced.confirmed += 1;
+        self.early_cancels.remove(&id);
         for effect in announcement.held {
             self.release(now.time, effect);
         }
-        self.apply_early_cancel(now, id);
     }
 
-    fn apply_early_cancel(&mut self, now: Now, id: JobId) {
-        if self.early_cancels.remove(&id) {
-            self.job_cancelled(now, id);
-        }
+    /// Removes all that was decided for an announced job, so that none of its orders is sent once its row is stored.
+    pub(crate) fn restart_announcement(&mut self, now: Now, id: JobId) {
+        let announcement = self.announced.jobs.get(&id);
+        let job = self.jobs.get(&id).map(|entry| entry.job.clone());
+        let (Some(announcement), Some(job)) = (announcement, job) else {
+            return;
+        };
+        let restarted = Announcement {
+            held: Vec::new(),
+            ..*announcement
+        };
+        self.withdraw_announcement(now.time, id);
+        self.announced.jobs.insert(id, restarted);
+        self.add_new_job(now, id, Job::clone(&job));
     }
 
     /// Removes an announced job and all that was decided for it. None of its orders was sent.
@@ -249,6 +261,7 @@
         self.journal.discard_effects(|effect| effect.job() == id);
         self.waiting.retain(|key| key.job != id);
         self.scheduled.retain(|&(_, other)| other != id);
+        self.ended_jobs.retain(|&(_, other)| other != id);
         self.approvals.retain(|key, _| key.job != id);
         self.awaiting_workers.retain(|key, _| key.job != id);
         // Without a change since, no batch has contained the job.
--- a/crates/sched/src/cancel.rs
+++ b/crates/sched/src/cancel.rs
@@ -7,10 +7,14 @@
 
 impl Scheduler {
     /// Handles a job's cancellation by a client, which the table has stored.
+    ///
+    /// A job that is not known to be stored ends as soon as its row appears. None of its tasks starts before that.
     pub fn job_cancelled(&mut self, now: Now, id: JobId) {
-        let is_announced = self.announced.contains(id);
-        let Some(entry) = self.jobs.get_mut(&id).filter(|_| !is_announced) else {
-            self.early_cancels.insert(id);
+        if self.announced.contains(id) || !self.jobs.contains_key(&id) {
+            self.early_cancels.entry(id).or_insert(now.time);
+            self.restart_announcement(now, id);
+        }
+        let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
         if entry.progress.cancel() {
@@ -18,6 +22,29 @@
         }
     }
 
+    /// Returns the unknown jobs that were cancelled longer ago than the retention period. Once the caller
+    /// has deleted the rows of their cancellations, it must pass them to
+    /// [`early_cancel_deleted`](Self::early_cancel_deleted).
+    #[must_use]
+    pub fn expired_early_cancels(&self, now: Now) -> Vec<JobId> {
+        let retention = self.cfg.early_cancel_retention;
+        let cancels = self.early_cancels.iter();
+        let expired = cancels.filter(|&(_, &since)| since + retention <= now.time);
+        expired.map(|(&id, _)| id).collect()
+    }
+
+    /// Handles the deletion of the cancellation of an unknown job. The job may be submitted again.
+    pub fn early_cancel_deleted(&mut self, id: JobId) {
+        self.early_cancels.remove(&id);
+    }
+
+    /// Cancels a job that was cancelled before its row appeared.
+    pub(crate) fn apply_early_cancel(&mut self, now: Now, id: JobId) {
+        if self.early_cancels.remove(&id).is_some() {
+            self.job_cancelled(now, id);
+        }
+    }
+
     /// Returns whether a job was completed, has failed or was cancelled.
     pub(crate) fn has_ended(&self, id: JobId) -> bool {
         let entry = self.jobs.get(&id);
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -123,6 +123,9 @@
     pub max_gang_reservations: usize,
     /// How long a job is kept after it has ended. The platform requires 120 s.
     pub job_retention: Duration,
+    /// How long the cancellation of an unknown job is kept. Meanwhile the job is not accepted. It is longer than a
+    /// submission, a copy of it or a write that was given up may still be on its way.
+    pub early_cancel_retention: Duration,
 }
 
 impl Default for SchedConfig {
@@ -170,6 +173,7 @@
             reserves_workers: true,
             max_gang_reservations: 1,
             job_retention: Duration::from_secs(150),
+            early_cancel_retention: Duration::from_secs(30),
         }
     }
 }
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -81,8 +81,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
-    /// Cancelled jobs whose cancellation arrived before the job itself.
-    pub(crate) early_cancels: HashSet<JobId>,
+    /// Unknown jobs that were cancelled, and since when that is known.
+    pub(crate) early_cancels: BTreeMap<JobId, Time>,
     /// When to send stop orders again that have failed.
     pub(crate) stop_checks: BTreeSet<(Time, WorkerId, TaskKey)>,
     /// Tasks that wait until silent workers come back or until this time: workers have crashed under them, and the
@@ -176,7 +176,7 @@
             actions: Vec::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
-            early_cancels: HashSet::new(),
+            early_cancels: BTreeMap::new(),
             stop_checks: BTreeSet::new(),
             awaiting_workers: HashMap::new(),
             background: Background::new(now.time),
--- a/crates/sched/tests/announced.rs
+++ b/crates/sched/tests/announced.rs
@@ -253,6 +253,76 @@
     assert_eq!(states, [(JOB, State::Cancelled)]);
 }
 
+/// Guards against orders that were decided before the cancellation and go out once the row is stored.
+#[test]
+fn a_cancelled_announced_job_does_not_start_once_it_is_stored() {
+    let (mut scheduler, ..) = announced();
+    let now = at_ms(1_100);
+    scheduler.job_cancelled(now, JOB);
+    decide_and_store(&mut scheduler, now);
+    scheduler.job_settled(now, JOB, DIGEST, Settlement::Stored);
+    decide_and_store(&mut scheduler, now);
+    assert!(starts(&mut scheduler).is_empty());
+    assert_eq!(scheduler.summary(now).used, Size::default());
+}
+
+/// Guards against a job that runs because its announcement comes after its cancellation, or its row after the announcement was
+/// withdrawn.
+#[test]
+fn a_job_that_is_announced_after_its_cancellation_does_not_start() {
+    for stored_at in [1_200, 20_000] {
+        let (mut scheduler, _) = scheduler(1, at_ms(1_000), Recovered::default(), true);
+        scheduler.job_cancelled(at_ms(1_050), JOB);
+        scheduler.job_announced(at_ms(1_100), JOB, job(1_000), DIGEST);
+        decide_and_store(&mut scheduler, at_ms(1_100));
+        let now = at_ms(stored_at);
+        decide_and_store(&mut scheduler, now);
+        scheduler.job_settled(now, JOB, DIGEST, Settlement::Stored);
+        scheduler.job_stored(now, JOB, job(1_000));
+        decide_and_store(&mut scheduler, now);
+        assert!(starts(&mut scheduler).is_empty());
+        let states: Vec<_> = scheduler.states().collect();
+        assert_eq!(states, [(JOB, State::Cancelled)]);
+    }
+}
+
+/// Guards against cancellations of unknown jobs that are kept for good, and against ones that are dropped while a late write of
+/// the job may still be carried out.
+#[test]
+fn an_early_cancellation_is_kept_until_it_has_expired() {
+    let (mut scheduler, w1) = scheduler(1, at_ms(1_000), Recovered::default(), true);
+    let retention = SchedConfig::default().early_cancel_retention;
+    let seen = at_ms(1_000);
+    scheduler.job_cancelled(seen, JOB);
+    // A successor of the table's history reads it again.
+    scheduler.job_cancelled(at_ms(20_000), JOB);
+    let at = |time: Time| Now { time, ..seen };
+    let before = at(Time::from_ms((seen.time + retention).as_ms() - 1));
+    assert!(scheduler.expired_early_cancels(before).is_empty());
+    let after = at(seen.time + retention);
+    assert_eq!(scheduler.expired_early_cancels(after), [JOB]);
+    scheduler.early_cancel_deleted(JOB);
+    assert!(scheduler.expired_early_cancels(after).is_empty());
+    // The table is confirmed again after the pause.
+    decide_and_store(&mut scheduler, after);
+    scheduler.job_stored(after, JOB, job(1_000));
+    poll(&mut scheduler, after, w1, Listing::default());
+    scheduler.workers_read(after, after.time);
+    decide_and_store(&mut scheduler, after);
+    assert_eq!(starts(&mut scheduler).len(), 1, "a new job");
+}
+
+/// Guards against the rows of a new job that are deleted with those of a cancelled job that was never stored.
+#[test]
+fn a_cancelled_job_that_was_never_stored_leaves_nothing_to_delete() {
+    let (mut scheduler, ..) = announced();
+    scheduler.job_cancelled(at_ms(1_100), JOB);
+    decide_and_store(&mut scheduler, at_ms(1_100));
+    decide_and_store(&mut scheduler, at_ms(10_000));
+    let late = at_ms(1_000_000);
+    assert!(scheduler.take_expired_jobs(late, 10).is_empty());
+}
+
 /// Returns a successor that has found the progress of an announced job without its row.
 fn successor(progress: Progress, now: Now) -> (Scheduler, WorkerId) {
     let recovered = Recovered {
