Store the cancellation of an unknown job before it is answered with 410

A job ran whose submission was answered with 504 and whose cancellation with 410.

Cause: a write that was given up may still be performed by the table, and the only condition on a job's row was that it does not exist. The cancellation of a job without a row left nothing behind.

Change: the rows of a job and of its early cancellation exclude each other, so that whichever the table stores first makes the other's condition fail. A submission that meets the cancellation is refused as not run.

--- a/crates/cluster/src/announce.rs
+++ b/crates/cluster/src/announce.rs
@@ -12,10 +12,9 @@
 
 use crate::{
     Node, Ports,
-    commit::Outcome,
+    intake::{NewRow, StoreOutcome},
     lead::Leader,
     message::{Message, RelayRequest},
-    rows::job_key,
 };
 
 /// A job is announced once storing its row has taken this long. The table answers a transaction within 10 ms unless it
@@ -27,9 +26,9 @@
 
 impl<P: Ports> Node<P> {
     /// Stores the row of a job, and announces the job to the scheduler if this takes long.
-    pub(crate) async fn store_job(&self, id: JobId, row: &[u8], deadline: Instant) -> Outcome {
+    pub(crate) async fn store_job(&self, id: JobId, row: &[u8], deadline: Instant) -> StoreOutcome {
         let relay = RelayRequest::Submit(id, row.to_vec());
-        let storing = self.store(job_key(id), row, relay, deadline);
+        let storing = self.store(NewRow::job(id, row.to_vec()), relay, deadline);
         tokio::pin!(storing);
         if let Ok(outcome) = timeout(ANNOUNCE_DELAY, &mut storing).await {
             return outcome;
@@ -58,11 +57,11 @@
 
     /// Tells the scheduler the outcome of storing an announced job, if it is certain. A row that existed before may have
     /// another content, which only the feed tells.
-    pub(crate) fn settle(&self, id: JobId, row: &[u8], outcome: &Outcome) {
+    pub(crate) fn settle(&self, id: JobId, row: &[u8], outcome: &StoreOutcome) {
         let is_stored = match outcome {
-            Outcome::Stored(_) => true,
-            Outcome::NotStored(_) => false,
-            Outcome::Conflict { .. } | Outcome::Unknown(_) => return,
+            StoreOutcome::Stored(_) => true,
+            StoreOutcome::NotStored(_) | StoreOutcome::Excluded => false,
+            StoreOutcome::Exists | StoreOutcome::Unknown(_) => return,
         };
         let is_leader = self.0.leader.borrow().is_some();
         if is_leader || self.0.upstream_level.get() >= ANNOUNCE_LEVEL {
--- a/crates/cluster/src/callers.rs
+++ b/crates/cluster/src/callers.rs
@@ -181,7 +181,7 @@
             // Reading the state shows the team, if this node reaches the table.
             match self.state(id, deadline).await {
                 StateAnswer::State(_) => {}
-                StateAnswer::NoJob => return CancelOutcome::NoJob,
+                StateAnswer::NoJob => return self.cancel_unknown(id, deadline).await,
                 StateAnswer::Unknown => return CancelOutcome::Unknown,
             }
         }
--- a/crates/cluster/src/door.rs
+++ b/crates/cluster/src/door.rs
@@ -12,7 +12,7 @@
     time::{Instant, timeout_at},
 };
 
-use crate::{Node, Ports, commit::Outcome};
+use crate::{Node, Ports, intake::StoreOutcome};
 
 /// Settings of a [`Door`].
 #[derive(Clone, Copy, Debug)]
@@ -133,7 +133,7 @@
         job: &Job,
         row: &[u8],
         deadline: Instant,
-    ) -> Outcome {
+    ) -> StoreOutcome {
         let arrived_at = Instant::now();
         let cfg = self.0.door.borrow().cfg;
         let objective = queue.objective(job.estimated_time());
@@ -142,7 +142,7 @@
         let until = last.min(arrived_at + patience);
         loop {
             let outcome = self.store_job(id, row, deadline).await;
-            if !matches!(outcome, Outcome::NotStored(_)) || !self.0.table.is_lost() {
+            if !matches!(outcome, StoreOutcome::NotStored(_)) || !self.0.table.is_lost() {
                 return outcome;
             }
             if !self.wait_at_door(queue.rank, until, row.len()).await {
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -7,15 +7,15 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    Node, Ports, Row, RowKey, Table,
-    commit::Outcome,
+    Node, Ports, Row, Table,
     follow::is_fresh,
+    intake::{NewRow, StoreOutcome},
     message::{RelayReply, RelayRequest},
     relay::Relayed,
     retry_after::retry_after,
     rows::{
-        CANCELLED, JOBS, JobRow, PROGRESS, SCHEDULER_PART, cancel_key, job_key, job_part,
-        job_range_end, parse_job_key, progress_key, read_content,
+        JOBS, JobRow, PROGRESS, SCHEDULER_PART, job_key, job_part, job_range_end, parse_job_key,
+        progress_key, read_content,
     },
 };
 
@@ -57,8 +57,13 @@
 pub enum CancelOutcome {
     /// The cancellation is stored, or the job had already ended.
     Accepted,
-    /// There is no such job.
+    /// There is no such job, and a submission that has not been answered yet will not cause it to run.
     NoJob,
+    /// There is no such job, and this node has stored too many cancellations of unknown jobs lately. Nothing was stored.
+    Busy {
+        /// How long the client should wait before it retries.
+        retry_after: Duration,
+    },
     /// The cancellation may or may not be stored. The same request can safely be sent again.
     Unknown,
 }
@@ -115,7 +120,7 @@
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
         match outcome {
-            Outcome::Stored(version) => {
+            StoreOutcome::Stored(version) => {
                 log::info!(
                     "event=accepted job={id} queue={} team={team:?} steps={steps} bytes={spec_bytes} objective_ms={objective_ms} version={version} ms={ms}",
                     queue.name
@@ -127,7 +132,7 @@
             }
             // The row already exists: the client has resent the job, or the answer to an earlier attempt
             // was lost.
-            Outcome::Conflict { .. } => {
+            StoreOutcome::Exists => {
                 log::info!(
                     "event=accepted_before job={id} queue={} ms={ms}",
                     queue.name
@@ -135,7 +140,18 @@
                 self.0.metrics.count("jobs_resent");
                 SubmitOutcome::Accepted
             }
-            Outcome::NotStored(reason) => {
+            StoreOutcome::Excluded => {
+                log::info!(
+                    "event=refused_as_cancelled job={id} queue={} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_refused_as_cancelled");
+                SubmitOutcome::NotRun {
+                    retry_after: self.0.settings.sched.early_cancel_retention,
+                    reason: "the job was cancelled before it was accepted",
+                }
+            }
+            StoreOutcome::NotStored(reason) => {
                 let outage = self.0.table.outage();
                 let retry_after = if self.0.settings.policy.retries_by_outage {
                     retry_after(outage, id, queue.rank)
@@ -155,7 +171,7 @@
                     reason: "the table cannot be reached",
                 }
             }
-            Outcome::Unknown(reason) => {
+            StoreOutcome::Unknown(reason) => {
                 log::warn!(
                     "event=unsettled job={id} queue={} reason={reason:?} ms={ms}",
                     queue.name
@@ -224,21 +240,51 @@
             Some(_) => {}
             None => match self.state(id, deadline).await {
                 StateAnswer::State(_) => {}
-                StateAnswer::NoJob => return CancelOutcome::NoJob,
+                StateAnswer::NoJob => return self.cancel_unknown(id, deadline).await,
                 StateAnswer::Unknown => return CancelOutcome::Unknown,
             },
         }
+        self.cancel_stored(id, deadline).await
+    }
+
+    /// Cancels a job that is stored.
+    async fn cancel_stored(&self, id: JobId, deadline: Instant) -> CancelOutcome {
+        let row = NewRow::cancellation(id);
         let relay = RelayRequest::Cancel(id);
-        match self
-            .store(cancel_key(id), &CANCELLED, relay, deadline)
-            .await
-        {
-            Outcome::Stored(_) | Outcome::Conflict { .. } => {
+        match self.store(row, relay, deadline).await {
+            StoreOutcome::Stored(_) | StoreOutcome::Exists => {
                 log::info!("event=cancel_accepted job={id}");
                 self.0.metrics.count("cancels_accepted");
                 CancelOutcome::Accepted
             }
-            Outcome::NotStored(reason) | Outcome::Unknown(reason) => {
+            StoreOutcome::Excluded => CancelOutcome::Unknown,
+            StoreOutcome::NotStored(reason) | StoreOutcome::Unknown(reason) => {
+                log::warn!("event=cancel_unsettled job={id} reason={reason:?}");
+                CancelOutcome::Unknown
+            }
+        }
+    }
+
+    /// Cancels a job that is not stored. A submission of it may still be on its way, as a request or as a write that was
+    /// given up, so the cancellation is stored before the client learns that there is no such job. The scheduler deletes it
+    /// after [`SchedConfig::early_cancel_retention`](sched::SchedConfig::early_cancel_retention).
+    pub(crate) async fn cancel_unknown(&self, id: JobId, deadline: Instant) -> CancelOutcome {
+        let wait = self.0.early_cancels.borrow_mut().take(self.0.clock.time());
+        if let Some(retry_after) = wait {
+            self.0.metrics.count("early_cancels_refused");
+            return CancelOutcome::Busy { retry_after };
+        }
+        let row = NewRow::early_cancellation(id);
+        let relay = RelayRequest::Cancel(id);
+        match self.store(row, relay, deadline).await {
+            StoreOutcome::Stored(_) | StoreOutcome::Exists => {
+                log::info!("event=cancel_early job={id}");
+                self.0.metrics.count("early_cancels");
+                CancelOutcome::NoJob
+            }
+            // The job was stored meanwhile.
+            StoreOutcome::Excluded => self.cancel_stored(id, deadline).await,
+            StoreOutcome::NotStored(reason) | StoreOutcome::Unknown(reason) => {
                 log::warn!("event=cancel_unsettled job={id} reason={reason:?}");
                 CancelOutcome::Unknown
             }
@@ -249,42 +295,36 @@
     /// Retries until `deadline` once an attempt may have been stored.
     pub(crate) async fn store(
         &self,
-        key: RowKey,
-        value: &[u8],
+        row: NewRow,
         relay: RelayRequest,
         deadline: Instant,
-    ) -> Outcome {
+    ) -> StoreOutcome {
         let mut may_be_stored = false;
         loop {
             if Instant::now() >= deadline && !may_be_stored {
-                return Outcome::NotStored("no time is left".to_owned());
+                return StoreOutcome::NotStored("no time is left".to_owned());
             }
             if !self.0.table.is_lost() {
-                match self
-                    .store_locally(key.clone(), value.to_vec(), deadline)
-                    .await
-                {
-                    Outcome::Unknown(_) => may_be_stored = true,
-                    Outcome::NotStored(_) => {}
+                match self.store_locally(row.clone(), deadline).await {
+                    StoreOutcome::Unknown(_) => may_be_stored = true,
+                    StoreOutcome::NotStored(_) => {}
                     known => return known,
                 }
             }
             match self.relay(relay.clone(), deadline).await {
-                Relayed::Answered(RelayReply::Stored) => return Outcome::Stored(0),
+                Relayed::Answered(RelayReply::Stored) => return StoreOutcome::Stored(0),
                 Relayed::Answered(RelayReply::StoredBefore) => {
-                    return Outcome::Conflict {
-                        current: Vec::new(),
-                    };
+                    return StoreOutcome::Exists;
                 }
                 Relayed::Answered(RelayReply::NotStored) | Relayed::NotSent => {}
                 Relayed::Answered(_) | Relayed::Unanswered => may_be_stored = true,
             }
             let reason = "neither this node nor the scheduler reaches the table".to_owned();
             if !may_be_stored {
-                return Outcome::NotStored(reason);
+                return StoreOutcome::NotStored(reason);
             }
             if Instant::now() + STORE_RETRY_DELAY >= deadline {
-                return Outcome::Unknown(reason);
+                return StoreOutcome::Unknown(reason);
             }
             sleep(STORE_RETRY_DELAY).await;
         }
--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -3,6 +3,9 @@
 //! A part of the table executes its transactions one at a time. While a transaction of this node is in
 //! flight, further rows for the same part wait and are sent together in the next one, so that a burst
 //! does not slow down the table further.
+//!
+//! A write that was given up may be carried out later, so it cannot be withdrawn. The row of a job and a cancellation that
+//! comes before it exclude each other instead: whichever the table stores first makes the other one's condition fail.
 
 use std::{
     cell::{Cell, RefCell},
@@ -16,14 +19,17 @@
     time::{Instant, timeout_at},
 };
 
+use jobs::JobId;
+
 use crate::{
-    Node, Ports, RowKey, Transaction,
+    Node, Ports, Row, RowKey, Transaction,
     commit::{self, Outcome},
+    rows::{CANCELLED, cancel_key, job_key},
 };
 
-/// The most rows in one transaction. Each row takes two entries, a condition and a write, and
+/// The most rows in one transaction. Each row takes up to three entries, two conditions and a write, and
 /// the platform accepts 100 entries.
-const MAX_BATCH_ROWS: usize = 40;
+const MAX_BATCH_ROWS: usize = 33;
 
 /// The most bytes of values in one transaction. The platform accepts 1 MB after encoding.
 const MAX_BATCH_BYTES: usize = 500 << 10;
@@ -34,13 +40,81 @@
 /// How long to wait for the outcome of a transaction in flight once the table is lost.
 const LOST_TABLE_GRACE: Duration = Duration::from_millis(150);
 
+/// A row to create. It must not exist yet.
+#[derive(Clone, Debug)]
+pub(crate) struct NewRow {
+    key: RowKey,
+    value: Vec<u8>,
+    /// A row of the same part that must not exist either.
+    excluded_by: Option<RowKey>,
+}
+
+impl NewRow {
+    /// Returns the row of a job, given its encoded content. A cancellation that is stored before excludes it.
+    pub(crate) fn job(id: JobId, content: Vec<u8>) -> Self {
+        Self {
+            key: job_key(id),
+            value: content,
+            excluded_by: Some(cancel_key(id)),
+        }
+    }
+
+    /// Returns the cancellation of a job.
+    pub(crate) fn cancellation(id: JobId) -> Self {
+        Self {
+            key: cancel_key(id),
+            value: CANCELLED.to_vec(),
+            excluded_by: None,
+        }
+    }
+
+    /// Returns the cancellation of a job that is not stored. The row of the job excludes it.
+    pub(crate) fn early_cancellation(id: JobId) -> Self {
+        Self {
+            excluded_by: Some(job_key(id)),
+            ..Self::cancellation(id)
+        }
+    }
+
+    /// Returns the rows that must not exist.
+    fn absent(&self) -> impl Iterator<Item = &RowKey> {
+        std::iter::once(&self.key).chain(&self.excluded_by)
+    }
+}
+
+/// The outcome of storing a new row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum StoreOutcome {
+    /// The row is stored, with this version.
+    Stored(u64),
+    /// The row exists. If an earlier attempt was not answered, that attempt may have created it.
+    Exists,
+    /// A row exists that excludes this one. This one is not stored and never will be, by this attempt or an earlier one.
+    Excluded,
+    /// The row was not stored and never will be by this attempt.
+    NotStored(String),
+    /// The row may be stored, now or later.
+    Unknown(String),
+}
+
 /// A row that waits to be stored.
 struct PendingRow {
     number: u64,
-    key: RowKey,
-    value: Vec<u8>,
+    row: NewRow,
     /// Receives the outcome.
-    tx: oneshot::Sender<Outcome>,
+    tx: oneshot::Sender<StoreOutcome>,
+}
+
+impl PendingRow {
+    /// Returns the outcome of a conflict with existing rows, or `None` if they do not concern this row.
+    fn conflict(&self, existing: &HashSet<&str>) -> Option<StoreOutcome> {
+        let exists = |key: &RowKey| existing.contains(key.key.as_str());
+        if exists(&self.row.key) {
+            return Some(StoreOutcome::Exists);
+        }
+        let is_excluded = self.row.excluded_by.as_ref().is_some_and(exists);
+        is_excluded.then_some(StoreOutcome::Excluded)
+    }
 }
 
 #[derive(Default)]
@@ -82,9 +156,11 @@
         let mut bytes = 0;
         let mut keys = HashSet::new();
         let fits = |pending: &&PendingRow| {
-            bytes += pending.value.len();
-            // One transaction cannot create the same row twice.
-            bytes <= MAX_BATCH_BYTES && keys.insert(pending.key.clone())
+            bytes += pending.row.value.len();
+            // The rows of one transaction must not concern each other.
+            let is_new = pending.row.absent().all(|key| !keys.contains(key));
+            keys.extend(pending.row.absent().cloned());
+            bytes <= MAX_BATCH_BYTES && is_new
         };
         let count = part
             .waiting
@@ -106,26 +182,16 @@
 
 impl<P: Ports> Node<P> {
     /// Stores a row that must not exist yet, without the scheduler's help. Gives up once the table is lost.
-    pub(crate) async fn store_locally(
-        &self,
-        key: RowKey,
-        value: Vec<u8>,
-        deadline: Instant,
-    ) -> Outcome {
+    pub(crate) async fn store_locally(&self, row: NewRow, deadline: Instant) -> StoreOutcome {
         let queue = &self.0.write_queue;
         let number = queue.last_number.get() + 1;
         queue.last_number.set(number);
         let (tx, rx) = oneshot::channel();
-        let name = key.part.clone();
+        let name = row.key.part.clone();
         let is_idle = {
             let mut parts = queue.parts.borrow_mut();
             let part = parts.entry(name.clone()).or_default();
-            part.waiting.push(PendingRow {
-                number,
-                key,
-                value,
-                tx,
-            });
+            part.waiting.push(PendingRow { number, row, tx });
             !std::mem::replace(&mut part.is_busy, true)
         };
         // A row that has to wait for a transaction in flight waits for two answers.
@@ -145,12 +211,12 @@
             () = self.0.table.wait_until_lost() => "the table is lost",
         };
         if queue.remove_unsent(&name, number) {
-            return Outcome::NotStored(reason.to_owned());
+            return StoreOutcome::NotStored(reason.to_owned());
         }
         // A refused call is what may have marked the table as lost; its certain outcome arrives shortly.
         match timeout_at(deadline.min(Instant::now() + LOST_TABLE_GRACE), rx).await {
             Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => Outcome::Unknown(reason.to_owned()),
+            Ok(Err(_)) | Err(_) => StoreOutcome::Unknown(reason.to_owned()),
         }
     }
 
@@ -158,46 +224,59 @@
     async fn store_part(self, name: String) {
         while let Some(rows) = self.0.write_queue.take_batch(&name) {
             let tx = Transaction {
-                expected: rows.iter().map(|row| (row.key.clone(), 0)).collect(),
+                expected: rows
+                    .iter()
+                    .flat_map(|pending| pending.row.absent())
+                    .map(|key| (key.clone(), 0))
+                    .collect(),
                 set: rows
                     .iter()
-                    .map(|row| (row.key.clone(), row.value.clone()))
+                    .map(|pending| (pending.row.key.clone(), pending.row.value.clone()))
                     .collect(),
                 delete: Vec::new(),
             };
             let deadline = Instant::now() + BATCH_TIMEOUT;
             let is_lost = || self.0.table.is_lost();
             let outcome = commit::with_retry_unless(&self.0.ports, &tx, deadline, is_lost).await;
-            let Outcome::Conflict { current } = outcome else {
-                for row in rows {
-                    // A requester that no longer waits has already answered its client.
-                    let _ = row.tx.send(outcome.clone());
+            let known = match outcome {
+                Outcome::Stored(version) => Ok(StoreOutcome::Stored(version)),
+                Outcome::NotStored(reason) => Ok(StoreOutcome::NotStored(reason)),
+                Outcome::Unknown(reason) => Ok(StoreOutcome::Unknown(reason)),
+                Outcome::Conflict { current } => Err(current),
+            };
+            let current = match known {
+                Ok(outcome) => {
+                    for pending in rows {
+                        // A requester that no longer waits has already answered its client.
+                        let _ = pending.tx.send(outcome.clone());
+                    }
+                    continue;
                 }
-                continue;
+                Err(current) => current,
             };
             let existing: HashSet<&str> = current
                 .iter()
-                .filter(|row| row.version > 0 && row.value.is_some())
+                .filter(|row: &&Row| row.version > 0 && row.value.is_some())
                 .map(|row| row.key.as_str())
                 .collect();
-            let (already_stored, others): (Vec<PendingRow>, Vec<PendingRow>) = rows
-                .into_iter()
-                .partition(|row| existing.contains(row.key.key.as_str()));
-            let is_unexplained = already_stored.is_empty();
-            for row in already_stored {
-                let conflict = Outcome::Conflict {
-                    current: Vec::new(),
-                };
-                let _ = row.tx.send(conflict);
+            let count = rows.len();
+            let mut others = Vec::new();
+            for pending in rows {
+                match pending.conflict(&existing) {
+                    Some(outcome) => {
+                        let _ = pending.tx.send(outcome);
+                    }
+                    None => others.push(pending),
+                }
             }
-            if is_unexplained {
+            if others.len() == count {
                 log::error!(
                     "event=conflict_unexplained part={name} rows={}",
                     others.len()
                 );
                 for row in others {
                     let reason = "a conflict that names no row".to_owned();
-                    let _ = row.tx.send(Outcome::Unknown(reason));
+                    let _ = row.tx.send(StoreOutcome::Unknown(reason));
                 }
             } else {
                 self.0.write_queue.requeue(&name, others);
--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -1,7 +1,8 @@
 //! Follows changes of jobs, workers and queues for the scheduler, and deletes the rows of expired jobs.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
+use jobs::JobId;
 use model::Time;
 use sched::{Scheduler, WorkerInfo};
 use tokio::time::{Instant, sleep};
@@ -10,7 +11,7 @@
 use crate::{
     Directory, FeedError, Ports, Row, Table, Transaction, Versioned, WorkerChanges,
     commit::{self, Outcome},
-    rows::{JOBS, JobContent, cancel_key, job_key, read_job_row},
+    rows::{JOBS, JobContent, JobRow, cancel_key, job_key, job_part, parse_job_key, read_job_row},
 };
 
 /// The pause between two reads of new jobs. Each read is a paid call.
@@ -32,6 +33,10 @@
 /// The most jobs whose rows are deleted per check. Each takes one transaction on one part.
 const FORGET_BATCH_JOBS: usize = 50;
 
+/// The most cancellations of unknown jobs that one transaction deletes. Each takes two entries, a condition and a
+/// deletion, and the platform accepts 100 entries.
+const FORGET_BATCH_CANCELS: usize = 40;
+
 /// How long deleting the rows of one job is retried.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -98,7 +103,16 @@
                 log::info!("event=cancel_seen job={id} version={}", row.version);
                 self.scheduler.borrow_mut().job_cancelled(now, id);
             }
-            None => {}
+            None => self.apply_job_row_deletion(row),
+        }
+    }
+
+    /// Handles a row that was deleted. A job whose row comes after the deletion of its cancellation is a new one.
+    fn apply_job_row_deletion(&self, row: &Row) {
+        if row.value.is_none()
+            && let Some(JobRow::Cancel(id)) = parse_job_key(&row.key)
+        {
+            self.scheduler.borrow_mut().early_cancel_deleted(id);
         }
     }
 
@@ -214,6 +228,38 @@
                     log::warn!("event=not_forgotten job={id} outcome={outcome:?}");
                 }
             }
+            self.forget_early_cancels().await;
+        }
+    }
+
+    /// Deletes the cancellations of unknown jobs that have expired, unless the job was stored meanwhile.
+    async fn forget_early_cancels(&self) {
+        let expired = self.scheduler.borrow().expired_early_cancels(self.now());
+        let mut by_part: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+        for id in expired {
+            by_part.entry(job_part(id)).or_default().push(id);
+        }
+        for ids in by_part
+            .values()
+            .flat_map(|ids| ids.chunks(FORGET_BATCH_CANCELS))
+        {
+            let tx = Transaction {
+                expected: ids.iter().map(|&id| (job_key(id), 0)).collect(),
+                delete: ids.iter().map(|&id| cancel_key(id)).collect(),
+                ..Transaction::default()
+            };
+            let deadline = Instant::now() + FORGET_TIMEOUT;
+            match commit::with_retry(&self.node.0.ports, &tx, deadline).await {
+                Outcome::Stored(_) => {
+                    let mut scheduler = self.scheduler.borrow_mut();
+                    for &id in ids {
+                        scheduler.early_cancel_deleted(id);
+                    }
+                    log::info!("event=early_cancels_deleted count={}", ids.len());
+                }
+                // The feed delivers the jobs that exist, which are cancelled then. The others are deleted next time.
+                outcome => log::warn!("event=early_cancels_not_deleted outcome={outcome:?}"),
+            }
         }
     }
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -34,6 +34,7 @@
 mod configuration;
 mod connections;
 mod door;
+mod early_cancels;
 mod entry;
 mod error;
 mod feed;
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -24,6 +24,7 @@
     approve::ApprovalQueue,
     callers::TeamJobs,
     door::Door,
+    early_cancels::EarlyCancelLimit,
     feed, follow,
     health::{MonitoredPorts, TableHealth},
     inbound::{Inbound, InboundLimits},
@@ -114,6 +115,7 @@
     /// The link addresses of all nodes, as sent by the scheduler.
     pub(crate) node_addresses: RefCell<Vec<String>>,
     pub(crate) team_jobs: TeamJobs,
+    pub(crate) early_cancels: RefCell<EarlyCancelLimit>,
 }
 
 /// A node. Clones refer to the same node. See the [crate documentation](crate).
@@ -159,6 +161,7 @@
             door: RefCell::default(),
             node_addresses: RefCell::default(),
             team_jobs: TeamJobs::default(),
+            early_cancels: RefCell::default(),
         }))
     }
 
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -16,9 +16,8 @@
 
 use crate::{
     Node, Ports, StateAnswer,
-    commit::Outcome,
+    intake::{NewRow, StoreOutcome},
     message::{Message, RelayReply, RelayRequest},
-    rows::{CANCELLED, cancel_key, job_key},
 };
 
 /// How long the scheduler tries to execute a relayed request. The client of the requesting node waits
@@ -99,18 +98,18 @@
                 RelayReply::NotStored
             }
             RelayRequest::Submit(id, row) => {
-                let outcome = self.store_locally(job_key(id), row.clone(), deadline).await;
+                let outcome = self
+                    .store_locally(NewRow::job(id, row.clone()), deadline)
+                    .await;
                 // The job of an announcement can start without waiting for the requesting node.
-                if let Outcome::Stored(_) = outcome {
+                if let StoreOutcome::Stored(_) = outcome {
                     self.settle(id, &row, &outcome);
                 }
                 log::info!("event=relayed job={id} outcome={outcome:?}");
                 relay_reply(&outcome)
             }
             RelayRequest::Cancel(id) => {
-                let outcome = self
-                    .store_locally(cancel_key(id), CANCELLED.to_vec(), deadline)
-                    .await;
+                let outcome = self.store_locally(NewRow::cancellation(id), deadline).await;
                 log::info!("event=cancel_relayed job={id} outcome={outcome:?}");
                 relay_reply(&outcome)
             }
@@ -126,12 +125,12 @@
     }
 }
 
-/// Converts the outcome of a transaction to a reply.
-const fn relay_reply(outcome: &Outcome) -> RelayReply {
+/// Converts the outcome of storing a row to a reply.
+const fn relay_reply(outcome: &StoreOutcome) -> RelayReply {
     match outcome {
-        Outcome::Stored(_) => RelayReply::Stored,
-        Outcome::Conflict { .. } => RelayReply::StoredBefore,
-        Outcome::NotStored(_) => RelayReply::NotStored,
-        Outcome::Unknown(_) => RelayReply::Unknown,
+        StoreOutcome::Stored(_) => RelayReply::Stored,
+        StoreOutcome::Exists => RelayReply::StoredBefore,
+        StoreOutcome::NotStored(_) | StoreOutcome::Excluded => RelayReply::NotStored,
+        StoreOutcome::Unknown(_) => RelayReply::Unknown,
     }
 }
--- a/crates/cluster/tests/node.rs
+++ b/crates/cluster/tests/node.rs
@@ -1,6 +1,7 @@
 //! Nodes on an in-memory platform: the answers to clients stay correct under faults of the table and
 //! changes of the scheduler.
 
+mod cancels;
 mod keys;
 mod links;
 mod outages;
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -49,6 +49,8 @@
     HoldsAnswers,
     /// Transactions are refused, and reads are served.
     RefusesTransactions,
+    /// Transactions with rows of jobs are not answered, and are carried out this much later if their conditions hold then.
+    CarriesOutJobsLate(Duration),
 }
 
 /// The rows of all tables, and the log of their changes.
@@ -253,7 +255,8 @@
             TableFault::None
             | TableFault::LosesAnswers
             | TableFault::HoldsAnswers
-            | TableFault::RefusesTransactions => None,
+            | TableFault::RefusesTransactions
+            | TableFault::CarriesOutJobsLate(_) => None,
             TableFault::Refuses => Some(refused),
             TableFault::Silent => {
                 sleep(WAIT_TIMEOUT).await;
@@ -282,6 +285,19 @@
         if self.fault.get() == TableFault::RefusesTransactions {
             return Err(CommitError::NotStored("503".into()));
         }
+        let has_job =
+            (tx.set.iter()).any(|(key, _)| key.table == "jobs" && !key.key.ends_with('!'));
+        if let TableFault::CarriesOutJobsLate(delay) = self.fault.get()
+            && has_job
+        {
+            let (shared, tx) = (self.shared.clone(), tx.clone());
+            spawn_local(async move {
+                sleep(delay).await;
+                // Nobody waits for the answer any more.
+                let _ = apply(&mut shared.store.borrow_mut(), &tx);
+            });
+            return Err(CommitError::Unknown("the answer was lost".into()));
+        }
         if let Some((key, _)) = tx.set.first() {
             self.wait_for_part(&key.part).await;
         }
@@ -393,7 +409,14 @@
         store.log.push((version, key.table, row));
     }
     for key in &tx.delete {
-        store.rows.remove(&row_index(key));
+        if store.rows.remove(&row_index(key)).is_some() {
+            let row = Row {
+                key: key.key.clone(),
+                value: None,
+                version,
+            };
+            store.log.push((version, key.table, row));
+        }
     }
     Ok(version)
 }
