Order a recorded run again instead of giving it up by a list

A scheduler was suspended while a start was being stored; its successor gave the run up, as the worker did not list it, and started the task elsewhere. The worker restarted, and began the run by the order that the first scheduler sent when it woke.

Cause: a worker that has answered a successor refuses earlier schedulers, but its next incarnation does not. The list was taken for proof for both.

Ruled out: a check at the suspended scheduler, which may be suspended between the check and the write; polling restarted workers at once, which only makes the window smaller.

Change: while the earlier scheduler may still send orders, a recorded run that needs no ticket is ordered again, the same run on the same worker. Where that is not possible, it is given up by lists that were requested after that time. Both orders name one run then, so they cannot begin two.

--- a/crates/sched/src/decide.rs
+++ b/crates/sched/src/decide.rs
@@ -594,6 +594,7 @@
                 stop_due: Duration::ZERO,
                 orders_lapse_at: Time::ZERO,
                 begun_by: BegunBy::Any,
+                former_orders_until: Time::ZERO,
                 has_begun: false,
                 is_of_earlier_incarnation: false,
                 crash: None,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -278,17 +278,22 @@
     ) {
         let is_older = |run: &Run| run.confirmed_at.is_none_or(|at| at < sent_at);
         let runs = self.fleet.get(worker).runs.iter();
-        let past: Vec<(TaskKey, u32)> = runs
+        let past: Vec<(TaskKey, u32, Time)> = runs
             .filter(|(_, run)| run.is_of_earlier_incarnation && is_older(run))
-            .map(|(&key, run)| (key, run.number))
+            .map(|(&key, run)| (key, run.number, run.former_orders_until))
             .collect();
-        for (key, run) in past {
+        for (key, run, former_orders_until) in past {
             let is_listed = listing
                 .running
                 .iter()
                 .any(|row| row.key == key && row.run == run);
             if !is_listed {
-                self.interrupt(now, worker, key, Interruption::Restarted);
+                // This incarnation refuses the order of an earlier scheduler, but one after it would not.
+                if former_orders_until <= sent_at {
+                    self.interrupt(now, worker, key, Interruption::Restarted);
+                } else if self.is_gang(key) {
+                    self.stop_gang(now, key, run);
+                }
                 continue;
             }
             if let Some(run) = self.fleet.get_mut(worker).runs.get_mut(&key) {
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -303,6 +303,10 @@
                 let end = (self.past_leases).assumed_end(&worker.info.name, &self.cfg);
                 *assumed = end.min(*assumed);
             }
+            let granted_until = self.past_leases.granted_until().unwrap_or_default();
+            for run in worker.runs.values_mut() {
+                run.former_orders_until = run.former_orders_until.min(granted_until);
+            }
         }
     }
 
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -67,6 +67,37 @@
         self.actions.push(Action::Wake(worker));
     }
 
+    /// Orders a run that an earlier scheduler has recorded and whose worker does not have it. That scheduler may still send the
+    /// same order, also to a later incarnation of the worker. On this worker the two are one run: an incarnation that takes the
+    /// one has it already when the other comes, and a restart ends both.
+    pub(crate) fn order_recorded(&mut self, now: Time, id: WorkerId, key: TaskKey) {
+        let worker = self.fleet.get(id);
+        let Some(number) = worker.runs.get(&key).map(|run| run.number) else {
+            return;
+        };
+        let pool = self
+            .jobs
+            .get(&key.job)
+            .map(|entry| &self.policy(&entry.job).pool);
+        let takes_work = worker.is_listed
+            && !worker.info.is_draining
+            && pool == Some(&worker.info.pool)
+            && now >= worker.quarantine_until;
+        // A successor relies on the first row to tell that this scheduler may have granted leases.
+        if !takes_work || self.journal.batches() == 0 {
+            return;
+        }
+        // A refusal covers only this order and not the one of the earlier scheduler, as if that one had gone without an answer.
+        let unanswered = 1;
+        let Some(order) = self.start_order(now, key, number, id, None, unanswered) else {
+            return;
+        };
+        if let Some(run) = self.fleet.get_mut(id).runs.get_mut(&key) {
+            run.phase = RunPhase::Ordered { unanswered };
+        }
+        self.actions.push(Action::Start(order));
+    }
+
     /// Returns the ticket for a task's step on a worker, if one is valid now.
     fn current_ticket(&self, now: Time, key: TaskKey, worker: WorkerId) -> Option<Ticket> {
         let started_unix_ms = self.fleet.get(worker).info.started_unix_ms;
@@ -251,11 +282,16 @@
 
     /// Stops a run. A run whose start order was not sent yet ends at once.
     pub(crate) fn stop_run(&mut self, now: Time, worker: WorkerId, key: TaskKey) {
+        let has_ended = self.has_ended(key.job);
         let target = self.fleet.get_mut(worker);
         let stop_due = target.contact_time(now);
         let Some(run) = target.runs.get_mut(&key) else {
             return;
         };
+        if has_ended {
+            // No further run of the task starts.
+            run.former_orders_until = Time::ZERO;
+        }
         match run.phase {
             RunPhase::Pending => {
                 self.withdraw(now, worker, key);
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -84,7 +84,13 @@
         let may_wait =
             worker.is_synced && worker.silent_since.is_none() && is_acknowledged && !is_bounded;
         let wait = if may_wait && !worker.is_idle() {
-            cfg.poll_wait
+            // A recorded run is ordered after the next lists.
+            let is_recorded = |run: &Run| run.phase == RunPhase::Recorded;
+            if worker.runs.values().any(is_recorded) {
+                cfg.poll_retry
+            } else {
+                cfg.poll_wait
+            }
         } else {
             Duration::ZERO
         };
@@ -265,6 +271,10 @@
         if needs_ticket || late.is_none_or(|&until| until <= sent_at) {
             run.begun_by = BegunBy::Known;
         }
+        if run.phase == RunPhase::Recorded {
+            // The earlier scheduler has sent its order, and this is what it has begun.
+            run.former_orders_until = Time::ZERO;
+        }
         if matches!(run.phase, RunPhase::Recorded | RunPhase::Ordered { .. }) {
             run.phase = RunPhase::Running;
             run.has_begun = true;
@@ -314,14 +324,15 @@
     }
 
     /// Ends the runs that the worker does not list although it had confirmed them before the poll was sent, or
-    /// although no order for them could still be carried out by then.
+    /// although no order for them could still be carried out by then. Orders the others that were recorded: their task may
+    /// not start on another worker yet.
     fn end_missing(&mut self, now: Time, id: WorkerId, sent_at: Time, listing: &Listing) {
         let listed: HashSet<(TaskKey, u32)> = listing
             .running
             .iter()
             .map(|row| (row.key, row.run))
             .collect();
-        let is_missing = |key: &TaskKey, run: &Run| {
+        let is_missing = |run: &Run| {
             let must_be_listed = match run.phase {
                 RunPhase::Recorded => true,
                 RunPhase::Pending | RunPhase::Ordered { .. } => false,
@@ -331,18 +342,26 @@
                     run.confirmed_at.is_some_and(|at| at < sent_at) || run.orders_lapse_at < sent_at
                 }
             };
-            must_be_listed && !listed.contains(&(*key, run.number))
+            must_be_listed && run.former_orders_until <= sent_at
         };
         let missing: Vec<TaskKey> = self
             .fleet
             .get(id)
             .runs
             .iter()
-            .filter(|(key, run)| is_missing(key, run))
+            .filter(|(key, run)| !listed.contains(&(**key, run.number)) && is_missing(run))
             .map(|(&key, _)| key)
             .collect();
         for key in missing {
             self.interrupt(now, id, key, Interruption::NotListed);
         }
+        let runs = self.fleet.get(id).runs.iter();
+        let recorded: Vec<TaskKey> = runs
+            .filter(|(_, run)| run.phase == RunPhase::Recorded && !run.is_of_earlier_incarnation)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in recorded {
+            self.order_recorded(now, id, key);
+        }
     }
 }
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -144,7 +144,8 @@
         self.recover_leases(now.time, id);
         let is_settled = self.past_leases.is_settled(&incarnation.worker);
         let granted_until = self.past_leases.granted_until();
-        if let Some(until) = granted_until.filter(|_| !is_settled && !self.needs_ticket(key.job)) {
+        let granted_until = granted_until.filter(|_| !is_settled && !self.needs_ticket(key.job));
+        if let Some(until) = granted_until {
             let until = until.max(now.time) + self.cfg.late_start;
             let worker = self.fleet.get_mut(id);
             worker.start_unanswered(now.time, key, run, until);
@@ -159,6 +160,7 @@
             since: now.time,
             stop_due: Duration::ZERO,
             orders_lapse_at: Time::ZERO,
+            former_orders_until: granted_until.unwrap_or_default(),
             has_begun: false,
             begun_by: if is_settled {
                 BegunBy::Known
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -108,6 +108,9 @@
     /// When the leases of all its start orders have lapsed, so that the worker refuses those that are late. Zero
     /// if this scheduler has sent none.
     pub(crate) orders_lapse_at: Time,
+    /// Until when an earlier scheduler may send the start order of the run, which any incarnation of the worker may carry out
+    /// that this scheduler has not called yet. Zero if none may, or if the order carries a ticket.
+    pub(crate) former_orders_until: Time,
     /// Whether the present incarnation of the worker has confirmed that it has the run.
     pub(crate) has_begun: bool,
     pub(crate) begun_by: BegunBy,
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -726,3 +726,115 @@
         "the row is too long"
     );
 }
+
+/// Returns a scheduler that has stored the start of the task at 61.0 s, and the start order that it has not sent: its process is
+/// suspended.
+fn suspended(worker: &mut Worker, job: Job) -> (Node, StartOrder) {
+    let mut first = first(worker);
+    first.store(at_ms(60_900));
+    first.scheduler.job_stored(at_ms(61_000), JOB, job);
+    let order = first.store(at_ms(61_000)).remove(0);
+    (first, order)
+}
+
+/// Polls the worker until it has been given the task. Panics if the run is given up.
+fn starts_after_poll(node: &mut Node, now: Now, worker: &mut Worker) -> Vec<StartOrder> {
+    node.poll(now, worker);
+    assert!(!gives_up(node, now));
+    node.poll(now, worker);
+    node.store(now)
+}
+
+/// Returns whether the present run of the task is given up now.
+fn gives_up(node: &mut Node, now: Now) -> bool {
+    node.scheduler.decide(now);
+    let actions = node.scheduler.take_actions();
+    if let Some(batch) = node.scheduler.take_batch(now) {
+        node.row.leases = batch.leases;
+        node.scheduler.batch_stored(now);
+    }
+    let is_end = |action: &Action| matches!(action, Action::Interrupted { .. });
+    actions.iter().any(is_end)
+}
+
+/// Guards against two runs of a task: a suspended scheduler orders a stored start when it wakes, its successor has given the run
+/// up as the worker did not list it, and the worker has restarted and so does not refuse the order.
+#[test]
+fn a_stored_run_is_given_up_though_a_suspended_scheduler_may_still_order_it() {
+    let mut worker = Worker::default();
+    let (first, late) = suspended(&mut worker, job());
+    let mut next = first.successor(at_ms(61_500), 1, Some(1));
+    let starts = starts_after_poll(&mut next, at_ms(61_600), &mut worker);
+    assert_eq!((starts.len(), starts[0].run), (1, late.run), "the same run");
+    worker.start(at_ms(61_650), &starts[0]);
+    (next.scheduler).start_answered(at_ms(61_650), &starts[0], StartAnswer::Started);
+
+    worker = Worker::started_at(62_000);
+    next.poll(at_ms(62_200), &mut worker);
+    // These lists were requested before the order could be refused.
+    assert!(!gives_up(&mut next, at_ms(62_200)));
+    let mut later = Worker::started_at(62_500);
+    later.start(at_ms(62_800), &late);
+    worker = later;
+    next.poll(at_ms(63_000), &mut worker);
+    assert!(!gives_up(&mut next, at_ms(63_000)), "it is at work");
+}
+
+/// The same with a worker that has restarted before it answers the successor, and restarts again.
+#[test]
+fn a_stored_run_of_a_former_incarnation_is_given_up_though_its_order_may_still_come() {
+    let mut worker = Worker::default();
+    let (first, _) = suspended(&mut worker, job());
+    worker = Worker::started_at(61_300);
+    let mut next = first.successor(at_ms(61_500), 61_301, Some(1));
+    for ms in [61_600, 62_000, 67_000] {
+        next.poll(at_ms(ms), &mut worker);
+        assert!(!gives_up(&mut next, at_ms(ms)), "at {ms} ms");
+    }
+    // From 67.5 s on, the former scheduler sends no orders.
+    next.poll(at_ms(67_600), &mut worker);
+    assert!(gives_up(&mut next, at_ms(67_600)));
+}
+
+/// Guards against a wait after the former scheduler is known to have stopped, and before a start that needs a ticket, which
+/// no later incarnation accepts.
+#[test]
+fn a_stored_run_that_cannot_begin_any_more_is_waited_for() {
+    let mut worker = Worker::default();
+    let (first, _) = suspended(&mut worker, job());
+    worker = Worker::started_at(61_300);
+    let mut next = first.successor(at_ms(61_500), 61_301, Some(1));
+    next.poll(at_ms(61_600), &mut worker);
+    assert!(!gives_up(&mut next, at_ms(61_600)));
+    (next.scheduler).node_follows(at_ms(61_700), &first.row.holder);
+    next.poll(at_ms(61_800), &mut worker);
+    assert!(gives_up(&mut next, at_ms(61_800)));
+
+    let mut worker = Worker::default();
+    let (first, _) = suspended(&mut worker, job());
+    let mut next = first.successor_with(at_ms(61_500), 1, Some(1), job_with_tickets());
+    next.poll(at_ms(61_600), &mut worker);
+    assert!(gives_up(&mut next, at_ms(61_600)));
+}
+
+/// Guards against two runs of a task: the worker has refused the successor's order for a stored run, and restarts before the one
+/// of the former scheduler comes.
+#[test]
+fn a_stored_run_is_given_up_by_a_refusal_of_another_order() {
+    let mut worker = Worker::default();
+    let (first, _) = suspended(&mut worker, job());
+    let mut next = first.successor(at_ms(61_500), 1, Some(1));
+    let starts = starts_after_poll(&mut next, at_ms(61_600), &mut worker);
+    (next.scheduler).start_answered(at_ms(61_650), &starts[0], StartAnswer::NoRoom);
+    let actions = next.scheduler.take_actions().into_iter();
+    let mut stops = actions.filter_map(|action| match action {
+        Action::Stop(order) => Some(order),
+        _ => None,
+    });
+    let stop = stops.next().expect("it is stopped first");
+    next.scheduler.stop_answered(at_ms(61_700), &stop);
+    next.poll(at_ms(61_800), &mut worker);
+    assert!(!gives_up(&mut next, at_ms(61_800)));
+    next.poll(at_ms(67_600), &mut worker);
+    assert!(gives_up(&mut next, at_ms(67_600)));
+}
--- a/crates/sched/tests/teams.rs
+++ b/crates/sched/tests/teams.rs
@@ -363,6 +363,8 @@
         started_unix_ms: 2,
         ..info("w0")
     };
+    // The earlier scheduler, whose name is not known, sends no orders to a further incarnation either.
+    scheduler.node_follows(at_ms(1_000), "");
     scheduler.worker_listed(at_ms(1_000), restarted);
     scheduler.worker_listed(at_ms(1_000), info("w1"));
     let w1 = scheduler.worker_id("w1").unwrap();
