Keep the progress of an announced job while its orders may still be sent

Cause: the progress of a job without a row was deleted once each worker in it had answered the successor. If the row appeared afterwards, the task started anew on another worker, while a suspended scheduler could order the run that it had stored, on a later incarnation of the first worker.

Change: it is kept until the earlier schedulers can send no orders. If the row appears before, the job continues from it.

--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -324,7 +324,7 @@
     }
 
     /// Records that a worker refuses the orders of former schedulers and has no runs of orphans.
-    pub(crate) fn heard_without_orphans(&mut self, id: WorkerId) {
+    pub(crate) fn heard_without_orphans(&mut self, now: Time, id: WorkerId) {
         if self.announced.orphans.is_empty() {
             return;
         }
@@ -332,7 +332,10 @@
         for orphan in self.announced.orphans.values_mut() {
             orphan.unheard.remove(name);
         }
-        self.delete_orphans(|orphan| orphan.unheard.is_empty());
+        // A later incarnation of a worker would not refuse the orders. So the job continues from the orphan if its row appears
+        // while they may still be sent.
+        let is_over = (self.past_leases.granted_until()).is_none_or(|until| until <= now);
+        self.delete_orphans(|orphan| is_over && orphan.unheard.is_empty());
     }
 
     fn delete_orphans(&mut self, is_due: impl Fn(&Orphan) -> bool) {
--- a/crates/sched/src/polls.rs
+++ b/crates/sched/src/polls.rs
@@ -160,7 +160,7 @@
             self.end_missing(now, id, sent_at, listing);
         }
         self.fleet.get_mut(id).is_synced = true;
-        self.heard_without_orphans(id);
+        self.heard_without_orphans(now, id);
         self.check_overdue_stops(now, id);
     }
 
--- a/crates/sched/tests/announced.rs
+++ b/crates/sched/tests/announced.rs
@@ -333,7 +333,7 @@
 }
 
 /// Guards against progress of a job that was never stored and that remains after a takeover, and against its deletion
-/// while the former scheduler's order may still be carried out.
+/// while the former scheduler's order may still be carried out: by the worker, or by a later incarnation of it.
 #[test]
 fn a_successor_deletes_the_progress_of_a_job_that_was_never_stored() {
     let (_, _, progress) = announced();
@@ -342,6 +342,16 @@
     assert!(decide_and_store(&mut scheduler, now).is_empty());
     poll(&mut scheduler, now, w1, Listing::default());
     let batches = decide_and_store(&mut scheduler, now);
+    assert!(
+        batches.is_empty(),
+        "the order may still be sent: {batches:?}"
+    );
+    let now = Now {
+        time: now.time + SchedConfig::default().renew_without_table,
+        ..now
+    };
+    poll(&mut scheduler, now, w1, Listing::default());
+    let batches = decide_and_store(&mut scheduler, now);
     let forgotten: Vec<_> = batches.iter().flat_map(|batch| &batch.forgotten).collect();
     assert_eq!(forgotten, [&JOB]);
     assert_nothing_is_left(&mut scheduler, now);
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -838,3 +838,39 @@
     next.poll(at_ms(67_600), &mut worker);
     assert!(gives_up(&mut next, at_ms(67_600)));
 }
+
+/// Guards against two runs of a task: the progress of an announced job is forgotten as its worker does not list the run, the row
+/// appears, and the suspended scheduler learns that and orders the run after a restart of the worker.
+#[test]
+fn the_run_of_an_announced_job_is_forgotten_though_a_suspended_scheduler_may_still_order_it() {
+    let mut worker = Worker::default();
+    let mut first = first(&mut worker);
+    first.store(at_ms(60_900));
+    (first.scheduler).job_announced(at_ms(61_000), JOB, job(), 1);
+    assert!(first.store(at_ms(61_000)).is_empty());
+
+    let now = at_ms(61_500);
+    let mut progress = Progress::new(&job());
+    progress.assign(&[(TASK, Incarnation::new("w1", 1))]);
+    let past = PastLeases::from_row(
+        now.time,
+        now.time,
+        &first.row,
+        "n2",
+        &SchedConfig::default(),
+    );
+    let recovered = Recovered {
+        progress: [(JOB, progress)].into(),
+        leases: Some(past),
+        ..Recovered::default()
+    };
+    let mut next = Node::new(first.row.next_epoch(), now, recovered);
+    next.scheduler.worker_listed(now, info(1));
+    next.poll(now, &mut worker);
+    next.store(now);
+    next.scheduler.job_stored(at_ms(61_700), JOB, job());
+    assert!(next.store(at_ms(61_700)).is_empty(), "a second run");
+    next.poll(at_ms(61_800), &mut worker);
+    let starts = next.store(at_ms(61_800));
+    assert_eq!((starts.len(), starts[0].run), (1, 1), "the same run");
+}
