--- a/crates/fakes/src/cell/host.rs
+++ b/crates/fakes/src/cell/host.rs
@@ -20,7 +20,7 @@
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The longest lease, in milliseconds on the host's clock. A longer one is shortened to it.
-const MAX_LEASE_MS: u64 = 10_000;
+pub const MAX_LEASE_MS: u64 = 10_000;
 
 /// How long after a host has shrunk its former size still counts: `contactMs` and one heartbeat.
 const RESIZE_GRACE: Duration = Duration::from_millis(5_500);
--- a/crates/fakes/src/cell/mod.rs
+++ b/crates/fakes/src/cell/mod.rs
@@ -24,7 +24,7 @@
     crashing::CrashingStep,
     faults::{CellFault, Mutation},
     fleet::{Fleet, Timer},
-    host::Host,
+    host::{Host, MAX_LEASE_MS},
     load::{Arrival, Burst, Kind, LoadSpec, generate},
     trace::{Acknowledgement, RunEvent, TraceRow},
     world::{Announcing, Cell, CellSpec, ClientRetry},
