--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -238,49 +238,48 @@
             let deadline = Instant::now() + BATCH_TIMEOUT;
             let is_lost = || self.0.table.is_lost();
             let outcome = commit::with_retry_unless(&self.0.ports, &tx, deadline, is_lost).await;
-            let known = match outcome {
-                Outcome::Stored(version) => Ok(StoreOutcome::Stored(version)),
-                Outcome::NotStored(reason) => Ok(StoreOutcome::NotStored(reason)),
-                Outcome::Unknown(reason) => Ok(StoreOutcome::Unknown(reason)),
-                Outcome::Conflict { current } => Err(current),
-            };
-            let current = match known {
-                Ok(outcome) => {
-                    for pending in rows {
-                        // A requester that no longer waits has already answered its client.
-                        let _ = pending.tx.send(outcome.clone());
-                    }
+            let outcome = match outcome {
+                Outcome::Stored(version) => StoreOutcome::Stored(version),
+                Outcome::NotStored(reason) => StoreOutcome::NotStored(reason),
+                Outcome::Unknown(reason) => StoreOutcome::Unknown(reason),
+                Outcome::Conflict { current } => {
+                    self.resolve_conflict(&name, rows, &current);
                     continue;
                 }
-                Err(current) => current,
             };
-            let existing: HashSet<&str> = current
-                .iter()
-                .filter(|row: &&Row| row.version > 0 && row.value.is_some())
-                .map(|row| row.key.as_str())
-                .collect();
-            let count = rows.len();
-            let mut others = Vec::new();
             for pending in rows {
-                match pending.conflict(&existing) {
-                    Some(outcome) => {
-                        let _ = pending.tx.send(outcome);
-                    }
-                    None => others.push(pending),
-                }
+                // A requester that no longer waits has already answered its client.
+                let _ = pending.tx.send(outcome.clone());
             }
-            if others.len() == count {
-                log::error!(
-                    "event=conflict_unexplained part={name} rows={}",
-                    others.len()
-                );
-                for row in others {
-                    let reason = "a conflict that names no row".to_owned();
-                    let _ = row.tx.send(StoreOutcome::Unknown(reason));
+        }
+    }
+
+    /// Answers the requesters whose rows conflict with those in `current`, and lets the other rows of the transaction wait for
+    /// the next one.
+    fn resolve_conflict(&self, part: &str, rows: Vec<PendingRow>, current: &[Row]) {
+        let existing: HashSet<&str> = current
+            .iter()
+            .filter(|row| row.version > 0 && row.value.is_some())
+            .map(|row| row.key.as_str())
+            .collect();
+        let count = rows.len();
+        let mut others = Vec::new();
+        for pending in rows {
+            match pending.conflict(&existing) {
+                Some(outcome) => {
+                    let _ = pending.tx.send(outcome);
                 }
-            } else {
-                self.0.write_queue.requeue(&name, others);
+                None => others.push(pending),
             }
         }
+        if others.len() < count {
+            self.0.write_queue.requeue(part, others);
+            return;
+        }
+        log::error!("event=conflict_unexplained part={part} rows={count}");
+        for pending in others {
+            let reason = "a conflict that names no row".to_owned();
+            let _ = pending.tx.send(StoreOutcome::Unknown(reason));
+        }
     }
 }
