Drop the progress of an announced job that cannot begin any more

After a takeover, a job whose row appeared late continued from progress whose run could not begin any more, and waited for a poll of an idle worker, up to 5 s. Announcements of such jobs were ignored.

Cause: progress without a row was kept while earlier schedulers may send orders, whether or not its starts need tickets, which later incarnations refuse.

Change: it is dropped if the starts need tickets and its workers have answered. Otherwise the workers are woken when the job continues from it.

--- a/crates/sched/src/announced.rs
+++ b/crates/sched/src/announced.rs
@@ -22,7 +22,7 @@
 use jobs::{Job, JobId, Progress};
 use model::{Time, WorkerId};
 
-use crate::{Listing, Now, Scheduler, scheduler::Effect};
+use crate::{Action, Listing, Now, Scheduler, scheduler::Effect};
 
 /// How long an announcement is kept without news. The nodes retry a transaction for 2.5 s.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -118,6 +118,7 @@
     /// Adds a job that a node is storing. `digest` identifies the content of its row. Does nothing if the job or its
     /// cancellation is already known, or if too many announcements are open.
     pub fn job_announced(&mut self, now: Now, id: JobId, job: Job, digest: u64) {
+        self.drop_refused_orphan(id, &job);
         let is_known = self.jobs.contains_key(&id)
             || self.announced.orphans.contains_key(&id)
             || self.early_cancels.contains_key(&id);
@@ -170,6 +171,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        self.drop_refused_orphan(id, &job);
         match self.announced.orphans.remove(&id) {
             Some(orphan) if orphan.progress.suits(&job) => {
                 self.adopt(now, id, job, orphan.progress);
@@ -183,6 +185,17 @@
         self.apply_early_cancel(now, id);
     }
 
+    /// Drops the orphan of a job whose starts need tickets, if its workers refuse the orders of former schedulers. Later
+    /// incarnations of them refuse the tickets.
+    fn drop_refused_orphan(&mut self, id: JobId, job: &Job) {
+        let needs_tickets = self.policy(job).approval.is_some();
+        let orphan = self.announced.orphans.get(&id);
+        if needs_tickets && orphan.is_some_and(|orphan| orphan.unheard.is_empty()) {
+            self.announced.orphans.remove(&id);
+            self.forgotten.push(id);
+        }
+    }
+
     /// Adds a job without progress. If progress of an earlier job with the same id is about to be deleted, it is replaced
     /// instead, so that the deletion cannot remove the progress of this job.
     fn add_new_job(&mut self, now: Now, id: JobId, job: Job) {
@@ -210,6 +223,9 @@
         self.add_job(now, id, job, progress);
         for (key, run, incarnation) in runs {
             self.recover_run(now, key, run, &incarnation);
+            // A worker without runs is polled seldom.
+            let worker = self.fleet.id(&incarnation.worker);
+            self.actions.extend(worker.map(Action::Wake));
         }
         for (key, run, incarnation) in lapsed {
             self.recover_lapse(now, key, run, &incarnation);
--- a/crates/sched/tests/restarts.rs
+++ b/crates/sched/tests/restarts.rs
@@ -868,9 +868,51 @@
     next.scheduler.worker_listed(now, info(1));
     next.poll(now, &mut worker);
     next.store(now);
+    next.scheduler.take_actions();
     next.scheduler.job_stored(at_ms(61_700), JOB, job());
+    let wakes = |action: &Action| matches!(action, Action::Wake(_));
+    let actions = next.scheduler.take_actions();
+    assert!(actions.iter().any(wakes), "its worker is polled seldom");
     assert!(next.store(at_ms(61_700)).is_empty(), "a second run");
     next.poll(at_ms(61_800), &mut worker);
     let starts = next.store(at_ms(61_800));
     assert_eq!((starts.len(), starts[0].run), (1, 1), "the same run");
 }
+
+/// Guards against a job that waits for the run of its announcement though that one cannot begin any more: its start needs a
+/// ticket, and the worker refuses the former scheduler.
+#[test]
+fn a_run_of_an_announced_job_that_cannot_begin_any_more_is_waited_for() {
+    for is_announced in [false, true] {
+        let mut worker = Worker::default();
+        let mut first = first(&mut worker);
+        first.store(at_ms(60_900));
+        let now = at_ms(61_500);
+        let mut progress = Progress::new(&job_with_tickets());
+        progress.assign(&[(TASK, Incarnation::new("w1", 1))]);
+        let past = PastLeases::from_row(
+            now.time,
+            now.time,
+            &first.row,
+            "n2",
+            &SchedConfig::default(),
+        );
+        let recovered = Recovered {
+            progress: [(JOB, progress)].into(),
+            leases: Some(past),
+            ..Recovered::default()
+        };
+        let mut next = Node::new(first.row.next_epoch(), now, recovered);
+        next.scheduler.set_queues([job_with_tickets().queue]);
+        next.scheduler.worker_listed(now, info(1));
+        next.poll(now, &mut worker);
+        if is_announced {
+            (next.scheduler).job_announced(at_ms(61_600), JOB, job_with_tickets(), 1);
+            assert_eq!(next.scheduler.announcement_counts().open, 1);
+        } else {
+            (next.scheduler).job_stored(at_ms(61_600), JOB, job_with_tickets());
+        }
+        assert_eq!(next.scheduler.announcement_counts().orphans, 0);
+        assert_eq!(next.scheduler.summary(now).runs, 0);
+    }
+}
