Refuse writes of job rows from before a deletion in their part

Callers saw a job run 40 s after its cancellation was answered with 410: its row had waited in a node that was suspended (SIGSTOP) for longer than the cancellation is kept.

Cause: the cancellation, which excludes the row of the job, was deleted after 30 s, as if no write could take longer. Nothing bounds that: a process may be suspended for any time, and a cut connection delivers what it holds when the network is back. Related: writes of the rows of ended jobs, deletions that are carried out late, relayed submissions, rows that are sent though their requester's deadline has passed.

Change: each part of the table of jobs has a guard row. A transaction that deletes rows of the part writes it, and one that creates the row of a job expects the version that was known when the request was read. Late writes and late deletions fail at the store, whoever sends them. A newer version is expected only for requests younger than half of the retention.

Why it works: a write that was prepared before a deletion expects a version that never comes back; one prepared after it belongs to a request that is younger than each of the deleted cancellations.

--- a/crates/cluster/src/announce.rs
+++ b/crates/cluster/src/announce.rs
@@ -14,7 +14,7 @@
     Node, Ports,
     intake::{NewRow, StoreOutcome},
     lead::Leader,
-    message::{Message, RelayRequest},
+    message::Message,
 };
 
 /// A job is announced once storing its row has taken this long. The table answers a transaction within 10 ms unless it
@@ -26,17 +26,21 @@
 
 impl<P: Ports> Node<P> {
     /// Stores the row of a job, and announces the job to the scheduler if this takes long.
-    pub(crate) async fn store_job(&self, id: JobId, row: &[u8], deadline: Instant) -> StoreOutcome {
-        let relay = RelayRequest::Submit(id, row.to_vec());
-        let storing = self.store(NewRow::job(id, row.to_vec()), relay, deadline);
+    pub(crate) async fn store_job(
+        &self,
+        id: JobId,
+        row: &NewRow,
+        deadline: Instant,
+    ) -> StoreOutcome {
+        let storing = self.store(row.clone(), deadline);
         tokio::pin!(storing);
         if let Ok(outcome) = timeout(ANNOUNCE_DELAY, &mut storing).await {
             return outcome;
         }
-        let is_announced = self.announce(id, row);
+        let is_announced = self.announce(id, row.value());
         let outcome = storing.await;
         if is_announced {
-            self.settle(id, row, &outcome);
+            self.settle(id, row.value(), &outcome);
         }
         outcome
     }
@@ -60,7 +64,9 @@
     pub(crate) fn settle(&self, id: JobId, row: &[u8], outcome: &StoreOutcome) {
         let is_stored = match outcome {
             StoreOutcome::Stored(_) => true,
-            StoreOutcome::NotStored(_) | StoreOutcome::Excluded => false,
+            StoreOutcome::NotStored(_) | StoreOutcome::Excluded | StoreOutcome::Outdated(_) => {
+                false
+            }
             StoreOutcome::Exists | StoreOutcome::Unknown(_) => return,
         };
         let is_leader = self.0.leader.borrow().is_some();
--- a/crates/cluster/src/door.rs
+++ b/crates/cluster/src/door.rs
@@ -12,7 +12,10 @@
     time::{Instant, timeout_at},
 };
 
-use crate::{Node, Ports, intake::StoreOutcome};
+use crate::{
+    Node, Ports,
+    intake::{NewRow, StoreOutcome},
+};
 
 /// Settings of a [`Door`].
 #[derive(Clone, Copy, Debug)]
@@ -131,7 +134,7 @@
         queue: &Queue,
         id: JobId,
         job: &Job,
-        row: &[u8],
+        row: &NewRow,
         deadline: Instant,
     ) -> StoreOutcome {
         let arrived_at = Instant::now();
@@ -145,7 +148,10 @@
             if !matches!(outcome, StoreOutcome::NotStored(_)) || !self.0.table.is_lost() {
                 return outcome;
             }
-            if !self.wait_at_door(queue.rank, until, row.len()).await {
+            if !self
+                .wait_at_door(queue.rank, until, row.value().len())
+                .await
+            {
                 return outcome;
             }
         }
--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -9,6 +9,7 @@
 use crate::{
     Node, Ports, Row, Table,
     follow::is_fresh,
+    guard::GuardCondition,
     intake::{NewRow, StoreOutcome},
     message::{RelayReply, RelayRequest},
     relay::Relayed,
@@ -96,8 +97,14 @@
         mut job: Job,
         deadline: Instant,
     ) -> SubmitOutcome {
+        let began = self.0.clock.time();
         let asked = self.local_approval_requests(queue, &job);
         job.approvals_asked = asked.is_some();
+        let guard = GuardCondition {
+            version: self.0.guards.version(&job_part(id)),
+            read_at: Some(began),
+        };
+        let row = NewRow::job(id, jobs::encode(&job), guard);
         let objective_ms = queue.objective(job.estimated_time()).as_millis();
         let (spec_bytes, steps) = (job.spec.len(), job.steps.len());
         let team = job.team.clone();
@@ -114,8 +121,6 @@
             };
             self.ask(key, workers, cost);
         }
-        let began = self.0.clock.time();
-        let row = jobs::encode(&job);
         let outcome = self.store_or_wait(queue, id, &job, &row, deadline).await;
         let ms = (self.0.clock.time() - began).as_millis();
         self.0.metrics.time("submit", self.0.clock.time() - began);
@@ -151,6 +156,17 @@
                     reason: "the job was cancelled before it was accepted",
                 }
             }
+            StoreOutcome::Outdated(guard) => {
+                log::warn!(
+                    "event=refused_as_late job={id} queue={} guard={guard} ms={ms}",
+                    queue.name
+                );
+                self.0.metrics.count("jobs_refused_as_late");
+                SubmitOutcome::NotRun {
+                    retry_after: MIN_RETRY_AFTER,
+                    reason: "rows were deleted since the request was read",
+                }
+            }
             StoreOutcome::NotStored(reason) => {
                 let outage = self.0.table.outage();
                 let retry_after = if self.0.settings.policy.retries_by_outage {
@@ -250,14 +266,13 @@
     /// Cancels a job that is stored.
     async fn cancel_stored(&self, id: JobId, deadline: Instant) -> CancelOutcome {
         let row = NewRow::cancellation(id);
-        let relay = RelayRequest::Cancel(id);
-        match self.store(row, relay, deadline).await {
+        match self.store(row, deadline).await {
             StoreOutcome::Stored(_) | StoreOutcome::Exists => {
                 log::info!("event=cancel_accepted job={id}");
                 self.0.metrics.count("cancels_accepted");
                 CancelOutcome::Accepted
             }
-            StoreOutcome::Excluded => CancelOutcome::Unknown,
+            StoreOutcome::Excluded | StoreOutcome::Outdated(_) => CancelOutcome::Unknown,
             StoreOutcome::NotStored(reason) | StoreOutcome::Unknown(reason) => {
                 log::warn!("event=cancel_unsettled job={id} reason={reason:?}");
                 CancelOutcome::Unknown
@@ -275,8 +290,7 @@
             return CancelOutcome::Busy { retry_after };
         }
         let row = NewRow::early_cancellation(id);
-        let relay = RelayRequest::Cancel(id);
-        match self.store(row, relay, deadline).await {
+        match self.store(row, deadline).await {
             StoreOutcome::Stored(_) | StoreOutcome::Exists => {
                 log::info!("event=cancel_early job={id}");
                 self.0.metrics.count("early_cancels");
@@ -284,6 +298,7 @@
             }
             // The job was stored meanwhile.
             StoreOutcome::Excluded => self.cancel_stored(id, deadline).await,
+            StoreOutcome::Outdated(_) => CancelOutcome::Unknown,
             StoreOutcome::NotStored(reason) | StoreOutcome::Unknown(reason) => {
                 log::warn!("event=cancel_unsettled job={id} reason={reason:?}");
                 CancelOutcome::Unknown
@@ -293,25 +308,35 @@
 
     /// Stores a row that must not exist yet, through the scheduler if this node cannot reach the table.
     /// Retries until `deadline` once an attempt may have been stored.
-    pub(crate) async fn store(
-        &self,
-        row: NewRow,
-        relay: RelayRequest,
-        deadline: Instant,
-    ) -> StoreOutcome {
+    pub(crate) async fn store(&self, mut row: NewRow, deadline: Instant) -> StoreOutcome {
+        // A scheduler of an earlier build may have an attempt that expects no version of the guard.
+        let unknown_if_late =
+            || StoreOutcome::Unknown("rows were deleted since the request was read".to_owned());
         let mut may_be_stored = false;
         loop {
             if Instant::now() >= deadline && !may_be_stored {
                 return StoreOutcome::NotStored("no time is left".to_owned());
             }
             if !self.0.table.is_lost() {
-                match self.store_locally(row.clone(), deadline).await {
+                match self.store_guarded(&mut row, deadline).await {
                     StoreOutcome::Unknown(_) => may_be_stored = true,
                     StoreOutcome::NotStored(_) => {}
+                    StoreOutcome::Outdated(_) if may_be_stored => return unknown_if_late(),
                     known => return known,
                 }
             }
-            match self.relay(relay.clone(), deadline).await {
+            let request = row.relay_request(self.0.upstream_level.get());
+            match self.relay(request, deadline).await {
+                Relayed::Answered(RelayReply::Outdated(guard)) => {
+                    if self.renew_guard(&mut row, guard) {
+                        continue;
+                    }
+                    return if may_be_stored {
+                        unknown_if_late()
+                    } else {
+                        StoreOutcome::Outdated(guard)
+                    };
+                }
                 Relayed::Answered(RelayReply::Stored) => return StoreOutcome::Stored(0),
                 Relayed::Answered(RelayReply::StoredBefore) => {
                     return StoreOutcome::Exists;
--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -5,7 +5,8 @@
 //! does not slow down the table further.
 //!
 //! A write that was given up may be carried out later, so it cannot be withdrawn. The row of a job and a cancellation that
-//! comes before it exclude each other instead: whichever the table stores first makes the other one's condition fail.
+//! comes before it exclude each other instead: whichever the table stores first makes the other one's condition fail. Once
+//! the cancellation is deleted, the [guard](crate::guard) of the part makes it fail.
 
 use std::{
     cell::{Cell, RefCell},
@@ -20,14 +21,17 @@
 };
 
 use jobs::JobId;
+use model::Time;
 
 use crate::{
     Node, Ports, Row, RowKey, Transaction,
     commit::{self, Outcome},
-    rows::{CANCELLED, cancel_key, job_key},
+    guard::GuardCondition,
+    message::{GUARDS_LEVEL, RelayRequest},
+    rows::{CANCELLED, cancel_key, guard_key, job_key},
 };
 
-/// The most rows in one transaction. Each row takes up to three entries, two conditions and a write, and
+/// The most rows in one transaction. Each row takes up to three entries, two conditions and a write, the guard takes one, and
 /// the platform accepts 100 entries.
 const MAX_BATCH_ROWS: usize = 33;
 
@@ -43,28 +47,35 @@
 /// A row to create. It must not exist yet.
 #[derive(Clone, Debug)]
 pub(crate) struct NewRow {
+    job: JobId,
     key: RowKey,
     value: Vec<u8>,
     /// A row of the same part that must not exist either.
     excluded_by: Option<RowKey>,
+    /// The condition on the guard of the part; `None` for a row that may be created at any time.
+    guard: Option<GuardCondition>,
 }
 
 impl NewRow {
     /// Returns the row of a job, given its encoded content. A cancellation that is stored before excludes it.
-    pub(crate) fn job(id: JobId, content: Vec<u8>) -> Self {
+    pub(crate) fn job(id: JobId, content: Vec<u8>, guard: GuardCondition) -> Self {
         Self {
+            job: id,
             key: job_key(id),
             value: content,
             excluded_by: Some(cancel_key(id)),
+            guard: Some(guard),
         }
     }
 
     /// Returns the cancellation of a job.
     pub(crate) fn cancellation(id: JobId) -> Self {
         Self {
+            job: id,
             key: cancel_key(id),
             value: CANCELLED.to_vec(),
             excluded_by: None,
+            guard: None,
         }
     }
 
@@ -76,6 +87,30 @@
         }
     }
 
+    /// Returns the content.
+    pub(crate) fn value(&self) -> &[u8] {
+        &self.value
+    }
+
+    /// Expects a newer version of the guard, if that is safe. Returns whether it is.
+    pub(crate) fn renew_guard(&mut self, version: u64, now: Time, retention: Duration) -> bool {
+        let guard = self.guard.as_mut();
+        guard.is_some_and(|guard| guard.renew(version, now, retention))
+    }
+
+    /// Returns the request with which a scheduler of this protocol level stores the row.
+    pub(crate) fn relay_request(&self, level: u32) -> RelayRequest {
+        match self.guard {
+            None => RelayRequest::Cancel(self.job),
+            Some(guard) if level >= GUARDS_LEVEL => RelayRequest::SubmitGuarded {
+                job: self.job,
+                row: self.value.clone(),
+                guard: guard.version,
+            },
+            Some(_) => RelayRequest::Submit(self.job, self.value.clone()),
+        }
+    }
+
     /// Returns the rows that must not exist.
     fn absent(&self) -> impl Iterator<Item = &RowKey> {
         std::iter::once(&self.key).chain(&self.excluded_by)
@@ -91,6 +126,9 @@
     Exists,
     /// A row exists that excludes this one. This one is not stored and never will be, by this attempt or an earlier one.
     Excluded,
+    /// The guard of the part has this newer version. The row is not stored and never will be, by this attempt or an earlier
+    /// one with the same guard.
+    Outdated(u64),
     /// The row was not stored and never will be by this attempt.
     NotStored(String),
     /// The row may be stored, now or later.
@@ -101,11 +139,22 @@
 struct PendingRow {
     number: u64,
     row: NewRow,
+    /// When the requester stops waiting.
+    deadline: Instant,
     /// Receives the outcome.
     tx: oneshot::Sender<StoreOutcome>,
 }
 
 impl PendingRow {
+    /// Returns why the row cannot be stored any more while the guard of its part has version `guard`.
+    fn refusal(&self, now: Instant, guard: u64) -> Option<StoreOutcome> {
+        if (self.row.guard).is_some_and(|condition| condition.version < guard) {
+            return Some(StoreOutcome::Outdated(guard));
+        }
+        let is_late = self.deadline <= now || self.tx.is_closed();
+        is_late.then(|| StoreOutcome::NotStored("no time is left".to_owned()))
+    }
+
     /// Returns the outcome of a conflict with existing rows, or `None` if they do not concern this row.
     fn conflict(&self, existing: &HashSet<&str>) -> Option<StoreOutcome> {
         let exists = |key: &RowKey| existing.contains(key.key.as_str());
@@ -144,11 +193,20 @@
         part.waiting.len() < before
     }
 
-    /// Takes the rows for the next transaction of a part. If there are none, marks the part as idle and
-    /// returns `None`.
-    fn take_batch(&self, name: &str) -> Option<Vec<PendingRow>> {
+    /// Takes the rows for the next transaction of a part, whose guard has version `guard`. Answers the requesters of those that
+    /// it is too late to send. If there are none, marks the part as idle and returns `None`.
+    fn take_batch(&self, name: &str, now: Instant, guard: u64) -> Option<Vec<PendingRow>> {
         let mut parts = self.parts.borrow_mut();
         let part = parts.get_mut(name)?;
+        // A process that was suspended finds rows whose requesters have gone.
+        for pending in std::mem::take(&mut part.waiting) {
+            match pending.refusal(now, guard) {
+                Some(outcome) => {
+                    let _ = pending.tx.send(outcome);
+                }
+                None => part.waiting.push(pending),
+            }
+        }
         if part.waiting.is_empty() {
             part.is_busy = false;
             return None;
@@ -188,10 +246,19 @@
         queue.last_number.set(number);
         let (tx, rx) = oneshot::channel();
         let name = row.key.part.clone();
+        // Another node may have seen a newer version.
+        if let Some(guard) = row.guard {
+            self.0.guards.observe(&name, guard.version);
+        }
         let is_idle = {
             let mut parts = queue.parts.borrow_mut();
             let part = parts.entry(name.clone()).or_default();
-            part.waiting.push(PendingRow { number, row, tx });
+            part.waiting.push(PendingRow {
+                number,
+                row,
+                deadline,
+                tx,
+            });
             !std::mem::replace(&mut part.is_busy, true)
         };
         // A row that has to wait for a transaction in flight waits for two answers.
@@ -220,15 +287,38 @@
         }
     }
 
+    /// Stores a row as [`store_locally`](Self::store_locally) does, and expects newer versions of the guard as long as that
+    /// is safe.
+    pub(crate) async fn store_guarded(&self, row: &mut NewRow, deadline: Instant) -> StoreOutcome {
+        loop {
+            match self.store_locally(row.clone(), deadline).await {
+                StoreOutcome::Outdated(guard) if self.renew_guard(row, guard) => {}
+                outcome => return outcome,
+            }
+        }
+    }
+
+    /// Makes a row expect a newer version of the guard, if that is safe. Returns whether it is.
+    pub(crate) fn renew_guard(&self, row: &mut NewRow, version: u64) -> bool {
+        let retention = self.0.settings.sched.early_cancel_retention;
+        row.renew_guard(version, self.0.clock.time(), retention)
+    }
+
     /// Stores the waiting rows of a part, one transaction at a time, until none are left.
     async fn store_part(self, name: String) {
-        while let Some(rows) = self.0.write_queue.take_batch(&name) {
+        loop {
+            let guard = self.0.guards.version(&name);
+            let rows = self.0.write_queue.take_batch(&name, Instant::now(), guard);
+            let Some(rows) = rows else {
+                return;
+            };
+            let absent = rows.iter().flat_map(|pending| pending.row.absent());
+            let mut expected: Vec<_> = absent.map(|key| (key.clone(), 0)).collect();
+            if rows.iter().any(|pending| pending.row.guard.is_some()) {
+                expected.push((guard_key(&name), guard));
+            }
             let tx = Transaction {
-                expected: rows
-                    .iter()
-                    .flat_map(|pending| pending.row.absent())
-                    .map(|key| (key.clone(), 0))
-                    .collect(),
+                expected,
                 set: rows
                     .iter()
                     .map(|pending| (pending.row.key.clone(), pending.row.value.clone()))
@@ -236,14 +326,18 @@
                 delete: Vec::new(),
             };
             let deadline = Instant::now() + BATCH_TIMEOUT;
-            let is_lost = || self.0.table.is_lost();
-            let outcome = commit::with_retry_unless(&self.0.ports, &tx, deadline, is_lost).await;
+            let is_unwanted =
+                || self.0.table.is_lost() || rows.iter().all(|pending| pending.tx.is_closed());
+            let outcome =
+                commit::with_retry_unless(&self.0.ports, &tx, deadline, is_unwanted).await;
             let outcome = match outcome {
                 Outcome::Stored(version) => StoreOutcome::Stored(version),
                 Outcome::NotStored(reason) => StoreOutcome::NotStored(reason),
                 Outcome::Unknown(reason) => StoreOutcome::Unknown(reason),
                 Outcome::Conflict { current } => {
-                    self.resolve_conflict(&name, rows, &current);
+                    self.0.guards.observe_rows(&name, &current);
+                    let is_outdated = self.0.guards.version(&name) != guard;
+                    self.resolve_conflict(&name, rows, &current, is_outdated);
                     continue;
                 }
             };
@@ -255,8 +349,15 @@
     }
 
     /// Answers the requesters whose rows conflict with those in `current`, and lets the other rows of the transaction wait for
-    /// the next one.
-    fn resolve_conflict(&self, part: &str, rows: Vec<PendingRow>, current: &[Row]) {
+    /// the next one. If the guard has another version than expected, that one answers the requesters of rows that expect its former
+    /// version.
+    fn resolve_conflict(
+        &self,
+        part: &str,
+        rows: Vec<PendingRow>,
+        current: &[Row],
+        is_outdated: bool,
+    ) {
         let existing: HashSet<&str> = current
             .iter()
             .filter(|row| row.version > 0 && row.value.is_some())
@@ -272,7 +373,7 @@
                 None => others.push(pending),
             }
         }
-        if others.len() < count {
+        if others.len() < count || is_outdated {
             self.0.write_queue.requeue(part, others);
             return;
         }
--- a/crates/cluster/src/lead/feeds.rs
+++ b/crates/cluster/src/lead/feeds.rs
@@ -1,17 +1,15 @@
-//! Follows changes of jobs, workers and queues for the scheduler, and deletes the rows of expired jobs.
+//! Follows changes of jobs, workers and queues for the scheduler.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
-use jobs::JobId;
 use model::Time;
 use sched::{Scheduler, WorkerInfo};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::Leader;
 use crate::{
-    Directory, FeedError, Ports, Row, Table, Transaction, Versioned, WorkerChanges,
-    commit::{self, Outcome},
-    rows::{JOBS, JobContent, JobRow, cancel_key, job_key, job_part, parse_job_key, read_job_row},
+    Directory, FeedError, Ports, Row, Table, Versioned, WorkerChanges,
+    rows::{JOBS, JobContent, JobRow, parse_job_key, read_job_row},
 };
 
 /// The pause between two reads of new jobs. Each read is a paid call.
@@ -27,19 +25,6 @@
 /// The pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// How often ended jobs are checked for ones to delete.
-const FORGET_INTERVAL: Duration = Duration::from_secs(5);
-
-/// The most jobs whose rows are deleted per check. Each takes one transaction on one part.
-const FORGET_BATCH_JOBS: usize = 50;
-
-/// The most cancellations of unknown jobs that one transaction deletes. Each takes two entries, a condition and a
-/// deletion, and the platform accepts 100 entries.
-const FORGET_BATCH_CANCELS: usize = 40;
-
-/// How long deleting the rows of one job is retried.
-const FORGET_TIMEOUT: Duration = Duration::from_secs(2);
-
 impl<P: Ports> Leader<P> {
     /// Follows new jobs and cancellations.
     pub(super) async fn follow_jobs(self: Rc<Self>, mut after: u64) {
@@ -202,66 +187,6 @@
             self.wake.notify_one();
         }
     }
-
-    /// Periodically deletes the rows of jobs that ended long ago.
-    pub(super) async fn forget_jobs(self: Rc<Self>) {
-        loop {
-            sleep(FORGET_INTERVAL).await;
-            let now = self.now();
-            let ids = self
-                .scheduler
-                .borrow_mut()
-                .take_expired_jobs(now, FORGET_BATCH_JOBS);
-            for id in ids {
-                let tx = Transaction {
-                    delete: vec![job_key(id), cancel_key(id)],
-                    ..Transaction::default()
-                };
-                let outcome =
-                    commit::with_retry(&self.node.0.ports, &tx, Instant::now() + FORGET_TIMEOUT)
-                        .await;
-                // The progress must stay until the job's row is known to be deleted: a row without progress
-                // would count as a new job.
-                if matches!(outcome, Outcome::Stored(_)) {
-                    self.scheduler.borrow_mut().forget([id]);
-                } else {
-                    log::warn!("event=not_forgotten job={id} outcome={outcome:?}");
-                }
-            }
-            self.forget_early_cancels().await;
-        }
-    }
-
-    /// Deletes the cancellations of unknown jobs that have expired, unless the job was stored meanwhile.
-    async fn forget_early_cancels(&self) {
-        let expired = self.scheduler.borrow().expired_early_cancels(self.now());
-        let mut by_part: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
-        for id in expired {
-            by_part.entry(job_part(id)).or_default().push(id);
-        }
-        for ids in by_part
-            .values()
-            .flat_map(|ids| ids.chunks(FORGET_BATCH_CANCELS))
-        {
-            let tx = Transaction {
-                expected: ids.iter().map(|&id| (job_key(id), 0)).collect(),
-                delete: ids.iter().map(|&id| cancel_key(id)).collect(),
-                ..Transaction::default()
-            };
-            let deadline = Instant::now() + FORGET_TIMEOUT;
-            match commit::with_retry(&self.node.0.ports, &tx, deadline).await {
-                Outcome::Stored(_) => {
-                    let mut scheduler = self.scheduler.borrow_mut();
-                    for &id in ids {
-                        scheduler.early_cancel_deleted(id);
-                    }
-                    log::info!("event=early_cancels_deleted count={}", ids.len());
-                }
-                // The feed delivers the jobs that exist, which are cancelled then. The others are deleted next time.
-                outcome => log::warn!("event=early_cancels_not_deleted outcome={outcome:?}"),
-            }
-        }
-    }
 }
 
 /// Logs a change of a worker's size within one incarnation.
--- a/crates/cluster/src/lead/mod.rs
+++ b/crates/cluster/src/lead/mod.rs
@@ -2,6 +2,7 @@
 //! its actions.
 
 mod feeds;
+mod forget;
 mod lists;
 mod orders;
 mod peers;
@@ -91,6 +92,8 @@
     panicked: Rc<Notify>,
     /// Signals that there may be changes to store.
     changed: Notify,
+    /// The number of the last transaction that deletes rows of jobs.
+    last_deletion: Cell<u64>,
 }
 
 /// Signals when it is dropped by a panic.
@@ -124,6 +127,7 @@
             deposed: Notify::new(),
             panicked: Rc::default(),
             changed: Notify::new(),
+            last_deletion: Cell::default(),
         })
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -39,6 +39,7 @@
 mod error;
 mod feed;
 mod follow;
+mod guard;
 mod health;
 mod inbound;
 mod intake;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -16,7 +16,7 @@
 /// The protocol level of this build, which nodes exchange in [`Message::Hello`] and [`Message::Beat`]. Builds before
 /// levels were introduced have level 0 and close a link on which a message arrives that they do not know, so variants
 /// that were added at a level are sent only to peers of that level or a higher one.
-pub(crate) const LEVEL: u32 = 3;
+pub(crate) const LEVEL: u32 = 4;
 
 /// The protocol level at which the messages about teams and the configuration were added.
 pub(crate) const TEAMS_LEVEL: u32 = 1;
@@ -27,6 +27,9 @@
 /// The protocol level at which [`Message::Follows`] was added.
 pub(crate) const FOLLOWS_LEVEL: u32 = 3;
 
+/// The protocol level at which [`RelayRequest::SubmitGuarded`] and [`RelayReply::Outdated`] were added.
+pub(crate) const GUARDS_LEVEL: u32 = 4;
+
 /// A message on a link. Nodes open links to the scheduler. New variants are appended, because messages are encoded with
 /// the position of their variant.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -157,6 +160,16 @@
     Cancel(JobId),
     /// Read a job's state.
     State(JobId),
+    /// Store a job unless rows of its part of the table were deleted since the requesting node has read the client's request.
+    /// Level 4.
+    SubmitGuarded {
+        /// The job.
+        job: JobId,
+        /// The encoded row.
+        row: Vec<u8>,
+        /// The version of the part's guard that the requesting node knows.
+        guard: u64,
+    },
 }
 
 /// The outcome of a relayed request.
@@ -175,6 +188,9 @@
     NoJob,
     /// The job's state.
     State(State),
+    /// The row was not stored, and this request will never cause it to be stored: the guard has this newer version. Answers
+    /// [`RelayRequest::SubmitGuarded`] only.
+    Outdated(u64),
 }
 
 #[cfg(test)]
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -26,6 +26,7 @@
     door::Door,
     early_cancels::EarlyCancelLimit,
     feed, follow,
+    guard::Guards,
     health::{MonitoredPorts, TableHealth},
     inbound::{Inbound, InboundLimits},
     intake::WriteQueue,
@@ -110,6 +111,7 @@
     pub(crate) recovery_sent_at: Cell<Option<Time>>,
     pub(crate) table: Rc<TableHealth>,
     pub(crate) write_queue: WriteQueue,
+    pub(crate) guards: Guards,
     pub(crate) pending_relays: PendingRelays,
     pub(crate) door: RefCell<Door>,
     /// The link addresses of all nodes, as sent by the scheduler.
@@ -157,6 +159,7 @@
             recovery_sent_at: Cell::default(),
             table,
             write_queue: WriteQueue::default(),
+            guards: Guards::default(),
             pending_relays: PendingRelays::default(),
             door: RefCell::default(),
             node_addresses: RefCell::default(),
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use jobs::JobId;
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout_at},
@@ -16,8 +17,10 @@
 
 use crate::{
     Node, Ports, StateAnswer,
+    guard::GuardCondition,
     intake::{NewRow, StoreOutcome},
     message::{Message, RelayReply, RelayRequest},
+    rows::job_part,
 };
 
 /// How long the scheduler tries to execute a relayed request. The client of the requesting node waits
@@ -94,19 +97,30 @@
         let deadline = Instant::now() + RELAY_TIMEOUT;
         let reply = match request {
             // Refused without a call to the table, so that it is certain that nothing was stored.
-            RelayRequest::Submit(..) | RelayRequest::Cancel(_) if self.0.table.is_lost() => {
+            RelayRequest::Submit(..)
+            | RelayRequest::SubmitGuarded { .. }
+            | RelayRequest::Cancel(_)
+                if self.0.table.is_lost() =>
+            {
                 RelayReply::NotStored
             }
+            // A node of an earlier build does not tell which guard it knows. Its request counts as read now.
             RelayRequest::Submit(id, row) => {
-                let outcome = self
-                    .store_locally(NewRow::job(id, row.clone()), deadline)
-                    .await;
-                // The job of an announcement can start without waiting for the requesting node.
-                if let StoreOutcome::Stored(_) = outcome {
-                    self.settle(id, &row, &outcome);
+                let guard = GuardCondition {
+                    version: self.0.guards.version(&job_part(id)),
+                    read_at: Some(self.0.clock.time()),
+                };
+                match self.store_relayed(id, row, guard, deadline).await {
+                    RelayReply::Outdated(_) => RelayReply::NotStored,
+                    reply => reply,
                 }
-                log::info!("event=relayed job={id} outcome={outcome:?}");
-                relay_reply(&outcome)
+            }
+            RelayRequest::SubmitGuarded { job, row, guard } => {
+                let guard = GuardCondition {
+                    version: guard,
+                    read_at: None,
+                };
+                self.store_relayed(job, row, guard, deadline).await
             }
             RelayRequest::Cancel(id) => {
                 let outcome = self.store_locally(NewRow::cancellation(id), deadline).await;
@@ -123,6 +137,24 @@
             self.0.metrics.count("messages_dropped");
         }
     }
+
+    /// Stores the row of a job for another node.
+    async fn store_relayed(
+        &self,
+        id: JobId,
+        row: Vec<u8>,
+        guard: GuardCondition,
+        deadline: Instant,
+    ) -> RelayReply {
+        let mut row = NewRow::job(id, row, guard);
+        let outcome = self.store_guarded(&mut row, deadline).await;
+        // The job of an announcement can start without waiting for the requesting node.
+        if let StoreOutcome::Stored(_) = outcome {
+            self.settle(id, row.value(), &outcome);
+        }
+        log::info!("event=relayed job={id} outcome={outcome:?}");
+        relay_reply(&outcome)
+    }
 }
 
 /// Converts the outcome of storing a row to a reply.
@@ -130,6 +162,7 @@
     match outcome {
         StoreOutcome::Stored(_) => RelayReply::Stored,
         StoreOutcome::Exists => RelayReply::StoredBefore,
+        StoreOutcome::Outdated(guard) => RelayReply::Outdated(*guard),
         StoreOutcome::NotStored(_) | StoreOutcome::Excluded => RelayReply::NotStored,
         StoreOutcome::Unknown(_) => RelayReply::Unknown,
     }
--- a/crates/cluster/src/rows.rs
+++ b/crates/cluster/src/rows.rs
@@ -4,16 +4,19 @@
 //! |---|---|---|---|---|
 //! | `jobs` | one of [`JOB_PARTS`] | job id | the job | the node that accepts it, once |
 //! | `jobs` | the same | job id and `!` | [`CANCELLED`] | the node that accepts the cancellation, once |
+//! | `guards` | the same | [`GUARD_KEY`] | a [`GuardRow`] | the scheduler, with each deletion in the part |
 //! | `progress` | [`SCHEDULER_PART`] | job id | its progress | the scheduler |
 //! | `lease` | [`SCHEDULER_PART`] | [`LEASE_KEY`] | the lease row | the scheduler, with each transaction |
 
 use jobs::{Job, JobId};
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{Row, RowKey};
 
 /// The table of jobs and their cancellations.
 pub(crate) const JOBS: &str = "jobs";
+/// The table of the guards of the parts of [`JOBS`]. A table of its own, because builds without guards follow [`JOBS`].
+pub(crate) const GUARDS: &str = "guards";
 /// The table of the progress of jobs.
 pub(crate) const PROGRESS: &str = "progress";
 /// The table of the lease row, which names the scheduler.
@@ -28,14 +31,22 @@
 /// The key of the lease row.
 pub(crate) const LEASE_KEY: &str = "scheduler";
 
+/// The key of the guard of a part.
+pub(crate) const GUARD_KEY: &str = "guard";
+
 /// The content of a cancellation row. Only the existence of the row matters.
 pub(crate) const CANCELLED: [u8; 1] = [1];
 
 /// The suffix of the job id in the key of a cancellation row.
 const CANCEL_SUFFIX: char = '!';
 
+/// Returns the number of the part with the rows of a job, below [`JOB_PARTS`].
+pub(crate) const fn job_part_number(id: JobId) -> u64 {
+    id.0 % JOB_PARTS
+}
+
 pub(crate) fn job_part(id: JobId) -> String {
-    format!("j{}", id.0 % JOB_PARTS)
+    format!("j{}", job_part_number(id))
 }
 
 pub(crate) fn all_job_parts() -> impl Iterator<Item = String> {
@@ -62,6 +73,14 @@
     format!("{id}~")
 }
 
+pub(crate) fn guard_key(part: &str) -> RowKey {
+    RowKey {
+        table: GUARDS,
+        part: part.to_owned(),
+        key: GUARD_KEY.to_owned(),
+    }
+}
+
 pub(crate) fn progress_key(id: JobId) -> RowKey {
     RowKey {
         table: PROGRESS,
@@ -78,6 +97,16 @@
     }
 }
 
+/// The content of a guard: which transaction has written it. Shows the writer whether an attempt without an answer was stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct GuardRow {
+    /// The epoch of the scheduler.
+    pub(crate) epoch: u64,
+    /// The number of the transaction, unique in the epoch.
+    pub(crate) number: u64,
+}
+
 /// The kind of a row of the table of jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum JobRow {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -51,6 +51,10 @@
     RefusesTransactions,
     /// Transactions with rows of jobs are not answered, and are carried out this much later if their conditions hold then.
     CarriesOutJobsLate(Duration),
+    /// Transactions with rows of jobs are not answered, and wait for [`Platform::carry_out_held`].
+    KeepsJobs,
+    /// The next transaction that deletes rows of jobs is not answered, and waits for [`Platform::carry_out_held`].
+    KeepsDeletion,
 }
 
 /// The rows of all tables, and the log of their changes.
@@ -98,6 +102,8 @@
     pub next_renewal_panics: Cell<bool>,
     /// How often a node has closed its idle connections to workers.
     pub disconnects: Cell<u32>,
+    /// The transactions that wait to be carried out.
+    held: RefCell<Vec<Transaction>>,
     started_at: Instant,
 }
 
@@ -162,6 +168,7 @@
         next_changes_panic: Cell::default(),
         next_renewal_panics: Cell::default(),
         disconnects: Cell::default(),
+        held: RefCell::default(),
         started_at: Instant::now(),
     };
     Platform {
@@ -185,6 +192,15 @@
         store.rows.keys().filter(|(t, _, _)| t == table).count()
     }
 
+    /// Returns whether the table of jobs has a row with this key.
+    pub fn has_job_row(&self, key: &str) -> bool {
+        let store = self.shared.store.borrow();
+        store
+            .rows
+            .keys()
+            .any(|(table, _, k)| table == "jobs" && k == key)
+    }
+
     /// Returns the lease row, if there is one.
     pub fn lease(&self) -> Option<LeaseRow> {
         let store = self.shared.store.borrow();
@@ -256,7 +272,9 @@
             | TableFault::LosesAnswers
             | TableFault::HoldsAnswers
             | TableFault::RefusesTransactions
-            | TableFault::CarriesOutJobsLate(_) => None,
+            | TableFault::CarriesOutJobsLate(_)
+            | TableFault::KeepsJobs
+            | TableFault::KeepsDeletion => None,
             TableFault::Refuses => Some(refused),
             TableFault::Silent => {
                 sleep(WAIT_TIMEOUT).await;
@@ -266,6 +284,23 @@
     }
 }
 
+impl Platform {
+    /// Keeps a transaction whose answer is lost.
+    fn hold(&self, tx: &Transaction) -> CommitError {
+        self.shared.held.borrow_mut().push(tx.clone());
+        CommitError::Unknown("the answer was lost".into())
+    }
+
+    /// Carries out the transactions that wait, and returns whether the conditions of each hold.
+    pub fn carry_out_held(&self) -> Vec<bool> {
+        let held = self.shared.held.take();
+        let mut store = self.shared.store.borrow_mut();
+        held.iter()
+            .map(|tx| apply(&mut store, tx).is_ok())
+            .collect()
+    }
+}
+
 fn row_index(key: &RowKey) -> (String, String, String) {
     (key.table.to_owned(), key.part.clone(), key.key.clone())
 }
@@ -287,16 +322,23 @@
         }
         let has_job =
             (tx.set.iter()).any(|(key, _)| key.table == "jobs" && !key.key.ends_with('!'));
-        if let TableFault::CarriesOutJobsLate(delay) = self.fault.get()
-            && has_job
-        {
-            let (shared, tx) = (self.shared.clone(), tx.clone());
-            spawn_local(async move {
-                sleep(delay).await;
-                // Nobody waits for the answer any more.
-                let _ = apply(&mut shared.store.borrow_mut(), &tx);
-            });
-            return Err(CommitError::Unknown("the answer was lost".into()));
+        let deletes_job = tx.delete.iter().any(|key| key.table == "jobs");
+        match self.fault.get() {
+            TableFault::CarriesOutJobsLate(delay) if has_job => {
+                let (shared, tx) = (self.shared.clone(), tx.clone());
+                spawn_local(async move {
+                    sleep(delay).await;
+                    // Nobody waits for the answer any more.
+                    let _ = apply(&mut shared.store.borrow_mut(), &tx);
+                });
+                return Err(CommitError::Unknown("the answer was lost".into()));
+            }
+            TableFault::KeepsJobs if has_job => return Err(self.hold(tx)),
+            TableFault::KeepsDeletion if deletes_job => {
+                self.fault.set(TableFault::None);
+                return Err(self.hold(tx));
+            }
+            _ => {}
         }
         if let Some((key, _)) = tx.set.first() {
             self.wait_for_part(&key.part).await;
@@ -635,9 +677,36 @@
     rank: u32,
     platform: &Platform,
     access: AccessSettings,
+) -> (Node<Platform>, JoinHandle<()>) {
+    start_adjusted(name, rank, platform, |settings| settings.access = access).await
+}
+
+/// Starts a node whose scheduler keeps cancellations of unknown jobs, and ended jobs, for `retention`, and waits until it has a
+/// configuration.
+pub async fn start_with_retention(
+    name: &str,
+    rank: u32,
+    platform: &Platform,
+    retention: Duration,
+) -> Node<Platform> {
+    let adjust = |settings: &mut NodeSettings| {
+        settings.sched.early_cancel_retention = retention;
+        settings.sched.job_retention = retention;
+    };
+    let (node, running) = start_adjusted(name, rank, platform, adjust).await;
+    // The node runs on without its handle.
+    drop(running);
+    node
+}
+
+async fn start_adjusted(
+    name: &str,
+    rank: u32,
+    platform: &Platform,
+    adjust: impl FnOnce(&mut NodeSettings),
 ) -> (Node<Platform>, JoinHandle<()>) {
     let links = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let settings = NodeSettings {
+    let mut settings = NodeSettings {
         name: name.into(),
         link_address: links.local_addr().unwrap(),
         rank,
@@ -645,9 +714,10 @@
         policy: cluster::NodePolicy::default(),
         sched: SchedConfig::default(),
         candidacy: CandidacyConfig::default(),
-        access,
+        access: AccessSettings::default(),
         links: cluster::InboundLimits::default(),
     };
+    adjust(&mut settings);
     let node = Node::new(
         settings,
         Clock::runtime(),
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -643,26 +643,33 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Takes at most `limit` jobs that ended longer ago than the retention period. Once the caller
-    /// has deleted their job rows, it must pass them to [`forget`](Self::forget).
-    pub fn take_expired_jobs(&mut self, now: Now, limit: usize) -> Vec<JobId> {
+    /// Returns at most `limit` jobs that ended longer ago than the retention period and for which `is_chosen` returns true.
+    /// Once the caller has deleted their job rows, it must pass them to [`forget`](Self::forget).
+    pub fn expired_jobs(
+        &mut self,
+        now: Now,
+        limit: usize,
+        is_chosen: impl Fn(JobId) -> bool,
+    ) -> Vec<JobId> {
         self.drop_stale_approvals(now.time);
-        let until = now.time;
-        let due = |&(since, _): &(Time, JobId)| since + self.cfg.job_retention <= until;
-        let count = self
-            .ended_jobs
-            .iter()
+        let retention = self.cfg.job_retention;
+        let ended = self.ended_jobs.iter();
+        ended
+            .take_while(|(since, _)| *since + retention <= now.time)
+            .map(|&(_, id)| id)
+            .filter(|&id| is_chosen(id))
             .take(limit)
-            .take_while(|ended| due(ended))
-            .count();
-        self.ended_jobs.drain(..count).map(|(_, id)| id).collect()
+            .collect()
     }
 
     /// Drops jobs from memory. The rows of their progress are deleted with the next batches.
     pub fn forget(&mut self, ids: impl IntoIterator<Item = JobId>) {
+        let ids: BTreeSet<JobId> = ids.into_iter().collect();
+        self.ended_jobs.retain(|(_, id)| !ids.contains(id));
+        self.awaiting_workers
+            .retain(|key, _| !ids.contains(&key.job));
         for id in ids {
             self.jobs.remove(&id);
-            self.awaiting_workers.retain(|key, _| key.job != id);
             self.forgotten.push(id);
         }
     }
--- a/crates/sched/tests/announced.rs
+++ b/crates/sched/tests/announced.rs
@@ -320,7 +320,7 @@
     decide_and_store(&mut scheduler, at_ms(1_100));
     decide_and_store(&mut scheduler, at_ms(10_000));
     let late = at_ms(1_000_000);
-    assert!(scheduler.take_expired_jobs(late, 10).is_empty());
+    assert!(scheduler.expired_jobs(late, 10, |_| true).is_empty());
 }
 
 /// Returns a successor that has found the progress of an announced job without its row.
