Store cancellations beside the rows of jobs

Callers saw a cancellation answered after 1.65 s, or with 504, while the answer to the row of another job in the same part of the table was lost.

Cause: a node has one transaction with rows of a part in flight, and a lost answer holds up the next one for up to 2.5 s.

Change: cancellations of a part have a lane of their own. They are few, so this adds few transactions. The order of a job and its cancellation is decided by the conditions of their rows, as before.

--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -1,8 +1,8 @@
 //! Stores the rows of clients' requests in batches.
 //!
-//! A part of the table executes its transactions one at a time. While a transaction of this node is in
-//! flight, further rows for the same part wait and are sent together in the next one, so that a burst
-//! does not slow down the table further.
+//! A part of the table executes its transactions one at a time. While a transaction of this node with rows of jobs is in
+//! flight, further such rows for the same part wait and are sent together in the next one, so that a burst
+//! does not slow down the table further. Cancellations do the same among themselves.
 //!
 //! A write that was given up may be carried out later, so it cannot be withdrawn. The row of a job and a cancellation that
 //! comes before it exclude each other instead: whichever the table stores first makes the other one's condition fail. Once
@@ -166,49 +166,59 @@
     }
 }
 
+/// Rows that go together in transactions: those of jobs, or cancellations, of one part of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct LaneKey {
+    part: String,
+    has_jobs: bool,
+}
+
 #[derive(Default)]
-struct Part {
+struct Lane {
     /// The rows that are not in a transaction yet.
     waiting: Vec<PendingRow>,
-    /// Whether a task is storing rows of this part.
+    /// Whether a task is storing rows of this lane.
     is_busy: bool,
 }
 
-/// The rows that wait to be stored, by part of the table.
+/// The rows that wait to be stored.
+///
+/// A transaction whose answer is lost keeps its lane busy for seconds. Cancellations are few, so that a lane of their own
+/// costs few transactions.
 #[derive(Default)]
 pub(crate) struct WriteQueue {
-    parts: RefCell<HashMap<String, Part>>,
+    lanes: RefCell<HashMap<LaneKey, Lane>>,
     last_number: Cell<u64>,
 }
 
 impl WriteQueue {
     /// Removes a row that was not sent yet. Returns whether it was still waiting.
-    fn remove_unsent(&self, part: &str, number: u64) -> bool {
-        let mut parts = self.parts.borrow_mut();
-        let Some(part) = parts.get_mut(part) else {
+    fn remove_unsent(&self, key: &LaneKey, number: u64) -> bool {
+        let mut lanes = self.lanes.borrow_mut();
+        let Some(lane) = lanes.get_mut(key) else {
             return false;
         };
-        let before = part.waiting.len();
-        part.waiting.retain(|pending| pending.number != number);
-        part.waiting.len() < before
+        let before = lane.waiting.len();
+        lane.waiting.retain(|pending| pending.number != number);
+        lane.waiting.len() < before
     }
 
-    /// Takes the rows for the next transaction of a part, whose guard has version `guard`. Answers the requesters of those that
-    /// it is too late to send. If there are none, marks the part as idle and returns `None`.
-    fn take_batch(&self, name: &str, now: Instant, guard: u64) -> Option<Vec<PendingRow>> {
-        let mut parts = self.parts.borrow_mut();
-        let part = parts.get_mut(name)?;
+    /// Takes the rows for the next transaction of a lane, if the guard of its part has version `guard`. Answers the requesters
+    /// of those that it is too late to send. If there are none, marks the lane as idle and returns `None`.
+    fn take_batch(&self, key: &LaneKey, now: Instant, guard: u64) -> Option<Vec<PendingRow>> {
+        let mut lanes = self.lanes.borrow_mut();
+        let lane = lanes.get_mut(key)?;
         // A process that was suspended finds rows whose requesters have gone.
-        for pending in std::mem::take(&mut part.waiting) {
+        for pending in std::mem::take(&mut lane.waiting) {
             match pending.refusal(now, guard) {
                 Some(outcome) => {
                     let _ = pending.tx.send(outcome);
                 }
-                None => part.waiting.push(pending),
+                None => lane.waiting.push(pending),
             }
         }
-        if part.waiting.is_empty() {
-            part.is_busy = false;
+        if lane.waiting.is_empty() {
+            lane.is_busy = false;
             return None;
         }
         let mut bytes = 0;
@@ -220,20 +230,20 @@
             keys.extend(pending.row.absent().cloned());
             bytes <= MAX_BATCH_BYTES && is_new
         };
-        let count = part
+        let count = lane
             .waiting
             .iter()
             .take(MAX_BATCH_ROWS)
             .take_while(fits)
             .count();
-        Some(part.waiting.drain(..count.max(1)).collect())
+        Some(lane.waiting.drain(..count.max(1)).collect())
     }
 
     /// Puts rows that were taken for a transaction back at the front of the queue.
-    fn requeue(&self, name: &str, mut rows: Vec<PendingRow>) {
-        if let Some(part) = self.parts.borrow_mut().get_mut(name) {
-            rows.append(&mut part.waiting);
-            part.waiting = rows;
+    fn requeue(&self, key: &LaneKey, mut rows: Vec<PendingRow>) {
+        if let Some(lane) = self.lanes.borrow_mut().get_mut(key) {
+            rows.append(&mut lane.waiting);
+            lane.waiting = rows;
         }
     }
 }
@@ -245,21 +255,24 @@
         let number = queue.last_number.get() + 1;
         queue.last_number.set(number);
         let (tx, rx) = oneshot::channel();
-        let name = row.key.part.clone();
+        let key = LaneKey {
+            part: row.key.part.clone(),
+            has_jobs: row.guard.is_some(),
+        };
         // Another node may have seen a newer version.
         if let Some(guard) = row.guard {
-            self.0.guards.observe(&name, guard.version);
+            self.0.guards.observe(&key.part, guard.version);
         }
         let is_idle = {
-            let mut parts = queue.parts.borrow_mut();
-            let part = parts.entry(name.clone()).or_default();
-            part.waiting.push(PendingRow {
+            let mut lanes = queue.lanes.borrow_mut();
+            let lane = lanes.entry(key.clone()).or_default();
+            lane.waiting.push(PendingRow {
                 number,
                 row,
                 deadline,
                 tx,
             });
-            !std::mem::replace(&mut part.is_busy, true)
+            !std::mem::replace(&mut lane.is_busy, true)
         };
         // A row that has to wait for a transaction in flight waits for two answers.
         self.0.metrics.count("accept_trip_events");
@@ -267,7 +280,7 @@
             .metrics
             .add("accept_trips", if is_idle { 1 } else { 2 });
         if is_idle {
-            spawn_local(self.clone().store_part(name.clone()));
+            spawn_local(self.clone().store_lane(key.clone()));
         }
         tokio::pin!(rx);
         let reason = tokio::select! {
@@ -277,7 +290,7 @@
             },
             () = self.0.table.wait_until_lost() => "the table is lost",
         };
-        if queue.remove_unsent(&name, number) {
+        if queue.remove_unsent(&key, number) {
             return StoreOutcome::NotStored(reason.to_owned());
         }
         // A refused call is what may have marked the table as lost; its certain outcome arrives shortly.
@@ -304,18 +317,19 @@
         row.renew_guard(version, self.0.clock.time(), retention)
     }
 
-    /// Stores the waiting rows of a part, one transaction at a time, until none are left.
-    async fn store_part(self, name: String) {
+    /// Stores the waiting rows of a lane, one transaction at a time, until none are left.
+    async fn store_lane(self, key: LaneKey) {
+        let guards = &self.0.guards;
         loop {
-            let guard = self.0.guards.version(&name);
-            let rows = self.0.write_queue.take_batch(&name, Instant::now(), guard);
+            let guard = guards.version(&key.part);
+            let rows = self.0.write_queue.take_batch(&key, Instant::now(), guard);
             let Some(rows) = rows else {
                 return;
             };
             let absent = rows.iter().flat_map(|pending| pending.row.absent());
             let mut expected: Vec<_> = absent.map(|key| (key.clone(), 0)).collect();
-            if rows.iter().any(|pending| pending.row.guard.is_some()) {
-                expected.push((guard_key(&name), guard));
+            if key.has_jobs {
+                expected.push((guard_key(&key.part), guard));
             }
             let tx = Transaction {
                 expected,
@@ -335,9 +349,9 @@
                 Outcome::NotStored(reason) => StoreOutcome::NotStored(reason),
                 Outcome::Unknown(reason) => StoreOutcome::Unknown(reason),
                 Outcome::Conflict { current } => {
-                    self.0.guards.observe_rows(&name, &current);
-                    let is_outdated = self.0.guards.version(&name) != guard;
-                    self.resolve_conflict(&name, rows, &current, is_outdated);
+                    guards.observe_rows(&key.part, &current);
+                    let is_outdated = guards.version(&key.part) != guard;
+                    self.resolve_conflict(&key, rows, &current, is_outdated);
                     continue;
                 }
             };
@@ -353,7 +367,7 @@
     /// version.
     fn resolve_conflict(
         &self,
-        part: &str,
+        key: &LaneKey,
         rows: Vec<PendingRow>,
         current: &[Row],
         is_outdated: bool,
@@ -374,9 +388,10 @@
             }
         }
         if others.len() < count || is_outdated {
-            self.0.write_queue.requeue(part, others);
+            self.0.write_queue.requeue(key, others);
             return;
         }
+        let part = &key.part;
         log::error!("event=conflict_unexplained part={part} rows={count}");
         for pending in others {
             let reason = "a conflict that names no row".to_owned();
--- a/crates/cluster/tests/cancels/mod.rs
+++ b/crates/cluster/tests/cancels/mod.rs
@@ -194,6 +194,21 @@
     });
 }
 
+/// Guards against a cancellation that is answered seconds late because the answer to the row of another job was lost.
+#[test]
+fn a_cancellation_does_not_wait_for_the_row_of_a_job() {
+    run(async {
+        let platform = platform();
+        let node = start("n1", 0, &platform).await;
+        platform.fault.set(TableFault::KeepsJobs);
+        let submitting = node.clone();
+        spawn_local(async move { submit(&submitting, SAME_PART, 1).await });
+        sleep(Duration::from_millis(50)).await;
+        let soon = Instant::now() + Duration::from_secs(1);
+        assert_eq!(node.cancel(ID, soon).await, CancelOutcome::NoJob);
+    });
+}
+
 /// How long the nodes of the tests below keep cancellations of unknown jobs, and ended jobs.
 const RETENTION: Duration = Duration::from_secs(2);
 
