--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     fmt::Write,
     io,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -76,6 +76,14 @@
     totals: Totals,
     /// Kept apart from `totals`, because labels may contain the separators of statsd lines.
     teams: Arc<Mutex<Labelled>>,
+    build: Arc<OnceLock<Build>>,
+}
+
+/// The build of the process.
+#[derive(Clone, Copy, Debug)]
+struct Build {
+    version: &'static str,
+    source: &'static str,
 }
 
 impl Default for Metrics {
@@ -86,6 +94,7 @@
             client,
             totals,
             teams: Arc::default(),
+            build: Arc::default(),
         }
     }
 }
@@ -110,6 +119,11 @@
         }
     }
 
+    /// Sets the build that the page names: its version, and a digest of its sources. Later calls have no effect.
+    pub fn set_build(&self, version: &'static str, source: &'static str) {
+        self.build.get_or_init(|| Build { version, source });
+    }
+
     /// Replaces the gauges of teams: for each name the teams with their values. The caller bounds their number.
     pub(crate) fn set_teams(&self, gauges: BTreeMap<&'static str, Vec<(Arc<str>, u64)>>) {
         *self.teams.lock().unwrap_or_else(PoisonError::into_inner) = gauges;
@@ -147,6 +161,10 @@
                 let _ = writeln!(page, "{PREFIX}_{name}{{team=\"{team}\"}} {value}");
             }
         }
+        if let Some(Build { version, source }) = self.build.get() {
+            let labels = format!("version=\"{version}\",source=\"{source}\"");
+            let _ = writeln!(page, "{PREFIX}_build_info{{{labels}}} 1");
+        }
         page
     }
 }
@@ -179,6 +197,15 @@
 mod tests {
     use super::*;
 
+    /// Guards against reports that do not tell which build they are from.
+    #[test]
+    fn the_page_names_the_build() {
+        let metrics = Metrics::default();
+        metrics.set_build("0.1.0", "0123456789ab");
+        let expected = "lacewing_build_info{version=\"0.1.0\",source=\"0123456789ab\"} 1\n";
+        assert_eq!(metrics.page(), expected);
+    }
+
     /// Guards against a team name that breaks the page, and against teams that stay on it after they are gone.
     #[test]
     fn gauges_of_teams_are_escaped_and_replaced() {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -162,7 +162,11 @@
         return Ok(CommandLine::Text(opts.usage(USAGE)));
     }
     if matches.opt_present("version") {
-        let text = format!("lacewingrouter {}\n", env!("CARGO_PKG_VERSION"));
+        let text = format!(
+            "lacewingrouter {} (source {})\n",
+            env!("CARGO_PKG_VERSION"),
+            platform::SOURCE_DIGEST
+        );
         return Ok(CommandLine::Text(text));
     }
     let mut reader = Reader {
