--- a/crates/cluster/src/intake.rs
+++ b/crates/cluster/src/intake.rs
@@ -340,6 +340,7 @@
                 delete: Vec::new(),
             };
             let deadline = Instant::now() + BATCH_TIMEOUT;
+            // A further attempt is of no use once nobody waits for its outcome.
             let is_unwanted =
                 || self.0.table.is_lost() || rows.iter().all(|pending| pending.tx.is_closed());
             let outcome =
@@ -363,8 +364,8 @@
     }
 
     /// Answers the requesters whose rows conflict with those in `current`, and lets the other rows of the transaction wait for
-    /// the next one. If the guard has another version than expected, that one answers the requesters of rows that expect its former
-    /// version.
+    /// the next one. `is_outdated` tells that the guard did not have the expected version; rows that may not expect the new one
+    /// are then refused before the next transaction.
     fn resolve_conflict(
         &self,
         key: &LaneKey,
