Test that a successor deletes rows, though an answer is lost

It does not know the guard that its predecessor has left, and a lost answer must not lead to a second deletion. Without the comparison of the guard's content (guard::is_written) the test fails.

--- a/crates/cluster/tests/cancels/mod.rs
+++ b/crates/cluster/tests/cancels/mod.rs
@@ -400,3 +400,30 @@
         assert!(first.has_job_row(&cancel_key()));
     });
 }
+
+/// Guards against rows that a new scheduler cannot delete, because it does not know the guard that its predecessor has left, or
+/// deletes twice, because the answer to a deletion was lost.
+#[test]
+fn a_successor_deletes_rows_though_an_answer_is_lost() {
+    run(async {
+        let (first, scheduling, second, other) = two_nodes_with_short_retention().await;
+        cancel_and_expire(&first, &scheduling).await;
+        scheduling.drain();
+        until("the other node schedules", || {
+            first.lease().is_some_and(|row| row.holder == "n2")
+        })
+        .await;
+        let cancelling = other.cancel(ID, deadline()).await;
+        assert_eq!(cancelling, CancelOutcome::NoJob);
+        second.fault.set(TableFault::LosesDeletionAnswer);
+        until("the cancellation expires", || {
+            !first.has_job_row(&cancel_key())
+        })
+        .await;
+        assert_eq!(second.fault.get(), TableFault::None);
+        let versions = first.guard_versions();
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(first.guard_versions(), versions, "one deletion");
+        assert_eq!(submit(&other, ID, 1).await, SubmitOutcome::Accepted);
+    });
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -55,6 +55,8 @@
     KeepsJobs,
     /// The next transaction that deletes rows of jobs is not answered, and waits for [`Platform::carry_out_held`].
     KeepsDeletion,
+    /// The next transaction that deletes rows of jobs is stored, and its answer is lost.
+    LosesDeletionAnswer,
 }
 
 /// The rows of all tables, and the log of their changes.
@@ -201,6 +203,13 @@
             .any(|(table, _, k)| table == "jobs" && k == key)
     }
 
+    /// Returns the versions of the guards of the parts of the table of jobs.
+    pub fn guard_versions(&self) -> Vec<u64> {
+        let store = self.shared.store.borrow();
+        let guards = store.rows.iter().filter(|((t, _, _), _)| t == "guards");
+        guards.map(|(_, (_, version))| *version).collect()
+    }
+
     /// Returns the lease row, if there is one.
     pub fn lease(&self) -> Option<LeaseRow> {
         let store = self.shared.store.borrow();
@@ -274,7 +283,8 @@
             | TableFault::RefusesTransactions
             | TableFault::CarriesOutJobsLate(_)
             | TableFault::KeepsJobs
-            | TableFault::KeepsDeletion => None,
+            | TableFault::KeepsDeletion
+            | TableFault::LosesDeletionAnswer => None,
             TableFault::Refuses => Some(refused),
             TableFault::Silent => {
                 sleep(WAIT_TIMEOUT).await;
@@ -338,6 +348,14 @@
                 self.fault.set(TableFault::None);
                 return Err(self.hold(tx));
             }
+            TableFault::LosesDeletionAnswer if deletes_job => {
+                let outcome = apply(&mut self.shared.store.borrow_mut(), tx);
+                if outcome.is_ok() {
+                    self.fault.set(TableFault::None);
+                    return Err(CommitError::Unknown("the answer was lost".into()));
+                }
+                return outcome;
+            }
             _ => {}
         }
         if let Some((key, _)) = tx.set.first() {
