--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -20,7 +20,7 @@
     let dir = PathBuf::from(dir);
     let result = match case.as_str() {
         "large-job" => cases::large_job(&dir, has_trouble),
-        "schedule" => cases::schedule(&dir, has_trouble),
+        "past-times" => cases::past_times(&dir, has_trouble),
         "crash-loop" => cases::crash_loop(&dir, has_trouble),
         "innocent" => cases::innocent(&dir, has_trouble),
         _ => {
